--- /dev/null
+++ b/tanagergap-api/src/main/java/org/tanagergap/api/finding/Findings.java
@@ -0,0 +1,31 @@
+package org.tanagergap.api.finding;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/** Collects findings, so that all are reported together. Not thread-safe. */
+public final class Findings {
+
+    private final List<Finding> mFindings = new ArrayList<>();
+
+    /** Adds a finding. */
+    public void add(String place, String message) {
+        mFindings.add(new Finding(place, message));
+    }
+
+    public boolean isEmpty() {
+        return mFindings.isEmpty();
+    }
+
+    /** Findings in the order in which they were added. */
+    public List<Finding> toList() {
+        return List.copyOf(mFindings);
+    }
+
+    /** Throws an exception with all findings when there are any. */
+    public void throwIfAny() {
+        if (!mFindings.isEmpty()) {
+            throw new InvalidInputException(mFindings);
+        }
+    }
+}
