--- /dev/null
+++ b/tanagergap-runtime/src/main/java/org/tanagergap/runtime/log/StructuredLogging.java
@@ -0,0 +1,24 @@
+package org.tanagergap.runtime.log;
+
+import java.util.logging.ConsoleHandler;
+import java.util.logging.Handler;
+import java.util.logging.Level;
+import java.util.logging.LogManager;
+import java.util.logging.Logger;
+
+/** Sends all logs of the process to standard error as lines of JSON. */
+public final class StructuredLogging {
+
+    private StructuredLogging() {}
+
+    /** Replaces the handlers of the root logger. */
+    public static void install(String program, Level level) {
+        LogManager.getLogManager().reset();
+        Handler handler = new ConsoleHandler();
+        handler.setFormatter(new JsonLogFormatter(program));
+        handler.setLevel(level);
+        Logger root = Logger.getLogger("");
+        root.setLevel(level);
+        root.addHandler(handler);
+    }
+}
--- /dev/null
+++ b/tanagergap-runtime/src/main/java/org/tanagergap/runtime/program/ProgramCommand.java
@@ -0,0 +1,84 @@
+package org.tanagergap.runtime.program;
+
+import com.github.rvesse.airline.HelpOption;
+import com.github.rvesse.airline.annotations.AirlineModule;
+import com.github.rvesse.airline.annotations.Option;
+import io.vertx.core.Vertx;
+import java.util.Map;
+import java.util.Optional;
+import java.util.logging.Level;
+import org.tanagergap.api.lifecycle.Service;
+import org.tanagergap.runtime.log.StructuredLogging;
+import org.tanagergap.runtime.settings.HostPort;
+import org.tanagergap.runtime.settings.SettingsReader;
+import org.tanagergap.runtime.trace.TraceOutput;
+import org.tanagergap.runtime.trace.Tracing;
+
+/** Settings that every long-running program has, and how such a program is started. */
+public abstract class ProgramCommand {
+
+    @AirlineModule HelpOption<ProgramCommand> mHelp;
+
+    @Option(name = "--version", description = "Prints the version and exits")
+    boolean mVersion;
+
+    @Option(
+            name = "--admin-listen",
+            title = "host:port",
+            description = "Address of /healthz, /readyz, /metrics and /status")
+    String mAdminListen;
+
+    @Option(
+            name = "--log-level",
+            title = "level",
+            description = "Least severe level that is logged: severe, warning, info or fine")
+    String mLogLevel;
+
+    @Option(
+            name = "--trace-output",
+            title = "output",
+            description = "Where spans go: none, log or otlp")
+    String mTraceOutput;
+
+    @Option(
+            name = "--trace-endpoint",
+            title = "url",
+            description = "URL of the trace collector, for --trace-output otlp")
+    String mTraceEndpoint;
+
+    private enum LogLevel {
+        SEVERE(Level.SEVERE),
+        WARNING(Level.WARNING),
+        INFO(Level.INFO),
+        FINE(Level.FINE);
+
+        private final Level mLevel;
+
+        LogLevel(Level level) {
+            mLevel = level;
+        }
+    }
+
+    /** Name of the program. */
+    protected abstract String programName();
+
+    /** Reads the program's own settings; findings go to the reader. */
+    protected abstract void readSettings(SettingsReader reader);
+
+    /** Creates the program's service; called only when there are no findings. */
+    protected abstract Service createService(ProgramContext context);
+
+    /** Reads all settings and prepares logs and traces; throws when there are findings. */
+    final ProgramContext prepare(Map<String, String> environment, Vertx vertx) {
+        SettingsReader reader = new SettingsReader(environment);
+        HostPort adminListen = reader.address("--admin-listen", mAdminListen, "127.0.0.1:0");
+        LogLevel level = reader.choice("--log-level", mLogLevel, "info", LogLevel.class);
+        TraceOutput output =
+                reader.choice("--trace-output", mTraceOutput, "none", TraceOutput.class);
+        Optional<String> endpoint = reader.optionalText("--trace-endpoint", mTraceEndpoint);
+        readSettings(reader);
+        reader.findings().throwIfAny();
+        StructuredLogging.install(programName(), level.mLevel);
+        return new ProgramContext(vertx, adminListen, new Tracing(programName(), output, endpoint));
+    }
+}
--- /dev/null
+++ b/tanagergap-runtime/src/main/java/org/tanagergap/runtime/program/ProgramRunner.java
@@ -0,0 +1,80 @@
+package org.tanagergap.runtime.program;
+
+import com.github.rvesse.airline.SingleCommand;
+import com.github.rvesse.airline.parser.errors.ParseException;
+import com.google.common.flogger.FluentLogger;
+import io.vertx.core.Vertx;
+import io.vertx.core.VertxOptions;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import org.tanagergap.api.finding.InvalidInputException;
+import org.tanagergap.api.lifecycle.Service;
+
+/** Runs a long-running program from its command line until the process is told to end. */
+public final class ProgramRunner {
+
+    private static final FluentLogger sLogger = FluentLogger.forEnclosingClass();
+    private static final long STOP_TIMEOUT_MINUTES = 30;
+
+    private ProgramRunner() {}
+
+    /**
+     * Parses the arguments, starts the program's service and stops it at the end of the process.
+     */
+    public static <C extends ProgramCommand> void run(Class<C> type, String[] args) {
+        SingleCommand<C> parser = SingleCommand.singleCommand(type);
+        C command = parse(parser, args);
+        if (command.mHelp.showHelpIfRequested()) {
+            return;
+        }
+        if (command.mVersion) {
+            System.out.println(command.programName() + " " + Version.current());
+            return;
+        }
+        Vertx vertx = Vertx.vertx(new VertxOptions());
+        ProgramContext context = prepare(command, vertx);
+        Service service = command.createService(context);
+        try {
+            service.start().get();
+        } catch (ExecutionException | InterruptedException e) {
+            sLogger.atSevere().withCause(e).log("%s could not start", command.programName());
+            System.exit(ExitStatus.FAILED);
+        }
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(service, context), "shutdown"));
+        sLogger.atInfo().log("%s started", command.programName());
+    }
+
+    private static <C> C parse(SingleCommand<C> parser, String[] args) {
+        try {
+            return parser.parse(args);
+        } catch (ParseException e) {
+            System.err.println(e.getMessage());
+            System.exit(ExitStatus.INVALID_SETTINGS);
+            throw e;
+        }
+    }
+
+    private static ProgramContext prepare(ProgramCommand command, Vertx vertx) {
+        try {
+            return command.prepare(System.getenv(), vertx);
+        } catch (InvalidInputException e) {
+            e.findings().forEach(System.err::println);
+            System.exit(ExitStatus.INVALID_SETTINGS);
+            throw e;
+        }
+    }
+
+    private static void stop(Service service, ProgramContext context) {
+        int status = ExitStatus.OK;
+        try {
+            service.stop().get(STOP_TIMEOUT_MINUTES, TimeUnit.MINUTES);
+            context.tracing().close();
+        } catch (ExecutionException | InterruptedException | TimeoutException e) {
+            sLogger.atSevere().withCause(e).log("shutdown failed");
+            status = ExitStatus.FAILED;
+        }
+        // A process that ends by a signal would otherwise report the signal as its exit status.
+        Runtime.getRuntime().halt(status);
+    }
+}
--- /dev/null
+++ b/tanagergap-runtime/src/main/java/org/tanagergap/runtime/settings/SettingsReader.java
@@ -0,0 +1,152 @@
+package org.tanagergap.runtime.settings;
+
+import java.time.Duration;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.function.Function;
+import org.tanagergap.api.finding.Findings;
+
+/**
+ * Reads settings from flags, then from environment variables, then from defaults, and collects
+ * every finding. The variable of {@code --admin-listen} is {@code TANAGERGAP_ADMIN_LISTEN}.
+ */
+public final class SettingsReader {
+
+    private static final String VARIABLE_PREFIX = "TANAGERGAP_";
+
+    private final Map<String, String> mEnvironment;
+    private final Findings mFindings = new Findings();
+
+    public SettingsReader(Map<String, String> environment) {
+        mEnvironment = Map.copyOf(Objects.requireNonNull(environment, "environment"));
+    }
+
+    /** Text of the setting; a finding when it is absent and has no default. */
+    public String text(String flag, String flagValue, String defaultValue) {
+        return read(flag, flagValue, defaultValue, Optional::of, "a text");
+    }
+
+    /** Text of the setting when it is given. */
+    public Optional<String> optionalText(String flag, String flagValue) {
+        return Optional.ofNullable(flagValue)
+                .or(() -> Optional.ofNullable(mEnvironment.get(variable(flag))))
+                .filter(value -> !value.isBlank());
+    }
+
+    /** Address in the form {@code host:port}. */
+    public HostPort address(String flag, String flagValue, String defaultValue) {
+        return read(flag, flagValue, defaultValue, HostPort::parse, "host:port");
+    }
+
+    /** Addresses separated by commas; may be empty. */
+    public List<HostPort> addresses(String flag, String flagValue) {
+        return optionalText(flag, flagValue).stream()
+                .flatMap(value -> Arrays.stream(value.split(",")))
+                .map(String::trim)
+                .flatMap(item -> parseItem(flag, item).stream())
+                .toList();
+    }
+
+    /** Whole number within bounds. */
+    public long number(String flag, String flagValue, String defaultValue, long min, long max) {
+        Long number =
+                read(
+                        flag,
+                        flagValue,
+                        defaultValue,
+                        value -> parseNumber(value).filter(n -> n >= min && n <= max),
+                        "a whole number from " + min + " to " + max);
+        return number == null ? min : number;
+    }
+
+    /** Time span in milliseconds within bounds. */
+    public Duration millis(
+            String flag, String flagValue, String defaultValue, long minMillis, long maxMillis) {
+        Long millis =
+                read(
+                        flag,
+                        flagValue,
+                        defaultValue,
+                        value -> parseNumber(value).filter(n -> n >= minMillis && n <= maxMillis),
+                        "milliseconds from " + minMillis + " to " + maxMillis);
+        return Duration.ofMillis(millis == null ? minMillis : millis);
+    }
+
+    /** One of the constants of an enumeration, in lower case with hyphens. */
+    public <E extends Enum<E>> E choice(
+            String flag, String flagValue, String defaultValue, Class<E> type) {
+        List<String> names =
+                Arrays.stream(type.getEnumConstants()).map(SettingsReader::choiceName).toList();
+        return read(
+                flag,
+                flagValue,
+                defaultValue,
+                value ->
+                        Arrays.stream(type.getEnumConstants())
+                                .filter(constant -> choiceName(constant).equals(value))
+                                .findFirst(),
+                "one of " + String.join(", ", names));
+    }
+
+    /** Adds a finding about a setting. */
+    public void reject(String flag, String message) {
+        mFindings.add(place(flag), message);
+    }
+
+    /** Findings so far. */
+    public Findings findings() {
+        return mFindings;
+    }
+
+    private <T> T read(
+            String flag,
+            String flagValue,
+            String defaultValue,
+            Function<String, Optional<T>> parser,
+            String expected) {
+        Optional<String> value =
+                optionalText(flag, flagValue).or(() -> Optional.ofNullable(defaultValue));
+        if (value.isEmpty()) {
+            reject(flag, "is required; expected " + expected);
+            return null;
+        }
+        Optional<T> parsed = parser.apply(value.get());
+        if (parsed.isEmpty()) {
+            reject(flag, "\"" + value.get() + "\" is not valid; expected " + expected);
+        }
+        return parsed.orElse(null);
+    }
+
+    private Optional<HostPort> parseItem(String flag, String item) {
+        Optional<HostPort> address = HostPort.parse(item);
+        if (address.isEmpty()) {
+            reject(flag, "\"" + item + "\" is not valid; expected host:port");
+        }
+        return address;
+    }
+
+    private static Optional<Long> parseNumber(String value) {
+        try {
+            return Optional.of(Long.parseLong(value));
+        } catch (NumberFormatException e) {
+            return Optional.empty();
+        }
+    }
+
+    private static String choiceName(Enum<?> constant) {
+        return constant.name().toLowerCase(Locale.ROOT).replace('_', '-');
+    }
+
+    private static String place(String flag) {
+        return flag + " (" + variable(flag) + ")";
+    }
+
+    private static String variable(String flag) {
+        String name = flag.replaceFirst("^-+", "").replace('-', '_').toUpperCase(Locale.ROOT);
+        return VARIABLE_PREFIX + name;
+    }
+}
--- /dev/null
+++ b/tanagergap-runtime/src/main/java/org/tanagergap/runtime/trace/Tracing.java
@@ -0,0 +1,114 @@
+package org.tanagergap.runtime.trace;
+
+import io.opentelemetry.api.common.AttributeKey;
+import io.opentelemetry.api.trace.Span;
+import io.opentelemetry.api.trace.SpanKind;
+import io.opentelemetry.api.trace.Tracer;
+import io.opentelemetry.api.trace.propagation.W3CTraceContextPropagator;
+import io.opentelemetry.context.Context;
+import io.opentelemetry.context.propagation.TextMapGetter;
+import io.opentelemetry.exporter.otlp.http.trace.OtlpHttpSpanExporter;
+import io.opentelemetry.sdk.resources.Resource;
+import io.opentelemetry.sdk.trace.SdkTracerProvider;
+import io.opentelemetry.sdk.trace.SdkTracerProviderBuilder;
+import io.opentelemetry.sdk.trace.export.BatchSpanProcessor;
+import io.opentelemetry.sdk.trace.export.SpanExporter;
+import io.opentelemetry.sdk.trace.samplers.Sampler;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+
+/** Creates spans and passes their context between processes as W3C trace context. */
+public final class Tracing implements AutoCloseable {
+
+    private static final String TRACEPARENT = "traceparent";
+    private static final long FLUSH_SECONDS = 2;
+    private static final TextMapGetter<Map<String, String>> sGetter = new MapGetter();
+
+    private final SdkTracerProvider mProvider;
+    private final Tracer mTracer;
+    private final W3CTraceContextPropagator mPropagator = W3CTraceContextPropagator.getInstance();
+
+    /**
+     * Creates the tracer of a program.
+     *
+     * @param program name of the program, the spans' {@code service.name}
+     * @param output where finished spans go
+     * @param endpoint URL of the collector, for {@link TraceOutput#OTLP}
+     */
+    public Tracing(String program, TraceOutput output, Optional<String> endpoint) {
+        SdkTracerProviderBuilder builder =
+                SdkTracerProvider.builder()
+                        .setResource(
+                                Resource.create(
+                                        io.opentelemetry.api.common.Attributes.of(
+                                                AttributeKey.stringKey("service.name"), program)));
+        if (output == TraceOutput.NONE) {
+            builder.setSampler(Sampler.alwaysOff());
+        } else {
+            builder.addSpanProcessor(
+                    BatchSpanProcessor.builder(exporter(output, endpoint)).build());
+        }
+        mProvider = builder.build();
+        mTracer = mProvider.get("org.tanagergap");
+    }
+
+    /** Starts a span under the given remote parent, or a new trace when there is none. */
+    public Span start(String name, SpanKind kind, Optional<String> traceparent) {
+        Context parent =
+                traceparent
+                        .filter(value -> !value.isEmpty())
+                        .map(value -> extract(value))
+                        .orElse(Context.root());
+        return mTracer.spanBuilder(name).setSpanKind(kind).setParent(parent).startSpan();
+    }
+
+    /** Starts a span under another span of this process. */
+    public Span startChild(String name, SpanKind kind, Span parent) {
+        return mTracer.spanBuilder(name)
+                .setSpanKind(kind)
+                .setParent(Context.root().with(parent))
+                .startSpan();
+    }
+
+    /** Value of the {@code traceparent} header for calls under the span. */
+    public String traceparent(Span span) {
+        Map<String, String> carrier = new HashMap<>();
+        mPropagator.inject(Context.root().with(span), carrier, Map::put);
+        return carrier.getOrDefault(TRACEPARENT, "");
+    }
+
+    /** Exports the remaining spans. */
+    @Override
+    public void close() {
+        mProvider.shutdown().join(FLUSH_SECONDS, TimeUnit.SECONDS);
+    }
+
+    private Context extract(String traceparent) {
+        return mPropagator.extract(Context.root(), Map.of(TRACEPARENT, traceparent), sGetter);
+    }
+
+    private static SpanExporter exporter(TraceOutput output, Optional<String> endpoint) {
+        if (output == TraceOutput.LOG) {
+            return new LogSpanExporter();
+        }
+        var builder = OtlpHttpSpanExporter.builder();
+        endpoint.ifPresent(builder::setEndpoint);
+        return builder.build();
+    }
+
+    private static final class MapGetter implements TextMapGetter<Map<String, String>> {
+
+        @Override
+        public Iterable<String> keys(Map<String, String> carrier) {
+            return List.copyOf(carrier.keySet());
+        }
+
+        @Override
+        public String get(Map<String, String> carrier, String key) {
+            return carrier == null ? null : carrier.get(key);
+        }
+    }
+}
