--- /dev/null
+++ b/tanagergap-decisions/src/main/java/org/tanagergap/decisions/routing/LoadHint.java
@@ -0,0 +1,38 @@
+package org.tanagergap.decisions.routing;
+
+import java.time.Duration;
+import java.util.Map;
+import java.util.Set;
+import org.tanagergap.decisions.scheduling.RankLoad;
+
+/**
+ * Load and state of an agent at the time of sending.
+ *
+ * @param memoryTokensTotal memory of the engine, in tokens
+ * @param memoryTokensFree free memory, in tokens
+ * @param prefillTokensQueued prompt tokens that wait or are being prefilled
+ * @param prefillTokensPerSecond measured prefill rate
+ * @param ranks queued work by rank
+ * @param draining whether the agent refuses new work
+ * @param upstreamReady whether the agent reaches its upstream
+ * @param loadReportAge age of the engine's own load report
+ * @param prefixHashes recent prefixes that the engine holds
+ * @param configurationVersion version in force at the agent
+ */
+public record LoadHint(
+        long memoryTokensTotal,
+        long memoryTokensFree,
+        long prefillTokensQueued,
+        double prefillTokensPerSecond,
+        Map<String, RankLoad> ranks,
+        boolean draining,
+        boolean upstreamReady,
+        Duration loadReportAge,
+        Set<String> prefixHashes,
+        long configurationVersion) {
+
+    public LoadHint {
+        ranks = Map.copyOf(ranks);
+        prefixHashes = Set.copyOf(prefixHashes);
+    }
+}
--- /dev/null
+++ b/tanagergap-decisions/src/main/java/org/tanagergap/decisions/routing/RequestRouter.java
@@ -0,0 +1,48 @@
+package org.tanagergap.decisions.routing;
+
+import java.util.Collection;
+import java.util.List;
+import java.util.Optional;
+import org.tanagergap.api.request.AttemptId;
+
+/**
+ * Chooses the agent for each attempt, within one entry. Performs no I/O and is safe for use by
+ * several threads.
+ */
+public interface RequestRouter {
+
+    /**
+     * Replaces the agents that configuration and instance list propose; keeps hints of known ones.
+     */
+    void replaceAgents(Collection<AgentEndpoint> agents);
+
+    /** Agents of the subset that are in use or probed. */
+    List<AgentEndpoint> agents();
+
+    /** Chooses an agent and counts the attempt as sent to it until {@link #attemptEnded}. */
+    Optional<AgentEndpoint> choose(RoutingRequest request);
+
+    /** Agents of a service in ascending order of name with free memory, for a spanning prompt. */
+    List<AgentEndpoint> spanningCandidates(String service);
+
+    /** Records a hint. */
+    void hintReceived(String agent, LoadHint hint);
+
+    /** Records that a connection was refused or broke before an answer. */
+    void connectionFailed(String agent);
+
+    /** Records that the agent answered, so that it is reachable. */
+    void connectionSucceeded(String agent);
+
+    /** Stops counting the attempt. */
+    void attemptEnded(AttemptId attempt);
+
+    /** Latest hint of an agent. */
+    Optional<LoadHint> hint(String agent);
+
+    /** Largest memory of any live agent of the service, in tokens; 0 when unknown. */
+    long largestMemoryTokens(String service);
+
+    /** Agents whose hint is older than the exchange interval or whose version is behind. */
+    List<AgentEndpoint> exchangeDue(long configurationVersion);
+}
--- /dev/null
+++ b/tanagergap-decisions/src/main/java/org/tanagergap/decisions/scheduling/UpstreamScheduler.java
@@ -0,0 +1,67 @@
+package org.tanagergap.decisions.scheduling;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import org.tanagergap.api.request.AttemptId;
+
+/**
+ * Decides which work runs on one upstream: admission, queue, ranks, fair shares and memory.
+ * Performs no I/O and is safe for use by several threads. An agent calls {@link #dispatchable()}
+ * after every event that may free memory or add work.
+ */
+public interface UpstreamScheduler {
+
+    /** Asks for admission of an item. */
+    AdmissionDecision submit(WorkItem item);
+
+    /** Takes the items that start now from the queue, with their memory reserved, in order. */
+    List<WorkItem> dispatchable();
+
+    /** Takes queued items whose deadline has passed; they are refused as not run. */
+    List<WorkItem> expired();
+
+    /** Records that the engine sent the first token of an attempt, so that its prefill is over. */
+    void prefillFinished(AttemptId attempt, long promptTokens);
+
+    /**
+     * Releases an attempt, queued or running; returns whether it was known. Called at least once.
+     */
+    boolean release(AttemptId attempt, long outputTokens);
+
+    /** Compares reservations with the runs that the engine lists. */
+    ReconcileResult reconcile(List<EngineRun> engineRuns);
+
+    /**
+     * Reserves memory for a segment of a prompt that spans several engines; a repeated call extends
+     * the expiry. Returns false when the memory is not free.
+     */
+    boolean hold(String holdId, long tokens, Duration expiresIn);
+
+    /** Releases a hold; returns whether it was known. */
+    boolean releaseHold(String holdId);
+
+    /** Releases lapsed holds and returns their identifiers. */
+    List<String> expiredHolds();
+
+    /** Sets the engine's memory, in tokens. */
+    void setCapacity(long memoryTokens);
+
+    /** Memory that is neither reserved nor held, in tokens. */
+    long freeTokens();
+
+    /** Reserved and held memory, in tokens. */
+    long reservedTokens();
+
+    /** Prompt tokens that wait in the queue or are being prefilled. */
+    long prefillTokensQueued();
+
+    /** Learnt prefill rate, in tokens per second. */
+    double prefillTokensPerSecond();
+
+    /** Queued items by rank. */
+    Map<String, RankLoad> queuedByRank();
+
+    /** Attempts that run. */
+    int running();
+}
--- /dev/null
+++ b/tanagergap-platform/src/main/java/org/tanagergap/platform/keyvalue/Write.java
@@ -0,0 +1,18 @@
+package org.tanagergap.platform.keyvalue;
+
+import java.util.OptionalLong;
+
+/** Write of a transaction. */
+public sealed interface Write {
+
+    /** Sets a key, under a lease when one is given. */
+    record Put(String key, String value, OptionalLong leaseId) implements Write {
+
+        public Put(String key, String value) {
+            this(key, value, OptionalLong.empty());
+        }
+    }
+
+    /** Deletes the keys in {@code [from, to)}. */
+    record DeleteRange(String from, String to) implements Write {}
+}
