--- /dev/null
+++ b/tanagergap-standins/src/main/java/org/tanagergap/standins/engine/CacheEvent.java
@@ -0,0 +1,11 @@
+package org.tanagergap.standins.engine;
+
+/**
+ * Change of the prefix cache.
+ *
+ * @param sequence number of the event; gaps tell that events were lost
+ * @param kind {@code stored} or {@code evicted}
+ * @param cacheSalt salt of the block
+ * @param prefixHash hash of the block and all blocks before it
+ */
+public record CacheEvent(long sequence, String kind, String cacheSalt, long prefixHash) {}
--- /dev/null
+++ b/tanagergap-standins/src/main/java/org/tanagergap/standins/engine/PromptDigest.java
@@ -0,0 +1,31 @@
+package org.tanagergap.standins.engine;
+
+import java.nio.charset.StandardCharsets;
+
+/** Rolling digest of prompt text; segments of a prompt digest to the same value as the whole. */
+public final class PromptDigest {
+
+    /** Digest of the empty text. */
+    public static final long EMPTY = 0xcbf29ce484222325L;
+
+    // Constants of the 64-bit FNV-1a hash.
+    private static final long FNV_PRIME = 0x100000001b3L;
+    private static final int WORDS = 10_000;
+
+    private PromptDigest() {}
+
+    /** Digest of the digested text followed by more text. */
+    public static long append(long digest, String text) {
+        long result = digest;
+        for (byte b : text.getBytes(StandardCharsets.UTF_8)) {
+            result = (result ^ (b & 0xff)) * FNV_PRIME;
+        }
+        return result;
+    }
+
+    /** Text of the output token at an index; the same on every engine. */
+    public static String outputToken(long promptDigest, long index) {
+        long mixed = append(promptDigest, Long.toString(index));
+        return " w" + Long.remainderUnsigned(mixed, WORDS);
+    }
+}
--- /dev/null
+++ b/tanagergap-standins/src/main/java/org/tanagergap/standins/engine/SubmitOutcome.java
@@ -0,0 +1,12 @@
+package org.tanagergap.standins.engine;
+
+/** Answer of an engine to a request. */
+public enum SubmitOutcome {
+    ACCEPTED,
+    /** A run with the same identifier exists. */
+    DUPLICATE,
+    /** Too many requests wait for memory. */
+    QUEUE_FULL,
+    /** The request needs more memory than the engine has. */
+    TOO_LARGE
+}
