--- /dev/null
+++ b/tanagergap-standins/src/main/java/org/tanagergap/standins/engine/CompletionStream.java
@@ -0,0 +1,72 @@
+package org.tanagergap.standins.engine;
+
+import io.vertx.core.http.HttpServerResponse;
+import io.vertx.core.json.JsonObject;
+
+/** Writes the events of one run as server-sent events. */
+final class CompletionStream implements RunObserver {
+
+    private final String mRequestId;
+    private final HttpServerResponse mResponse;
+    private final EngineFaults mFaults;
+    private long mTokensSent;
+
+    CompletionStream(String requestId, HttpServerResponse response, EngineFaults faults) {
+        mRequestId = requestId;
+        mResponse = response;
+        mFaults = faults;
+    }
+
+    @Override
+    public void onToken(long index, String text) {
+        if (mFaults.silent() || mResponse.closed() || mFaults.takeSkipped()) {
+            return;
+        }
+        if (mFaults.takeCrossed()) {
+            send(token("other-request", index, " crossed"));
+        }
+        send(token(mRequestId, index, text));
+        if (mFaults.takeDuplicated()) {
+            send(token(mRequestId, index, text));
+        }
+        mTokensSent++;
+        if (mFaults.cutsAfter(mTokensSent)) {
+            mResponse.reset();
+        }
+    }
+
+    @Override
+    public void onFinished(String finishReason, RunUsage usage) {
+        if (mFaults.silent() || mResponse.closed()) {
+            return;
+        }
+        send(
+                new JsonObject()
+                        .put("request_id", mRequestId)
+                        .put("finish_reason", finishReason)
+                        .put(
+                                "usage",
+                                new JsonObject()
+                                        .put("prompt_tokens", usage.promptTokens())
+                                        .put("completion_tokens", usage.completionTokens())
+                                        .put("cached_tokens", usage.cachedTokens())));
+        mResponse.end("data: [DONE]\n\n");
+    }
+
+    @Override
+    public void onCancelled() {
+        if (!mResponse.closed()) {
+            mResponse.reset();
+        }
+    }
+
+    private void send(JsonObject event) {
+        if (!mResponse.closed()) {
+            mResponse.write("data: " + event.encode() + "\n\n");
+        }
+    }
+
+    private static JsonObject token(String requestId, long index, String text) {
+        return new JsonObject().put("request_id", requestId).put("index", index).put("text", text);
+    }
+}
--- /dev/null
+++ b/tanagergap-standins/src/main/java/org/tanagergap/standins/engine/SegmentReply.java
@@ -0,0 +1,39 @@
+package org.tanagergap.standins.engine;
+
+import io.vertx.core.http.HttpServerResponse;
+import io.vertx.core.json.JsonObject;
+
+/** Answers the prefill of a segment once its KV cache is held. */
+final class SegmentReply implements RunObserver {
+
+    private final String mHandle;
+    private final long mTokens;
+    private final HttpServerResponse mResponse;
+
+    SegmentReply(String handle, long tokens, HttpServerResponse response) {
+        mHandle = handle;
+        mTokens = tokens;
+        mResponse = response;
+    }
+
+    @Override
+    public void onToken(long index, String text) {
+        throw new IllegalStateException("the prefill of a segment generates no tokens");
+    }
+
+    @Override
+    public void onFinished(String finishReason, RunUsage usage) {
+        if (!mResponse.closed()) {
+            mResponse
+                    .putHeader("Content-Type", "application/json")
+                    .end(new JsonObject().put("handle", mHandle).put("tokens", mTokens).encode());
+        }
+    }
+
+    @Override
+    public void onCancelled() {
+        if (!mResponse.closed()) {
+            mResponse.reset();
+        }
+    }
+}
