--- /dev/null
+++ b/tanagergap-measure/src/main/java/org/tanagergap/measure/fleet/AttemptObserver.java
@@ -0,0 +1,18 @@
+package org.tanagergap.measure.fleet;
+
+/** Receives the events of an attempt at the agent. */
+interface AttemptObserver {
+
+    /** The attempt left the queue. */
+    void onAdmitted();
+
+    void onToken(long index);
+
+    void onFinished();
+
+    /** The attempt was refused and has not run. */
+    void onRefused(String reason);
+
+    /** The attempt ran and its deadline passed. */
+    void onDeadline();
+}
--- /dev/null
+++ b/tanagergap-measure/src/main/java/org/tanagergap/measure/fleet/PriorityRule.java
@@ -0,0 +1,10 @@
+package org.tanagergap.measure.fleet;
+
+import org.tanagergap.decisions.scheduling.WorkItem;
+
+/** Gives the engine's priority of an attempt; lower values run first. */
+@FunctionalInterface
+public interface PriorityRule {
+
+    int priorityOf(WorkItem item);
+}
