Add the fair upstream scheduler

Cause: agents need one place that decides which work runs on an upstream. Change: FairUpstreamScheduler with a memory ledger, rank floors over a window, start-time fair queueing of workspaces, deadline and aged length within a workspace, admission against the deadline, bounded queues with displacement, a cap for long work, holds, and reconciliation with the engine's runs.

--- /dev/null
+++ b/tanagergap-decisions/src/main/java/org/tanagergap/decisions/scheduling/AdmissionControl.java
@@ -0,0 +1,115 @@
+package org.tanagergap.decisions.scheduling;
+
+import java.time.Duration;
+import java.util.function.ToDoubleFunction;
+import org.tanagergap.api.request.LengthBand;
+
+/** Predicts how long an arriving item would wait for prefill and for memory. */
+final class AdmissionControl {
+
+    /** Keeps predictions finite for a rank without a floor below a saturated one. */
+    private static final double MIN_SHARE = 0.01;
+
+    private final RankShares mRanks;
+    private final PrefillSlots mSlots;
+    private final PrefillRateEstimator mRate;
+    private final ResidencyEstimator mResidency;
+    private final MemoryLedger mLedger;
+
+    AdmissionControl(
+            RankShares ranks,
+            PrefillSlots slots,
+            PrefillRateEstimator rate,
+            ResidencyEstimator residency,
+            MemoryLedger ledger) {
+        mRanks = ranks;
+        mSlots = slots;
+        mRate = rate;
+        mResidency = residency;
+        mLedger = ledger;
+    }
+
+    /** Time until an item that arrives now would start. */
+    Duration predictedWait(RankQueue rank, int weight, WorkItem item, long nowNanos) {
+        boolean isLong = item.lengthBand() == LengthBand.LONG;
+        double share = expectedShare(rank, nowNanos);
+        String workspace = item.policy().workspace();
+
+        long prefill = 0;
+        if (item.cost().promptTokens() > 0) {
+            double queued =
+                    workAhead(rank, workspace, weight, share, b -> b.promptTokensBefore(isLong));
+            prefill = mRate.nanosFor(mSlots.tokensBefore(isLong) + queued);
+        }
+        double queuedMemory = workAhead(rank, workspace, weight, share, Backlog::memoryTokens);
+        double missing = queuedMemory + QueuedWork.memoryTokens(item) - mLedger.free();
+        long memory = mResidency.nanosFor(missing, mLedger.capacity());
+        return Duration.ofNanos(Math.max(prefill, memory));
+    }
+
+    /** Time that the item's own prefill takes; zero while no rate has been measured lately. */
+    Duration prefillTime(WorkItem item, long nowNanos) {
+        return mRate.isFresh(nowNanos)
+                ? Duration.ofNanos(mRate.nanosFor(item.cost().promptTokens()))
+                : Duration.ZERO;
+    }
+
+    /** Tokens served before the item: those of more urgent ranks and its workspace's fair part. */
+    private double workAhead(
+            RankQueue rank,
+            String workspace,
+            int weight,
+            double share,
+            ToDoubleFunction<Backlog> measure) {
+        double own = ownRankAhead(rank.shares(), workspace, weight, measure);
+        double urgent = 0;
+        for (RankQueue other : mRanks.all()) {
+            if (other.priority() < rank.priority()) {
+                urgent += measure.applyAsDouble(other.shares().backlog());
+            }
+        }
+        double byPriority = urgent + own / share;
+        return rank.floor() > 0 ? Math.min(byPriority, own / rank.floor()) : byPriority;
+    }
+
+    /** Fair queueing bounds what other workspaces are served before this one's queued work. */
+    private static double ownRankAhead(
+            WorkspaceShares shares,
+            String workspace,
+            int weight,
+            ToDoubleFunction<Backlog> measure) {
+        WorkspaceFlow flow = shares.flow(workspace).orElse(null);
+        if (flow == null || flow.isEmpty()) {
+            return 0;
+        }
+        double fair =
+                measure.applyAsDouble(flow.backlog()) * shares.activeWeight() / (double) weight;
+        return Math.min(measure.applyAsDouble(shares.backlog()), fair);
+    }
+
+    /**
+     * Share of service that the rank can expect: what the floors of other waiting ranks leave and,
+     * while more urgent work waits, what that work left over lately, but at least its floor.
+     */
+    private double expectedShare(RankQueue rank, long nowNanos) {
+        double share = 1;
+        long urgentServed = 0;
+        boolean urgentWaits = false;
+        for (RankQueue other : mRanks.all()) {
+            if (other == rank) {
+                continue;
+            }
+            if (other.priority() < rank.priority()) {
+                urgentServed += other.served().sum(nowNanos);
+                urgentWaits |= !other.isEmpty();
+            } else if (!other.isEmpty()) {
+                share -= other.floor();
+            }
+        }
+        long total = mRanks.totalServed(nowNanos);
+        if (urgentWaits && total > 0) {
+            share = Math.min(share, 1 - urgentServed / (double) total);
+        }
+        return Math.max(MIN_SHARE, Math.max(rank.floor(), share));
+    }
+}
--- /dev/null
+++ b/tanagergap-decisions/src/main/java/org/tanagergap/decisions/scheduling/FairQueue.java
@@ -0,0 +1,161 @@
+package org.tanagergap.decisions.scheduling;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeSet;
+import org.tanagergap.api.request.AttemptId;
+import org.tanagergap.api.request.LengthBand;
+import org.tanagergap.decisions.policy.PolicyStamp;
+
+/** Queue of ranks, of workspaces within a rank, and of items within a workspace. */
+final class FairQueue {
+
+    private final RankShares mRanks;
+    private final Map<AttemptId, QueuedWork> mByAttempt = new HashMap<>();
+    private final TreeSet<QueuedWork> mByExpiry = new TreeSet<>(QueuedWork.BY_EXPIRY);
+    private final Map<String, Integer> mCountByWorkspace = new HashMap<>();
+
+    FairQueue(Duration floorWindow) {
+        mRanks = new RankShares(floorWindow);
+    }
+
+    RankShares ranks() {
+        return mRanks;
+    }
+
+    RankQueue observe(PolicyStamp stamp) {
+        return mRanks.observe(stamp);
+    }
+
+    int size() {
+        return mByAttempt.size();
+    }
+
+    int queuedOf(String workspace) {
+        return mCountByWorkspace.getOrDefault(workspace, 0);
+    }
+
+    boolean contains(AttemptId attempt) {
+        return mByAttempt.containsKey(attempt);
+    }
+
+    Optional<QueuedWork> find(AttemptId attempt) {
+        return Optional.ofNullable(mByAttempt.get(attempt));
+    }
+
+    void add(QueuedWork work, int weight) {
+        mByAttempt.put(work.item().attemptId(), work);
+        mByExpiry.add(work);
+        mCountByWorkspace.merge(work.workspace(), 1, Integer::sum);
+        mRanks.rank(work.rank()).shares().add(work, weight);
+    }
+
+    /** Removes an item that will not run. */
+    Optional<QueuedWork> remove(AttemptId attempt) {
+        QueuedWork work = mByAttempt.get(attempt);
+        if (work == null) {
+            return Optional.empty();
+        }
+        forget(work);
+        mRanks.rank(work.rank()).shares().remove(work);
+        return Optional.of(work);
+    }
+
+    /** Item whose turn it is among those that the gate lets start. */
+    Optional<QueuedWork> next(long nowNanos, DispatchGate gate) {
+        for (RankQueue rank : mRanks.order(nowNanos)) {
+            for (QueuedWork work : candidates(rank.shares())) {
+                if (gate.canStart(work)) {
+                    return Optional.of(work);
+                }
+            }
+        }
+        return Optional.empty();
+    }
+
+    /** Removes an item that starts and charges its rank and workspace. */
+    void dispatch(QueuedWork work, long nowNanos) {
+        forget(work);
+        RankQueue rank = mRanks.rank(work.rank());
+        rank.shares().dispatch(work);
+        rank.served().add(nowNanos, work.memoryTokens());
+    }
+
+    /** Gives back the part of a charge that was not used. */
+    void refund(PolicyStamp stamp, long tokens, long nowNanos) {
+        RankQueue rank = mRanks.rank(stamp.rank());
+        rank.shares().refund(stamp.workspace(), tokens);
+        rank.served().add(nowNanos, -tokens);
+    }
+
+    /** Item that expired first, if one has. */
+    Optional<QueuedWork> firstExpired(long nowNanos) {
+        return mByExpiry.isEmpty() || mByExpiry.first().expiryNanos() > nowNanos
+                ? Optional.empty()
+                : Optional.of(mByExpiry.first());
+    }
+
+    /**
+     * Item that leaves a queue with one item too many: the newest of the workspace furthest above
+     * its share in the least urgent rank that uses more of the queue than its floor. Starting with
+     * ranks keeps a flood of a less urgent rank from displacing urgent work.
+     */
+    QueuedWork victim(int maxQueued) {
+        RankQueue rank =
+                mRanks.all().stream()
+                        .filter(r -> r.shares().backlog().count() > r.floor() * maxQueued)
+                        .max(Comparator.comparingInt(RankQueue::priority))
+                        .orElseGet(this::largestRank);
+        return rank.shares().newestOfMostExcessive().orElseThrow();
+    }
+
+    Map<String, RankLoad> load() {
+        Map<String, RankLoad> load = new LinkedHashMap<>();
+        for (RankQueue rank : mRanks.all()) {
+            Backlog backlog = rank.shares().backlog();
+            if (backlog.count() > 0) {
+                load.put(rank.name(), new RankLoad(backlog.count(), backlog.memoryTokens()));
+            }
+        }
+        return load;
+    }
+
+    long promptTokens() {
+        return mRanks.all().stream().mapToLong(r -> r.shares().backlog().promptTokens()).sum();
+    }
+
+    /** Items larger than the memory, which can never start. */
+    List<QueuedWork> largerThan(long memoryTokens) {
+        return mByAttempt.values().stream().filter(w -> w.memoryTokens() > memoryTokens).toList();
+    }
+
+    private RankQueue largestRank() {
+        return mRanks.all().stream()
+                .max(Comparator.comparingInt(r -> r.shares().backlog().count()))
+                .orElseThrow();
+    }
+
+    private static List<QueuedWork> candidates(WorkspaceShares shares) {
+        List<QueuedWork> candidates = new ArrayList<>(LengthBand.values().length);
+        for (LengthBand band : LengthBand.values()) {
+            shares.next(band).ifPresent(candidates::add);
+        }
+        candidates.sort(
+                Comparator.comparingDouble((QueuedWork w) -> shares.tag(w))
+                        .thenComparing(QueuedWork.BY_URGENCY));
+        return candidates;
+    }
+
+    private void forget(QueuedWork work) {
+        mByAttempt.remove(work.item().attemptId());
+        mByExpiry.remove(work);
+        mCountByWorkspace.computeIfPresent(
+                work.workspace(), (name, count) -> count == 1 ? null : count - 1);
+    }
+}
--- /dev/null
+++ b/tanagergap-decisions/src/main/java/org/tanagergap/decisions/scheduling/FairUpstreamScheduler.java
@@ -0,0 +1,341 @@
+package org.tanagergap.decisions.scheduling;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.Set;
+import org.tanagergap.api.failure.FailureCode;
+import org.tanagergap.api.lock.LockRank;
+import org.tanagergap.api.lock.OrderedLock;
+import org.tanagergap.api.request.AttemptId;
+import org.tanagergap.api.time.RuntimeClock;
+
+/**
+ * Scheduler with memory reservations, rank floors and fair shares of workspaces. One lock guards
+ * all its state.
+ */
+public final class FairUpstreamScheduler implements UpstreamScheduler {
+
+    /** Lists without a run after which its reservation is released; one list may be outdated. */
+    private static final int MISSING_LISTS = 2;
+
+    private final OrderedLock mLock = new OrderedLock(LockRank.FAIR_QUEUE);
+    private final RuntimeClock mClock;
+    private final SchedulerSettings mSettings;
+    private final MemoryLedger mLedger;
+    private final FairQueue mQueue;
+    private final HoldTable mHolds;
+    private final PolicyTable mPolicies;
+    private final PrefillRateEstimator mRate;
+    private final ResidencyEstimator mResidency = new ResidencyEstimator();
+    private final PrefillSlots mSlots;
+    private final AdmissionControl mAdmission;
+    private final Map<AttemptId, RunningWork> mRunning = new HashMap<>();
+    private final List<WorkItem> mExpired = new ArrayList<>();
+    private long mSequence;
+
+    public FairUpstreamScheduler(RuntimeClock clock, SchedulerSettings settings) {
+        mClock = Objects.requireNonNull(clock, "clock must not be null");
+        mSettings = Objects.requireNonNull(settings, "settings must not be null");
+        mLedger = new MemoryLedger(settings.memoryTokens(), settings.longMemoryShare());
+        mQueue = new FairQueue(settings.floorWindow());
+        mHolds = new HoldTable(mLedger, settings.claimAfter());
+        mPolicies = new PolicyTable(settings.policyRetention());
+        mRate = new PrefillRateEstimator(settings.initialPrefillTokensPerSecond());
+        mSlots = new PrefillSlots(settings, mRate);
+        mAdmission = new AdmissionControl(mQueue.ranks(), mSlots, mRate, mResidency, mLedger);
+    }
+
+    @Override
+    public AdmissionDecision submit(WorkItem item) {
+        Objects.requireNonNull(item, "item must not be null");
+        return mLock.call(() -> submitLocked(item, mClock.nanoTime()));
+    }
+
+    @Override
+    public List<WorkItem> dispatchable() {
+        return mLock.call(() -> dispatchLocked(mClock.nanoTime()));
+    }
+
+    @Override
+    public List<WorkItem> expired() {
+        return mLock.call(
+                () -> {
+                    sweepExpired(mClock.nanoTime());
+                    List<WorkItem> expired = List.copyOf(mExpired);
+                    mExpired.clear();
+                    return expired;
+                });
+    }
+
+    @Override
+    public void prefillFinished(AttemptId attempt, long promptTokens) {
+        if (promptTokens < 0) {
+            throw new IllegalArgumentException(
+                    "promptTokens must not be negative: " + promptTokens);
+        }
+        mLock.run(() -> prefillFinishedLocked(attempt, promptTokens, mClock.nanoTime()));
+    }
+
+    @Override
+    public boolean release(AttemptId attempt, long outputTokens) {
+        return mLock.call(() -> releaseLocked(attempt, outputTokens, mClock.nanoTime()));
+    }
+
+    @Override
+    public ReconcileResult reconcile(List<EngineRun> engineRuns) {
+        return mLock.call(() -> reconcileLocked(engineRuns, mClock.nanoTime()));
+    }
+
+    @Override
+    public boolean hold(String holdId, long tokens, Duration expiresIn) {
+        Objects.requireNonNull(holdId, "holdId must not be null");
+        if (tokens < 0) {
+            throw new IllegalArgumentException("tokens must not be negative: " + tokens);
+        }
+        return mLock.call(() -> mHolds.hold(holdId, tokens, expiresIn, mClock.nanoTime()));
+    }
+
+    @Override
+    public boolean releaseHold(String holdId) {
+        return mLock.call(() -> mHolds.release(holdId));
+    }
+
+    @Override
+    public List<String> expiredHolds() {
+        return mLock.call(() -> mHolds.expire(mClock.nanoTime()));
+    }
+
+    @Override
+    public void setCapacity(long memoryTokens) {
+        if (memoryTokens < 0) {
+            throw new IllegalArgumentException(
+                    "memoryTokens must not be negative: " + memoryTokens);
+        }
+        mLock.run(
+                () -> {
+                    mLedger.setCapacity(memoryTokens);
+                    mQueue.largerThan(memoryTokens).forEach(this::expire);
+                });
+    }
+
+    @Override
+    public long freeTokens() {
+        return mLock.call(mLedger::free);
+    }
+
+    @Override
+    public long reservedTokens() {
+        return mLock.call(mLedger::reserved);
+    }
+
+    @Override
+    public long prefillTokensQueued() {
+        return mLock.call(() -> mQueue.promptTokens() + mSlots.tokensBefore(true));
+    }
+
+    @Override
+    public double prefillTokensPerSecond() {
+        return mLock.call(mRate::tokensPerSecond);
+    }
+
+    @Override
+    public Map<String, RankLoad> queuedByRank() {
+        return mLock.call(mQueue::load);
+    }
+
+    @Override
+    public int running() {
+        return mLock.call(mRunning::size);
+    }
+
+    private AdmissionDecision submitLocked(WorkItem item, long now) {
+        sweepExpired(now);
+        if (mQueue.contains(item.attemptId()) || mRunning.containsKey(item.attemptId())) {
+            return Refusals.refused(
+                    FailureCode.IN_PROGRESS, "attempt " + item.attemptId() + " is already known");
+        }
+        Duration left = Duration.ofNanos(item.deadline().nanos() - now);
+        if (left.isNegative() || left.isZero()) {
+            return Refusals.refused(FailureCode.DEADLINE_EXCEEDED, "deadline has passed");
+        }
+        long needed = QueuedWork.memoryTokens(item);
+        if (needed > mLedger.capacity()) {
+            return Refusals.refused(
+                    FailureCode.BODY_TOO_LARGE,
+                    "request needs %d tokens of memory but the upstream has %d"
+                            .formatted(needed, mLedger.capacity()));
+        }
+        int weight = mPolicies.weight(item.policy(), now);
+        RankQueue rank = mQueue.observe(item.policy());
+        Duration wait = mAdmission.predictedWait(rank, weight, item, now);
+        String workspace = item.policy().workspace();
+        if (mQueue.queuedOf(workspace) >= mSettings.maxQueuedPerWorkspace()) {
+            return Refusals.refused(
+                    FailureCode.OVERLOADED,
+                    "queue of workspace \"%s\" is full".formatted(workspace),
+                    wait);
+        }
+        Duration prefill = mAdmission.prefillTime(item, now);
+        Duration excess = wait.plus(prefill).minus(left);
+        if (excess.compareTo(Duration.ZERO) > 0) {
+            return Refusals.refused(
+                    FailureCode.OVERLOADED,
+                    "predicted wait of %d ms exceeds the deadline"
+                            .formatted(wait.plus(prefill).toMillis()),
+                    excess);
+        }
+        QueuedWork work =
+                new QueuedWork(
+                        item,
+                        mSequence++,
+                        now,
+                        item.deadline().nanos() - prefill.toNanos(),
+                        mSettings.ageingPerSecond());
+        mQueue.add(work, weight);
+        return displaceIfFull(work, wait);
+    }
+
+    private AdmissionDecision displaceIfFull(QueuedWork arrival, Duration wait) {
+        if (mQueue.size() <= mSettings.maxQueued()) {
+            return new AdmissionDecision.Queued(wait, List.of());
+        }
+        QueuedWork victim = mQueue.victim(mSettings.maxQueued());
+        drop(victim);
+        return victim == arrival
+                ? Refusals.refused(FailureCode.OVERLOADED, "queue is full", wait)
+                : new AdmissionDecision.Queued(wait, List.of(victim.item()));
+    }
+
+    private List<WorkItem> dispatchLocked(long now) {
+        sweepExpired(now);
+        List<WorkItem> started = new ArrayList<>();
+        startClaimed(now).ifPresent(started::add);
+        Optional<QueuedWork> next = mQueue.next(now, work -> canStart(work, now));
+        while (next.isPresent()) {
+            started.add(start(next.get(), now));
+            next = mQueue.next(now, work -> canStart(work, now));
+        }
+        return started;
+    }
+
+    /** Starts the owner of the claim as soon as it fits, even when newer work is more urgent. */
+    private Optional<WorkItem> startClaimed(long now) {
+        return mLedger.claimOwner()
+                .filter(AttemptId.class::isInstance)
+                .flatMap(owner -> mQueue.find((AttemptId) owner))
+                .filter(work -> canStart(work, now))
+                .map(work -> start(work, now));
+    }
+
+    private boolean canStart(QueuedWork work, long now) {
+        if (work.promptTokens() > 0 && !mSlots.canStart(work.band())) {
+            return false;
+        }
+        AttemptId attempt = work.item().attemptId();
+        if (mLedger.fits(attempt, work.memoryTokens(), work.isLong())) {
+            return true;
+        }
+        if (work.blockedNanos(now) >= mSettings.claimAfter().toNanos()) {
+            mLedger.claim(attempt, work.memoryTokens(), work.isLong());
+        }
+        return false;
+    }
+
+    private WorkItem start(QueuedWork work, long now) {
+        WorkItem item = work.item();
+        if (!mLedger.reserve(item.attemptId(), work.memoryTokens(), work.isLong())) {
+            throw new IllegalStateException("memory for " + item.attemptId() + " is not free");
+        }
+        mQueue.dispatch(work, now);
+        mSlots.started(work.band(), work.promptTokens());
+        mRunning.put(item.attemptId(), new RunningWork(work, now));
+        return item;
+    }
+
+    private void prefillFinishedLocked(AttemptId attempt, long promptTokens, long now) {
+        RunningWork run = mRunning.get(attempt);
+        if (run == null || !run.isPrefilling()) {
+            return;
+        }
+        WorkItem item = run.item();
+        boolean besideLong = mSlots.hasOtherLong(item.lengthBand());
+        endPrefill(run);
+        mRate.finished(run.dispatchedNanos(), now, promptTokens, besideLong);
+        mLedger.resize(attempt, Math.max(1, promptTokens + item.cost().maxOutputTokens()));
+    }
+
+    private boolean releaseLocked(AttemptId attempt, long outputTokens, long now) {
+        if (mQueue.contains(attempt)) {
+            drop(mQueue.find(attempt).orElseThrow());
+            return true;
+        }
+        RunningWork run = mRunning.remove(attempt);
+        if (run == null) {
+            return false;
+        }
+        endPrefill(run);
+        mLedger.release(attempt)
+                .ifPresent(tokens -> mResidency.released(tokens, now - run.dispatchedNanos()));
+        long used = Math.max(1, run.item().cost().promptTokens() + Math.max(0, outputTokens));
+        if (used < run.chargedTokens()) {
+            mQueue.refund(run.item().policy(), run.chargedTokens() - used, now);
+        }
+        return true;
+    }
+
+    private ReconcileResult reconcileLocked(List<EngineRun> engineRuns, long now) {
+        Set<AttemptId> listed = new HashSet<>();
+        List<AttemptId> orphans = new ArrayList<>();
+        for (EngineRun run : engineRuns) {
+            AttemptId attempt = run.attemptId();
+            listed.add(attempt);
+            if (!mRunning.containsKey(attempt) && !mHolds.contains(attempt.value())) {
+                orphans.add(attempt);
+            }
+        }
+        List<AttemptId> lost = new ArrayList<>();
+        mRunning.forEach(
+                (attempt, run) -> {
+                    if (listed.contains(attempt)) {
+                        run.seenInList();
+                    } else if (now - run.dispatchedNanos() >= mSettings.dispatchGrace().toNanos()
+                            && run.missingInList() >= MISSING_LISTS) {
+                        lost.add(attempt);
+                    }
+                });
+        lost.forEach(attempt -> releaseLocked(attempt, 0, now));
+        return new ReconcileResult(orphans, lost);
+    }
+
+    private void sweepExpired(long now) {
+        Optional<QueuedWork> expired = mQueue.firstExpired(now);
+        while (expired.isPresent()) {
+            expire(expired.get());
+            expired = mQueue.firstExpired(now);
+        }
+    }
+
+    private void expire(QueuedWork work) {
+        drop(work);
+        mExpired.add(work.item());
+    }
+
+    private void drop(QueuedWork work) {
+        AttemptId attempt = work.item().attemptId();
+        mQueue.remove(attempt);
+        mLedger.endClaim(attempt);
+    }
+
+    private void endPrefill(RunningWork run) {
+        if (run.isPrefilling()) {
+            run.endPrefill();
+            mSlots.ended(run.item().lengthBand(), run.item().cost().promptTokens());
+        }
+    }
+}
--- /dev/null
+++ b/tanagergap-decisions/src/main/java/org/tanagergap/decisions/scheduling/MemoryLedger.java
@@ -0,0 +1,169 @@
+package org.tanagergap.decisions.scheduling;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+
+/**
+ * Reservations of engine memory. At most one claim exists: memory accrues to its owner as other
+ * reservations are released, so that small work cannot keep a large item waiting forever.
+ */
+final class MemoryLedger {
+
+    /**
+     * Half of the released memory accrues to a claim; the rest keeps small work running meanwhile.
+     */
+    private static final int ACCRUAL_DIVISOR = 2;
+
+    private final Map<Object, Reservation> mReservations = new HashMap<>();
+    private final double mLongShare;
+    private long mCapacity;
+    private long mReserved;
+    private long mLongReserved;
+    private Object mClaimOwner;
+    private boolean mClaimIsLong;
+    private long mClaimTokens;
+    private long mAccrued;
+
+    MemoryLedger(long capacity, double longShare) {
+        mCapacity = capacity;
+        mLongShare = longShare;
+    }
+
+    long capacity() {
+        return mCapacity;
+    }
+
+    long reserved() {
+        return mReserved;
+    }
+
+    long free() {
+        return Math.max(0, mCapacity - mReserved);
+    }
+
+    /** Changes the capacity; existing reservations stay even when they exceed it. */
+    void setCapacity(long capacity) {
+        mCapacity = capacity;
+        clampAccrued();
+    }
+
+    /** Whether long work of this size is within the cap; a single item may exceed the cap. */
+    boolean fitsLongCap(Object owner, long tokens) {
+        boolean claimedByOther = mClaimOwner != null && mClaimIsLong && !mClaimOwner.equals(owner);
+        return !claimedByOther
+                && (mLongReserved == 0 || mLongReserved + tokens <= mLongShare * mCapacity);
+    }
+
+    /** Memory that the owner may reserve now. */
+    long available(Object owner) {
+        return owner.equals(mClaimOwner) ? free() : free() - mAccrued;
+    }
+
+    /** Whether {@link #reserve} would succeed. */
+    boolean fits(Object owner, long tokens, boolean isLong) {
+        return tokens <= available(owner) && (!isLong || fitsLongCap(owner, tokens));
+    }
+
+    /** Reserves memory; returns whether it was free. Ends the owner's claim. */
+    boolean reserve(Object owner, long tokens, boolean isLong) {
+        requireNotNegative(tokens);
+        if (mReservations.containsKey(owner)) {
+            throw new IllegalStateException(owner + " already holds a reservation");
+        }
+        if (!fits(owner, tokens, isLong)) {
+            return false;
+        }
+        endClaim(owner);
+        mReservations.put(owner, new Reservation(tokens, isLong));
+        add(tokens, isLong);
+        clampAccrued();
+        return true;
+    }
+
+    /** Corrects a reservation, as far as free memory permits; returns its new size. */
+    long resize(Object owner, long tokens) {
+        requireNotNegative(tokens);
+        Reservation old = mReservations.get(owner);
+        if (old == null) {
+            return 0;
+        }
+        long change = Math.min(tokens - old.tokens(), free());
+        long corrected = old.tokens() + change;
+        mReservations.put(owner, new Reservation(corrected, old.isLong()));
+        add(change, old.isLong());
+        accrue(-change);
+        return corrected;
+    }
+
+    /** Releases a reservation; empty when it was released before or never made. */
+    Optional<Long> release(Object owner) {
+        Reservation reservation = mReservations.remove(owner);
+        if (reservation == null) {
+            return Optional.empty();
+        }
+        add(-reservation.tokens(), reservation.isLong());
+        accrue(reservation.tokens());
+        return Optional.of(reservation.tokens());
+    }
+
+    Optional<Object> claimOwner() {
+        return Optional.ofNullable(mClaimOwner);
+    }
+
+    /**
+     * Starts or renews the owner's claim, unless another owner has one. Work that waits only for
+     * the cap on long work keeps other long work away but lets small work use free memory.
+     */
+    void claim(Object owner, long tokens, boolean isLong) {
+        Objects.requireNonNull(owner, "owner must not be null");
+        if (mClaimOwner != null && !mClaimOwner.equals(owner)) {
+            return;
+        }
+        boolean first = mClaimOwner == null || mClaimTokens == 0;
+        mClaimOwner = owner;
+        mClaimIsLong = isLong;
+        mClaimTokens = isLong && !fitsLongCap(owner, tokens) ? 0 : tokens;
+        if (first) {
+            mAccrued = Math.min(mClaimTokens, free());
+        }
+        clampAccrued();
+    }
+
+    /** Ends the claim if it belongs to the owner. */
+    void endClaim(Object owner) {
+        if (owner.equals(mClaimOwner)) {
+            mClaimOwner = null;
+            mClaimTokens = 0;
+            mAccrued = 0;
+        }
+    }
+
+    private void add(long tokens, boolean isLong) {
+        mReserved += tokens;
+        if (isLong) {
+            mLongReserved += tokens;
+        }
+    }
+
+    private void accrue(long released) {
+        if (released > 0) {
+            // Rounds up, so that releases of single tokens accrue too.
+            mAccrued += (released + ACCRUAL_DIVISOR - 1) / ACCRUAL_DIVISOR;
+        }
+        clampAccrued();
+    }
+
+    private void clampAccrued() {
+        mAccrued = Math.min(mAccrued, Math.min(mClaimTokens, free()));
+    }
+
+    private static void requireNotNegative(long tokens) {
+        if (tokens < 0) {
+            throw new IllegalArgumentException("tokens must not be negative: " + tokens);
+        }
+    }
+
+    private record Reservation(long tokens, boolean isLong) {}
+}
--- /dev/null
+++ b/tanagergap-decisions/src/main/java/org/tanagergap/decisions/scheduling/RankQueue.java
@@ -0,0 +1,56 @@
+package org.tanagergap.decisions.scheduling;
+
+import java.time.Duration;
+import org.tanagergap.decisions.policy.PolicyStamp;
+
+/** Queue, properties and recent service of one rank. */
+final class RankQueue {
+
+    private static final double PERCENT = 100.0;
+
+    private final String mName;
+    private final WorkspaceShares mShares = new WorkspaceShares();
+    private final ServiceWindow mServed;
+    private long mVersion = Long.MIN_VALUE;
+    private int mPriority;
+    private int mFloorPercent;
+
+    RankQueue(String name, Duration window) {
+        mName = name;
+        mServed = new ServiceWindow(window);
+    }
+
+    /** Takes over the properties unless newer ones are known. */
+    void observe(PolicyStamp stamp) {
+        if (stamp.configurationVersion() >= mVersion) {
+            mVersion = stamp.configurationVersion();
+            mPriority = stamp.rankPriority();
+            mFloorPercent = stamp.rankFloorPercent();
+        }
+    }
+
+    String name() {
+        return mName;
+    }
+
+    int priority() {
+        return mPriority;
+    }
+
+    /** Guaranteed share of service, from 0 to 1. */
+    double floor() {
+        return mFloorPercent / PERCENT;
+    }
+
+    WorkspaceShares shares() {
+        return mShares;
+    }
+
+    boolean isEmpty() {
+        return mShares.backlog().count() == 0;
+    }
+
+    ServiceWindow served() {
+        return mServed;
+    }
+}
--- /dev/null
+++ b/tanagergap-decisions/src/main/java/org/tanagergap/decisions/scheduling/SchedulerSettings.java
@@ -0,0 +1,113 @@
+package org.tanagergap.decisions.scheduling;
+
+import java.time.Duration;
+import java.util.Objects;
+
+/**
+ * Limits and rates of one upstream's scheduler.
+ *
+ * @param memoryTokens memory of the engine, or most concurrent calls of a plain service
+ * @param maxQueued most queued items
+ * @param maxQueuedPerWorkspace most queued items of one workspace
+ * @param floorWindow time over which a rank's share of service is measured
+ * @param longMemoryShare share of memory that long prompts and holds of segments may use together
+ * @param maxLongPrefills most long prompts that are prefilled at once
+ * @param prefillWindow work, in time at the learnt rate, that a band may have in prefill
+ * @param claimAfter time after which memory accrues to work that does not fit
+ * @param ageingPerSecond share of its length that an item loses per second of waiting
+ * @param initialPrefillTokensPerSecond prefill rate before the first measurement
+ * @param dispatchGrace time after dispatch in which the engine's list may lack a run
+ * @param policyRetention time for which the stamp of a silent workspace is kept
+ */
+public record SchedulerSettings(
+        long memoryTokens,
+        int maxQueued,
+        int maxQueuedPerWorkspace,
+        Duration floorWindow,
+        double longMemoryShare,
+        int maxLongPrefills,
+        Duration prefillWindow,
+        Duration claimAfter,
+        double ageingPerSecond,
+        double initialPrefillTokensPerSecond,
+        Duration dispatchGrace,
+        Duration policyRetention) {
+
+    public SchedulerSettings {
+        Objects.requireNonNull(floorWindow, "floorWindow must not be null");
+        Objects.requireNonNull(prefillWindow, "prefillWindow must not be null");
+        Objects.requireNonNull(claimAfter, "claimAfter must not be null");
+        Objects.requireNonNull(dispatchGrace, "dispatchGrace must not be null");
+        Objects.requireNonNull(policyRetention, "policyRetention must not be null");
+        requirePositive("maxQueued", maxQueued);
+        requirePositive("maxQueuedPerWorkspace", maxQueuedPerWorkspace);
+        requirePositive("maxLongPrefills", maxLongPrefills);
+        requirePositive("longMemoryShare", longMemoryShare);
+        requirePositive("initialPrefillTokensPerSecond", initialPrefillTokensPerSecond);
+        if (memoryTokens < 0) {
+            throw new IllegalArgumentException(
+                    "memoryTokens must not be negative: " + memoryTokens);
+        }
+        if (ageingPerSecond < 0 || ageingPerSecond >= 1) {
+            throw new IllegalArgumentException(
+                    "ageingPerSecond must be at least 0 and below 1: " + ageingPerSecond);
+        }
+    }
+
+    /** Settings of the design page for an engine of a million tokens. */
+    public static SchedulerSettings defaults() {
+        return new SchedulerSettings(
+                1_000_000,
+                1_024,
+                256,
+                Duration.ofSeconds(10),
+                0.6,
+                1,
+                Duration.ofMillis(250),
+                Duration.ofSeconds(1),
+                0.02,
+                20_000,
+                Duration.ofSeconds(2),
+                Duration.ofMinutes(10));
+    }
+
+    /** Copy with other memory. */
+    public SchedulerSettings withMemoryTokens(long tokens) {
+        return new SchedulerSettings(
+                tokens,
+                maxQueued,
+                maxQueuedPerWorkspace,
+                floorWindow,
+                longMemoryShare,
+                maxLongPrefills,
+                prefillWindow,
+                claimAfter,
+                ageingPerSecond,
+                initialPrefillTokensPerSecond,
+                dispatchGrace,
+                policyRetention);
+    }
+
+    /** Copy with other bounds of the queue. */
+    public SchedulerSettings withQueueLimits(int total, int perWorkspace) {
+        return new SchedulerSettings(
+                memoryTokens,
+                total,
+                perWorkspace,
+                floorWindow,
+                longMemoryShare,
+                maxLongPrefills,
+                prefillWindow,
+                claimAfter,
+                ageingPerSecond,
+                initialPrefillTokensPerSecond,
+                dispatchGrace,
+                policyRetention);
+    }
+
+    private static void requirePositive(String name, double value) {
+        if (!(value > 0)) {
+            throw new IllegalArgumentException(name + " must be positive: " + value);
+        }
+    }
+}
