--- /dev/null
+++ b/tanagergap-endtoend/src/test/java/org/tanagergap/endtoend/Answers.java
@@ -0,0 +1,37 @@
+package org.tanagergap.endtoend;
+
+import io.vertx.core.json.JsonArray;
+import io.vertx.core.json.JsonObject;
+import org.tanagergap.standins.engine.PromptDigest;
+
+/** Text of answers and what it should be. */
+final class Answers {
+
+    private Answers() {}
+
+    /** Text of a streamed completion. */
+    static String text(String events) {
+        StringBuilder text = new StringBuilder();
+        for (String line : events.split("\n")) {
+            if (line.startsWith("data: {")) {
+                JsonArray choices =
+                        new JsonObject(line.substring("data: ".length()))
+                                .getJsonArray("choices", new JsonArray());
+                if (!choices.isEmpty()) {
+                    text.append(choices.getJsonObject(0).getString("text", ""));
+                }
+            }
+        }
+        return text.toString();
+    }
+
+    /** Text that every stand-in engine generates for a prompt. */
+    static String expected(String prompt, int tokens) {
+        long digest = PromptDigest.append(PromptDigest.EMPTY, prompt);
+        StringBuilder text = new StringBuilder();
+        for (int i = 0; i < tokens; i++) {
+            text.append(PromptDigest.outputToken(digest, i));
+        }
+        return text.toString();
+    }
+}
--- /dev/null
+++ b/tanagergap-endtoend/src/test/java/org/tanagergap/endtoend/FreePorts.java
@@ -0,0 +1,30 @@
+package org.tanagergap.endtoend;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.util.HashSet;
+import java.util.Set;
+
+/** Finds loopback ports that are free. */
+final class FreePorts {
+
+    private static final Set<Integer> sTaken = new HashSet<>();
+
+    private FreePorts() {}
+
+    /** Port that was free a moment ago and that no earlier call has returned. */
+    static synchronized int next() {
+        while (true) {
+            try (ServerSocket socket =
+                    new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+                if (sTaken.add(socket.getLocalPort())) {
+                    return socket.getLocalPort();
+                }
+            } catch (IOException e) {
+                throw new UncheckedIOException("no free port", e);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/tanagergap-endtoend/src/test/java/org/tanagergap/endtoend/RunningSystem.java
@@ -0,0 +1,305 @@
+package org.tanagergap.endtoend;
+
+import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpRequest.BodyPublishers;
+import java.net.http.HttpResponse;
+import java.net.http.HttpResponse.BodyHandlers;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * The whole system as processes on loopback: the platform, engines and an order service in three
+ * failure domains, their agents, and two entries.
+ */
+final class RunningSystem implements AutoCloseable {
+
+    static final String KEY_ONE = "demo-one.secret-one";
+    static final String KEY_TWO = "demo-two.secret-two";
+
+    private static final List<String> DOMAINS = List.of("a", "b", "c");
+    private static final Duration START_TIMEOUT = Duration.ofSeconds(60);
+    private static final long RETRY_MILLIS = 100;
+
+    private final HttpClient mClient =
+            HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+    private final Map<String, ProgramProcess> mProcesses = new LinkedHashMap<>();
+    private final Map<String, Integer> mPorts = new LinkedHashMap<>();
+
+    /** Starts everything and waits until the configuration is in force. */
+    static RunningSystem start() throws Exception {
+        RunningSystem system = new RunningSystem();
+        try {
+            system.startPlatform();
+            for (String domain : DOMAINS) {
+                system.startEngine(domain);
+                system.startAgent(domain);
+            }
+            system.startOrders();
+            system.startEntry(1);
+            system.startEntry(2);
+            system.submit(system.document());
+            system.awaitReady();
+            return system;
+        } catch (Exception | AssertionError e) {
+            system.close();
+            throw e;
+        }
+    }
+
+    ProgramProcess process(String name) {
+        return mProcesses.get(name);
+    }
+
+    /** Port of a program's interface, for example {@code entry-1} or {@code entry-1-admin}. */
+    int port(String name) {
+        return mPorts.computeIfAbsent(name, n -> FreePorts.next());
+    }
+
+    /** Admin addresses of entries and agents, as the command line takes them. */
+    String processAddresses() {
+        List<String> addresses = new ArrayList<>();
+        mPorts.forEach(
+                (name, port) -> {
+                    if (name.endsWith("-admin")) {
+                        addresses.add("127.0.0.1:" + port);
+                    }
+                });
+        return String.join(",", addresses);
+    }
+
+    void startAgent(String domain) {
+        String name = "agent-" + domain;
+        run(
+                name,
+                "org.tanagergap.agent.AgentMain",
+                "--listen",
+                address(name),
+                "--admin-listen",
+                address(name + "-admin"),
+                "--name",
+                "engine-" + domain,
+                "--failure-domain",
+                "fd-" + domain,
+                "--upstream",
+                "http://" + address("engine-" + domain),
+                "--upstream-kind",
+                "model",
+                "--service",
+                "assistant",
+                "--trace-output",
+                "log");
+    }
+
+    void startEngine(String domain) {
+        String name = "engine-" + domain;
+        run(name, "org.tanagergap.standins.engine.EngineMain", "--listen", address(name));
+    }
+
+    void startOrders() {
+        run(
+                "orders",
+                "org.tanagergap.standins.orders.OrderMain",
+                "--listen",
+                address("orders"));
+        startOrderAgent();
+    }
+
+    void startOrderAgent() {
+        run(
+                "agent-orders",
+                "org.tanagergap.agent.AgentMain",
+                "--listen",
+                address("agent-orders"),
+                "--admin-listen",
+                address("agent-orders-admin"),
+                "--name",
+                "orders-a",
+                "--failure-domain",
+                "fd-a",
+                "--upstream",
+                "http://" + address("orders"),
+                "--upstream-kind",
+                "plain",
+                "--service",
+                "orders",
+                "--key-value",
+                address("key-value"),
+                "--trace-output",
+                "log");
+    }
+
+    void startEntry(int number) {
+        String name = "entry-" + number;
+        run(
+                name,
+                "org.tanagergap.entry.EntryMain",
+                "--listen",
+                address(name),
+                "--admin-listen",
+                address(name + "-admin"),
+                "--peer-listen",
+                address(name + "-peer"),
+                "--peers",
+                address("entry-" + (3 - number) + "-peer"),
+                "--id",
+                name,
+                "--failure-domain",
+                "fd-" + DOMAINS.get(number - 1),
+                "--key-value",
+                address("key-value"),
+                "--trace-output",
+                "log");
+    }
+
+    /** Runs the operator's command line and returns its process. */
+    ProgramProcess ctl(String... arguments) {
+        List<String> all = new ArrayList<>(List.of(arguments));
+        return ProgramProcess.start(
+                "ctl", "org.tanagergap.ctl.CtlMain", all.toArray(String[]::new));
+    }
+
+    /** Submits a document through the command line and returns its exit status. */
+    int submit(String document) throws Exception {
+        Path file = Files.createTempFile("configuration", ".json");
+        Files.writeString(file, document);
+        try (ProgramProcess ctl =
+                ctl("submit", "--key-value", address("key-value"), file.toString())) {
+            return ctl.waitFor(START_TIMEOUT.toSeconds()).orElseThrow();
+        } finally {
+            Files.delete(file);
+        }
+    }
+
+    /** The example for loopback with the ports of this system. */
+    String document() throws IOException {
+        String document = Files.readString(Path.of("..", "examples", "local.json"));
+        return document.replace("127.0.0.1:7101", address("agent-a"))
+                .replace("127.0.0.1:7102", address("agent-b"))
+                .replace("127.0.0.1:7103", address("agent-c"))
+                .replace("127.0.0.1:7104", address("agent-orders"));
+    }
+
+    /** Request for a streamed completion. */
+    HttpRequest completion(int entry, String prompt, int maxTokens, String... headers) {
+        String body =
+                "{\"model\":\"m1\",\"stream\":true,\"max_tokens\":%d,\"prompt\":\"%s\"}"
+                        .formatted(maxTokens, prompt);
+        return request(entry, "/v1/completions", headers)
+                .POST(BodyPublishers.ofString(body))
+                .build();
+    }
+
+    /** Request for an order. */
+    HttpRequest order(int entry, String idempotencyKey, String body) {
+        return request(
+                        entry,
+                        "/services/orders/orders",
+                        "Idempotency-Key",
+                        idempotencyKey,
+                        "Tanagergap-Deadline-Ms",
+                        "5000")
+                .POST(BodyPublishers.ofString(body))
+                .build();
+    }
+
+    HttpResponse<String> send(HttpRequest request) throws Exception {
+        return mClient.send(request, BodyHandlers.ofString());
+    }
+
+    CompletableFuture<HttpResponse<String>> sendAsync(HttpRequest request) {
+        return mClient.sendAsync(request, BodyHandlers.ofString());
+    }
+
+    /** Body of a GET request to any interface of the system. */
+    String read(String program, String path) throws Exception {
+        URI uri = URI.create("http://" + address(program) + path);
+        return mClient.send(HttpRequest.newBuilder(uri).build(), BodyHandlers.ofString()).body();
+    }
+
+    /** Sets the fault switches of a stand-in. */
+    void setFaults(String program, String json) throws Exception {
+        URI uri = URI.create("http://" + address(program) + "/faults");
+        HttpRequest request =
+                HttpRequest.newBuilder(uri)
+                        .header("Content-Type", "application/json")
+                        .PUT(BodyPublishers.ofString(json))
+                        .build();
+        mClient.send(request, BodyHandlers.discarding());
+    }
+
+    /** Waits until entries and agents say that they accept work. */
+    void awaitReady() throws Exception {
+        for (String name : List.copyOf(mPorts.keySet())) {
+            if (name.endsWith("-admin")) {
+                await(name, "/readyz");
+            }
+        }
+    }
+
+    void await(String name, String path) throws Exception {
+        long deadline = System.nanoTime() + START_TIMEOUT.toNanos();
+        URI uri = URI.create("http://" + address(name) + path);
+        HttpRequest request = HttpRequest.newBuilder(uri).timeout(Duration.ofSeconds(2)).build();
+        while (System.nanoTime() < deadline) {
+            try {
+                if (mClient.send(request, BodyHandlers.ofString()).statusCode() == 200) {
+                    return;
+                }
+            } catch (IOException e) {
+                // The program is not listening yet.
+            }
+            TimeUnit.MILLISECONDS.sleep(RETRY_MILLIS);
+        }
+        throw new AssertionError(name + " did not become ready; logs are in target/process-logs");
+    }
+
+    @Override
+    public void close() throws InterruptedException {
+        List<ProgramProcess> newestFirst = new ArrayList<>(mProcesses.values());
+        Collections.reverse(newestFirst);
+        for (ProgramProcess process : newestFirst) {
+            process.close();
+        }
+    }
+
+    String address(String name) {
+        return "127.0.0.1:" + port(name);
+    }
+
+    private void startPlatform() throws Exception {
+        run(
+                "key-value",
+                "org.tanagergap.standins.keyvalue.KeyValueServiceMain",
+                "--listen",
+                address("key-value"));
+        await("key-value", "/counts");
+    }
+
+    private void run(String name, String mainClass, String... arguments) {
+        mProcesses.put(name, ProgramProcess.start(name, mainClass, arguments));
+    }
+
+    private HttpRequest.Builder request(int entry, String path, String... headers) {
+        URI uri = URI.create("http://" + address("entry-" + entry) + path);
+        HttpRequest.Builder builder =
+                HttpRequest.newBuilder(uri)
+                        .header("Authorization", "Bearer " + KEY_ONE)
+                        .header("Content-Type", "application/json")
+                        .timeout(Duration.ofSeconds(120));
+        if (headers.length > 0) {
+            builder.headers(headers);
+        }
+        return builder;
+    }
+}
--- /dev/null
+++ b/tanagergap-measure/src/main/java/org/tanagergap/measure/report/ResultRow.java
@@ -0,0 +1,42 @@
+package org.tanagergap.measure.report;
+
+import java.util.List;
+
+/**
+ * One measure over several seeds.
+ *
+ * @param fleet name of the fleet
+ * @param policy name of the policy
+ * @param measure what was measured
+ * @param target target as text
+ * @param values figure of each seed, in the order of the seeds
+ * @param met whether every figure meets the target
+ */
+public record ResultRow(
+        String fleet,
+        String policy,
+        String measure,
+        String target,
+        List<Double> values,
+        boolean met) {
+
+    public ResultRow {
+        values = List.copyOf(values);
+    }
+
+    /** Smallest and largest figure, or the one figure when they are equal. */
+    public String range() {
+        double low = values.stream().mapToDouble(v -> v).min().orElse(Double.NaN);
+        double high = values.stream().mapToDouble(v -> v).max().orElse(Double.NaN);
+        String lowText = format(low);
+        String highText = format(high);
+        return lowText.equals(highText) ? lowText : lowText + " to " + highText;
+    }
+
+    private static String format(double value) {
+        if (Double.isNaN(value)) {
+            return "no value";
+        }
+        return Math.abs(value) >= 100 ? "%.0f".formatted(value) : "%.3f".formatted(value);
+    }
+}
--- /dev/null
+++ b/tanagergap-measure/src/main/java/org/tanagergap/measure/scenario/MixedLoadScenario.java
@@ -0,0 +1,84 @@
+package org.tanagergap.measure.scenario;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Predicate;
+import org.tanagergap.api.request.LengthBand;
+import org.tanagergap.measure.fleet.FleetRun;
+import org.tanagergap.measure.fleet.FleetSettings;
+import org.tanagergap.measure.fleet.Policy;
+import org.tanagergap.measure.report.Measurement;
+import org.tanagergap.measure.workload.RequestClass;
+import org.tanagergap.measure.workload.RequestRecord;
+
+/** Steady load of 70% with all lengths, compared with the short prompts alone. */
+public final class MixedLoadScenario implements Scenario {
+
+    private static final double LOAD = 0.7;
+    private static final double QUANTILE = 0.95;
+    private static final Duration LENGTH = Duration.ofMinutes(5);
+    private static final Duration WARM_UP = Duration.ofSeconds(30);
+    private static final Duration TOLERANCE = Duration.ofMillis(200);
+
+    @Override
+    public List<Measurement> run(FleetSettings fleet, Policy policy, long seed) {
+        FleetRun mixed = run(fleet, policy, seed, true);
+        FleetRun alone = run(fleet, policy, seed, false);
+        Predicate<RequestRecord> shortPrompts =
+                r ->
+                        r.lengthBand() == LengthBand.SHORT
+                                && r.arrivalNanos() >= WARM_UP.toNanos();
+        List<RequestRecord> requests = mixed.requests();
+        double firstToken = Statistics.firstTokenSeconds(requests, shortPrompts, QUANTILE);
+        double aloneFirstToken =
+                Statistics.firstTokenSeconds(alone.requests(), shortPrompts, QUANTILE);
+        List<Measurement> figures = new ArrayList<>();
+        figures.add(
+                Measurement.atMost(
+                        "first token, short prompts beside long, p95", 0.68, "s", firstToken));
+        figures.add(
+                Measurement.atMost(
+                        "slow-down of short prompts beside long, p95",
+                        1.25,
+                        "times",
+                        firstToken / aloneFirstToken));
+        figures.add(
+                Measurement.atMost(
+                        "time between tokens, p95",
+                        72,
+                        "ms",
+                        mixed.tokenGaps().getValueAtPercentile(95) / 1e6));
+        figures.add(
+                Measurement.atMost(
+                        "admitted requests that failed at their deadline, mixed load",
+                        0,
+                        "requests",
+                        Statistics.admittedThatFailed(requests)));
+        figures.add(
+                Measurement.atMost(
+                        "admitted requests without an end at their deadline",
+                        0,
+                        "requests",
+                        Statistics.admittedWithoutEnd(requests, TOLERANCE)));
+        figures.add(
+                Measurement.atMost(
+                        "engine memory unaccounted for after the run",
+                        0,
+                        "tokens",
+                        mixed.memoryUnaccountedFor()));
+        return figures;
+    }
+
+    private static FleetRun run(
+            FleetSettings fleet, Policy policy, long seed, boolean withLongPrompts) {
+        FleetRun run = new FleetRun(fleet, policy, seed);
+        for (RequestClass requestClass : Workloads.mixed(fleet, LOAD)) {
+            if (withLongPrompts || requestClass.name().equals(Workloads.URGENT)) {
+                run.offer(requestClass, Duration.ZERO, LENGTH);
+            }
+        }
+        run.advance(LENGTH.plus(Duration.ofMinutes(25)));
+        return run;
+    }
+}
--- /dev/null
+++ b/tanagergap-measure/src/main/java/org/tanagergap/measure/scenario/Statistics.java
@@ -0,0 +1,108 @@
+package org.tanagergap.measure.scenario;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.function.Predicate;
+import org.tanagergap.measure.workload.RequestRecord;
+
+/** Figures over the requests of a run. */
+public final class Statistics {
+
+    private Statistics() {}
+
+    /** Quantile of the time to first token, in seconds; not a number without values. */
+    public static double firstTokenSeconds(
+            List<RequestRecord> requests, Predicate<RequestRecord> filter, double quantile) {
+        long[] nanos =
+                requests.stream()
+                        .filter(filter)
+                        .filter(RequestRecord::hasFirstToken)
+                        .mapToLong(r -> r.timeToFirstToken().toNanos())
+                        .sorted()
+                        .toArray();
+        if (nanos.length == 0) {
+            return Double.NaN;
+        }
+        int index = (int) Math.ceil(quantile * nanos.length) - 1;
+        return nanos[Math.max(0, index)] / 1e9;
+    }
+
+    /** Share of the offered work that finished within its deadline. */
+    public static double servedShare(
+            List<RequestRecord> requests, Predicate<RequestRecord> filter) {
+        double offered = 0;
+        double served = 0;
+        for (RequestRecord request : requests) {
+            if (filter.test(request)) {
+                offered += request.workTokens();
+                served += isGood(request) ? request.workTokens() : 0;
+            }
+        }
+        return offered == 0 ? Double.NaN : served / offered;
+    }
+
+    /** Work that finished within its deadline and ended in the window, in tokens per second. */
+    public static double goodput(
+            List<RequestRecord> requests,
+            Predicate<RequestRecord> filter,
+            Duration from,
+            Duration until) {
+        double tokens = 0;
+        for (RequestRecord request : requests) {
+            boolean inWindow =
+                    request.endNanos() >= from.toNanos() && request.endNanos() < until.toNanos();
+            if (inWindow && filter.test(request) && isGood(request)) {
+                tokens += request.workTokens();
+            }
+        }
+        return tokens / (until.minus(from).toNanos() / 1e9);
+    }
+
+    /** Mean attempts of the requests. */
+    public static double attemptsPerRequest(List<RequestRecord> requests) {
+        return requests.stream().mapToInt(RequestRecord::attempts).average().orElse(Double.NaN);
+    }
+
+    /** Admitted requests that had neither finished nor failed at their deadline. */
+    public static long admittedWithoutEnd(List<RequestRecord> requests, Duration tolerance) {
+        return requests.stream()
+                .filter(RequestRecord::isAdmitted)
+                .filter(
+                        r ->
+                                r.outcome() == RequestRecord.Outcome.PENDING
+                                        || r.endNanos()
+                                                > r.deadlineNanos() + tolerance.toNanos())
+                .count();
+    }
+
+    /** Admitted requests that failed because their deadline passed. */
+    public static long admittedThatFailed(List<RequestRecord> requests) {
+        return requests.stream()
+                .filter(r -> r.outcome() == RequestRecord.Outcome.DEADLINE_EXCEEDED)
+                .count();
+    }
+
+    /** Jain's index of fairness: 1 when all values are equal. */
+    public static double jainIndex(double[] values) {
+        double sum = 0;
+        double squares = 0;
+        for (double value : values) {
+            sum += value;
+            squares += value * value;
+        }
+        return squares == 0 ? Double.NaN : sum * sum / (values.length * squares);
+    }
+
+    /** Requests of a rank that arrived in the window. */
+    public static Predicate<RequestRecord> arrivals(String rank, Duration from, Duration until) {
+        return r ->
+                r.requestClass().policy().rank().equals(rank)
+                        && r.arrivalNanos() >= from.toNanos()
+                        && r.arrivalNanos() < until.toNanos();
+    }
+
+    private static boolean isGood(RequestRecord request) {
+        return request.outcome() == RequestRecord.Outcome.FINISHED
+                && request.endNanos() <= request.deadlineNanos();
+    }
+}
