Add HTTP adapters to the platform and their stand-ins

Cause: programs need the key-value service and the instance list, and development needs servers that speak the same formats. Not covered by tests yet.

--- /dev/null
+++ b/tanagergap-platform/src/main/java/org/tanagergap/platform/keyvalue/HttpKeyValueStore.java
@@ -0,0 +1,215 @@
+package org.tanagergap.platform.keyvalue;
+
+import com.codahale.metrics.Counter;
+import com.codahale.metrics.MetricRegistry;
+import io.smallrye.mutiny.Multi;
+import io.smallrye.mutiny.subscription.MultiEmitter;
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpClientOptions;
+import io.vertx.core.http.HttpClientRequest;
+import io.vertx.core.http.HttpClientResponse;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.PoolOptions;
+import io.vertx.core.http.RequestOptions;
+import io.vertx.core.json.DecodeException;
+import io.vertx.core.json.JsonObject;
+import io.vertx.core.parsetools.RecordParser;
+import java.time.Duration;
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.tanagergap.runtime.async.Futures;
+import org.tanagergap.runtime.metrics.MetricName;
+import org.tanagergap.runtime.settings.HostPort;
+
+/** Key-value service over the JSON gateway of the etcd v3 API. */
+public final class HttpKeyValueStore implements KeyValueStore {
+
+    private static final int MAX_CONNECTIONS = 32;
+    private static final int MAX_WATCHES = 64;
+    private static final int HTTP_OK = 200;
+    private static final int HTTP_CLIENT_ERROR = 400;
+    private static final int HTTP_SERVER_ERROR = 500;
+    private static final int HTTP_REQUEST_TIMEOUT = 408;
+
+    private final HostPort mAddress;
+    private final Duration mTimeout;
+    private final HttpClient mClient;
+    private final HttpClient mWatchClient;
+    private final Counter mReads;
+    private final Counter mWrites;
+    private final Counter mWatches;
+    private final Counter mFailures;
+
+    /**
+     * Creates a client.
+     *
+     * @param timeout time after which a call without an answer fails
+     * @param metrics registry in which calls are counted by kind
+     */
+    public HttpKeyValueStore(
+            Vertx vertx, HostPort address, Duration timeout, MetricRegistry metrics) {
+        Objects.requireNonNull(vertx, "vertx must not be null");
+        Objects.requireNonNull(metrics, "metrics must not be null");
+        mAddress = Objects.requireNonNull(address, "address must not be null");
+        mTimeout = Objects.requireNonNull(timeout, "timeout must not be null");
+        HttpClientOptions options =
+                new HttpClientOptions().setConnectTimeout((int) timeout.toMillis());
+        mClient =
+                vertx.createHttpClient(options, new PoolOptions().setHttp1MaxSize(MAX_CONNECTIONS));
+        // Watches keep their connections, so they must not take those of other calls.
+        mWatchClient =
+                vertx.createHttpClient(options, new PoolOptions().setHttp1MaxSize(MAX_WATCHES));
+        mReads = metrics.counter(MetricName.of("key_value_calls", "kind", "reads"));
+        mWrites = metrics.counter(MetricName.of("key_value_calls", "kind", "writes"));
+        mWatches = metrics.counter(MetricName.of("key_value_calls", "kind", "watches"));
+        mFailures = metrics.counter("key_value_failures");
+    }
+
+    @Override
+    public CompletableFuture<Optional<KeyValue>> read(String key) {
+        return call(mReads, "/v3/kv/range", GatewayMessages.range(key, "", 1))
+                .thenApply(reply -> GatewayMessages.keyValues(reply).stream().findFirst());
+    }
+
+    @Override
+    public CompletableFuture<List<KeyValue>> readRange(String from, String to, int limit) {
+        return call(mReads, "/v3/kv/range", GatewayMessages.range(from, to, limit))
+                .thenApply(GatewayMessages::keyValues);
+    }
+
+    @Override
+    public CompletableFuture<TransactionResult> commit(Transaction transaction) {
+        return call(mWrites, "/v3/kv/txn", GatewayMessages.transaction(transaction))
+                .thenApply(GatewayMessages::transactionResult);
+    }
+
+    @Override
+    public CompletableFuture<Long> grantLease(Duration timeToLive) {
+        JsonObject body = new JsonObject().put("TTL", "" + timeToLive.toSeconds());
+        return call(mWrites, "/v3/lease/grant", body)
+                .thenApply(reply -> GatewayMessages.number(reply, "ID"));
+    }
+
+    @Override
+    public CompletableFuture<Void> keepLeaseAlive(long leaseId) {
+        JsonObject body = new JsonObject().put("ID", "" + leaseId);
+        return call(mWrites, "/v3/lease/keepalive", body)
+                .thenAccept(
+                        reply -> {
+                            JsonObject result = reply.getJsonObject("result", new JsonObject());
+                            if (GatewayMessages.number(result, "TTL") <= 0) {
+                                throw new KeyValueException(
+                                        "lease " + leaseId + " has lapsed", false, null);
+                            }
+                        });
+    }
+
+    @Override
+    public Multi<KeyValue> watch(String prefix) {
+        Objects.requireNonNull(prefix, "prefix must not be null");
+        return Multi.createFrom().emitter(emitter -> openWatch(prefix, emitter));
+    }
+
+    private CompletableFuture<JsonObject> call(Counter counter, String path, JsonObject body) {
+        counter.inc();
+        Future<JsonObject> reply =
+                mClient.request(options(path))
+                        .recover(failure -> Future.failedFuture(failed(path, true, failure)))
+                        .compose(request -> exchange(request, path, body))
+                        .recover(failure -> Future.failedFuture(wrapped(path, failure)));
+        return Futures.toCompletable(reply);
+    }
+
+    private Future<JsonObject> exchange(HttpClientRequest request, String path, JsonObject body) {
+        return request.send(body.toBuffer())
+                .compose(response -> read(response, path))
+                .timeout(mTimeout.toMillis(), TimeUnit.MILLISECONDS)
+                .onFailure(ignored -> request.reset());
+    }
+
+    private static Future<JsonObject> read(HttpClientResponse response, String path) {
+        return response.body()
+                .map(
+                        buffer -> {
+                            if (response.statusCode() != HTTP_OK) {
+                                throw refused(response.statusCode(), path, buffer);
+                            }
+                            return new JsonObject(buffer);
+                        });
+    }
+
+    /** A call refused with a client error was not applied, except when its time ran out. */
+    private static KeyValueException refused(int status, String path, Buffer body) {
+        boolean notSent =
+                status >= HTTP_CLIENT_ERROR
+                        && status < HTTP_SERVER_ERROR
+                        && status != HTTP_REQUEST_TIMEOUT;
+        return new KeyValueException(path + " answered " + status + ": " + body, notSent, null);
+    }
+
+    private RequestOptions options(String path) {
+        return new RequestOptions()
+                .setMethod(HttpMethod.POST)
+                .setHost(mAddress.host())
+                .setPort(mAddress.port())
+                .setURI(path)
+                .setConnectTimeout(mTimeout.toMillis())
+                .putHeader("Content-Type", "application/json");
+    }
+
+    private void openWatch(String prefix, MultiEmitter<? super KeyValue> emitter) {
+        mWatches.inc();
+        mWatchClient
+                .request(options("/v3/watch"))
+                .compose(
+                        request -> {
+                            emitter.onTermination(request::reset);
+                            return request.send(GatewayMessages.watch(prefix).toBuffer());
+                        })
+                .onSuccess(response -> readWatch(response, emitter))
+                .onFailure(failure -> emitter.fail(failed("/v3/watch", true, failure)));
+    }
+
+    private void readWatch(HttpClientResponse response, MultiEmitter<? super KeyValue> emitter) {
+        if (response.statusCode() != HTTP_OK) {
+            String message = "/v3/watch answered " + response.statusCode();
+            emitter.fail(new KeyValueException(message, true, null));
+            return;
+        }
+        RecordParser lines = RecordParser.newDelimited("\n", response);
+        lines.exceptionHandler(failure -> emitter.fail(failed("/v3/watch", true, failure)));
+        lines.endHandler(
+                ignored -> emitter.fail(new KeyValueException("/v3/watch ended", true, null)));
+        lines.handler(line -> emitLine(line, emitter));
+    }
+
+    private static void emitLine(Buffer line, MultiEmitter<? super KeyValue> emitter) {
+        try {
+            JsonObject message = new JsonObject(line);
+            JsonObject result = message.getJsonObject("result");
+            if (result == null || result.getBoolean("canceled", false)) {
+                emitter.fail(new KeyValueException("watch was cancelled: " + line, true, null));
+                return;
+            }
+            GatewayMessages.changes(result).forEach(emitter::emit);
+        } catch (DecodeException | ClassCastException e) {
+            emitter.fail(new KeyValueException("watch sent an unreadable message", true, e));
+        }
+    }
+
+    private KeyValueException wrapped(String path, Throwable failure) {
+        mFailures.inc();
+        return failure instanceof KeyValueException e ? e : failed(path, false, failure);
+    }
+
+    private KeyValueException failed(String path, boolean notSent, Throwable cause) {
+        String message = path + " of " + mAddress + " failed: " + cause.getMessage();
+        return new KeyValueException(message, notSent, cause);
+    }
+}
--- /dev/null
+++ b/tanagergap-standins/src/main/java/org/tanagergap/standins/instances/InstanceListServer.java
@@ -0,0 +1,143 @@
+package org.tanagergap.standins.instances;
+
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpServer;
+import io.vertx.core.json.JsonArray;
+import io.vertx.core.json.JsonObject;
+import io.vertx.ext.web.Router;
+import io.vertx.ext.web.RoutingContext;
+import io.vertx.ext.web.handler.BodyHandler;
+import java.time.Duration;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import org.tanagergap.api.lifecycle.Service;
+import org.tanagergap.api.time.RuntimeClock;
+import org.tanagergap.runtime.async.Futures;
+import org.tanagergap.runtime.settings.HostPort;
+
+/** Serves the list of instances as {@code EndpointSlice} objects; readers see changes late. */
+public final class InstanceListServer implements Service {
+
+    private static final String PATH = "/apis/discovery.k8s.io/v1/endpointslices";
+    private static final String GROUP_LABEL = "kubernetes.io/service-name";
+    private static final int HTTP_BAD_REQUEST = 400;
+
+    private final Vertx mVertx;
+    private final HostPort mAddress;
+    private final Duration mLag;
+    private final RuntimeClock mClock;
+    private final Map<String, Map<String, ListedInstance>> mVisible = new TreeMap<>();
+    private HttpServer mServer;
+
+    public InstanceListServer(Vertx vertx, HostPort address, Duration lag, RuntimeClock clock) {
+        mVertx = Objects.requireNonNull(vertx, "vertx must not be null");
+        mAddress = Objects.requireNonNull(address, "address must not be null");
+        mLag = Objects.requireNonNull(lag, "lag must not be null");
+        mClock = Objects.requireNonNull(clock, "clock must not be null");
+    }
+
+    @Override
+    public CompletableFuture<Void> start() {
+        Router router = Router.router(mVertx);
+        router.route().handler(BodyHandler.create(false));
+        router.get(PATH).handler(this::list);
+        router.put("/instances/:group/:name").handler(this::put);
+        router.delete("/instances/:group/:name").handler(this::delete);
+        mServer = mVertx.createHttpServer().requestHandler(router);
+        return Futures.toCompletable(mServer.listen(mAddress.port(), mAddress.host()).mapEmpty());
+    }
+
+    @Override
+    public CompletableFuture<Void> stop() {
+        Future<Void> closed = mServer == null ? Future.succeededFuture() : mServer.close();
+        return Futures.toCompletable(closed);
+    }
+
+    /** Port that the server listens on. */
+    public int port() {
+        return mServer.actualPort();
+    }
+
+    private void put(RoutingContext context) {
+        JsonObject body = context.body().asJsonObject();
+        String address = body == null ? null : body.getString("address");
+        if (address == null || HostPort.parse(address).isEmpty()) {
+            context.response().setStatusCode(HTTP_BAD_REQUEST).end("address must be host:port\n");
+            return;
+        }
+        ListedInstance instance =
+                new ListedInstance(
+                        address,
+                        body.getString("failureDomain", ""),
+                        body.getBoolean("leaving", false));
+        change(context, Optional.of(instance));
+    }
+
+    private void delete(RoutingContext context) {
+        change(context, Optional.empty());
+    }
+
+    private void change(RoutingContext context, Optional<ListedInstance> instance) {
+        String group = context.pathParam("group");
+        String name = context.pathParam("name");
+        if (mLag.isZero()) {
+            apply(group, name, instance);
+        } else {
+            mClock.schedule(mLag, () -> apply(group, name, instance));
+        }
+        context.json(new JsonObject());
+    }
+
+    private synchronized void apply(String group, String name, Optional<ListedInstance> instance) {
+        Map<String, ListedInstance> members =
+                mVisible.computeIfAbsent(group, ignored -> new TreeMap<>());
+        instance.ifPresentOrElse(i -> members.put(name, i), () -> members.remove(name));
+    }
+
+    private synchronized void list(RoutingContext context) {
+        String selector = context.request().getParam("labelSelector", "");
+        JsonArray items = new JsonArray();
+        mVisible.forEach(
+                (group, members) -> {
+                    if (selector.isEmpty() || selector.equals(GROUP_LABEL + "=" + group)) {
+                        members.forEach((name, i) -> items.add(slice(group, name, i)));
+                    }
+                });
+        context.json(
+                new JsonObject()
+                        .put("kind", "EndpointSliceList")
+                        .put("apiVersion", "discovery.k8s.io/v1")
+                        .put("items", items));
+    }
+
+    /** One slice per instance, because a slice has one list of ports for all its endpoints. */
+    private static JsonObject slice(String group, String name, ListedInstance instance) {
+        HostPort address = HostPort.parse(instance.address()).orElseThrow();
+        JsonObject conditions =
+                new JsonObject()
+                        .put("ready", !instance.leaving())
+                        .put("serving", true)
+                        .put("terminating", instance.leaving());
+        JsonObject endpoint =
+                new JsonObject()
+                        .put("addresses", new JsonArray().add(address.host()))
+                        .put("conditions", conditions)
+                        .put("zone", instance.failureDomain())
+                        .put("targetRef", new JsonObject().put("kind", "Pod").put("name", name));
+        return new JsonObject()
+                .put("metadata", metadata(group, name))
+                .put("addressType", "IPv4")
+                .put("endpoints", new JsonArray().add(endpoint))
+                .put("ports", new JsonArray().add(new JsonObject().put("port", address.port())));
+    }
+
+    private static JsonObject metadata(String group, String name) {
+        return new JsonObject()
+                .put("name", group + "-" + name)
+                .put("labels", new JsonObject().put(GROUP_LABEL, group));
+    }
+}
--- /dev/null
+++ b/tanagergap-standins/src/main/java/org/tanagergap/standins/keyvalue/KeyValueState.java
@@ -0,0 +1,226 @@
+package org.tanagergap.standins.keyvalue;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.Set;
+import java.util.SortedMap;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+
+/**
+ * State machine of the key-value service: revisions, transactions, leases and watches. It does no
+ * I/O, reads no clock and is not thread-safe.
+ */
+public final class KeyValueState {
+
+    private static final long NANOS_PER_SECOND = 1_000_000_000L;
+
+    private final int mMaxValueBytes;
+    private final TreeMap<String, StoredValue> mValues = new TreeMap<>();
+    private final Map<Long, Lease> mLeases = new LinkedHashMap<>();
+    private final Map<Long, Watcher> mWatchers = new LinkedHashMap<>();
+    private long mRevision = 1;
+    private long mLastId;
+
+    public KeyValueState(int maxValueBytes) {
+        mMaxValueBytes = maxValueBytes;
+    }
+
+    private record Lease(long timeToLiveSeconds, long expiryNanos) {}
+
+    private record Watcher(KeyRange range, Consumer<List<KeyChange>> listener) {}
+
+    /** Revision of the last change. */
+    public long revision() {
+        return mRevision;
+    }
+
+    /** Values in the range, ascending by key, at most {@code limit}; 0 means no limit. */
+    public SortedMap<String, StoredValue> range(KeyRange range, long limit) {
+        SortedMap<String, StoredValue> result = new TreeMap<>();
+        for (Map.Entry<String, StoredValue> entry : mValues.tailMap(range.from()).entrySet()) {
+            if (!range.contains(entry.getKey()) || (limit > 0 && result.size() >= limit)) {
+                break;
+            }
+            result.put(entry.getKey(), entry.getValue());
+        }
+        return result;
+    }
+
+    /**
+     * Applies the operations of one branch atomically: {@code success} when all comparisons hold,
+     * {@code failure} otherwise. Returns whether they held.
+     */
+    public boolean commit(
+            List<Comparison> comparisons, List<Operation> success, List<Operation> failure) {
+        check(success);
+        check(failure);
+        boolean held = comparisons.stream().allMatch(this::holds);
+        apply(held ? success : failure);
+        return held;
+    }
+
+    /** Creates a lease and returns its number. */
+    public long grantLease(long timeToLiveSeconds, long nowNanos) {
+        if (timeToLiveSeconds <= 0) {
+            throw RefusedCallException.invalid("etcdserver: lease TTL must be positive");
+        }
+        long id = ++mLastId;
+        mLeases.put(id, lease(timeToLiveSeconds, nowNanos));
+        return id;
+    }
+
+    /** Extends a lease and returns its time to live in seconds; 0 when it has lapsed. */
+    public long keepLeaseAlive(long id, long nowNanos) {
+        expireLeases(nowNanos);
+        Lease lease = mLeases.get(id);
+        if (lease == null) {
+            return 0;
+        }
+        mLeases.put(id, lease(lease.timeToLiveSeconds(), nowNanos));
+        return lease.timeToLiveSeconds();
+    }
+
+    /** Ends a lease and deletes its keys. */
+    public void revokeLease(long id) {
+        if (mLeases.remove(id) == null) {
+            throw RefusedCallException.leaseNotFound();
+        }
+        deleteKeysOf(Set.of(id));
+    }
+
+    /** Ends the leases whose time is up and deletes their keys. */
+    public void expireLeases(long nowNanos) {
+        Set<Long> expired = new HashSet<>();
+        mLeases.forEach(
+                (id, lease) -> {
+                    if (lease.expiryNanos() - nowNanos <= 0) {
+                        expired.add(id);
+                    }
+                });
+        if (!expired.isEmpty()) {
+            mLeases.keySet().removeAll(expired);
+            deleteKeysOf(expired);
+        }
+    }
+
+    /** Reports later changes of the keys in the range; returns the number of the watch. */
+    public long watch(KeyRange range, Consumer<List<KeyChange>> listener) {
+        Objects.requireNonNull(listener, "listener must not be null");
+        long id = ++mLastId;
+        mWatchers.put(id, new Watcher(range, listener));
+        return id;
+    }
+
+    /** Ends a watch; has no effect when it has ended. */
+    public void cancelWatch(long id) {
+        mWatchers.remove(id);
+    }
+
+    private static Lease lease(long timeToLiveSeconds, long nowNanos) {
+        return new Lease(timeToLiveSeconds, nowNanos + timeToLiveSeconds * NANOS_PER_SECOND);
+    }
+
+    private boolean holds(Comparison comparison) {
+        StoredValue value = mValues.get(comparison.key());
+        if (value == null) {
+            return comparison.expected() == 0;
+        }
+        long actual =
+                switch (comparison.target()) {
+                    case CREATE -> value.createRevision();
+                    case MOD -> value.modRevision();
+                    case VERSION -> value.version();
+                };
+        return actual == comparison.expected();
+    }
+
+    private void check(List<Operation> operations) {
+        List<KeyRange> deleted = new ArrayList<>();
+        Set<String> put = new HashSet<>();
+        for (Operation operation : operations) {
+            if (operation instanceof Operation.Delete delete) {
+                deleted.add(delete.range());
+            } else if (operation instanceof Operation.Put write) {
+                checkPut(write);
+                if (!put.add(write.key())) {
+                    throw RefusedCallException.invalid(
+                            "etcdserver: duplicate key given in txn request");
+                }
+            }
+        }
+        // etcd refuses a transaction that puts a key which it also deletes.
+        if (put.stream().anyMatch(key -> deleted.stream().anyMatch(r -> r.contains(key)))) {
+            throw RefusedCallException.invalid("etcdserver: duplicate key given in txn request");
+        }
+    }
+
+    private void checkPut(Operation.Put write) {
+        if (write.key().isEmpty()) {
+            throw RefusedCallException.invalid("etcdserver: key is not provided");
+        }
+        int bytes = write.value().getBytes(StandardCharsets.UTF_8).length;
+        if (bytes > mMaxValueBytes) {
+            throw RefusedCallException.invalid("etcdserver: request is too large");
+        }
+        if (write.leaseId() != 0 && !mLeases.containsKey(write.leaseId())) {
+            throw RefusedCallException.leaseNotFound();
+        }
+    }
+
+    private void apply(List<Operation> operations) {
+        long revision = mRevision + 1;
+        Map<String, KeyChange> changes = new LinkedHashMap<>();
+        for (Operation operation : operations) {
+            if (operation instanceof Operation.Put put) {
+                StoredValue value = next(put, revision);
+                mValues.put(put.key(), value);
+                changes.put(put.key(), new KeyChange(put.key(), Optional.of(value), revision));
+            } else if (operation instanceof Operation.Delete delete) {
+                for (String key : List.copyOf(range(delete.range(), 0).keySet())) {
+                    mValues.remove(key);
+                    changes.put(key, new KeyChange(key, Optional.empty(), revision));
+                }
+            }
+        }
+        if (!changes.isEmpty()) {
+            mRevision = revision;
+            report(List.copyOf(changes.values()));
+        }
+    }
+
+    private StoredValue next(Operation.Put put, long revision) {
+        StoredValue old = mValues.get(put.key());
+        long created = old == null ? revision : old.createRevision();
+        long version = old == null ? 1 : old.version() + 1;
+        return new StoredValue(put.value(), created, revision, version, put.leaseId());
+    }
+
+    private void deleteKeysOf(Set<Long> leases) {
+        List<Operation> deletions = new ArrayList<>();
+        mValues.forEach(
+                (key, value) -> {
+                    if (leases.contains(value.leaseId())) {
+                        deletions.add(new Operation.Delete(new KeyRange(key, "")));
+                    }
+                });
+        apply(deletions);
+    }
+
+    private void report(List<KeyChange> changes) {
+        for (Watcher watcher : new HashMap<>(mWatchers).values()) {
+            List<KeyChange> seen =
+                    changes.stream().filter(c -> watcher.range().contains(c.key())).toList();
+            if (!seen.isEmpty()) {
+                watcher.listener().accept(seen);
+            }
+        }
+    }
+}
