--- /dev/null
+++ b/tanagergap-state/src/main/java/org/tanagergap/state/configuration/SubmissionSettlement.java
@@ -0,0 +1,73 @@
+package org.tanagergap.state.configuration;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.OptionalLong;
+import java.util.concurrent.CompletableFuture;
+import org.tanagergap.api.time.RuntimeClock;
+import org.tanagergap.platform.keyvalue.Condition;
+import org.tanagergap.platform.keyvalue.KeyValue;
+import org.tanagergap.platform.keyvalue.KeyValueStore;
+import org.tanagergap.platform.keyvalue.Transaction;
+import org.tanagergap.platform.keyvalue.Write;
+
+/**
+ * Finds out whether a submission was accepted, by creating its nonce's key as abandoned: either
+ * that succeeds, and the submission can never take effect, or the key says what happened.
+ */
+final class SubmissionSettlement {
+
+    private static final int MAX_TRIES = 5;
+    private static final Duration RETRY_DELAY = Duration.ofMillis(200);
+
+    private final KeyValueStore mStore;
+    private final RuntimeClock mClock;
+
+    SubmissionSettlement(KeyValueStore store, RuntimeClock clock) {
+        mStore = store;
+        mClock = clock;
+    }
+
+    CompletableFuture<SubmitResult> settle(String nonce) {
+        CompletableFuture<SubmitResult> result = new CompletableFuture<>();
+        tryOnce(nonce, 1, result);
+        return result;
+    }
+
+    private void tryOnce(String nonce, int count, CompletableFuture<SubmitResult> result) {
+        String key = ConfigurationKeys.submission(nonce);
+        mStore.grantLease(KeyValueConfigurationStore.OUTCOME_RETENTION)
+                .thenCompose(lease -> mStore.commit(abandonment(key, lease)))
+                .thenCompose(ignored -> mStore.read(key))
+                .thenApply(value -> describe(value.map(KeyValue::value).orElseThrow()))
+                .whenComplete(
+                        (outcome, failure) -> {
+                            if (failure == null) {
+                                result.complete(outcome);
+                            } else if (count < MAX_TRIES) {
+                                mClock.schedule(
+                                        RETRY_DELAY, () -> tryOnce(nonce, count + 1, result));
+                            } else {
+                                String reason = "the key-value service is unavailable: " + failure;
+                                result.complete(new SubmitResult.Unresolved(nonce, reason));
+                            }
+                        });
+    }
+
+    private static Transaction abandonment(String key, long lease) {
+        return new Transaction(
+                List.of(new Condition.Absent(key)),
+                List.of(
+                        new Write.Put(
+                                key, ConfigurationValues.abandoned(), OptionalLong.of(lease))));
+    }
+
+    private static SubmitResult describe(String value) {
+        return ConfigurationValues.parseSubmission(value)
+                .<SubmitResult>map(SubmitResult.Accepted::new)
+                .orElseGet(
+                        () ->
+                                new SubmitResult.Rejected(
+                                        "the submission was not confirmed and was withdrawn"));
+    }
+}
