Add the operators' command line and the process status client

Operators submit documents and ask whether they have taken effect; each command reports its result as text or JSON and by a documented exit status.

The status client lies in the runtime module because the console asks the same question and programs do not depend on each other. It tells a frozen process (connected, no answer) from an unreachable one. The largest document is now 32 bytes below 1 MB, as in the configuration store.

--- /dev/null
+++ b/tanagergap-ctl/src/main/java/org/tanagergap/ctl/CtlCommand.java
@@ -0,0 +1,155 @@
+package org.tanagergap.ctl;
+
+import com.github.rvesse.airline.HelpOption;
+import com.github.rvesse.airline.annotations.AirlineModule;
+import com.github.rvesse.airline.annotations.Option;
+import io.vertx.core.json.JsonObject;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.charset.CharacterCodingException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.InvalidPathException;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import org.tanagergap.api.finding.InvalidInputException;
+import org.tanagergap.runtime.program.Version;
+import org.tanagergap.runtime.settings.HostPort;
+import org.tanagergap.runtime.settings.SettingsReader;
+import org.tanagergap.state.configuration.ConfigurationStore;
+
+/** Options that every command has, and how a command is run. */
+abstract class CtlCommand {
+
+    /** Longest wait for one call; the store's own timeouts are shorter. */
+    static final Duration CALL_TIMEOUT = Duration.ofSeconds(30);
+
+    @AirlineModule HelpOption<CtlCommand> mHelp;
+
+    @Option(name = "--version", description = "Prints the version and exits")
+    boolean mVersion;
+
+    @Option(
+            name = "--key-value",
+            title = "host:port",
+            description = "Address of the key-value service (TANAGERGAP_KEY_VALUE)")
+    String mKeyValue;
+
+    @Option(
+            name = "--output",
+            title = "format",
+            description = "Form of the result: text or json (TANAGERGAP_OUTPUT)")
+    String mOutput;
+
+    private CtlContext mContext;
+    private SettingsReader mReader;
+    private OutputFormat mFormat;
+
+    /** Does the command's work and returns the exit status. */
+    abstract int execute();
+
+    /** Runs the command; failures become messages and exit statuses. */
+    final int run(CtlContext context) {
+        mContext = context;
+        mReader = new SettingsReader(context.environment());
+        if (mHelp != null && mHelp.showHelpIfRequested()) {
+            return CtlStatus.DONE;
+        }
+        if (mVersion) {
+            context.out().println("tanagergap-ctl " + Version.current());
+            return CtlStatus.DONE;
+        }
+        mFormat = mReader.choice("--output", mOutput, "text", OutputFormat.class);
+        try {
+            mReader.findings().throwIfAny();
+            return execute();
+        } catch (InvalidInputException e) {
+            return printFindings(e);
+        } catch (CallFailedException e) {
+            return fail(e.getMessage());
+        }
+    }
+
+    final CtlContext context() {
+        return mContext;
+    }
+
+    final SettingsReader reader() {
+        return mReader;
+    }
+
+    final ConfigurationStore store() {
+        HostPort address = mReader.address("--key-value", mKeyValue, null);
+        mReader.findings().throwIfAny();
+        return mContext.stores().open(address);
+    }
+
+    /** Whether an address of the key-value service is given. */
+    final boolean hasKeyValue() {
+        return mReader.optionalText("--key-value", mKeyValue).isPresent();
+    }
+
+    /** Prints a result in the format asked for. */
+    final void print(JsonObject json, String text) {
+        mContext.out().println(mFormat == OutputFormat.JSON ? json.encodePrettily() : text);
+    }
+
+    /** Prints a message beside the result. */
+    final void note(String message) {
+        mContext.err().println(message);
+    }
+
+    final int fail(String message) {
+        if (mFormat == OutputFormat.JSON) {
+            print(new JsonObject().put("result", "failed").put("message", message), "");
+        } else {
+            note(message);
+        }
+        return CtlStatus.FAILED;
+    }
+
+    /** Text of a file; {@code -} is standard input. */
+    final String readFile(String file) {
+        if (file == null) {
+            mReader.reject("FILE", "is required; expected a file name or -");
+            mReader.findings().throwIfAny();
+        }
+        try {
+            return file.equals("-")
+                    ? new String(System.in.readAllBytes(), StandardCharsets.UTF_8)
+                    : Files.readString(Path.of(file));
+        } catch (CharacterCodingException e) {
+            throw new CallFailedException(file + " is not UTF-8 text", e);
+        } catch (IOException | UncheckedIOException | InvalidPathException e) {
+            throw new CallFailedException(file + " could not be read: " + e.getMessage(), e);
+        }
+    }
+
+    /** Waits for a call. */
+    static <T> T await(CompletableFuture<T> call, String what) {
+        try {
+            return call.get(CALL_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
+        } catch (ExecutionException e) {
+            throw new CallFailedException(what + " failed: " + e.getCause().getMessage(), e);
+        } catch (TimeoutException e) {
+            throw new CallFailedException(
+                    what + " did not end within " + CALL_TIMEOUT.toSeconds() + " s", e);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new CallFailedException(what + " was interrupted", e);
+        }
+    }
+
+    private int printFindings(InvalidInputException e) {
+        if (mFormat == OutputFormat.JSON) {
+            print(ResultJson.findings(e.findings()), "");
+        } else {
+            e.findings().forEach(finding -> note(finding.toString()));
+        }
+        return CtlStatus.INVALID_INPUT;
+    }
+}
--- /dev/null
+++ b/tanagergap-ctl/src/main/java/org/tanagergap/ctl/CtlMain.java
@@ -0,0 +1,46 @@
+package org.tanagergap.ctl;
+
+import com.codahale.metrics.MetricRegistry;
+import io.vertx.core.Vertx;
+import java.time.Duration;
+import java.util.logging.Level;
+import org.tanagergap.api.time.RuntimeClock;
+import org.tanagergap.platform.keyvalue.HttpKeyValueStore;
+import org.tanagergap.runtime.log.StructuredLogging;
+import org.tanagergap.runtime.time.VertxRuntimeClock;
+import org.tanagergap.state.configuration.KeyValueConfigurationStore;
+
+/** Entry point of the command line for operators. */
+public final class CtlMain {
+
+    private static final Duration KEY_VALUE_TIMEOUT = Duration.ofSeconds(2);
+
+    private CtlMain() {}
+
+    /** Runs one command and ends the process with its exit status. */
+    public static void main(String[] args) {
+        // Failures reach the operator as messages, so warnings about retries would only repeat
+        // them.
+        StructuredLogging.install("tanagergap-ctl", Level.SEVERE);
+        Vertx vertx = Vertx.vertx();
+        CtlContext context =
+                new CtlContext(
+                        System.getenv(),
+                        System.out,
+                        System.err,
+                        vertx,
+                        new VertxRuntimeClock(vertx),
+                        stores(vertx, new VertxRuntimeClock(vertx)));
+        int status = CtlProgram.run(context, args);
+        System.out.flush();
+        System.exit(status);
+    }
+
+    static StoreOpener stores(Vertx vertx, RuntimeClock clock) {
+        return address ->
+                new KeyValueConfigurationStore(
+                        new HttpKeyValueStore(
+                                vertx, address, KEY_VALUE_TIMEOUT, new MetricRegistry()),
+                        clock);
+    }
+}
--- /dev/null
+++ b/tanagergap-ctl/src/main/java/org/tanagergap/ctl/ShowCommand.java
@@ -0,0 +1,27 @@
+package org.tanagergap.ctl;
+
+import com.github.rvesse.airline.annotations.Command;
+import io.vertx.core.json.JsonObject;
+import java.util.Optional;
+import org.tanagergap.state.configuration.StoredConfiguration;
+
+/** Prints the accepted document. */
+@Command(name = "show", description = "Prints the accepted document, and its version on stderr")
+public final class ShowCommand extends CtlCommand {
+
+    @Override
+    int execute() {
+        Optional<StoredConfiguration> current =
+                await(store().read(), "reading the current configuration");
+        if (current.isEmpty()) {
+            return fail("no configuration has been accepted");
+        }
+        note("version " + current.get().version());
+        print(
+                new JsonObject()
+                        .put("version", current.get().version())
+                        .put("document", new JsonObject(current.get().document())),
+                current.get().document().stripTrailing());
+        return CtlStatus.DONE;
+    }
+}
--- /dev/null
+++ b/tanagergap-ctl/src/test/java/org/tanagergap/ctl/CtlOverHttpTests.java
@@ -0,0 +1,105 @@
+package org.tanagergap.ctl;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.json.JsonObject;
+import io.vertx.ext.web.client.WebClient;
+import java.io.ByteArrayOutputStream;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.tanagergap.runtime.settings.HostPort;
+import org.tanagergap.runtime.time.VertxRuntimeClock;
+import org.tanagergap.standins.keyvalue.KeyValueLimits;
+import org.tanagergap.standins.keyvalue.KeyValueServer;
+
+/** Runs commands against the stand-in of the key-value service. */
+class CtlOverHttpTests {
+
+    private static final String LOCAL = "../examples/local.json";
+
+    private final ByteArrayOutputStream mOut = new ByteArrayOutputStream();
+    private Vertx mVertx;
+    private KeyValueServer mServer;
+
+    @BeforeEach
+    void startServer() {
+        mVertx = Vertx.vertx();
+        mServer =
+                new KeyValueServer(
+                        mVertx,
+                        new HostPort("127.0.0.1", 0),
+                        KeyValueLimits.defaults(),
+                        new VertxRuntimeClock(mVertx));
+        mServer.start().join();
+    }
+
+    @AfterEach
+    void stopServer() {
+        mVertx.close().await();
+    }
+
+    private int run(String... args) {
+        mOut.reset();
+        PrintStream out = new PrintStream(mOut, true, StandardCharsets.UTF_8);
+        VertxRuntimeClock clock = new VertxRuntimeClock(mVertx);
+        return CtlProgram.run(
+                new CtlContext(
+                        Map.of("TANAGERGAP_KEY_VALUE", "127.0.0.1:" + mServer.port()),
+                        out,
+                        out,
+                        mVertx,
+                        clock,
+                        CtlMain.stores(mVertx, clock)),
+                args);
+    }
+
+    private String text() {
+        return mOut.toString(StandardCharsets.UTF_8);
+    }
+
+    private void fault(JsonObject faults) {
+        WebClient.create(mVertx)
+                .put(mServer.port(), "127.0.0.1", "/faults")
+                .sendBuffer(Buffer.buffer(faults.encode()))
+                .await();
+    }
+
+    @Test
+    void submitsShowsAndReportsConflicts() {
+        assertThat(run("show")).isEqualTo(CtlStatus.FAILED);
+        assertThat(run("submit", LOCAL)).isEqualTo(CtlStatus.DONE);
+        assertThat(run("show")).isEqualTo(CtlStatus.DONE);
+        assertThat(text()).contains("lidmaker-one");
+        assertThat(run("diff", LOCAL)).isEqualTo(CtlStatus.DONE);
+        assertThat(text()).contains("no difference");
+        assertThat(run("submit", LOCAL, "--base-version", "0")).isEqualTo(CtlStatus.CONFLICT);
+    }
+
+    /** The first write only grants a lease, so a submission without its reply must not appear. */
+    @Test
+    void reportsASubmissionThatCannotTakeEffectAsRejected() {
+        assertThat(run("submit", LOCAL)).isEqualTo(CtlStatus.DONE);
+        fault(new JsonObject().put("lose_replies", 1));
+        assertThat(run("submit", LOCAL)).isEqualTo(CtlStatus.FAILED);
+        assertThat(text()).contains("rejected");
+        assertThat(run("show")).isEqualTo(CtlStatus.DONE);
+        assertThat(text()).contains("version 1");
+    }
+
+    @Test
+    void refusesANonceOfAnotherForm() {
+        assertThat(run("outcome", "a/b")).isEqualTo(CtlStatus.INVALID_INPUT);
+    }
+
+    @Test
+    void reportsAnOutageBeforeTheSubmissionAsFailed() {
+        fault(new JsonObject().put("outage", true));
+        assertThat(run("submit", LOCAL)).isEqualTo(CtlStatus.FAILED);
+    }
+}
--- a/tanagergap-document/src/main/java/org/tanagergap/document/ConfigurationDocument.java
+++ b/tanagergap-document/src/main/java/org/tanagergap/document/ConfigurationDocument.java
@@ -14,8 +14,8 @@
 /** Reads, validates and writes configuration documents. */
 public final class ConfigurationDocument {
 
-    /** The key-value service holds values up to 1 MB. */
-    public static final int MAX_DOCUMENT_BYTES = 1_000_000;
+    /** The key-value service holds values up to 1 MB; the stored version needs some of it. */
+    public static final int MAX_DOCUMENT_BYTES = 1_000_000 - 32;
 
     private ConfigurationDocument() {}
 
--- /dev/null
+++ b/tanagergap-runtime/src/main/java/org/tanagergap/runtime/status/ProcessStatus.java
@@ -0,0 +1,39 @@
+package org.tanagergap.runtime.status;
+
+import java.util.Objects;
+import java.util.Optional;
+import java.util.OptionalLong;
+import org.tanagergap.runtime.settings.HostPort;
+
+/**
+ * Answer of one process, or why there is none.
+ *
+ * @param address address of the admin server
+ * @param name name of the process; empty without an answer
+ * @param program name of the program; empty without an answer
+ * @param version configuration version in effect; present exactly when there is no failure
+ * @param failure why there is no version
+ * @param detail explanation of the failure
+ */
+public record ProcessStatus(
+        HostPort address,
+        String name,
+        String program,
+        OptionalLong version,
+        Optional<ProcessState> failure,
+        String detail) {
+
+    public ProcessStatus {
+        Objects.requireNonNull(address, "address must not be null");
+    }
+
+    static ProcessStatus failed(HostPort address, ProcessState state, String detail) {
+        return new ProcessStatus(address, "", "", OptionalLong.empty(), Optional.of(state), detail);
+    }
+
+    /** State of the process when the given version should be in effect. */
+    public ProcessState state(long target) {
+        return failure.orElseGet(
+                () -> version.orElse(0) >= target ? ProcessState.IN_EFFECT : ProcessState.BEHIND);
+    }
+}
--- /dev/null
+++ b/tanagergap-runtime/src/main/java/org/tanagergap/runtime/status/ProcessStatusClient.java
@@ -0,0 +1,94 @@
+package org.tanagergap.runtime.status;
+
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.json.DecodeException;
+import io.vertx.core.json.JsonObject;
+import io.vertx.ext.web.client.HttpResponse;
+import io.vertx.ext.web.client.WebClient;
+import io.vertx.ext.web.client.WebClientOptions;
+import java.net.ConnectException;
+import java.time.Duration;
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import org.tanagergap.runtime.async.Futures;
+import org.tanagergap.runtime.settings.HostPort;
+
+/** Asks the admin servers of processes for the configuration version in effect. */
+public final class ProcessStatusClient {
+
+    private static final int HTTP_OK = 200;
+
+    private final WebClient mClient;
+    private final Duration mTimeout;
+
+    /**
+     * Creates a client.
+     *
+     * @param timeout time after which a connected process counts as frozen
+     */
+    public ProcessStatusClient(Vertx vertx, Duration timeout) {
+        Objects.requireNonNull(vertx, "vertx must not be null");
+        mTimeout = Objects.requireNonNull(timeout, "timeout must not be null");
+        // The connection must fail before the answer does, to tell unreachable from frozen.
+        int connectMillis = (int) Math.max(1, timeout.toMillis() / 2);
+        mClient = WebClient.create(vertx, new WebClientOptions().setConnectTimeout(connectMillis));
+    }
+
+    /** Status of each process, in the given order; never fails. */
+    public CompletableFuture<List<ProcessStatus>> read(List<HostPort> addresses) {
+        List<Future<ProcessStatus>> answers = addresses.stream().map(this::read).toList();
+        return Futures.toCompletable(
+                Future.all(answers).map(all -> answers.stream().map(Future::result).toList()));
+    }
+
+    private Future<ProcessStatus> read(HostPort address) {
+        return mClient.get(address.port(), address.host(), "/status")
+                .send()
+                .timeout(mTimeout.toMillis(), TimeUnit.MILLISECONDS)
+                .map(response -> status(address, response))
+                .otherwise(failure -> failed(address, failure));
+    }
+
+    private ProcessStatus failed(HostPort address, Throwable failure) {
+        if (failure instanceof TimeoutException && !(failure instanceof ConnectException)) {
+            return ProcessStatus.failed(
+                    address,
+                    ProcessState.FROZEN,
+                    "no answer within " + mTimeout.toMillis() + " ms");
+        }
+        return ProcessStatus.failed(
+                address, ProcessState.UNREACHABLE, String.valueOf(failure.getMessage()));
+    }
+
+    private static ProcessStatus status(HostPort address, HttpResponse<Buffer> response) {
+        if (response.statusCode() != HTTP_OK) {
+            return invalid(address, "HTTP status " + response.statusCode());
+        }
+        try {
+            JsonObject body = response.bodyAsJsonObject();
+            if (body == null || !(body.getValue("configuration_version") instanceof Number)) {
+                return invalid(address, "the answer has no configuration_version");
+            }
+            return new ProcessStatus(
+                    address,
+                    String.valueOf(body.getValue("name", "")),
+                    String.valueOf(body.getValue("program", "")),
+                    OptionalLong.of(body.getLong("configuration_version")),
+                    Optional.empty(),
+                    "");
+        } catch (DecodeException | ClassCastException e) {
+            return invalid(address, "the answer is not a JSON object");
+        }
+    }
+
+    private static ProcessStatus invalid(HostPort address, String detail) {
+        return ProcessStatus.failed(address, ProcessState.INVALID, detail);
+    }
+}
