Add the subset router, retry policy, token estimator and span planner

Cause: entries choose agents, retry and split long prompts by rules that need no I/O and are shared by programs and measurements. Change: SubsetRequestRouter predicts the time to the first token among a few candidates and counts what it sent since a hint; SubsetSelector chooses the subset; RetryBudget and RetryPolicy bound retries; TokenEstimator learns bytes per token; SpanPlanner splits prompts over agents in order of name. spanningCandidates now returns all usable agents of known memory, because a plan over agents with free memory only cannot tell "busy" from "impossible".

--- /dev/null
+++ b/tanagergap-decisions/src/main/java/org/tanagergap/decisions/routing/AgentPool.java
@@ -0,0 +1,91 @@
+package org.tanagergap.decisions.routing;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.random.RandomGenerator;
+
+/** Agents by name, and the usable ones of each service in a list for random choice. */
+final class AgentPool {
+
+    private final Map<String, AgentState> mAgents = new TreeMap<>();
+    private final Map<String, List<AgentState>> mUsable = new HashMap<>();
+    private final RandomGenerator mRandom;
+
+    AgentPool(RandomGenerator random) {
+        mRandom = random;
+    }
+
+    AgentState find(String name) {
+        return mAgents.get(name);
+    }
+
+    Iterable<AgentState> all() {
+        return mAgents.values();
+    }
+
+    /** Replaces the agents; states of the names that stay are kept. */
+    void replace(Map<String, AgentState> agents) {
+        mAgents.clear();
+        mAgents.putAll(agents);
+        mUsable.clear();
+        for (AgentState agent : mAgents.values()) {
+            if (agent.isUsable()) {
+                usable(agent.endpoint().service()).add(agent);
+            }
+        }
+    }
+
+    /** Brings the list of usable agents up to date after a change of the agent. */
+    void refresh(AgentState agent, boolean wasUsable) {
+        if (agent.isUsable() == wasUsable) {
+            return;
+        }
+        List<AgentState> usable = usable(agent.endpoint().service());
+        if (wasUsable) {
+            usable.remove(agent);
+        } else {
+            usable.add(agent);
+        }
+    }
+
+    /** Usable agents of a service; the list changes with the pool. */
+    List<AgentState> usable(String service) {
+        return mUsable.computeIfAbsent(service, s -> new ArrayList<>());
+    }
+
+    /** Distinct random usable agents, at most the given number, without the excluded names. */
+    Set<AgentState> sample(String service, int count, int allUpTo, Set<String> excluded) {
+        List<AgentState> usable = usable(service);
+        Set<AgentState> sample = new LinkedHashSet<>();
+        if (usable.size() <= allUpTo) {
+            addAllowed(usable, excluded, sample, usable.size());
+            return sample;
+        }
+        // Few names are excluded, so that a few draws suffice; the scan covers the other case.
+        int draws = 2 * (count + excluded.size());
+        for (int i = 0; i < draws && sample.size() < count; i++) {
+            AgentState agent = usable.get(mRandom.nextInt(usable.size()));
+            if (!excluded.contains(agent.name())) {
+                sample.add(agent);
+            }
+        }
+        if (sample.isEmpty()) {
+            addAllowed(usable, excluded, sample, count);
+        }
+        return sample;
+    }
+
+    private static void addAllowed(
+            List<AgentState> agents, Set<String> excluded, Set<AgentState> sample, int count) {
+        for (AgentState agent : agents) {
+            if (sample.size() < count && !excluded.contains(agent.name())) {
+                sample.add(agent);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/tanagergap-decisions/src/main/java/org/tanagergap/decisions/routing/PrefixAffinity.java
@@ -0,0 +1,65 @@
+package org.tanagergap.decisions.routing;
+
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+/** Agents that probably hold a prefix: by their hints and by this entry's own recent choices. */
+final class PrefixAffinity {
+
+    /** 4,096 hashes of 64 characters take about 1 MB. */
+    private static final int MAX_RECENT = 4_096;
+
+    private final Map<String, Set<String>> mHolders = new HashMap<>();
+    private final Map<String, Set<String>> mHashesByAgent = new HashMap<>();
+    private final Map<String, String> mRecent =
+            new LinkedHashMap<>(16, 0.75f, true) {
+                @Override
+                protected boolean removeEldestEntry(Map.Entry<String, String> eldest) {
+                    return size() > MAX_RECENT;
+                }
+            };
+
+    /** Replaces the hashes that an agent reports. */
+    void reported(String agent, Set<String> hashes) {
+        forget(agent);
+        if (hashes.isEmpty()) {
+            return;
+        }
+        mHashesByAgent.put(agent, hashes);
+        for (String hash : hashes) {
+            mHolders.computeIfAbsent(hash, h -> new LinkedHashSet<>()).add(agent);
+        }
+    }
+
+    void forget(String agent) {
+        Set<String> old = mHashesByAgent.remove(agent);
+        if (old == null) {
+            return;
+        }
+        for (String hash : old) {
+            Set<String> holders = mHolders.get(hash);
+            holders.remove(agent);
+            if (holders.isEmpty()) {
+                mHolders.remove(hash);
+            }
+        }
+    }
+
+    void chosen(String hash, String agent) {
+        mRecent.put(hash, agent);
+    }
+
+    /** Name of the agent that most probably holds the prefix. */
+    Optional<String> agent(String hash) {
+        String recent = mRecent.get(hash);
+        if (recent != null) {
+            return Optional.of(recent);
+        }
+        Set<String> holders = mHolders.get(hash);
+        return holders == null ? Optional.empty() : Optional.of(holders.iterator().next());
+    }
+}
--- a/tanagergap-decisions/src/main/java/org/tanagergap/decisions/routing/RequestRouter.java
+++ b/tanagergap-decisions/src/main/java/org/tanagergap/decisions/routing/RequestRouter.java
@@ -22,7 +22,7 @@
     /** Chooses an agent and counts the attempt as sent to it until {@link #attemptEnded}. */
     Optional<AgentEndpoint> choose(RoutingRequest request);
 
-    /** Agents of a service in ascending order of name with free memory, for a spanning prompt. */
+    /** Usable agents of a service whose memory is known, in ascending order of name. */
     List<AgentEndpoint> spanningCandidates(String service);
 
     /** Records a hint. */
--- a/tanagergap-decisions/src/main/java/org/tanagergap/decisions/scheduling/UpstreamScheduler.java
+++ b/tanagergap-decisions/src/main/java/org/tanagergap/decisions/scheduling/UpstreamScheduler.java
@@ -18,7 +18,11 @@
     /** Takes the items that start now from the queue, with their memory reserved, in order. */
     List<WorkItem> dispatchable();
 
-    /** Takes queued items whose deadline has passed; they are refused as not run. */
+    /**
+     * Takes queued items that can no longer be answered: their deadline has passed or comes before
+     * the end of their prefill, or their memory exceeds a reduced capacity. They are refused as not
+     * run.
+     */
     List<WorkItem> expired();
 
     /** Records that the engine sent the first token of an attempt, so that its prefill is over. */
--- /dev/null
+++ b/tanagergap-decisions/src/main/java/org/tanagergap/decisions/span/SpanPlan.java
@@ -0,0 +1,35 @@
+package org.tanagergap.decisions.span;
+
+import java.util.List;
+
+/** Result of planning a prompt over several engines. */
+public sealed interface SpanPlan {
+
+    /**
+     * The prompt fits now.
+     *
+     * @param segments segments in order of the prompt and in ascending order of agent name, in
+     *     which they must be reserved; the last agent decodes
+     */
+    record Placed(List<SpanSegment> segments) implements SpanPlan {
+
+        public Placed {
+            segments = List.copyOf(segments);
+        }
+    }
+
+    /**
+     * The agents can hold the prompt when other work has finished.
+     *
+     * @param missingTokens memory that must become free
+     */
+    record Busy(long missingTokens) implements SpanPlan {}
+
+    /**
+     * No set of the agents can hold the prompt.
+     *
+     * @param neededTokens memory that the prompt and its output need
+     * @param totalTokens memory of all agents together
+     */
+    record Impossible(long neededTokens, long totalTokens) implements SpanPlan {}
+}
