--- /dev/null
+++ b/tanagergap-decisions/src/test/java/org/tanagergap/decisions/scheduling/FairUpstreamSchedulerPropertyTests.java
@@ -0,0 +1,167 @@
+package org.tanagergap.decisions.scheduling;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Consumer;
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.Combinators;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+import net.jqwik.api.state.Action;
+import net.jqwik.api.state.ActionChain;
+import net.jqwik.api.state.ActionChainArbitrary;
+import net.jqwik.api.state.Transformer;
+import org.tanagergap.testing.PausedClock;
+
+class FairUpstreamSchedulerPropertyTests {
+
+    private static final List<Work> WORK =
+            List.of(Work.URGENT, Work.BULK, Work.BULK.of("b").weighing(3), Work.URGENT.of("c"));
+
+    /** Guards against leaked, double-released or overcommitted memory and revived work. */
+    @Property(seed = "20261204", tries = 600)
+    void memoryAndQueueAgreeWithANaiveAccount(
+            @ForAll("interleavings") ActionChain<SchedulerModel> chain) {
+        SchedulerModel model = chain.withInvariant(SchedulerModel::check).run();
+        model.checkNothingLeaks();
+    }
+
+    @Provide
+    ActionChainArbitrary<SchedulerModel> interleavings() {
+        Arbitrary<Long> prompt = Arbitraries.of(0L, 1_000L, 7_000L, 40_000L, 120_000L, 300_000L);
+        Arbitrary<Integer> choice = Arbitraries.integers().between(0, 50);
+        Arbitrary<Boolean> flag = Arbitraries.of(true, false);
+        Arbitrary<String> hold = Arbitraries.of("h1", "h2", "h3");
+        return ActionChain.startWith(SchedulerModel::new)
+                .withAction(
+                        6,
+                        action(
+                                Combinators.combine(
+                                                Arbitraries.of(WORK),
+                                                prompt,
+                                                Arbitraries.longs().between(0, 60_000))
+                                        .as(
+                                                (work, tokens, left) ->
+                                                        change(
+                                                                "submit " + tokens,
+                                                                m ->
+                                                                        m.submit(
+                                                                                work, tokens, 500,
+                                                                                left)))))
+                .withAction(4, action(just("dispatch", SchedulerModel::dispatch)))
+                .withAction(1, action(just("expire", SchedulerModel::expire)))
+                .withAction(
+                        3,
+                        action(
+                                Combinators.combine(choice, Arbitraries.of(0.5, 1.0, 1.7))
+                                        .as(
+                                                (c, error) ->
+                                                        change(
+                                                                "prefill finished",
+                                                                m -> m.finishPrefill(c, error)))))
+                .withAction(
+                        3,
+                        action(
+                                Combinators.combine(choice, flag)
+                                        .as((c, f) -> change("release", m -> release(m, c, f)))))
+                .withAction(1, action(choice.map(c -> change("late reply", m -> m.lateReply(c)))))
+                .withAction(2, action(flag.map(f -> change("reconcile", m -> m.reconcile(f)))))
+                .withAction(
+                        2,
+                        action(
+                                Combinators.combine(hold, prompt)
+                                        .as((h, t) -> change("hold " + h, m -> m.hold(h, t)))))
+                .withAction(1, action(hold.map(h -> change("release " + h, m -> m.releaseHold(h)))))
+                .withAction(1, action(just("expire holds", SchedulerModel::expireHolds)))
+                .withAction(
+                        3,
+                        action(
+                                Arbitraries.of(1L, 200L, 1_500L, 11_000L)
+                                        .map(ms -> change("advance " + ms, m -> m.advance(ms)))))
+                .withMaxTransformations(60);
+    }
+
+    /** Guards against deadlock and livelock of two prompts that span the same engines. */
+    @Property(seed = "20261204", tries = 300)
+    void twoReservationsOverSeveralEnginesBothComplete(
+            @ForAll @Size(400) List<@IntRange(min = 0, max = 1) Integer> turns,
+            @ForAll @IntRange(min = 1, max = 4) int engines) {
+        PausedClock clock = new PausedClock();
+        List<FairUpstreamScheduler> schedulers = new ArrayList<>();
+        for (int i = 0; i < engines; i++) {
+            schedulers.add(new FairUpstreamScheduler(clock, SchedulerSettings.defaults()));
+        }
+        List<Spanning> prompts = List.of(new Spanning("p0"), new Spanning("p1"));
+        for (int turn : turns) {
+            prompts.get(turn).step(schedulers);
+            clock.advance(Duration.ofMillis(100));
+            schedulers.forEach(FairUpstreamScheduler::expiredHolds);
+        }
+        for (int i = 0; i < 1_000 && !prompts.stream().allMatch(p -> p.mDone); i++) {
+            prompts.get(i % 2).step(schedulers);
+            clock.advance(Duration.ofMillis(100));
+            schedulers.forEach(FairUpstreamScheduler::expiredHolds);
+        }
+        assertThat(prompts.get(0).mDone).isTrue();
+        assertThat(prompts.get(1).mDone).isTrue();
+        schedulers.forEach(scheduler -> assertThat(scheduler.reservedTokens()).isEqualTo(0));
+    }
+
+    private static void release(SchedulerModel model, int choice, boolean ofQueued) {
+        // Takes expired items first, because the scheduler drops them on its own.
+        model.expire();
+        model.release(choice, ofQueued);
+    }
+
+    private static Action.Independent<SchedulerModel> action(
+            Arbitrary<Transformer<SchedulerModel>> transformer) {
+        return () -> transformer;
+    }
+
+    private static Arbitrary<Transformer<SchedulerModel>> just(
+            String name, Consumer<SchedulerModel> change) {
+        return Arbitraries.just(change(name, change));
+    }
+
+    private static Transformer<SchedulerModel> change(
+            String name, Consumer<SchedulerModel> change) {
+        return Transformer.mutate(name, change);
+    }
+
+    /** Entry that holds all engines in ascending order and releases all on a refusal. */
+    private static final class Spanning {
+
+        private final String mId;
+        private int mHeld;
+        private boolean mDone;
+
+        Spanning(String id) {
+            mId = id;
+        }
+
+        void step(List<FairUpstreamScheduler> schedulers) {
+            if (mDone) {
+                return;
+            }
+            boolean isComplete = mHeld == schedulers.size();
+            if (!isComplete && schedulers.get(mHeld).hold(mId, 900_000, Duration.ofSeconds(10))) {
+                mHeld++;
+                return;
+            }
+            // A hold may have lapsed meanwhile; then the entry starts again.
+            boolean allHeld = true;
+            for (int i = 0; i < mHeld; i++) {
+                allHeld &= schedulers.get(i).releaseHold(mId);
+            }
+            mDone = isComplete && allHeld;
+            mHeld = 0;
+        }
+    }
+}
