Add the intent log over the key-value service

Cause: a call that must not be repeated needs one process that may send it, agreed on through the key-value service. Change: each shard is a log of batch records created by compare-and-swap under an unchanged floor. Lost replies are settled by repeating the same transaction; intents confirmed too late are abandoned by their creator; compaction raises the floor and deletes older records in one transaction. Answers are read from their record when they are replayed and are not held in memory. The configuration watch now delivers through a serial executor and holds no lock. Not covered by tests yet.

--- a/tanagergap-state/src/main/java/org/tanagergap/state/configuration/ConfigurationWatch.java
+++ b/tanagergap-state/src/main/java/org/tanagergap/state/configuration/ConfigurationWatch.java
@@ -1,15 +1,21 @@
 package org.tanagergap.state.configuration;
 
 import com.google.common.flogger.FluentLogger;
+import com.google.common.util.concurrent.MoreExecutors;
 import io.smallrye.mutiny.subscription.Cancellable;
 import io.smallrye.mutiny.subscription.MultiEmitter;
 import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.Executor;
 import org.tanagergap.api.time.RuntimeClock;
 import org.tanagergap.platform.keyvalue.KeyValue;
 import org.tanagergap.platform.keyvalue.KeyValueStore;
 import org.tanagergap.runtime.time.PeriodicTask;
 
-/** Follows the current configuration for one subscriber and emits rising versions only. */
+/**
+ * Follows the current configuration for one subscriber and emits rising versions only. All its
+ * state is used by one serial executor, so that versions reach the subscriber in order.
+ */
 final class ConfigurationWatch {
 
     private static final FluentLogger sLogger = FluentLogger.forEnclosingClass();
@@ -20,6 +26,8 @@
     private final KeyValueStore mStore;
     private final MultiEmitter<? super StoredConfiguration> mEmitter;
     private final PeriodicTask mReader;
+    private final Executor mSerial =
+            MoreExecutors.newSequentialExecutor(MoreExecutors.directExecutor());
     private long mVersion;
     private boolean mWatching;
     private boolean mEnded;
@@ -31,59 +39,48 @@
             MultiEmitter<? super StoredConfiguration> emitter) {
         mStore = store;
         mEmitter = emitter;
-        mReader = new PeriodicTask(clock, READ_INTERVAL, this::refresh);
+        mReader = new PeriodicTask(clock, READ_INTERVAL, () -> mSerial.execute(this::refresh));
     }
 
     void start() {
-        mEmitter.onTermination(this::end);
-        refresh();
+        mEmitter.onTermination(() -> mSerial.execute(this::end));
+        mSerial.execute(this::refresh);
         mReader.start();
     }
 
     /** Opens the watch when there is none, then reads, so that no change falls in between. */
     private void refresh() {
-        if (openWatch()) {
-            Cancellable watch =
+        if (mEnded) {
+            return;
+        }
+        if (!mWatching) {
+            mWatching = true;
+            mWatch =
                     mStore.watch(ConfigurationKeys.CURRENT)
                             .subscribe()
-                            .with(this::accept, this::watchFailed, () -> watchFailed(null));
-            keep(watch);
+                            .with(
+                                    value -> mSerial.execute(() -> accept(value)),
+                                    failure -> mSerial.execute(() -> watchEnded(failure)),
+                                    () -> mSerial.execute(() -> watchEnded(null)));
         }
-        mStore.read(ConfigurationKeys.CURRENT)
-                .whenComplete(
-                        (current, failure) -> {
-                            if (failure == null) {
-                                current.ifPresent(this::accept);
-                            } else {
-                                sLogger.atFine().withCause(failure).log("read failed");
-                            }
-                        });
+        mStore.read(ConfigurationKeys.CURRENT).whenCompleteAsync(this::acceptRead, mSerial);
     }
 
-    private synchronized boolean openWatch() {
-        boolean open = !mWatching && !mEnded;
-        mWatching |= open;
-        return open;
-    }
-
-    private void keep(Cancellable watch) {
-        synchronized (this) {
-            if (!mEnded) {
-                mWatch = watch;
-                return;
-            }
+    private void acceptRead(Optional<KeyValue> current, Throwable failure) {
+        if (failure == null) {
+            current.ifPresent(this::accept);
+        } else {
+            sLogger.atFine().withCause(failure).log("the configuration could not be read");
         }
-        watch.cancel();
     }
 
     /** The next periodic read opens the watch again, which bounds the rate of attempts. */
-    private synchronized void watchFailed(Throwable failure) {
+    private void watchEnded(Throwable failure) {
         mWatching = false;
         sLogger.atFine().withCause(failure).log("watch of the configuration ended");
     }
 
-    /** Emits under the lock of this object, so that versions reach the subscriber in order. */
-    private synchronized void accept(KeyValue value) {
+    private void accept(KeyValue value) {
         if (mEnded || value.value().isEmpty()) {
             return;
         }
@@ -101,12 +98,8 @@
     }
 
     private void end() {
-        Cancellable watch;
-        synchronized (this) {
-            mEnded = true;
-            watch = mWatch;
-        }
+        mEnded = true;
         mReader.stop();
-        watch.cancel();
+        mWatch.cancel();
     }
 }
--- /dev/null
+++ b/tanagergap-state/src/main/java/org/tanagergap/state/intent/IntentRecordJson.java
@@ -0,0 +1,104 @@
+package org.tanagergap.state.intent;
+
+import io.vertx.core.json.JsonArray;
+import io.vertx.core.json.JsonObject;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.tanagergap.api.request.AttemptId;
+
+/** JSON form of batch records. The service is not part of it, because the record's key names it. */
+final class IntentRecordJson {
+
+    private static final String INTENTS = "intents";
+    private static final String OUTCOMES = "outcomes";
+    private static final String ABANDONED = "abandoned";
+
+    private IntentRecordJson() {}
+
+    static String encode(IntentRecord record) {
+        JsonObject json =
+                new JsonObject()
+                        .put("nonce", record.nonce())
+                        .put("written_at_ms", record.writtenAtMillis());
+        for (IntentEvent event : record.events()) {
+            String list = listOf(event);
+            if (!json.containsKey(list)) {
+                json.put(list, new JsonArray());
+            }
+            json.getJsonArray(list).add(toJson(event));
+        }
+        return json.encode();
+    }
+
+    /** Reads a record; throws when the text has another form. */
+    static IntentRecord decode(String service, String text) {
+        JsonObject json = new JsonObject(text);
+        List<IntentEvent> events = new ArrayList<>();
+        for (JsonObject o : objects(json, INTENTS)) {
+            events.add(
+                    new IntentEvent.Intent(
+                            key(service, o),
+                            o.getString("body_hash"),
+                            attempt(o),
+                            o.getLong("time_left_ms")));
+        }
+        for (JsonObject o : objects(json, OUTCOMES)) {
+            events.add(new IntentEvent.Outcome(key(service, o), attempt(o), answer(o)));
+        }
+        for (JsonObject o : objects(json, ABANDONED)) {
+            events.add(new IntentEvent.Abandonment(key(service, o), attempt(o)));
+        }
+        return new IntentRecord(json.getString("nonce"), json.getLong("written_at_ms"), events);
+    }
+
+    /** Bytes that the event takes in a record. */
+    static int sizeBytes(IntentEvent event) {
+        return toJson(event).encode().getBytes(StandardCharsets.UTF_8).length + 1;
+    }
+
+    private static String listOf(IntentEvent event) {
+        if (event instanceof IntentEvent.Intent) {
+            return INTENTS;
+        }
+        return event instanceof IntentEvent.Outcome ? OUTCOMES : ABANDONED;
+    }
+
+    private static JsonObject toJson(IntentEvent event) {
+        JsonObject json =
+                new JsonObject()
+                        .put("workspace", event.key().workspace())
+                        .put("key", event.key().idempotencyKey())
+                        .put("attempt", event.attempt().value());
+        if (event instanceof IntentEvent.Intent intent) {
+            json.put("body_hash", intent.bodyHash()).put("time_left_ms", intent.timeLeftMillis());
+        } else if (event instanceof IntentEvent.Outcome outcome) {
+            json.put("status", outcome.answer().status())
+                    .put("content_type", outcome.answer().contentType());
+            outcome.answer().body().ifPresent(body -> json.put("body", body));
+        }
+        return json;
+    }
+
+    private static IntentKey key(String service, JsonObject json) {
+        return new IntentKey(service, json.getString("workspace"), json.getString("key"));
+    }
+
+    private static AttemptId attempt(JsonObject json) {
+        return new AttemptId(json.getString("attempt"));
+    }
+
+    private static RecordedAnswer answer(JsonObject json) {
+        return new RecordedAnswer(
+                json.getInteger("status"),
+                json.getString("content_type"),
+                Optional.ofNullable(json.getString("body")));
+    }
+
+    private static List<JsonObject> objects(JsonObject json, String field) {
+        return json.getJsonArray(field, new JsonArray()).stream()
+                .map(JsonObject.class::cast)
+                .toList();
+    }
+}
--- /dev/null
+++ b/tanagergap-state/src/main/java/org/tanagergap/state/intent/IntentTable.java
@@ -0,0 +1,94 @@
+package org.tanagergap.state.intent;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+
+/** Keys of one shard as its log has them; not thread-safe. */
+final class IntentTable {
+
+    // Ages are kept per slice of the retention, because a day may have millions of records.
+    private static final int SLICES_PER_RETENTION = 288;
+
+    private final long mRetentionMillis;
+    private final Map<IntentKey, IntentEntry> mEntries = new HashMap<>();
+    private final Deque<AgeSlice> mSlices = new ArrayDeque<>();
+
+    IntentTable(long retentionMillis) {
+        mRetentionMillis = retentionMillis;
+    }
+
+    private record AgeSlice(long firstNumber, long startMillis, long newestMillis) {}
+
+    Optional<IntentEntry> find(IntentKey key) {
+        return Optional.ofNullable(mEntries.get(key));
+    }
+
+    /** Applies the next record; records must be applied in order. */
+    void merge(long number, IntentRecord record, long nowNanos) {
+        noteAge(number, record.writtenAtMillis());
+        for (IntentEvent event : record.events()) {
+            if (event instanceof IntentEvent.Intent intent) {
+                // Its writer had read the log up to here, so the key was free.
+                long deadline = nowNanos + intent.timeLeftMillis() * 1_000_000;
+                IntentEntry entry =
+                        new IntentEntry(
+                                intent.bodyHash(),
+                                intent.attempt(),
+                                deadline,
+                                number,
+                                OptionalLong.empty());
+                mEntries.put(intent.key(), entry);
+            } else if (event instanceof IntentEvent.Outcome outcome) {
+                mEntries.computeIfPresent(
+                        outcome.key(),
+                        (key, e) -> e.heldBy(outcome.attempt()) ? e.withOutcome(number) : e);
+            } else {
+                mEntries.computeIfPresent(
+                        event.key(), (key, e) -> e.heldBy(event.attempt()) ? null : e);
+            }
+        }
+    }
+
+    /** Forgets keys whose intent lies below the floor, as a new reader of the log would. */
+    void forgetBelow(long floor) {
+        mEntries.values().removeIf(entry -> entry.number() < floor);
+        while (mSlices.size() > 1 && secondSlice().firstNumber() <= floor) {
+            mSlices.removeFirst();
+        }
+    }
+
+    /** Lowest number that is to be kept, as all lower records are older than the retention. */
+    long keepFrom(long floor, long nowMillis) {
+        long cutoff = nowMillis - mRetentionMillis;
+        long keep = floor;
+        AgeSlice previous = null;
+        for (AgeSlice slice : mSlices) {
+            if (previous != null && previous.newestMillis() < cutoff) {
+                keep = Math.max(keep, slice.firstNumber());
+            } else if (previous != null) {
+                break;
+            }
+            previous = slice;
+        }
+        return keep;
+    }
+
+    private AgeSlice secondSlice() {
+        return mSlices.stream().skip(1).findFirst().orElseThrow();
+    }
+
+    private void noteAge(long number, long writtenAtMillis) {
+        AgeSlice last = mSlices.peekLast();
+        long sliceMillis = mRetentionMillis / SLICES_PER_RETENTION;
+        if (last == null || writtenAtMillis > last.startMillis() + sliceMillis) {
+            mSlices.addLast(new AgeSlice(number, writtenAtMillis, writtenAtMillis));
+        } else if (writtenAtMillis > last.newestMillis()) {
+            mSlices.removeLast();
+            mSlices.addLast(new AgeSlice(last.firstNumber(), last.startMillis(), writtenAtMillis));
+        }
+    }
+}
--- /dev/null
+++ b/tanagergap-state/src/main/java/org/tanagergap/state/intent/KeyValueIntentLog.java
@@ -0,0 +1,84 @@
+package org.tanagergap.state.intent;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import org.tanagergap.api.failure.FailureCode;
+import org.tanagergap.api.failure.RequestFailure;
+import org.tanagergap.api.request.AttemptId;
+import org.tanagergap.api.time.RuntimeClock;
+import org.tanagergap.platform.keyvalue.KeyValueStore;
+
+/** Intent log in the key-value service, sharded by key. */
+public final class KeyValueIntentLog implements IntentLog {
+
+    private final KeyValueStore mStore;
+    private final RuntimeClock mClock;
+    private final IntentLogSettings mSettings;
+    private final Map<ShardKeys, ShardLog> mShards = new ConcurrentHashMap<>();
+
+    public KeyValueIntentLog(KeyValueStore store, RuntimeClock clock, IntentLogSettings settings) {
+        mStore = Objects.requireNonNull(store, "store must not be null");
+        mClock = Objects.requireNonNull(clock, "clock must not be null");
+        mSettings = Objects.requireNonNull(settings, "settings must not be null");
+    }
+
+    @Override
+    public CompletableFuture<IntentDecision> begin(
+            IntentKey key, String bodyHash, AttemptId attempt, Duration timeLeft) {
+        Objects.requireNonNull(key, "key must not be null");
+        Objects.requireNonNull(bodyHash, "bodyHash must not be null");
+        Objects.requireNonNull(attempt, "attempt must not be null");
+        if (timeLeft.isNegative() || timeLeft.isZero()) {
+            return CompletableFuture.failedFuture(
+                    RequestFailure.notRun(
+                            FailureCode.DEADLINE_EXCEEDED, "the deadline has passed"));
+        }
+        Duration timeout = min(timeLeft, mSettings.confirmTimeout());
+        return shard(key)
+                .begin(
+                        new IntentEvent.Intent(key, bodyHash, attempt, timeLeft.toMillis()),
+                        timeout);
+    }
+
+    @Override
+    public CompletableFuture<Void> recordOutcome(
+            IntentKey key, AttemptId attempt, RecordedAnswer answer) {
+        Objects.requireNonNull(key, "key must not be null");
+        Objects.requireNonNull(attempt, "attempt must not be null");
+        Objects.requireNonNull(answer, "answer must not be null");
+        return shard(key).record(new IntentEvent.Outcome(key, attempt, withinLimit(answer)));
+    }
+
+    @Override
+    public CompletableFuture<Void> abandon(IntentKey key, AttemptId attempt) {
+        Objects.requireNonNull(key, "key must not be null");
+        Objects.requireNonNull(attempt, "attempt must not be null");
+        return shard(key).record(new IntentEvent.Abandonment(key, attempt));
+    }
+
+    private ShardLog shard(IntentKey key) {
+        return mShards.computeIfAbsent(
+                ShardKeys.of(key, mSettings.shardCount()),
+                keys -> new ShardLog(keys, mStore, mClock, mSettings));
+    }
+
+    private static RecordedAnswer withinLimit(RecordedAnswer answer) {
+        boolean tooLarge =
+                answer.body()
+                        .map(body -> body.getBytes(StandardCharsets.UTF_8).length)
+                        .filter(bytes -> bytes > IntentLogSettings.MAX_ANSWER_BYTES)
+                        .isPresent();
+        return tooLarge
+                ? new RecordedAnswer(answer.status(), answer.contentType(), Optional.empty())
+                : answer;
+    }
+
+    private static Duration min(Duration a, Duration b) {
+        return a.compareTo(b) <= 0 ? a : b;
+    }
+}
--- /dev/null
+++ b/tanagergap-state/src/main/java/org/tanagergap/state/intent/ShardLog.java
@@ -0,0 +1,329 @@
+package org.tanagergap.state.intent;
+
+import com.google.common.collect.ArrayListMultimap;
+import com.google.common.collect.ListMultimap;
+import com.google.common.flogger.FluentLogger;
+import com.google.common.util.concurrent.MoreExecutors;
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executor;
+import org.tanagergap.api.failure.FailureCode;
+import org.tanagergap.api.failure.RequestFailure;
+import org.tanagergap.api.time.RuntimeClock;
+import org.tanagergap.platform.keyvalue.KeyValueStore;
+import org.tanagergap.platform.keyvalue.TransactionResult;
+
+/**
+ * Writer of one shard. All its state is used by one serial executor. It works in rounds: a round
+ * reads what other writers have added, answers what needs no record, and writes one batch.
+ */
+final class ShardLog {
+
+    private static final FluentLogger sLogger = FluentLogger.forEnclosingClass();
+    private static final Duration FIRST_BACKOFF = Duration.ofMillis(50);
+    private static final int MAX_BACKOFF_DOUBLINGS = 4;
+
+    private final ShardKeys mKeys;
+    private final KeyValueStore mStore;
+    private final RuntimeClock mClock;
+    private final IntentLogSettings mSettings;
+    private final Executor mSerial =
+            MoreExecutors.newSequentialExecutor(MoreExecutors.directExecutor());
+    private final ShardReplica mReplica;
+    private final EventDecider mDecider;
+    private final Deque<PendingEvent> mPending = new ArrayDeque<>();
+    private final ListMultimap<IntentKey, PendingEvent> mUndecided = ArrayListMultimap.create();
+    private Optional<UnsettledBatch> mUnsettled = Optional.empty();
+    private boolean mBusy;
+    private boolean mWakeScheduled;
+    private boolean mRetriedAtOnce;
+    private long mNextRoundNanos;
+    private long mNextCompactionNanos;
+    private long mBatchCount;
+    private int mFailures;
+
+    ShardLog(ShardKeys keys, KeyValueStore store, RuntimeClock clock, IntentLogSettings settings) {
+        mKeys = keys;
+        mStore = store;
+        mClock = clock;
+        mSettings = settings;
+        mReplica = new ShardReplica(keys, store, clock, mSerial, settings, this::observe);
+        mDecider = new EventDecider(mReplica, clock);
+        mNextRoundNanos = clock.nanoTime();
+        mNextCompactionNanos = clock.nanoTime() + settings.compactionInterval().toNanos();
+    }
+
+    /** Decides about an intent. */
+    CompletableFuture<IntentDecision> begin(IntentEvent.Intent intent, Duration timeout) {
+        PendingEvent pending = new PendingEvent(intent, mClock.nanoTime(), timeout);
+        mSerial.execute(
+                () -> {
+                    Optional<IntentDecision> known = decideLocally(intent);
+                    if (known.isPresent()) {
+                        pending.complete(known.get());
+                    } else {
+                        enqueue(pending);
+                    }
+                });
+        return pending.result();
+    }
+
+    /** Records an outcome or an abandonment. */
+    CompletableFuture<Void> record(IntentEvent event) {
+        PendingEvent pending =
+                new PendingEvent(event, mClock.nanoTime(), mSettings.answerTimeout());
+        mSerial.execute(() -> enqueue(pending));
+        return pending.result().thenAccept(ignored -> {});
+    }
+
+    /** Answers a repeat of a key that this process is already deciding about. */
+    private Optional<IntentDecision> decideLocally(IntentEvent.Intent intent) {
+        List<PendingEvent> undecided = mUndecided.get(intent.key());
+        if (undecided.isEmpty()) {
+            return Optional.empty();
+        }
+        String bodyHash =
+                undecided.get(0).event() instanceof IntentEvent.Intent other
+                        ? other.bodyHash()
+                        : mReplica.table()
+                                .find(intent.key())
+                                .map(IntentEntry::bodyHash)
+                                .orElse(intent.bodyHash());
+        return Optional.of(
+                bodyHash.equals(intent.bodyHash())
+                        ? new IntentDecision.InProgress()
+                        : new IntentDecision.KeyConflict());
+    }
+
+    private void enqueue(PendingEvent pending) {
+        if (mUndecided.size() >= IntentLogSettings.MAX_PENDING
+                && pending.event() instanceof IntentEvent.Intent) {
+            pending.fail(RequestFailure.notRun(FailureCode.UNAVAILABLE, "the intent log is full"));
+            return;
+        }
+        mPending.addLast(pending);
+        mUndecided.put(pending.event().key(), pending);
+        pending.startTimer(mClock, () -> mSerial.execute(() -> expire(pending)));
+        pump();
+    }
+
+    private void expire(PendingEvent pending) {
+        pending.failUnconfirmed();
+        if (!pending.inBatch()) {
+            mPending.remove(pending);
+            decided(pending);
+        }
+    }
+
+    /** Starts the next round when there is work, none runs and its time has come. */
+    private void pump() {
+        if (mBusy || (mPending.isEmpty() && mUnsettled.isEmpty())) {
+            return;
+        }
+        long wait = mNextRoundNanos - mClock.nanoTime();
+        if (wait > 0) {
+            if (!mWakeScheduled) {
+                mWakeScheduled = true;
+                mClock.schedule(Duration.ofNanos(wait), () -> mSerial.execute(this::wake));
+            }
+            return;
+        }
+        mBusy = true;
+        mNextRoundNanos = mClock.nanoTime() + mSettings.writeInterval().toNanos();
+        round().whenCompleteAsync((ignored, failure) -> endRound(failure), mSerial);
+    }
+
+    private void wake() {
+        mWakeScheduled = false;
+        pump();
+    }
+
+    private void endRound(Throwable failure) {
+        mBusy = false;
+        if (failure == null) {
+            mFailures = 0;
+        } else {
+            Duration backoff = FIRST_BACKOFF.multipliedBy(1L << mFailures);
+            mFailures = Math.min(MAX_BACKOFF_DOUBLINGS, mFailures + 1);
+            mNextRoundNanos = mClock.nanoTime() + backoff.toNanos();
+            sLogger.atFine().withCause(failure).log(
+                    "shard %d of the intent log of %s failed", mKeys.shard(), mKeys.service());
+        }
+        pump();
+    }
+
+    private CompletableFuture<Void> round() {
+        if (mUnsettled.isPresent()) {
+            return write(mUnsettled.get());
+        }
+        if (mReplica.ready() && mNextCompactionNanos - mClock.nanoTime() <= 0) {
+            mNextCompactionNanos = mClock.nanoTime() + mSettings.compactionInterval().toNanos();
+            return mReplica.compact().thenComposeAsync(ignored -> readAndWrite(), mSerial);
+        }
+        return readAndWrite();
+    }
+
+    private CompletableFuture<Void> readAndWrite() {
+        CompletableFuture<Void> read =
+                mReplica.ready() && !repeatsAreWaiting()
+                        ? CompletableFuture.completedFuture(null)
+                        : mReplica.refresh();
+        return read.thenComposeAsync(ignored -> decideAndWrite(), mSerial);
+    }
+
+    /** The holder of a known key may have abandoned it since, so its repeats need a read. */
+    private boolean repeatsAreWaiting() {
+        return mPending.stream()
+                .map(PendingEvent::event)
+                .filter(IntentEvent.Intent.class::isInstance)
+                .anyMatch(intent -> mReplica.table().find(intent.key()).isPresent());
+    }
+
+    private CompletableFuture<Void> decideAndWrite() {
+        for (PendingEvent pending : List.copyOf(mPending)) {
+            if (mDecider.decide(pending)) {
+                mPending.remove(pending);
+                decided(pending);
+            }
+        }
+        List<PendingEvent> events = takeBatch();
+        if (events.isEmpty()) {
+            return CompletableFuture.completedFuture(null);
+        }
+        IntentRecord record =
+                new IntentRecord(
+                        mSettings.writerId() + "-" + mBatchCount++,
+                        mClock.now().toEpochMilli(),
+                        events.stream().map(PendingEvent::event).toList());
+        UnsettledBatch batch =
+                new UnsettledBatch(mReplica.next(), mReplica.floorRevision(), record, events);
+        mUnsettled = Optional.of(batch);
+        return write(batch);
+    }
+
+    /** Takes events off the queue, at most one per key and up to the size of a record. */
+    private List<PendingEvent> takeBatch() {
+        List<PendingEvent> batch = new ArrayList<>();
+        Set<IntentKey> keys = new HashSet<>();
+        int bytes = 0;
+        for (PendingEvent pending : List.copyOf(mPending)) {
+            if (bytes + pending.sizeBytes() > IntentLogSettings.MAX_BATCH_BYTES) {
+                break;
+            }
+            if (keys.add(pending.event().key())) {
+                bytes += pending.sizeBytes();
+                batch.add(pending);
+                pending.inBatch(true);
+            }
+        }
+        mPending.removeAll(batch);
+        return batch;
+    }
+
+    private CompletableFuture<Void> write(UnsettledBatch batch) {
+        return mStore.commit(batch.transaction(mKeys))
+                .thenComposeAsync(result -> settle(batch, result), mSerial);
+    }
+
+    private CompletableFuture<Void> settle(UnsettledBatch batch, TransactionResult result) {
+        if (result.succeeded()) {
+            mReplica.append(batch.number(), batch.record());
+            mRetriedAtOnce = false;
+            confirm(batch);
+            return CompletableFuture.completedFuture(null);
+        }
+        return mReplica.refresh()
+                .thenComposeAsync(ignored -> readFloorIfAbsent(batch), mSerial)
+                .thenRunAsync(() -> settleAbsent(batch), mSerial);
+    }
+
+    /** A write that failed although its number is free failed because of the floor. */
+    private CompletableFuture<Void> readFloorIfAbsent(UnsettledBatch batch) {
+        if (mUnsettled.isEmpty()) {
+            return CompletableFuture.completedFuture(null);
+        }
+        mReplica.forgetFloor();
+        return mReplica.refresh();
+    }
+
+    private void settleAbsent(UnsettledBatch batch) {
+        if (mUnsettled.isEmpty()) {
+            return;
+        }
+        if (batch.number() < mReplica.floor()) {
+            // Deleted by compaction; whether it had been created cannot be known any more.
+            mUnsettled = Optional.empty();
+            batch.events().forEach(PendingEvent::failUnconfirmed);
+            batch.events().forEach(this::decided);
+        } else if (batch.floorRevision() != mReplica.floorRevision()) {
+            // Copies in flight require the old floor and cannot take effect any more.
+            requeue(batch);
+        }
+    }
+
+    /** Settles the batch when a record with its number is read. */
+    private void observe(long number, IntentRecord record) {
+        mUnsettled
+                .filter(batch -> batch.number() == number)
+                .ifPresent(
+                        batch -> {
+                            if (batch.record().nonce().equals(record.nonce())) {
+                                confirm(batch);
+                            } else {
+                                requeue(batch);
+                            }
+                        });
+    }
+
+    private void confirm(UnsettledBatch batch) {
+        mUnsettled = Optional.empty();
+        batch.events().forEach(this::decided);
+        for (PendingEvent pending : batch.events()) {
+            if (pending.event() instanceof IntentEvent.Intent intent && pending.expired(mClock)) {
+                pending.failUnconfirmed();
+                enqueue(abandonment(intent));
+            } else {
+                pending.complete(new IntentDecision.Granted());
+            }
+        }
+    }
+
+    /** The caller was told that the call has not run, so the key can be used again. */
+    private PendingEvent abandonment(IntentEvent.Intent intent) {
+        return new PendingEvent(
+                new IntentEvent.Abandonment(intent.key(), intent.attempt()),
+                mClock.nanoTime(),
+                mSettings.answerTimeout());
+    }
+
+    /** Another writer took the number; the events wait for the next one. */
+    private void requeue(UnsettledBatch batch) {
+        mUnsettled = Optional.empty();
+        for (int i = batch.events().size() - 1; i >= 0; i--) {
+            PendingEvent pending = batch.events().get(i);
+            pending.inBatch(false);
+            if (pending.expired(mClock)) {
+                pending.failUnconfirmed();
+                decided(pending);
+            } else {
+                mPending.addFirst(pending);
+            }
+        }
+        // Writers with equal intervals would otherwise lose to the same writer again and again.
+        if (!mRetriedAtOnce) {
+            mNextRoundNanos = mClock.nanoTime();
+        }
+        mRetriedAtOnce = !mRetriedAtOnce;
+    }
+
+    private void decided(PendingEvent pending) {
+        mUndecided.remove(pending.event().key(), pending);
+    }
+}
--- /dev/null
+++ b/tanagergap-state/src/main/java/org/tanagergap/state/intent/ShardReplica.java
@@ -0,0 +1,177 @@
+package org.tanagergap.state.intent;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executor;
+import java.util.function.BiConsumer;
+import org.tanagergap.api.time.RuntimeClock;
+import org.tanagergap.platform.keyvalue.Condition;
+import org.tanagergap.platform.keyvalue.KeyValue;
+import org.tanagergap.platform.keyvalue.KeyValueStore;
+import org.tanagergap.platform.keyvalue.Transaction;
+import org.tanagergap.platform.keyvalue.Write;
+
+/** Copy of one shard's log in memory; used by one serial executor. */
+final class ShardReplica {
+
+    private static final int RECORDS_PER_READ = 16;
+    private static final long UNKNOWN = -1;
+
+    private final ShardKeys mKeys;
+    private final KeyValueStore mStore;
+    private final RuntimeClock mClock;
+    private final Executor mSerial;
+    private final IntentTable mTable;
+    private final BiConsumer<Long, IntentRecord> mObserver;
+    private long mFloor;
+    private long mFloorRevision = UNKNOWN;
+    private long mNext;
+    private boolean mReadOnce;
+
+    /**
+     * Creates a copy.
+     *
+     * @param observer told of each record that was read, after it was merged
+     */
+    ShardReplica(
+            ShardKeys keys,
+            KeyValueStore store,
+            RuntimeClock clock,
+            Executor serial,
+            IntentLogSettings settings,
+            BiConsumer<Long, IntentRecord> observer) {
+        mKeys = keys;
+        mStore = store;
+        mClock = clock;
+        mSerial = serial;
+        mTable = new IntentTable(settings.retention().toMillis());
+        mObserver = observer;
+    }
+
+    IntentTable table() {
+        return mTable;
+    }
+
+    /** Number of the next record to be created. */
+    long next() {
+        return mNext;
+    }
+
+    long floor() {
+        return mFloor;
+    }
+
+    long floorRevision() {
+        return mFloorRevision;
+    }
+
+    /** Whether a record may be appended without reading first. */
+    boolean ready() {
+        return mReadOnce && mFloorRevision != UNKNOWN;
+    }
+
+    /** Makes the next {@link #refresh} read the floor again. */
+    void forgetFloor() {
+        mFloorRevision = UNKNOWN;
+    }
+
+    /** Applies a record that this process has created. */
+    void append(long number, IntentRecord record) {
+        mTable.merge(number, record, mClock.nanoTime());
+        mNext = number + 1;
+    }
+
+    /** Reads the log up to its end. */
+    CompletableFuture<Void> refresh() {
+        if (mFloorRevision != UNKNOWN) {
+            return readRecords();
+        }
+        // The floor is read before the records: when it changes in between, the next write fails.
+        return mStore.read(mKeys.floor())
+                .thenAcceptAsync(this::acceptFloor, mSerial)
+                .thenComposeAsync(ignored -> readRecords(), mSerial);
+    }
+
+    /** Deletes records older than the retention; completes with whether there were any. */
+    CompletableFuture<Boolean> compact() {
+        long keep = mTable.keepFrom(mFloor, mClock.now().toEpochMilli());
+        if (keep <= mFloor) {
+            return CompletableFuture.completedFuture(false);
+        }
+        Transaction transaction =
+                new Transaction(
+                        List.of(new Condition.AtRevision(mKeys.floor(), mFloorRevision)),
+                        List.of(
+                                new Write.DeleteRange(mKeys.record(mFloor), mKeys.record(keep)),
+                                new Write.Put(mKeys.floor(), Long.toString(keep))));
+        // Whatever the answer, the floor is read again before the next write.
+        forgetFloor();
+        return mStore.commit(transaction).thenApply(ignored -> true);
+    }
+
+    /** Reads a recorded answer. */
+    CompletableFuture<Optional<RecordedAnswer>> answer(IntentKey key, long outcomeNumber) {
+        return mStore.read(mKeys.record(outcomeNumber))
+                .thenApply(value -> value.flatMap(v -> outcomeIn(v, key)));
+    }
+
+    private Optional<RecordedAnswer> outcomeIn(KeyValue value, IntentKey key) {
+        return decode(value).events().stream()
+                .filter(IntentEvent.Outcome.class::isInstance)
+                .map(IntentEvent.Outcome.class::cast)
+                .filter(outcome -> outcome.key().equals(key))
+                .map(IntentEvent.Outcome::answer)
+                .findFirst();
+    }
+
+    private void acceptFloor(Optional<KeyValue> floor) {
+        mFloor = floor.map(KeyValue::value).map(Long::parseLong).orElse(0L);
+        mFloorRevision = floor.map(KeyValue::modRevision).orElse(0L);
+        mNext = Math.max(mNext, mFloor);
+        mTable.forgetBelow(mFloor);
+    }
+
+    private CompletableFuture<Void> readRecords() {
+        return mStore.readRange(mKeys.record(mNext), mKeys.recordsEnd(), RECORDS_PER_READ)
+                .thenComposeAsync(this::acceptRecords, mSerial);
+    }
+
+    private CompletableFuture<Void> acceptRecords(List<KeyValue> values) {
+        for (KeyValue value : values) {
+            long number = mKeys.number(value.key());
+            if (number != mNext) {
+                return skipDeleted(number);
+            }
+            IntentRecord record = decode(value);
+            append(number, record);
+            mObserver.accept(number, record);
+        }
+        if (values.size() == RECORDS_PER_READ) {
+            return readRecords();
+        }
+        mReadOnce = true;
+        return CompletableFuture.completedFuture(null);
+    }
+
+    /** Numbers are missing only because another writer has raised the floor above them. */
+    private CompletableFuture<Void> skipDeleted(long found) {
+        long missing = mNext;
+        forgetFloor();
+        return mStore.read(mKeys.floor())
+                .thenAcceptAsync(this::acceptFloor, mSerial)
+                .thenComposeAsync(
+                        ignored -> {
+                            if (mNext == missing) {
+                                throw new IllegalStateException(
+                                        "record " + missing + " is missing below " + found);
+                            }
+                            return readRecords();
+                        },
+                        mSerial);
+    }
+
+    private IntentRecord decode(KeyValue value) {
+        return IntentRecordJson.decode(mKeys.service(), value.value());
+    }
+}
--- /dev/null
+++ b/tanagergap-state/src/main/java/org/tanagergap/state/intent/UnsettledBatch.java
@@ -0,0 +1,27 @@
+package org.tanagergap.state.intent;
+
+import java.util.List;
+import org.tanagergap.platform.keyvalue.Condition;
+import org.tanagergap.platform.keyvalue.Transaction;
+import org.tanagergap.platform.keyvalue.Write;
+
+/**
+ * Batch whose write has been started and whose result is not known yet. Until it is known the same
+ * transaction is repeated unchanged, because an earlier copy of it may still arrive.
+ *
+ * @param number number of the record
+ * @param floorRevision revision of the floor key that the transaction requires
+ * @param record the record
+ * @param events events of the record with their callers
+ */
+record UnsettledBatch(
+        long number, long floorRevision, IntentRecord record, List<PendingEvent> events) {
+
+    Transaction transaction(ShardKeys keys) {
+        return new Transaction(
+                List.of(
+                        new Condition.Absent(keys.record(number)),
+                        new Condition.AtRevision(keys.floor(), floorRevision)),
+                List.of(new Write.Put(keys.record(number), IntentRecordJson.encode(record))));
+    }
+}
