Fuzz the intent log and decide events of one key in order

Change: events of one key are decided in order from the shard's log; the shortcut for keys with a waiting event is gone. The fuzzer runs three writers over FakeKeyValueStore with lost requests, lost replies, late requests, outages, pauses, crashes and compaction.

--- a/tanagergap-state/src/main/java/org/tanagergap/state/intent/ShardLog.java
+++ b/tanagergap-state/src/main/java/org/tanagergap/state/intent/ShardLog.java
@@ -1,7 +1,5 @@
 package org.tanagergap.state.intent;
 
-import com.google.common.collect.ArrayListMultimap;
-import com.google.common.collect.ListMultimap;
 import com.google.common.flogger.FluentLogger;
 import com.google.common.util.concurrent.MoreExecutors;
 import java.time.Duration;
@@ -39,7 +37,6 @@
     private final ShardReplica mReplica;
     private final EventDecider mDecider;
     private final Deque<PendingEvent> mPending = new ArrayDeque<>();
-    private final ListMultimap<IntentKey, PendingEvent> mUndecided = ArrayListMultimap.create();
     private Optional<UnsettledBatch> mUnsettled = Optional.empty();
     private boolean mBusy;
     private boolean mWakeScheduled;
@@ -63,15 +60,7 @@
     /** Decides about an intent. */
     CompletableFuture<IntentDecision> begin(IntentEvent.Intent intent, Duration timeout) {
         PendingEvent pending = new PendingEvent(intent, mClock.nanoTime(), timeout);
-        mSerial.execute(
-                () -> {
-                    Optional<IntentDecision> known = decideLocally(intent);
-                    if (known.isPresent()) {
-                        pending.complete(known.get());
-                    } else {
-                        enqueue(pending);
-                    }
-                });
+        mSerial.execute(() -> enqueue(pending));
         return pending.result();
     }
 
@@ -83,33 +72,13 @@
         return pending.result().thenAccept(ignored -> {});
     }
 
-    /** Answers a repeat of a key that this process is already deciding about. */
-    private Optional<IntentDecision> decideLocally(IntentEvent.Intent intent) {
-        List<PendingEvent> undecided = mUndecided.get(intent.key());
-        if (undecided.isEmpty()) {
-            return Optional.empty();
-        }
-        String bodyHash =
-                undecided.get(0).event() instanceof IntentEvent.Intent other
-                        ? other.bodyHash()
-                        : mReplica.table()
-                                .find(intent.key())
-                                .map(IntentEntry::bodyHash)
-                                .orElse(intent.bodyHash());
-        return Optional.of(
-                bodyHash.equals(intent.bodyHash())
-                        ? new IntentDecision.InProgress()
-                        : new IntentDecision.KeyConflict());
-    }
-
     private void enqueue(PendingEvent pending) {
-        if (mUndecided.size() >= IntentLogSettings.MAX_PENDING
+        if (mPending.size() >= IntentLogSettings.MAX_PENDING
                 && pending.event() instanceof IntentEvent.Intent) {
             pending.fail(RequestFailure.notRun(FailureCode.UNAVAILABLE, "the intent log is full"));
             return;
         }
         mPending.addLast(pending);
-        mUndecided.put(pending.event().key(), pending);
         pending.startTimer(mClock, () -> mSerial.execute(() -> expire(pending)));
         pump();
     }
@@ -118,7 +87,6 @@
         pending.failUnconfirmed();
         if (!pending.inBatch()) {
             mPending.remove(pending);
-            decided(pending);
         }
     }
 
@@ -187,10 +155,14 @@
     }
 
     private CompletableFuture<Void> decideAndWrite() {
+        // Events of one key are decided in order; a later one waits until the earlier is recorded.
+        Set<IntentKey> waiting = new HashSet<>();
         for (PendingEvent pending : List.copyOf(mPending)) {
-            if (mDecider.decide(pending)) {
+            IntentKey key = pending.event().key();
+            if (!waiting.contains(key) && mDecider.decide(pending)) {
                 mPending.remove(pending);
-                decided(pending);
+            } else {
+                waiting.add(key);
             }
         }
         List<PendingEvent> events = takeBatch();
@@ -261,7 +233,6 @@
             // Deleted by compaction; whether it had been created cannot be known any more.
             mUnsettled = Optional.empty();
             batch.events().forEach(PendingEvent::failUnconfirmed);
-            batch.events().forEach(this::decided);
         } else if (batch.floorRevision() != mReplica.floorRevision()) {
             // Copies in flight require the old floor and cannot take effect any more.
             requeue(batch);
@@ -284,7 +255,6 @@
 
     private void confirm(UnsettledBatch batch) {
         mUnsettled = Optional.empty();
-        batch.events().forEach(this::decided);
         for (PendingEvent pending : batch.events()) {
             if (pending.event() instanceof IntentEvent.Intent intent && pending.expired(mClock)) {
                 pending.failUnconfirmed();
@@ -311,7 +281,6 @@
             pending.inBatch(false);
             if (pending.expired(mClock)) {
                 pending.failUnconfirmed();
-                decided(pending);
             } else {
                 mPending.addFirst(pending);
             }
@@ -322,8 +291,4 @@
         }
         mRetriedAtOnce = !mRetriedAtOnce;
     }
-
-    private void decided(PendingEvent pending) {
-        mUndecided.remove(pending.event().key(), pending);
-    }
 }
--- /dev/null
+++ b/tanagergap-state/src/test/java/org/tanagergap/state/intent/IntentLogModel.java
@@ -0,0 +1,256 @@
+package org.tanagergap.state.intent;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.tanagergap.api.failure.Execution;
+import org.tanagergap.api.failure.FailureCode;
+import org.tanagergap.api.failure.RequestFailure;
+import org.tanagergap.api.request.AttemptId;
+import org.tanagergap.state.fake.FakeKeyValueStore;
+import org.tanagergap.state.fake.SimulatedProcess;
+import org.tanagergap.testing.PausedClock;
+
+/** Several writers of one intent log over a faulty store, and the oracle that watches them. */
+final class IntentLogModel {
+
+    static final int WRITERS = 3;
+    static final int KEYS = 5;
+
+    private static final Duration RETENTION = Duration.ofMinutes(10);
+    private static final Duration TIME_LEFT = Duration.ofSeconds(20);
+
+    // A record is dated when its batch is built, up to the confirm timeout before the grant.
+    private static final Duration RETENTION_SLACK = Duration.ofSeconds(5);
+
+    private final PausedClock mClock = new PausedClock();
+    private final FakeKeyValueStore mStore = new FakeKeyValueStore(mClock);
+    private final List<Writer> mWriters = new ArrayList<>();
+    private final Map<IntentKey, Grant> mOpen = new HashMap<>();
+    private final Set<IntentKey> mMaybeHeld = new HashSet<>();
+    private final List<Throwable> mViolations = new ArrayList<>();
+    private int mAttempts;
+    private int mRuns;
+
+    IntentLogModel() {
+        for (int i = 0; i < WRITERS; i++) {
+            mWriters.add(newWriter());
+        }
+    }
+
+    private record Writer(
+            SimulatedProcess process, KeyValueIntentLog log, AtomicInteger undecided) {}
+
+    /** Grant that was not abandoned; {@code confirmed} once its answer is recorded. */
+    private record Grant(
+            AttemptId attempt, Writer writer, long nanos, boolean answered, boolean confirmed) {
+
+        Grant withAnswer(boolean isConfirmed) {
+            return new Grant(attempt, writer, nanos, true, isConfirmed);
+        }
+    }
+
+    void begin(int writerIndex, int keyNumber, String bodyHash) {
+        Writer writer = mWriters.get(writerIndex);
+        if (!writer.process().running()) {
+            return;
+        }
+        IntentKey key = key(keyNumber);
+        AttemptId attempt = new AttemptId("a" + mAttempts++);
+        boolean answerKnown =
+                Optional.ofNullable(mOpen.get(key)).filter(Grant::confirmed).isPresent();
+        long started = mClock.nanoTime();
+        writer.undecided().incrementAndGet();
+        writer.log()
+                .begin(key, bodyHash, attempt, TIME_LEFT)
+                .whenComplete(
+                        (decision, failure) ->
+                                check(
+                                        () -> {
+                                            writer.undecided().decrementAndGet();
+                                            if (failure != null) {
+                                                checkFailure(failure);
+                                            } else {
+                                                checkDecision(writer, key, attempt, decision);
+                                                checkReplay(key, decision, answerKnown, started);
+                                            }
+                                        }));
+    }
+
+    void recordOutcome(int keyNumber) {
+        IntentKey key = key(keyNumber);
+        Grant grant = mOpen.get(key);
+        if (grant == null || grant.answered() || !grant.writer().process().running()) {
+            return;
+        }
+        mOpen.put(key, grant.withAnswer(false));
+        grant.writer()
+                .log()
+                .recordOutcome(key, grant.attempt(), answerOf(grant.attempt()))
+                .whenComplete((ignored, failure) -> confirmOutcome(key, grant, failure));
+    }
+
+    void abandon(int keyNumber) {
+        IntentKey key = key(keyNumber);
+        Grant grant = mOpen.get(key);
+        if (grant == null || grant.answered() || !grant.writer().process().running()) {
+            return;
+        }
+        mOpen.remove(key);
+        grant.writer()
+                .log()
+                .abandon(key, grant.attempt())
+                .whenComplete(
+                        (ignored, failure) -> {
+                            if (failure != null) {
+                                mMaybeHeld.add(key);
+                            }
+                        });
+    }
+
+    void pause(int writerIndex) {
+        mWriters.get(writerIndex).process().pause();
+    }
+
+    void resume(int writerIndex) {
+        mWriters.get(writerIndex).process().resume();
+    }
+
+    /** Replaces the writer; intents that it alone could have abandoned stay in the log. */
+    void crash(int writerIndex) {
+        mWriters.get(writerIndex).process().crash();
+        mWriters.set(writerIndex, newWriter());
+        for (int i = 0; i < KEYS; i++) {
+            mMaybeHeld.add(key(i));
+        }
+    }
+
+    FakeKeyValueStore store() {
+        return mStore;
+    }
+
+    void advance(Duration duration) {
+        mClock.advance(duration);
+    }
+
+    void checkInvariant() {
+        if (!mViolations.isEmpty()) {
+            throw new AssertionError("violated", mViolations.get(0));
+        }
+    }
+
+    /** After all faults have ended, every free key can be granted again. */
+    void checkRecovery() {
+        mStore.heal();
+        mWriters.forEach(writer -> writer.process().resume());
+        advance(Duration.ofSeconds(30));
+        for (Writer writer : mWriters) {
+            assertWithMessage("undecided begins").that(writer.undecided().get()).isEqualTo(0);
+        }
+        Writer reader = newWriter();
+        for (int i = 0; i < KEYS; i++) {
+            IntentKey key = key(i);
+            if (!mOpen.containsKey(key) && !mMaybeHeld.contains(key)) {
+                AttemptId attempt = new AttemptId("r" + i);
+                var decision = reader.log().begin(key, "h0", attempt, TIME_LEFT);
+                advance(Duration.ofSeconds(3));
+                assertThat(decision.getNow(null)).isEqualTo(new IntentDecision.Granted());
+            }
+        }
+        checkInvariant();
+    }
+
+    private Writer newWriter() {
+        SimulatedProcess process = new SimulatedProcess(mClock);
+        IntentLogSettings settings =
+                new IntentLogSettings(
+                        "w" + mRuns++,
+                        2,
+                        Duration.ofMillis(40),
+                        Duration.ofSeconds(2),
+                        Duration.ofMinutes(1),
+                        RETENTION,
+                        Duration.ofSeconds(30));
+        return new Writer(
+                process,
+                new KeyValueIntentLog(mStore.connect(process), process, settings),
+                new AtomicInteger());
+    }
+
+    private static IntentKey key(int number) {
+        return new IntentKey("orders", "workspace", "key-" + number);
+    }
+
+    private static RecordedAnswer answerOf(AttemptId attempt) {
+        return new RecordedAnswer(201, "text/plain", Optional.of("answer to " + attempt));
+    }
+
+    private void checkDecision(
+            Writer writer, IntentKey key, AttemptId attempt, IntentDecision decision) {
+        Grant open = mOpen.get(key);
+        if (decision instanceof IntentDecision.Granted) {
+            assertWithMessage("%s is granted to %s while it is granted", key, attempt)
+                    .that(open == null || retentionIsOver(open))
+                    .isTrue();
+            mOpen.put(key, new Grant(attempt, writer, mClock.nanoTime(), false, false));
+            mMaybeHeld.remove(key);
+        } else if (decision instanceof IntentDecision.Replay replay) {
+            assertWithMessage("%s replays an answer although none was given", key)
+                    .that(open != null && open.answered())
+                    .isTrue();
+            assertThat(replay.answer()).isEqualTo(answerOf(open.attempt()));
+        }
+    }
+
+    /** A confirmed answer is replayed, whichever writer is asked. */
+    private void checkReplay(
+            IntentKey key, IntentDecision decision, boolean answerKnown, long started) {
+        Grant open = mOpen.get(key);
+        boolean kept = open != null && open.confirmed() && open.nanos() < started;
+        if (answerKnown && kept && !retentionIsOver(open)) {
+            boolean expected =
+                    decision instanceof IntentDecision.Replay
+                            || decision instanceof IntentDecision.KeyConflict;
+            assertWithMessage("%s answers %s after its outcome was confirmed", key, decision)
+                    .that(expected)
+                    .isTrue();
+        }
+    }
+
+    private void checkFailure(Throwable failure) {
+        assertThat(failure).isInstanceOf(RequestFailure.class);
+        RequestFailure refusal = (RequestFailure) failure;
+        assertThat(refusal.execution()).isEqualTo(Execution.NOT_RUN);
+        assertThat(refusal.code()).isEqualTo(FailureCode.UNAVAILABLE);
+    }
+
+    private void confirmOutcome(IntentKey key, Grant grant, Throwable failure) {
+        Grant open = mOpen.get(key);
+        if (failure == null && open != null && open.attempt().equals(grant.attempt())) {
+            mOpen.put(key, open.withAnswer(true));
+        }
+    }
+
+    private boolean retentionIsOver(Grant grant) {
+        Duration age = Duration.ofNanos(mClock.nanoTime() - grant.nanos());
+        return age.compareTo(RETENTION.minus(RETENTION_SLACK)) >= 0;
+    }
+
+    /** Keeps violations, because futures would swallow them. */
+    private void check(Runnable assertion) {
+        try {
+            assertion.run();
+        } catch (AssertionError e) {
+            mViolations.add(e);
+        }
+    }
+}
