--- /dev/null
+++ b/tanagergap-agent/src/main/java/org/tanagergap/agent/AgentCore.java
@@ -0,0 +1,206 @@
+package org.tanagergap.agent;
+
+import com.codahale.metrics.Gauge;
+import com.codahale.metrics.MetricRegistry;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executor;
+import org.tanagergap.agent.attempt.AttemptContext;
+import org.tanagergap.agent.attempt.AttemptFactory;
+import org.tanagergap.agent.attempt.AttemptTable;
+import org.tanagergap.agent.attempt.ModelAttemptFactory;
+import org.tanagergap.agent.engine.AbsentEngine;
+import org.tanagergap.agent.engine.ModelEngine;
+import org.tanagergap.agent.hold.HoldTable;
+import org.tanagergap.agent.load.AgentState;
+import org.tanagergap.agent.load.CapacityControl;
+import org.tanagergap.agent.load.EngineMonitor;
+import org.tanagergap.agent.load.HintSource;
+import org.tanagergap.agent.load.LoadReports;
+import org.tanagergap.agent.load.PrefixTable;
+import org.tanagergap.agent.load.TokenRatio;
+import org.tanagergap.agent.plain.PlainAttemptFactory;
+import org.tanagergap.agent.plain.PlainServiceCaller;
+import org.tanagergap.agent.plain.PlainUpstream;
+import org.tanagergap.agent.policy.PolicyTable;
+import org.tanagergap.agent.server.UpstreamAgentCalls;
+import org.tanagergap.api.lifecycle.Service;
+import org.tanagergap.api.time.RuntimeClock;
+import org.tanagergap.api.time.Timer;
+import org.tanagergap.decisions.scheduling.UpstreamScheduler;
+import org.tanagergap.runtime.time.PeriodicTask;
+import org.tanagergap.runtime.trace.Tracing;
+import org.tanagergap.state.intent.IntentLog;
+
+/** Agent without its network interfaces: connects admission, attempts and the upstream. */
+public final class AgentCore implements Service {
+
+    /** Bounds the time that an expired hold or queued item keeps its place. */
+    private static final Duration TICK = Duration.ofMillis(100);
+
+    /** Time after the end of draining for cancellations to reach the engine. */
+    private static final Duration STOP_GRACE = Duration.ofSeconds(2);
+
+    private final AgentSettings mSettings;
+    private final Executor mLoop;
+    private final RuntimeClock mClock;
+    private final AgentState mState = new AgentState();
+    private final AttemptTable mAttempts;
+    private final HoldTable mHolds;
+    private final UpstreamAgentCalls mCalls;
+    private final Optional<EngineMonitor> mMonitor;
+    private final PeriodicTask mTick;
+
+    private AgentCore(
+            AgentSettings settings,
+            Executor loop,
+            RuntimeClock clock,
+            MetricRegistry metrics,
+            Tracing tracing,
+            UpstreamScheduler scheduler,
+            Optional<ModelEngine> engine,
+            Optional<PlainServiceCaller> plain) {
+        mSettings = settings;
+        mLoop = loop;
+        mClock = clock;
+        PolicyTable policies = new PolicyTable(clock);
+        LoadReports reports = new LoadReports(clock);
+        PrefixTable prefixes = new PrefixTable(metrics);
+        TokenRatio ratio = new TokenRatio();
+        HintSource hints = new HintSource(scheduler, mState, policies, reports, prefixes, ratio);
+        AttemptContext context =
+                new AttemptContext(
+                        settings.name(),
+                        settings.failureDomain(),
+                        loop,
+                        clock,
+                        hints,
+                        metrics,
+                        tracing);
+        ModelEngine holder = engine.orElseGet(AbsentEngine::new);
+        AttemptFactory factory =
+                plain.<AttemptFactory>map(c -> new PlainAttemptFactory(context, c))
+                        .orElseGet(
+                                () ->
+                                        new ModelAttemptFactory(
+                                                context, scheduler, holder, prefixes, ratio));
+        CapacityControl capacity =
+                new CapacityControl(
+                        scheduler,
+                        plain.isPresent() ? settings.concurrency() : settings.memoryTokens());
+        mHolds = new HoldTable(scheduler, holder, clock, loop);
+        mAttempts =
+                new AttemptTable(
+                        context, scheduler, factory, mHolds, policies, mState, settings.service());
+        mCalls =
+                new UpstreamAgentCalls(
+                        settings, loop, mAttempts, mHolds, scheduler, policies, mState, capacity,
+                        hints);
+        mMonitor =
+                engine.map(
+                        e ->
+                                new EngineMonitor(
+                                        e,
+                                        clock,
+                                        loop,
+                                        metrics,
+                                        mState,
+                                        reports,
+                                        prefixes,
+                                        settings.loadInterval(),
+                                        mAttempts::reconcile,
+                                        capacity::report));
+        mTick = new PeriodicTask(clock, TICK, () -> loop.execute(mAttempts::pump));
+        metrics.register("agent_reserved_tokens", (Gauge<Long>) scheduler::reservedTokens);
+        metrics.register("agent_free_tokens", (Gauge<Long>) scheduler::freeTokens);
+        metrics.register("agent_running", (Gauge<Integer>) scheduler::running);
+    }
+
+    /** Agent beside a model engine. */
+    public static AgentCore ofEngine(
+            AgentSettings settings,
+            Executor loop,
+            RuntimeClock clock,
+            MetricRegistry metrics,
+            Tracing tracing,
+            UpstreamScheduler scheduler,
+            ModelEngine engine) {
+        return new AgentCore(
+                settings,
+                loop,
+                clock,
+                metrics,
+                tracing,
+                scheduler,
+                Optional.of(engine),
+                Optional.empty());
+    }
+
+    /** Agent beside a plain service. */
+    public static AgentCore ofPlainService(
+            AgentSettings settings,
+            Executor loop,
+            RuntimeClock clock,
+            MetricRegistry metrics,
+            Tracing tracing,
+            UpstreamScheduler scheduler,
+            PlainUpstream upstream,
+            IntentLog intents) {
+        return new AgentCore(
+                settings,
+                loop,
+                clock,
+                metrics,
+                tracing,
+                scheduler,
+                Optional.empty(),
+                Optional.of(new PlainServiceCaller(upstream, intents, clock, loop)));
+    }
+
+    /** Calls of entries and operators. */
+    public UpstreamAgentCalls calls() {
+        return mCalls;
+    }
+
+    /** Readiness of the agent. */
+    public AgentState state() {
+        return mState;
+    }
+
+    @Override
+    public CompletableFuture<Void> start() {
+        mTick.start();
+        if (mMonitor.isEmpty()) {
+            // A plain service has no runs to reconcile and no common health check.
+            mState.setUpstreamReady(true);
+        }
+        mMonitor.ifPresent(EngineMonitor::start);
+        return CompletableFuture.completedFuture(null);
+    }
+
+    /** Refuses new work, waits for running work within the time for draining, then stops. */
+    @Override
+    public CompletableFuture<Void> stop() {
+        mState.startDraining();
+        CompletableFuture<Void> idle = new CompletableFuture<>();
+        Timer limit = mClock.schedule(mSettings.drain(), () -> mLoop.execute(mAttempts::failAll));
+        Timer end = mClock.schedule(mSettings.drain().plus(STOP_GRACE), () -> idle.complete(null));
+        mLoop.execute(() -> mAttempts.drained().thenRun(() -> idle.complete(null)));
+        return idle.thenCompose(ignored -> releaseHolds())
+                .whenComplete(
+                        (ignored, failure) -> {
+                            List.of(limit, end).forEach(Timer::cancel);
+                            mMonitor.ifPresent(EngineMonitor::stop);
+                            mTick.stop();
+                        });
+    }
+
+    private CompletableFuture<Void> releaseHolds() {
+        CompletableFuture<Void> released = new CompletableFuture<>();
+        mLoop.execute(
+                () -> mHolds.releaseAll().whenComplete((v, failure) -> released.complete(null)));
+        return released;
+    }
+}
--- /dev/null
+++ b/tanagergap-agent/src/main/java/org/tanagergap/agent/AgentService.java
@@ -0,0 +1,138 @@
+package org.tanagergap.agent;
+
+import io.vertx.core.Context;
+import io.vertx.core.Vertx;
+import io.vertx.core.json.JsonArray;
+import io.vertx.core.json.JsonObject;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executor;
+import org.tanagergap.agent.engine.HttpModelEngine;
+import org.tanagergap.agent.plain.HttpPlainUpstream;
+import org.tanagergap.agent.server.GrpcEndpoint;
+import org.tanagergap.api.lifecycle.Service;
+import org.tanagergap.decisions.scheduling.FairUpstreamScheduler;
+import org.tanagergap.decisions.scheduling.SchedulerSettings;
+import org.tanagergap.decisions.scheduling.UpstreamScheduler;
+import org.tanagergap.protocol.v1.Hint;
+import org.tanagergap.protocol.v1.StatusReply;
+import org.tanagergap.runtime.admin.AdminServer;
+import org.tanagergap.runtime.metrics.MetricsText;
+import org.tanagergap.runtime.program.ProgramContext;
+
+/** Agent with its network interfaces. */
+public final class AgentService implements Service {
+
+    private final Vertx mVertx;
+    private final Context mContext;
+    private final AgentCore mCore;
+    private final GrpcEndpoint mGrpc;
+    private final AdminServer mAdmin;
+
+    public AgentService(AgentSettings settings, ProgramContext program) {
+        mVertx = program.vertx();
+        mContext = mVertx.getOrCreateContext();
+        // One event loop carries all calls, so that attempts need no locks of their own.
+        Executor loop = task -> mContext.runOnContext(ignored -> task.run());
+        UpstreamScheduler scheduler =
+                new FairUpstreamScheduler(program.clock(), SchedulerSettings.defaults());
+        mCore =
+                settings.kind() == UpstreamKind.MODEL
+                        ? AgentCore.ofEngine(
+                                settings,
+                                loop,
+                                program.clock(),
+                                program.metrics(),
+                                program.tracing(),
+                                scheduler,
+                                new HttpModelEngine(mVertx, settings.upstreamUrl()))
+                        : AgentCore.ofPlainService(
+                                settings,
+                                loop,
+                                program.clock(),
+                                program.metrics(),
+                                program.tracing(),
+                                scheduler,
+                                new HttpPlainUpstream(
+                                        mVertx, settings.upstreamUrl(), settings.concurrency()),
+                                IntentLogs.of(settings, program));
+        mGrpc = new GrpcEndpoint(mVertx, settings.listen(), mCore.calls());
+        mAdmin =
+                new AdminServer(
+                        mVertx,
+                        program.adminListen(),
+                        new MetricsText(program.metrics()),
+                        mCore.state()::acceptsWork,
+                        this::status);
+    }
+
+    @Override
+    public CompletableFuture<Void> start() {
+        CompletableFuture<Void> started = new CompletableFuture<>();
+        mContext.runOnContext(
+                ignored ->
+                        mCore.start()
+                                .thenCompose(v -> mGrpc.start())
+                                .thenCompose(v -> mAdmin.start())
+                                .whenComplete((v, failure) -> complete(started, failure)));
+        return started;
+    }
+
+    @Override
+    public CompletableFuture<Void> stop() {
+        CompletableFuture<Void> stopped = new CompletableFuture<>();
+        mContext.runOnContext(
+                ignored ->
+                        mCore.stop()
+                                .thenCompose(v -> mGrpc.stop())
+                                .thenCompose(v -> mAdmin.stop())
+                                .whenComplete((v, failure) -> complete(stopped, failure)));
+        return stopped;
+    }
+
+    /** Port of the calls of entries. */
+    public int port() {
+        return mGrpc.port();
+    }
+
+    /** Port of the operators' endpoints. */
+    public int adminPort() {
+        return mAdmin.port();
+    }
+
+    private JsonObject status() {
+        StatusReply status = mCore.calls().status();
+        Hint hint = status.getHint();
+        JsonArray ranks = new JsonArray();
+        hint.getRanksList()
+                .forEach(
+                        r ->
+                                ranks.add(
+                                        new JsonObject()
+                                                .put("rank", r.getRank())
+                                                .put("queued", r.getQueued())
+                                                .put("queued_tokens", r.getQueuedTokens())));
+        return new JsonObject()
+                .put("agent_id", status.getAgentId())
+                .put("upstream", status.getUpstream())
+                .put("failure_domain", status.getFailureDomain())
+                .put("configuration_version", status.getConfigurationVersion())
+                .put("draining", hint.getDraining())
+                .put("upstream_ready", hint.getUpstreamReady())
+                .put("running", status.getRunning())
+                .put("reserved_tokens", status.getReservedTokens())
+                .put("memory_tokens_total", hint.getMemoryTokensTotal())
+                .put("memory_tokens_free", hint.getMemoryTokensFree())
+                .put("prefill_tokens_queued", hint.getPrefillTokensQueued())
+                .put("prefill_tokens_per_second", hint.getPrefillTokensPerSecond())
+                .put("load_report_age_ms", hint.getLoadReportAgeMs())
+                .put("ranks", ranks);
+    }
+
+    private static void complete(CompletableFuture<Void> future, Throwable failure) {
+        if (failure == null) {
+            future.complete(null);
+        } else {
+            future.completeExceptionally(failure);
+        }
+    }
+}
--- /dev/null
+++ b/tanagergap-agent/src/main/java/org/tanagergap/agent/attempt/Attempt.java
@@ -0,0 +1,244 @@
+package org.tanagergap.agent.attempt;
+
+import com.codahale.metrics.MetricRegistry;
+import com.google.common.flogger.FluentLogger;
+import io.opentelemetry.api.trace.Span;
+import io.opentelemetry.api.trace.SpanKind;
+import io.opentelemetry.api.trace.StatusCode;
+import java.time.Duration;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.tanagergap.agent.message.Messages;
+import org.tanagergap.api.failure.Execution;
+import org.tanagergap.api.failure.FailureCode;
+import org.tanagergap.api.failure.RequestFailure;
+import org.tanagergap.api.request.AttemptId;
+import org.tanagergap.api.time.Deadline;
+import org.tanagergap.api.time.Timer;
+import org.tanagergap.protocol.v1.Admitted;
+import org.tanagergap.protocol.v1.RunEvent;
+import org.tanagergap.protocol.v1.RunRequest;
+import org.tanagergap.runtime.log.LogKeys;
+import org.tanagergap.runtime.metrics.MetricName;
+
+/**
+ * Attempt from its admission to the release of its reservation. Its caller gets the last event when
+ * the outcome is known; the reservation may last until the upstream has stopped. All methods run on
+ * the agent's loop.
+ */
+public abstract class Attempt {
+
+    private static final FluentLogger sLogger = FluentLogger.forEnclosingClass();
+
+    private enum Phase {
+        QUEUED,
+        RUNNING,
+        ENDED
+    }
+
+    protected final AttemptContext mContext;
+    protected final RunRequest mRequest;
+    protected final Deadline mDeadline;
+    private final AttemptId mId;
+    private final EventSink mSink;
+    private final Span mSpan;
+    private final long mArrivedNanos;
+    private Phase mPhase = Phase.QUEUED;
+    private Reservation mReservation = tokens -> {};
+    private Timer mDeadlineTimer = () -> {};
+    private boolean mHintSent;
+    private boolean mReleased;
+
+    protected Attempt(AttemptContext context, RunRequest request, EventSink sink) {
+        mContext = Objects.requireNonNull(context, "context must not be null");
+        mRequest = Objects.requireNonNull(request, "request must not be null");
+        mSink = Objects.requireNonNull(sink, "sink must not be null");
+        mId = new AttemptId(request.getAttemptId());
+        mArrivedNanos = context.clock().nanoTime();
+        mDeadline = Deadline.after(context.clock(), Duration.ofMillis(request.getDeadlineLeftMs()));
+        mSpan =
+                context.tracing()
+                        .start("agent.run", SpanKind.SERVER, Optional.of(request.getTraceparent()));
+        mSpan.setAttribute("attempt_id", mId.value());
+    }
+
+    /** Identifier of the attempt. */
+    public final AttemptId id() {
+        return mId;
+    }
+
+    /** Deadline of the request. */
+    public final Deadline deadline() {
+        return mDeadline;
+    }
+
+    /** Sets what is released at the end and starts the deadline's timer. */
+    public final void admit(Reservation reservation) {
+        mReservation = reservation;
+        mDeadlineTimer =
+                mContext.clock()
+                        .schedule(
+                                mDeadline.left(mContext.clock()),
+                                () -> mContext.loop().execute(this::deadlinePassed));
+    }
+
+    /** Sends the attempt to the upstream. */
+    public final void dispatch() {
+        if (mPhase != Phase.QUEUED) {
+            return;
+        }
+        if (mDeadline.hasPassed(mContext.clock())) {
+            deadlinePassed();
+            return;
+        }
+        mPhase = Phase.RUNNING;
+        long queuedNanos = mContext.clock().nanoTime() - mArrivedNanos;
+        mContext.metrics().timer("agent_queue_seconds").update(queuedNanos, TimeUnit.NANOSECONDS);
+        sendUpstream();
+    }
+
+    /** Answers with a failure; a running attempt is then stopped at the upstream. */
+    public final void fail(RequestFailure failure) {
+        if (mPhase == Phase.ENDED) {
+            return;
+        }
+        boolean running = mPhase == Phase.RUNNING;
+        end();
+        logFailure(mContext, mRequest, failure);
+        mSpan.setStatus(StatusCode.ERROR, failure.code().wireName());
+        mSink.send(withHint(RunEvent.newBuilder().setFailed(Messages.failed(failure))));
+        mSink.end();
+        stopOrRelease(running);
+    }
+
+    /** Stops the attempt without an answer, because its caller closed the call. */
+    public final void closedByCaller() {
+        if (mPhase == Phase.ENDED) {
+            return;
+        }
+        boolean running = mPhase == Phase.RUNNING;
+        end();
+        logFailure(
+                mContext,
+                mRequest,
+                RequestFailure.of(
+                        FailureCode.UPSTREAM_FAILED,
+                        running ? knownExecution() : Execution.NOT_RUN,
+                        "caller cancelled the attempt"));
+        mSpan.setStatus(StatusCode.ERROR, "cancelled");
+        mSink.end();
+        stopOrRelease(running);
+    }
+
+    /** Sends the request to the upstream and follows the answer. */
+    protected abstract void sendUpstream();
+
+    /** Stops the upstream's work; {@link #release} must follow, at once or later. */
+    protected abstract void stopUpstream();
+
+    /** What is certain about the execution of an attempt that was dispatched. */
+    protected abstract Execution knownExecution();
+
+    /** Whether the upstream has not answered yet, so that its list of runs may lack the attempt. */
+    public abstract boolean beingDispatched();
+
+    /** Whether the attempt has left the queue. */
+    final boolean reachedUpstream() {
+        return mPhase != Phase.QUEUED;
+    }
+
+    /** Whether the caller still waits for events. */
+    protected final boolean isOpen() {
+        return mPhase != Phase.ENDED;
+    }
+
+    /** Span of the attempt. */
+    protected final Span span() {
+        return mSpan;
+    }
+
+    /** Tells the caller that the upstream accepts the attempt. */
+    protected final void sendAdmitted() {
+        long queuedNanos = mContext.clock().nanoTime() - mArrivedNanos;
+        send(
+                RunEvent.newBuilder()
+                        .setAdmitted(
+                                Admitted.newBuilder()
+                                        .setQueuedMs(TimeUnit.NANOSECONDS.toMillis(queuedNanos))
+                                        .setUpstream(mContext.upstream())
+                                        .setFailureDomain(mContext.failureDomain())));
+    }
+
+    /** Sends an event that is not the last one. */
+    protected final void send(RunEvent.Builder event) {
+        if (mPhase != Phase.ENDED) {
+            mSink.send(mHintSent ? event.setAttemptId(mId.value()).build() : withHint(event));
+        }
+    }
+
+    /** Sends the last event of an attempt that succeeded. */
+    protected final void finish(RunEvent.Builder event) {
+        if (mPhase == Phase.ENDED) {
+            return;
+        }
+        end();
+        countOutcome(mContext.metrics(), "finished");
+        mSink.send(withHint(event));
+        mSink.end();
+    }
+
+    /** Releases the reservation; only the first call has an effect. */
+    protected final void release(long outputTokens) {
+        if (!mReleased) {
+            mReleased = true;
+            mReservation.release(outputTokens);
+        }
+    }
+
+    /** Writes the log line of a refused or failed attempt and counts it. */
+    static void logFailure(AttemptContext context, RunRequest request, RequestFailure failure) {
+        countOutcome(context.metrics(), failure.code().wireName());
+        sLogger.atInfo()
+                .with(LogKeys.REQUEST_ID, request.getRequestId())
+                .with(LogKeys.ATTEMPT_ID, request.getAttemptId())
+                .with(LogKeys.WORKSPACE, request.getPolicy().getWorkspace())
+                .with(LogKeys.UPSTREAM, context.upstream())
+                .with(LogKeys.CODE, failure.code().wireName())
+                .log(
+                        "attempt failed, %s: %s",
+                        failure.execution().wireName(), failure.getMessage());
+    }
+
+    private static void countOutcome(MetricRegistry metrics, String outcome) {
+        metrics.counter(MetricName.of("agent_attempts_total", "outcome", outcome)).inc();
+    }
+
+    private void deadlinePassed() {
+        boolean running = mPhase == Phase.RUNNING;
+        fail(
+                RequestFailure.of(
+                        FailureCode.DEADLINE_EXCEEDED,
+                        running ? knownExecution() : Execution.NOT_RUN,
+                        running ? "deadline passed while running" : "deadline passed in queue"));
+    }
+
+    private void end() {
+        mPhase = Phase.ENDED;
+        mDeadlineTimer.cancel();
+        mSpan.end();
+    }
+
+    private void stopOrRelease(boolean running) {
+        if (running) {
+            stopUpstream();
+        } else {
+            release(0);
+        }
+    }
+
+    private RunEvent withHint(RunEvent.Builder event) {
+        mHintSent = true;
+        return event.setAttemptId(mId.value()).setHint(mContext.hints().get()).build();
+    }
+}
--- /dev/null
+++ b/tanagergap-agent/src/main/java/org/tanagergap/agent/attempt/AttemptContext.java
@@ -0,0 +1,28 @@
+package org.tanagergap.agent.attempt;
+
+import com.codahale.metrics.MetricRegistry;
+import java.util.concurrent.Executor;
+import java.util.function.Supplier;
+import org.tanagergap.api.time.RuntimeClock;
+import org.tanagergap.protocol.v1.Hint;
+import org.tanagergap.runtime.trace.Tracing;
+
+/**
+ * What the attempts of an agent share.
+ *
+ * @param upstream name of the upstream
+ * @param failureDomain failure domain of the upstream
+ * @param loop runs tasks one after another; all state of attempts changes on it
+ * @param clock source of time
+ * @param hints present load hint
+ * @param metrics registry of the process
+ * @param tracing creates spans
+ */
+public record AttemptContext(
+        String upstream,
+        String failureDomain,
+        Executor loop,
+        RuntimeClock clock,
+        Supplier<Hint> hints,
+        MetricRegistry metrics,
+        Tracing tracing) {}
--- /dev/null
+++ b/tanagergap-agent/src/main/java/org/tanagergap/agent/attempt/ModelAttempt.java
@@ -0,0 +1,249 @@
+package org.tanagergap.agent.attempt;
+
+import io.opentelemetry.api.trace.Span;
+import io.opentelemetry.api.trace.SpanKind;
+import io.smallrye.mutiny.subscription.Cancellable;
+import java.time.Duration;
+import java.util.function.LongSupplier;
+import org.tanagergap.agent.engine.EngineCompletion;
+import org.tanagergap.agent.engine.EngineEvent;
+import org.tanagergap.agent.engine.EnginePart;
+import org.tanagergap.agent.engine.ModelEngine;
+import org.tanagergap.agent.message.Messages;
+import org.tanagergap.api.failure.Execution;
+import org.tanagergap.api.failure.FailureCode;
+import org.tanagergap.api.failure.RequestFailure;
+import org.tanagergap.api.time.Timer;
+import org.tanagergap.protocol.v1.CompletionWork;
+import org.tanagergap.protocol.v1.Finished;
+import org.tanagergap.protocol.v1.RunEvent;
+import org.tanagergap.protocol.v1.RunRequest;
+import org.tanagergap.protocol.v1.Token;
+import org.tanagergap.runtime.metrics.MetricName;
+
+/** Attempt of a completion on the model engine. */
+public final class ModelAttempt extends Attempt {
+
+    /** Longest silence of the engine, beyond the predicted prefill time before the first token. */
+    public static final Duration STALL_TIMEOUT = Duration.ofSeconds(10);
+
+    /** Time given to the engine to confirm a cancellation before the memory is released. */
+    static final Duration CANCEL_TIMEOUT = Duration.ofSeconds(1);
+
+    private final ModelEngine mEngine;
+    private final ModelFeedback mFeedback;
+    private final LongSupplier mPredictedPrefillMillis;
+    private final int mPriority;
+    private final String mTraceparent;
+    private final CompletionWork mWork;
+    private Cancellable mStream = () -> {};
+    private Timer mStallTimer = () -> {};
+    private Span mUpstreamSpan = Span.getInvalid();
+    private long mStallNanos;
+    private long mNextIndex;
+    private boolean mAnswered;
+    private boolean mStreamEnded;
+
+    public ModelAttempt(
+            AttemptContext context,
+            RunRequest request,
+            EventSink sink,
+            ModelEngine engine,
+            ModelFeedback feedback,
+            LongSupplier predictedPrefillMillis,
+            int priority) {
+        super(context, request, sink);
+        mEngine = engine;
+        mFeedback = feedback;
+        mPredictedPrefillMillis = predictedPrefillMillis;
+        mPriority = priority;
+        mWork = request.getCompletion();
+        mNextIndex = mWork.getResumeFrom();
+        mTraceparent = context.tracing().traceparent(span());
+    }
+
+    @Override
+    protected void sendUpstream() {
+        sendAdmitted();
+        mUpstreamSpan = mContext.tracing().startChild("engine.complete", SpanKind.CLIENT, span());
+        mStallNanos =
+                mContext.clock().nanoTime()
+                        + STALL_TIMEOUT.toNanos()
+                        + Duration.ofMillis(mPredictedPrefillMillis.getAsLong()).toNanos();
+        watchForStall();
+        mStream =
+                mEngine.complete(completion())
+                        .subscribe()
+                        .with(
+                                event -> mContext.loop().execute(() -> eventReceived(event)),
+                                failure -> mContext.loop().execute(() -> streamFailed(failure)),
+                                () -> mContext.loop().execute(this::streamEnded));
+    }
+
+    @Override
+    protected void stopUpstream() {
+        stopWatching();
+        if (mStreamEnded) {
+            release(mNextIndex - mWork.getResumeFrom());
+            return;
+        }
+        mStreamEnded = true;
+        mStream.cancel();
+        // The memory stays reserved until the engine confirms, so that the next run finds it free.
+        Timer timeout =
+                mContext.clock()
+                        .schedule(CANCEL_TIMEOUT, () -> mContext.loop().execute(this::releaseAll));
+        mEngine.cancel(id())
+                .subscribe()
+                .with(
+                        ignored -> mContext.loop().execute(() -> cancelled(timeout)),
+                        failure -> mContext.loop().execute(() -> cancelled(timeout)));
+    }
+
+    @Override
+    protected Execution knownExecution() {
+        return mAnswered ? Execution.RAN : Execution.UNKNOWN;
+    }
+
+    @Override
+    public boolean beingDispatched() {
+        return !mAnswered;
+    }
+
+    private void cancelled(Timer timeout) {
+        timeout.cancel();
+        releaseAll();
+    }
+
+    private void releaseAll() {
+        release(mNextIndex - mWork.getResumeFrom());
+    }
+
+    private EngineCompletion completion() {
+        return new EngineCompletion(
+                id(),
+                mWork.getModel(),
+                mWork.getPrompt(),
+                mWork.getCost().getMaxOutputTokens(),
+                mPriority,
+                Messages.cacheSalt(mRequest.getPolicy().getWorkspace()),
+                mWork.getResumeFrom(),
+                mWork.getGeneratedText(),
+                mWork.getSegmentsList().stream()
+                        .map(s -> new EnginePart(s.getUrl(), s.getHandle()))
+                        .toList(),
+                mTraceparent);
+    }
+
+    private void eventReceived(EngineEvent event) {
+        if (!isOpen()) {
+            return;
+        }
+        if (!event.requestId().equals(id().value())) {
+            countDropped("other_request");
+            return;
+        }
+        if (event instanceof EngineEvent.Token token) {
+            tokenReceived(token);
+        } else if (event instanceof EngineEvent.Finish finish) {
+            finishReceived(finish);
+        }
+    }
+
+    private void tokenReceived(EngineEvent.Token token) {
+        if (token.index() < mNextIndex) {
+            countDropped("repeated_index");
+            return;
+        }
+        if (token.index() > mNextIndex) {
+            fail(
+                    upstreamFailure(
+                            Execution.RAN,
+                            "engine sent token " + token.index() + " instead of " + mNextIndex));
+            return;
+        }
+        if (!mAnswered) {
+            mAnswered = true;
+            mFeedback.firstToken(id(), mWork);
+        }
+        mNextIndex++;
+        mStallNanos = mContext.clock().nanoTime() + STALL_TIMEOUT.toNanos();
+        send(
+                RunEvent.newBuilder()
+                        .setToken(
+                                Token.newBuilder().setIndex(token.index()).setText(token.text())));
+    }
+
+    private void finishReceived(EngineEvent.Finish finish) {
+        mAnswered = true;
+        long received = mNextIndex - mWork.getResumeFrom();
+        // Engines count either all generated tokens or only those after resume_from.
+        if (finish.completionTokens() != received && finish.completionTokens() != mNextIndex) {
+            fail(
+                    upstreamFailure(
+                            Execution.RAN,
+                            "engine counted "
+                                    + finish.completionTokens()
+                                    + " tokens but sent "
+                                    + received));
+            return;
+        }
+        mStreamEnded = true;
+        stopWatching();
+        mFeedback.finished(mWork, finish.promptTokens());
+        finish(
+                RunEvent.newBuilder()
+                        .setFinished(
+                                Finished.newBuilder()
+                                        .setPromptTokens(finish.promptTokens())
+                                        .setOutputTokens(received)
+                                        .setCachedTokens(finish.cachedTokens())
+                                        .setFinishReason(finish.finishReason())));
+        release(received);
+    }
+
+    private void streamFailed(Throwable failure) {
+        if (failure instanceof RequestFailure known && !mAnswered) {
+            // A refused request holds no memory, so there is nothing to cancel.
+            mStreamEnded = known.execution() == Execution.NOT_RUN;
+            fail(known);
+        } else {
+            fail(upstreamFailure(knownExecution(), "engine stream failed: " + failure));
+        }
+    }
+
+    private void streamEnded() {
+        fail(upstreamFailure(knownExecution(), "engine stream ended before its last event"));
+    }
+
+    private void watchForStall() {
+        Duration left = Duration.ofNanos(mStallNanos - mContext.clock().nanoTime());
+        if (left.isNegative() || left.isZero()) {
+            fail(upstreamFailure(knownExecution(), "engine sent no token in time"));
+            return;
+        }
+        mStallTimer =
+                mContext.clock().schedule(left, () -> mContext.loop().execute(this::checkForStall));
+    }
+
+    private void checkForStall() {
+        if (isOpen()) {
+            watchForStall();
+        }
+    }
+
+    private void stopWatching() {
+        mStallTimer.cancel();
+        mUpstreamSpan.end();
+    }
+
+    private void countDropped(String reason) {
+        mContext.metrics()
+                .counter(MetricName.of("agent_dropped_events_total", "reason", reason))
+                .inc();
+    }
+
+    private static RequestFailure upstreamFailure(Execution execution, String message) {
+        return RequestFailure.of(FailureCode.UPSTREAM_FAILED, execution, message);
+    }
+}
--- /dev/null
+++ b/tanagergap-agent/src/main/java/org/tanagergap/agent/attempt/ModelAttemptFactory.java
@@ -0,0 +1,96 @@
+package org.tanagergap.agent.attempt;
+
+import java.util.concurrent.TimeUnit;
+import org.tanagergap.agent.engine.ModelEngine;
+import org.tanagergap.agent.load.PrefixTable;
+import org.tanagergap.agent.load.TokenRatio;
+import org.tanagergap.agent.message.Messages;
+import org.tanagergap.api.request.AttemptId;
+import org.tanagergap.api.request.LengthBand;
+import org.tanagergap.decisions.policy.PolicyStamp;
+import org.tanagergap.decisions.scheduling.UpstreamScheduler;
+import org.tanagergap.protocol.v1.CompletionWork;
+import org.tanagergap.protocol.v1.RunRequest;
+
+/** Creates attempts for a model engine and learns from their answers. */
+public final class ModelAttemptFactory implements AttemptFactory, ModelFeedback {
+
+    /** Long prompts run after all others, whatever their rank, so that short work is not slowed. */
+    private static final int LONG_PRIORITY_OFFSET = 1_000_000;
+
+    private final AttemptContext mContext;
+    private final UpstreamScheduler mScheduler;
+    private final ModelEngine mEngine;
+    private final PrefixTable mPrefixes;
+    private final TokenRatio mRatio;
+
+    public ModelAttemptFactory(
+            AttemptContext context,
+            UpstreamScheduler scheduler,
+            ModelEngine engine,
+            PrefixTable prefixes,
+            TokenRatio ratio) {
+        mContext = context;
+        mScheduler = scheduler;
+        mEngine = engine;
+        mPrefixes = prefixes;
+        mRatio = ratio;
+    }
+
+    @Override
+    public void check(RunRequest request) {
+        if (!request.hasCompletion()) {
+            throw Messages.malformed("work", "a model engine needs a completion");
+        }
+        if (request.getCompletion().getResumeFrom() < 0) {
+            throw Messages.malformed("resume_from", "resume_from must not be negative");
+        }
+    }
+
+    @Override
+    public Attempt create(RunRequest request, EventSink sink, PolicyStamp policy) {
+        long promptTokens = request.getCompletion().getCost().getPromptTokens();
+        int offset = LengthBand.of(promptTokens) == LengthBand.LONG ? LONG_PRIORITY_OFFSET : 0;
+        return new ModelAttempt(
+                mContext,
+                request,
+                sink,
+                mEngine,
+                this,
+                () -> predictedPrefillMillis(promptTokens),
+                policy.rankPriority() + offset);
+    }
+
+    @Override
+    public void firstToken(AttemptId attempt, CompletionWork work) {
+        mScheduler.prefillFinished(attempt, work.getCost().getPromptTokens());
+        mPrefixes.prefilled(work.getPrefixHash());
+    }
+
+    @Override
+    public void finished(CompletionWork work, long promptTokens) {
+        // The engine's count includes segments and resumed text, which the prompt does not contain.
+        if (work.getSegmentsCount() == 0 && work.getResumeFrom() == 0) {
+            mRatio.observe(utf8Bytes(work.getPrompt()), promptTokens);
+        }
+    }
+
+    private long predictedPrefillMillis(long promptTokens) {
+        double rate = mScheduler.prefillTokensPerSecond();
+        if (rate <= 0) {
+            return 0;
+        }
+        double tokens = (double) mScheduler.prefillTokensQueued() + promptTokens;
+        return (long) (tokens / rate * TimeUnit.SECONDS.toMillis(1));
+    }
+
+    private static long utf8Bytes(String text) {
+        long bytes = 0;
+        for (int i = 0; i < text.length(); i++) {
+            char c = text.charAt(i);
+            // Each half of a surrogate pair stands for two of the four bytes.
+            bytes += c < 0x80 ? 1 : c < 0x800 || Character.isSurrogate(c) ? 2 : 3;
+        }
+        return bytes;
+    }
+}
--- /dev/null
+++ b/tanagergap-agent/src/main/java/org/tanagergap/agent/attempt/Reservation.java
@@ -0,0 +1,9 @@
+package org.tanagergap.agent.attempt;
+
+/** Memory or concurrency that an attempt occupies until it is released. */
+@FunctionalInterface
+public interface Reservation {
+
+    /** Releases the reservation; called exactly once. */
+    void release(long outputTokens);
+}
--- /dev/null
+++ b/tanagergap-agent/src/main/java/org/tanagergap/agent/engine/AbsentEngine.java
@@ -0,0 +1,53 @@
+package org.tanagergap.agent.engine;
+
+import io.smallrye.mutiny.Multi;
+import io.smallrye.mutiny.Uni;
+import java.util.List;
+import org.tanagergap.api.failure.FailureCode;
+import org.tanagergap.api.failure.RequestFailure;
+import org.tanagergap.api.request.AttemptId;
+import org.tanagergap.decisions.scheduling.EngineRun;
+
+/** Engine of an agent beside a plain service: refuses everything as not run. */
+public final class AbsentEngine implements ModelEngine {
+
+    @Override
+    public Multi<EngineEvent> complete(EngineCompletion completion) {
+        return Multi.createFrom().failure(AbsentEngine::refusal);
+    }
+
+    @Override
+    public Uni<Void> cancel(AttemptId attempt) {
+        return Uni.createFrom().voidItem();
+    }
+
+    @Override
+    public Uni<List<EngineRun>> runs() {
+        return Uni.createFrom().item(List.of());
+    }
+
+    @Override
+    public Uni<EngineLoad> load() {
+        return Uni.createFrom().failure(AbsentEngine::refusal);
+    }
+
+    @Override
+    public Multi<CacheEvent> cacheEvents() {
+        return Multi.createFrom().empty();
+    }
+
+    @Override
+    public Uni<Segment> prefill(SegmentPrefill prefill) {
+        return Uni.createFrom().failure(AbsentEngine::refusal);
+    }
+
+    @Override
+    public Uni<Void> releaseSegment(String handle) {
+        return Uni.createFrom().voidItem();
+    }
+
+    private static RequestFailure refusal() {
+        return RequestFailure.notRun(
+                FailureCode.UNKNOWN_MODEL, "the upstream is a plain service, not an engine");
+    }
+}
--- /dev/null
+++ b/tanagergap-agent/src/main/java/org/tanagergap/agent/engine/EngineCompletion.java
@@ -0,0 +1,35 @@
+package org.tanagergap.agent.engine;
+
+import java.util.List;
+import org.tanagergap.api.request.AttemptId;
+
+/**
+ * Completion as it is sent to an engine.
+ *
+ * @param attemptId the engine's request identifier
+ * @param model name of the model
+ * @param prompt text of the prompt
+ * @param maxTokens most tokens to generate
+ * @param priority lower values run first
+ * @param cacheSalt separates the cached prefixes of workspaces
+ * @param resumeFrom index of the first token to send
+ * @param generatedText text of the tokens before {@code resumeFrom}
+ * @param parts segments held by other engines, in order
+ * @param traceparent W3C trace context
+ */
+public record EngineCompletion(
+        AttemptId attemptId,
+        String model,
+        String prompt,
+        long maxTokens,
+        int priority,
+        String cacheSalt,
+        long resumeFrom,
+        String generatedText,
+        List<EnginePart> parts,
+        String traceparent) {
+
+    public EngineCompletion {
+        parts = List.copyOf(parts);
+    }
+}
--- /dev/null
+++ b/tanagergap-agent/src/main/java/org/tanagergap/agent/engine/EngineExchange.java
@@ -0,0 +1,156 @@
+package org.tanagergap.agent.engine;
+
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpClientRequest;
+import io.vertx.core.http.HttpClientResponse;
+import io.vertx.core.http.RequestOptions;
+import io.vertx.core.parsetools.RecordParser;
+import java.util.function.Consumer;
+import org.tanagergap.api.failure.Execution;
+import org.tanagergap.api.failure.FailureCode;
+import org.tanagergap.api.failure.RequestFailure;
+
+/** One HTTP exchange with an engine whose connection can be closed at any time. */
+final class EngineExchange {
+
+    private static final int OK = 200;
+    private static final String DATA_PREFIX = "data:";
+    private static final String END_OF_STREAM = "[DONE]";
+
+    /** Far above one token or one cache event. */
+    private static final int MAX_LINE_BYTES = 1024 * 1024;
+
+    private final HttpClient mClient;
+    private final RequestOptions mOptions;
+    private final Buffer mBody;
+    private HttpClientRequest mRequest;
+    private boolean mClosed;
+    private boolean mComplete;
+
+    EngineExchange(HttpClient client, RequestOptions options, Buffer body) {
+        mClient = client;
+        mOptions = options;
+        mBody = body;
+    }
+
+    /** Sends the request and passes on the data of each server-sent event. */
+    void readEvents(Consumer<String> data, Runnable end, Consumer<Throwable> failed) {
+        send(response -> parseEvents(response, data, end, failed), failed);
+    }
+
+    /** Sends the request and passes on the whole answer. */
+    void readWhole(Consumer<Buffer> answered, Consumer<Throwable> failed) {
+        send(
+                response ->
+                        response.body()
+                                .onSuccess(
+                                        body -> {
+                                            complete();
+                                            guard(() -> answered.accept(body), failed);
+                                        })
+                                .onFailure(failure -> failed.accept(broken(failure))),
+                failed);
+    }
+
+    /** Closes the connection unless the answer is complete, which cancels the engine's work. */
+    synchronized void close() {
+        mClosed = true;
+        if (mRequest != null && !mComplete) {
+            mRequest.reset();
+        }
+    }
+
+    /** Keeps the connection for other exchanges. */
+    private synchronized void complete() {
+        mComplete = true;
+    }
+
+    private void send(Consumer<HttpClientResponse> answered, Consumer<Throwable> failed) {
+        mClient.request(mOptions)
+                .onFailure(
+                        failure ->
+                                failed.accept(
+                                        RequestFailure.notRun(
+                                                        FailureCode.UPSTREAM_FAILED,
+                                                        "engine is unreachable: "
+                                                                + failure.getMessage())
+                                                .withCause(failure)))
+                .onSuccess(request -> sendOn(request, answered, failed));
+    }
+
+    private void sendOn(
+            HttpClientRequest request,
+            Consumer<HttpClientResponse> answered,
+            Consumer<Throwable> failed) {
+        synchronized (this) {
+            mRequest = request;
+            if (mClosed) {
+                request.reset();
+                return;
+            }
+        }
+        request.send(mBody)
+                .onFailure(failure -> failed.accept(broken(failure)))
+                .onSuccess(
+                        response -> {
+                            if (response.statusCode() == OK) {
+                                answered.accept(response);
+                            } else {
+                                refuse(response, failed);
+                            }
+                        });
+    }
+
+    private void refuse(HttpClientResponse response, Consumer<Throwable> failed) {
+        response.body()
+                .onSuccess(
+                        body -> {
+                            complete();
+                            failed.accept(EngineMessages.refusal(response.statusCode(), body));
+                        })
+                .onFailure(failure -> failed.accept(broken(failure)));
+    }
+
+    private void parseEvents(
+            HttpClientResponse response,
+            Consumer<String> data,
+            Runnable end,
+            Consumer<Throwable> failed) {
+        RecordParser lines = RecordParser.newDelimited("\n").maxRecordSize(MAX_LINE_BYTES);
+        lines.exceptionHandler(failure -> failed.accept(broken(failure)));
+        lines.handler(line -> guard(() -> parseLine(line.toString(), data), failed));
+        response.exceptionHandler(failure -> failed.accept(broken(failure)));
+        response.endHandler(
+                ignored -> {
+                    complete();
+                    end.run();
+                });
+        response.handler(lines);
+    }
+
+    private static void parseLine(String line, Consumer<String> data) {
+        if (line.startsWith(DATA_PREFIX)) {
+            String value = line.substring(DATA_PREFIX.length()).strip();
+            if (!value.equals(END_OF_STREAM)) {
+                data.accept(value);
+            }
+        }
+    }
+
+    private static void guard(Runnable task, Consumer<Throwable> failed) {
+        try {
+            task.run();
+        } catch (RuntimeException e) {
+            failed.accept(broken(e));
+        }
+    }
+
+    private static RequestFailure broken(Throwable failure) {
+        return RequestFailure.of(
+                        FailureCode.UPSTREAM_FAILED,
+                        Execution.UNKNOWN,
+                        "engine connection failed: " + failure.getMessage())
+                .withCause(failure);
+    }
+}
--- /dev/null
+++ b/tanagergap-agent/src/main/java/org/tanagergap/agent/engine/EngineMessages.java
@@ -0,0 +1,137 @@
+package org.tanagergap.agent.engine;
+
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.json.DecodeException;
+import io.vertx.core.json.JsonArray;
+import io.vertx.core.json.JsonObject;
+import java.util.ArrayList;
+import java.util.List;
+import org.tanagergap.api.failure.Execution;
+import org.tanagergap.api.failure.FailureCode;
+import org.tanagergap.api.failure.RequestFailure;
+import org.tanagergap.api.request.AttemptId;
+import org.tanagergap.decisions.scheduling.EngineRun;
+
+/** JSON messages of model engines. */
+final class EngineMessages {
+
+    private static final int BAD_REQUEST = 400;
+    private static final int NOT_FOUND = 404;
+    private static final int CONFLICT = 409;
+    private static final int TOO_MANY_REQUESTS = 429;
+    private static final int SERVER_ERROR = 500;
+
+    private EngineMessages() {}
+
+    static JsonObject completion(EngineCompletion completion) {
+        return new JsonObject()
+                .put("request_id", completion.attemptId().value())
+                .put("model", completion.model())
+                .put("prompt", completion.prompt())
+                .put("max_tokens", completion.maxTokens())
+                .put("stream", true)
+                .put("priority", completion.priority())
+                .put("cache_salt", completion.cacheSalt())
+                .put("resume_from", completion.resumeFrom())
+                .put("generated_text", completion.generatedText())
+                .put("parts", parts(completion.parts()));
+    }
+
+    static JsonObject prefill(SegmentPrefill prefill) {
+        return new JsonObject()
+                .put("request_id", prefill.attemptId().value())
+                .put("model", prefill.model())
+                .put("prompt", prefill.prompt())
+                .put("parts", parts(prefill.parts()))
+                .put("cache_salt", prefill.cacheSalt());
+    }
+
+    /** Event of a completion; throws when the JSON is not one. */
+    static EngineEvent event(String data) {
+        JsonObject json = new JsonObject(data);
+        String requestId = json.getString("request_id", "");
+        if (json.getValue("finish_reason") == null) {
+            if (json.getValue("index") == null) {
+                throw new DecodeException("event has neither index nor finish_reason");
+            }
+            return new EngineEvent.Token(
+                    requestId, json.getLong("index"), json.getString("text", ""));
+        }
+        JsonObject usage = json.getJsonObject("usage", new JsonObject());
+        return new EngineEvent.Finish(
+                requestId,
+                json.getString("finish_reason"),
+                usage.getLong("prompt_tokens", 0L),
+                usage.getLong("completion_tokens", 0L),
+                usage.getLong("cached_tokens", 0L));
+    }
+
+    static CacheEvent cacheEvent(String data) {
+        JsonObject json = new JsonObject(data);
+        return new CacheEvent(
+                json.getLong("sequence", 0L),
+                "stored".equals(json.getString("kind")),
+                json.getString("prefix_hash", ""));
+    }
+
+    static List<EngineRun> runs(JsonObject json) {
+        List<EngineRun> runs = new ArrayList<>();
+        JsonArray array = json.getJsonArray("runs", new JsonArray());
+        for (int i = 0; i < array.size(); i++) {
+            JsonObject run = array.getJsonObject(i);
+            runs.add(
+                    new EngineRun(
+                            new AttemptId(run.getString("request_id", "")),
+                            run.getLong("memory_tokens", 0L)));
+        }
+        return runs;
+    }
+
+    static EngineLoad load(JsonObject json) {
+        return new EngineLoad(
+                json.getLong("memory_tokens_used", 0L),
+                json.getLong("memory_tokens_total", 0L),
+                json.getInteger("queued", 0),
+                json.getLong("prefill_tokens_queued", 0L),
+                json.getLong("sampled_at_ms", 0L));
+    }
+
+    static Segment segment(JsonObject json) {
+        return new Segment(json.getString("handle", ""), json.getLong("tokens", 0L));
+    }
+
+    /**
+     * Failure that a status other than 200 stands for. Refusals (4xx with an error body) mean that
+     * nothing ran, except 409: an earlier run with the identifier of this attempt exists.
+     */
+    static RequestFailure refusal(int status, Buffer body) {
+        String text = "engine answered " + status;
+        boolean stated = false;
+        try {
+            JsonObject error = new JsonObject(body).getJsonObject("error", new JsonObject());
+            stated = error.getValue("code") != null;
+            text += " " + error.getString("code", "") + ": " + error.getString("message", "");
+        } catch (DecodeException | ClassCastException e) {
+            text += " with a body that is not an error";
+        }
+        if (!stated || status == CONFLICT || status < BAD_REQUEST || status >= SERVER_ERROR) {
+            return RequestFailure.of(FailureCode.UPSTREAM_FAILED, Execution.UNKNOWN, text);
+        }
+        FailureCode code =
+                switch (status) {
+                    case BAD_REQUEST -> FailureCode.MALFORMED_REQUEST;
+                    case NOT_FOUND -> FailureCode.UNKNOWN_MODEL;
+                    case TOO_MANY_REQUESTS -> FailureCode.OVERLOADED;
+                    default -> FailureCode.UPSTREAM_FAILED;
+                };
+        return RequestFailure.notRun(code, text);
+    }
+
+    private static JsonArray parts(List<EnginePart> parts) {
+        JsonArray array = new JsonArray();
+        for (EnginePart part : parts) {
+            array.add(new JsonObject().put("url", part.url()).put("handle", part.handle()));
+        }
+        return array;
+    }
+}
--- /dev/null
+++ b/tanagergap-agent/src/main/java/org/tanagergap/agent/engine/HttpModelEngine.java
@@ -0,0 +1,170 @@
+package org.tanagergap.agent.engine;
+
+import io.smallrye.mutiny.Multi;
+import io.smallrye.mutiny.Uni;
+import io.smallrye.mutiny.subscription.BackPressureStrategy;
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpClientOptions;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.PoolOptions;
+import io.vertx.core.http.RequestOptions;
+import io.vertx.core.json.JsonObject;
+import io.vertx.ext.web.client.HttpResponse;
+import io.vertx.ext.web.client.WebClient;
+import java.net.URLEncoder;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
+import java.util.Objects;
+import java.util.function.Function;
+import org.tanagergap.api.failure.Execution;
+import org.tanagergap.api.failure.FailureCode;
+import org.tanagergap.api.failure.RequestFailure;
+import org.tanagergap.api.request.AttemptId;
+import org.tanagergap.decisions.scheduling.EngineRun;
+import org.tanagergap.runtime.async.Futures;
+
+/** Model engine over HTTP, JSON and server-sent events. */
+public final class HttpModelEngine implements ModelEngine {
+
+    private static final int OK = 200;
+    private static final int REDIRECTION = 300;
+    private static final int NOT_FOUND = 404;
+    private static final int CONNECT_TIMEOUT_MILLIS = 2_000;
+    private static final Duration CONTROL_TIMEOUT = Duration.ofSeconds(2);
+
+    /** Above the bound of the queue, so that no completion waits for a connection. */
+    private static final int MAX_CONNECTIONS = 4_096;
+
+    private final HttpClient mStreams;
+    private final WebClient mControl;
+    private final String mBaseUrl;
+
+    /**
+     * Creates a client.
+     *
+     * @param baseUrl URL without a final slash
+     */
+    public HttpModelEngine(Vertx vertx, String baseUrl) {
+        mBaseUrl = Objects.requireNonNull(baseUrl, "baseUrl must not be null");
+        HttpClientOptions options =
+                new HttpClientOptions().setConnectTimeout(CONNECT_TIMEOUT_MILLIS);
+        PoolOptions pool = new PoolOptions().setHttp1MaxSize(MAX_CONNECTIONS);
+        mStreams = vertx.createHttpClient(options, pool);
+        // Separate connections, so that cancellations never wait behind completions.
+        mControl = WebClient.wrap(vertx.createHttpClient(new HttpClientOptions(options)));
+    }
+
+    @Override
+    public Multi<EngineEvent> complete(EngineCompletion completion) {
+        RequestOptions options =
+                post("/v1/completions").putHeader("traceparent", completion.traceparent());
+        Buffer body = EngineMessages.completion(completion).toBuffer();
+        return stream(options, body, EngineMessages::event);
+    }
+
+    @Override
+    public Uni<Void> cancel(AttemptId attempt) {
+        return Futures.toUni(
+                mControl.postAbs(mBaseUrl + "/v1/runs/" + encode(attempt.value()) + "/cancel")
+                        .timeout(CONTROL_TIMEOUT.toMillis())
+                        .send()
+                        .compose(HttpModelEngine::checkDone));
+    }
+
+    @Override
+    public Uni<List<EngineRun>> runs() {
+        return Futures.toUni(read("/v1/runs").map(EngineMessages::runs));
+    }
+
+    @Override
+    public Uni<EngineLoad> load() {
+        return Futures.toUni(read("/load").map(EngineMessages::load));
+    }
+
+    @Override
+    public Multi<CacheEvent> cacheEvents() {
+        RequestOptions options =
+                new RequestOptions()
+                        .setMethod(HttpMethod.GET)
+                        .setAbsoluteURI(mBaseUrl + "/cache/events");
+        return stream(options, Buffer.buffer(), EngineMessages::cacheEvent);
+    }
+
+    @Override
+    public Uni<Segment> prefill(SegmentPrefill prefill) {
+        Buffer body = EngineMessages.prefill(prefill).toBuffer();
+        return Uni.createFrom()
+                .emitter(
+                        emitter -> {
+                            EngineExchange exchange =
+                                    new EngineExchange(mStreams, post("/kv/prefill"), body);
+                            emitter.onTermination(exchange::close);
+                            exchange.readWhole(
+                                    answer ->
+                                            emitter.complete(
+                                                    EngineMessages.segment(new JsonObject(answer))),
+                                    emitter::fail);
+                        });
+    }
+
+    @Override
+    public Uni<Void> releaseSegment(String handle) {
+        return Futures.toUni(
+                mControl.deleteAbs(mBaseUrl + "/kv/" + encode(handle))
+                        .timeout(CONTROL_TIMEOUT.toMillis())
+                        .send()
+                        .compose(HttpModelEngine::checkDone));
+    }
+
+    private <T> Multi<T> stream(RequestOptions options, Buffer body, Function<String, T> parser) {
+        return Multi.createFrom()
+                .emitter(
+                        emitter -> {
+                            EngineExchange exchange = new EngineExchange(mStreams, options, body);
+                            emitter.onTermination(exchange::close);
+                            exchange.readEvents(
+                                    data -> emitter.emit(parser.apply(data)),
+                                    emitter::complete,
+                                    emitter::fail);
+                        },
+                        BackPressureStrategy.BUFFER);
+    }
+
+    private Future<JsonObject> read(String path) {
+        return mControl.getAbs(mBaseUrl + path)
+                .timeout(CONTROL_TIMEOUT.toMillis())
+                .send()
+                .compose(
+                        response ->
+                                response.statusCode() == OK
+                                        ? Future.succeededFuture(response.bodyAsJsonObject())
+                                        : Future.failedFuture(unexpected(response)));
+    }
+
+    private RequestOptions post(String path) {
+        return new RequestOptions()
+                .setMethod(HttpMethod.POST)
+                .setAbsoluteURI(mBaseUrl + path)
+                .putHeader("Content-Type", "application/json");
+    }
+
+    private static Future<Void> checkDone(HttpResponse<Buffer> response) {
+        boolean done = response.statusCode() < REDIRECTION || response.statusCode() == NOT_FOUND;
+        return done ? Future.succeededFuture() : Future.failedFuture(unexpected(response));
+    }
+
+    private static RequestFailure unexpected(HttpResponse<Buffer> response) {
+        return RequestFailure.of(
+                FailureCode.UPSTREAM_FAILED,
+                Execution.UNKNOWN,
+                "engine answered " + response.statusCode());
+    }
+
+    private static String encode(String segment) {
+        return URLEncoder.encode(segment, StandardCharsets.UTF_8).replace("+", "%20");
+    }
+}
--- /dev/null
+++ b/tanagergap-agent/src/main/java/org/tanagergap/agent/load/EngineMonitor.java
@@ -0,0 +1,194 @@
+package org.tanagergap.agent.load;
+
+import com.codahale.metrics.MetricRegistry;
+import com.google.common.flogger.FluentLogger;
+import io.smallrye.mutiny.Uni;
+import io.smallrye.mutiny.subscription.Cancellable;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executor;
+import java.util.function.Consumer;
+import java.util.function.Function;
+import org.tanagergap.agent.engine.EngineLoad;
+import org.tanagergap.agent.engine.ModelEngine;
+import org.tanagergap.api.lifecycle.Service;
+import org.tanagergap.api.request.AttemptId;
+import org.tanagergap.api.time.RuntimeClock;
+import org.tanagergap.decisions.scheduling.EngineRun;
+import org.tanagergap.runtime.time.PeriodicTask;
+
+/**
+ * Watches the engine: polls its load, reconciles its runs and follows its cache. The upstream is
+ * ready once the runs that the agent does not know are cancelled, and until two load reports in
+ * succession fail.
+ */
+public final class EngineMonitor implements Service {
+
+    /** Time between two comparisons of the ledger with the engine's runs. */
+    public static final Duration RECONCILE_INTERVAL = Duration.ofSeconds(5);
+
+    private static final Duration CACHE_RETRY = Duration.ofSeconds(1);
+    private static final int MAX_FAILED_REPORTS = 2;
+    private static final FluentLogger sLogger = FluentLogger.forEnclosingClass();
+
+    private final ModelEngine mEngine;
+    private final RuntimeClock mClock;
+    private final Executor mLoop;
+    private final MetricRegistry mMetrics;
+    private final AgentState mState;
+    private final LoadReports mReports;
+    private final PrefixTable mPrefixes;
+    private final Function<List<EngineRun>, List<AttemptId>> mReconciler;
+    private final Consumer<EngineLoad> mLoadListener;
+    private final PeriodicTask mLoadTask;
+    private final PeriodicTask mReconcileTask;
+    private volatile Cancellable mCacheEvents = () -> {};
+    private volatile boolean mStopped;
+    private boolean mReconciling;
+    private boolean mLoading;
+    private int mFailedReports;
+
+    /**
+     * Creates a monitor.
+     *
+     * @param reconciler compares runs with the ledger and returns the orphans; runs on the loop
+     * @param loadListener gets every load report; runs on the loop
+     */
+    public EngineMonitor(
+            ModelEngine engine,
+            RuntimeClock clock,
+            Executor loop,
+            MetricRegistry metrics,
+            AgentState state,
+            LoadReports reports,
+            PrefixTable prefixes,
+            Duration loadInterval,
+            Function<List<EngineRun>, List<AttemptId>> reconciler,
+            Consumer<EngineLoad> loadListener) {
+        mEngine = engine;
+        mClock = clock;
+        mLoop = loop;
+        mMetrics = metrics;
+        mState = state;
+        mReports = reports;
+        mPrefixes = prefixes;
+        mReconciler = reconciler;
+        mLoadListener = loadListener;
+        mLoadTask = new PeriodicTask(clock, loadInterval, () -> loop.execute(this::pollLoad));
+        mReconcileTask =
+                new PeriodicTask(clock, RECONCILE_INTERVAL, () -> loop.execute(this::reconcile));
+    }
+
+    /** Starts without waiting for the engine, which may come up later. */
+    @Override
+    public CompletableFuture<Void> start() {
+        mLoop.execute(this::pollLoad);
+        mLoop.execute(this::followCache);
+        mReconcileTask.start();
+        return mLoadTask.start();
+    }
+
+    @Override
+    public CompletableFuture<Void> stop() {
+        mStopped = true;
+        mCacheEvents.cancel();
+        mReconcileTask.stop();
+        return mLoadTask.stop();
+    }
+
+    private void pollLoad() {
+        if (mLoading) {
+            return;
+        }
+        mLoading = true;
+        mEngine.load()
+                .subscribe()
+                .with(
+                        load -> mLoop.execute(() -> loadReceived(load)),
+                        failure -> mLoop.execute(() -> loadFailed(failure)));
+    }
+
+    private void loadReceived(EngineLoad load) {
+        mLoading = false;
+        mFailedReports = 0;
+        mReports.record(load);
+        mLoadListener.accept(load);
+        if (!mState.upstreamReady()) {
+            reconcile();
+        }
+    }
+
+    private void loadFailed(Throwable failure) {
+        mLoading = false;
+        mFailedReports++;
+        if (mFailedReports >= MAX_FAILED_REPORTS && mState.upstreamReady()) {
+            sLogger.atWarning().log("engine is unreachable: %s", failure.getMessage());
+            mState.setUpstreamReady(false);
+            mPrefixes.clear();
+        }
+    }
+
+    private void reconcile() {
+        if (mReconciling) {
+            return;
+        }
+        mReconciling = true;
+        mEngine.runs()
+                .subscribe()
+                .with(
+                        runs -> mLoop.execute(() -> runsReceived(runs)),
+                        failure ->
+                                mLoop.execute(
+                                        () -> {
+                                            mReconciling = false;
+                                            sLogger.atWarning().log(
+                                                    "runs could not be listed: %s",
+                                                    failure.getMessage());
+                                        }));
+    }
+
+    private void runsReceived(List<EngineRun> runs) {
+        List<AttemptId> orphans = mReconciler.apply(runs);
+        if (orphans.isEmpty()) {
+            reconciled();
+            return;
+        }
+        mMetrics.counter("agent_orphan_runs_total").inc(orphans.size());
+        sLogger.atWarning().log("cancelling %d runs that the agent does not know", orphans.size());
+        // An orphan that survives its cancellation is found by the next reconciliation.
+        List<Uni<Void>> cancellations =
+                orphans.stream().map(o -> mEngine.cancel(o).onFailure().recoverWithNull()).toList();
+        Uni.join()
+                .all(cancellations)
+                .andCollectFailures()
+                .subscribe()
+                .with(
+                        ignored -> mLoop.execute(this::reconciled),
+                        failure -> mLoop.execute(this::reconciled));
+    }
+
+    private void reconciled() {
+        mReconciling = false;
+        if (!mState.upstreamReady() && mFailedReports == 0) {
+            mState.setUpstreamReady(true);
+            sLogger.atInfo().log("engine is ready");
+        }
+    }
+
+    private void followCache() {
+        if (mStopped) {
+            return;
+        }
+        mCacheEvents =
+                mEngine.cacheEvents()
+                        .subscribe()
+                        .with(mPrefixes::apply, failure -> retryCache(), this::retryCache);
+    }
+
+    private void retryCache() {
+        if (!mStopped) {
+            mClock.schedule(CACHE_RETRY, () -> mLoop.execute(this::followCache));
+        }
+    }
+}
--- /dev/null
+++ b/tanagergap-agent/src/main/java/org/tanagergap/agent/load/HintSource.java
@@ -0,0 +1,59 @@
+package org.tanagergap.agent.load;
+
+import java.util.Map;
+import java.util.function.Supplier;
+import org.tanagergap.agent.policy.PolicyTable;
+import org.tanagergap.decisions.scheduling.RankLoad;
+import org.tanagergap.decisions.scheduling.UpstreamScheduler;
+import org.tanagergap.protocol.v1.Hint;
+
+/** Builds load hints from the agent's present state. */
+public final class HintSource implements Supplier<Hint> {
+
+    private final UpstreamScheduler mScheduler;
+    private final AgentState mState;
+    private final PolicyTable mPolicies;
+    private final LoadReports mReports;
+    private final PrefixTable mPrefixes;
+    private final TokenRatio mRatio;
+
+    public HintSource(
+            UpstreamScheduler scheduler,
+            AgentState state,
+            PolicyTable policies,
+            LoadReports reports,
+            PrefixTable prefixes,
+            TokenRatio ratio) {
+        mScheduler = scheduler;
+        mState = state;
+        mPolicies = policies;
+        mReports = reports;
+        mPrefixes = prefixes;
+        mRatio = ratio;
+    }
+
+    @Override
+    public Hint get() {
+        long free = mScheduler.freeTokens();
+        Hint.Builder hint =
+                Hint.newBuilder()
+                        .setMemoryTokensTotal(free + mScheduler.reservedTokens())
+                        .setMemoryTokensFree(free)
+                        .setPrefillTokensQueued(mScheduler.prefillTokensQueued())
+                        .setPrefillTokensPerSecond(mScheduler.prefillTokensPerSecond())
+                        .setDraining(mState.draining())
+                        .setConfigurationVersion(mPolicies.version())
+                        .setLoadReportAgeMs(mReports.age().toMillis())
+                        .addAllPrefixHashes(mPrefixes.hashes())
+                        .setBytesPerToken(mRatio.bytesPerToken())
+                        .setUpstreamReady(mState.upstreamReady());
+        for (Map.Entry<String, RankLoad> rank : mScheduler.queuedByRank().entrySet()) {
+            hint.addRanks(
+                    org.tanagergap.protocol.v1.RankLoad.newBuilder()
+                            .setRank(rank.getKey())
+                            .setQueued(rank.getValue().queued())
+                            .setQueuedTokens(rank.getValue().queuedTokens()));
+        }
+        return hint.build();
+    }
+}
--- /dev/null
+++ b/tanagergap-agent/src/main/java/org/tanagergap/agent/load/TokenRatio.java
@@ -0,0 +1,25 @@
+package org.tanagergap.agent.load;
+
+/** Bytes of prompt text per token, learnt from the engine's own counts. */
+public final class TokenRatio {
+
+    private static final double INITIAL_BYTES_PER_TOKEN = 4.0;
+
+    /** Weight of a new observation; about the last 20 prompts determine the value. */
+    private static final double WEIGHT = 0.1;
+
+    private volatile double mBytesPerToken = INITIAL_BYTES_PER_TOKEN;
+
+    /** Adds the engine's count for a prompt. */
+    public synchronized void observe(long promptBytes, long promptTokens) {
+        if (promptBytes > 0 && promptTokens > 0) {
+            double observed = (double) promptBytes / promptTokens;
+            mBytesPerToken += WEIGHT * (observed - mBytesPerToken);
+        }
+    }
+
+    /** Present value. */
+    public double bytesPerToken() {
+        return mBytesPerToken;
+    }
+}
--- /dev/null
+++ b/tanagergap-agent/src/main/java/org/tanagergap/agent/plain/AtMostOnceCall.java
@@ -0,0 +1,265 @@
+package org.tanagergap.agent.plain;
+
+import com.google.common.flogger.FluentLogger;
+import com.google.protobuf.ByteString;
+import io.smallrye.mutiny.subscription.Cancellable;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.Executor;
+import org.tanagergap.agent.message.Messages;
+import org.tanagergap.api.failure.Execution;
+import org.tanagergap.api.failure.FailureCode;
+import org.tanagergap.api.failure.RequestFailure;
+import org.tanagergap.api.time.Deadline;
+import org.tanagergap.api.time.RuntimeClock;
+import org.tanagergap.api.time.Timer;
+import org.tanagergap.protocol.v1.Header;
+import org.tanagergap.runtime.async.Futures;
+import org.tanagergap.runtime.log.LogKeys;
+import org.tanagergap.state.intent.IntentDecision;
+import org.tanagergap.state.intent.IntentKey;
+import org.tanagergap.state.intent.IntentLog;
+import org.tanagergap.state.intent.RecordedAnswer;
+
+/** Non-idempotent call: sent at most once, only after its intent was granted. */
+final class AtMostOnceCall implements CallInFlight {
+
+    /** Longest body that is recorded for replay. */
+    static final int MAX_RECORDED_BODY_BYTES = 16 * 1024;
+
+    /** Time that the answer waits for its record. */
+    static final Duration RECORD_TIMEOUT = Duration.ofSeconds(2);
+
+    /** Time after the deadline in which an answer is still awaited, to record its outcome. */
+    static final Duration LATE_ANSWER_TIMEOUT = Duration.ofSeconds(10);
+
+    private static final FluentLogger sLogger = FluentLogger.forEnclosingClass();
+
+    private final PlainUpstream mUpstream;
+    private final IntentLog mIntents;
+    private final RuntimeClock mClock;
+    private final Executor mLoop;
+    private final PlainCall mCall;
+    private final IntentKey mKey;
+    private final Deadline mDeadline;
+    private final PlainCallListener mListener;
+    private Cancellable mExchange = () -> {};
+    private Timer mTimer = () -> {};
+    private boolean mCancelled;
+    private boolean mSent;
+    private boolean mEnded;
+
+    AtMostOnceCall(
+            PlainUpstream upstream,
+            IntentLog intents,
+            RuntimeClock clock,
+            Executor loop,
+            PlainCall call,
+            IntentKey key,
+            Deadline deadline,
+            PlainCallListener listener) {
+        mUpstream = upstream;
+        mIntents = intents;
+        mClock = clock;
+        mLoop = loop;
+        mCall = call;
+        mKey = key;
+        mDeadline = deadline;
+        mListener = listener;
+    }
+
+    @Override
+    public void start() {
+        String bodyHash =
+                Messages.sha256(
+                        mCall.method().getBytes(StandardCharsets.UTF_8),
+                        mCall.path().getBytes(StandardCharsets.UTF_8),
+                        mCall.body().toByteArray());
+        mIntents.begin(mKey, bodyHash, mCall.attemptId(), mDeadline.left(mClock))
+                .whenComplete(
+                        (decision, failure) -> mLoop.execute(() -> decided(decision, failure)));
+    }
+
+    @Override
+    public void cancel() {
+        mCancelled = true;
+        if (!mSent) {
+            end();
+        }
+    }
+
+    private void decided(IntentDecision decision, Throwable failure) {
+        if (failure != null) {
+            fail(PlainFailures.ofBegin(failure));
+        } else if (decision instanceof IntentDecision.Granted) {
+            granted();
+        } else if (decision instanceof IntentDecision.Replay replay) {
+            replay(replay.answer());
+        } else if (decision instanceof IntentDecision.InProgress) {
+            fail(failure(FailureCode.IN_PROGRESS, "a call with this key is still running"));
+        } else if (decision instanceof IntentDecision.OutcomeUnknown) {
+            fail(
+                    failure(
+                            FailureCode.OUTCOME_UNKNOWN,
+                            "an earlier call with this key was sent; its outcome is not known"));
+        } else {
+            fail(
+                    RequestFailure.notRun(
+                                    FailureCode.IDEMPOTENCY_CONFLICT,
+                                    "this key was used with another body")
+                            .withField("Idempotency-Key"));
+        }
+    }
+
+    private void granted() {
+        if (mCancelled || mDeadline.hasPassed(mClock)) {
+            abandon();
+            fail(
+                    RequestFailure.notRun(
+                            FailureCode.DEADLINE_EXCEEDED, "deadline passed before the send"));
+            return;
+        }
+        mSent = true;
+        mListener.sending();
+        mTimer =
+                mClock.schedule(
+                        mDeadline.left(mClock).plus(LATE_ANSWER_TIMEOUT),
+                        () -> mLoop.execute(this::answerOverdue));
+        mExchange =
+                mUpstream
+                        .send(mCall)
+                        .subscribe()
+                        .with(
+                                answer -> mLoop.execute(() -> answered(answer)),
+                                failure -> mLoop.execute(() -> sendFailed(failure)));
+    }
+
+    private void answered(PlainAnswer answer) {
+        if (mEnded) {
+            return;
+        }
+        mTimer.cancel();
+        mTimer = mClock.schedule(recordWait(), () -> mLoop.execute(() -> deliver(answer)));
+        mIntents.recordOutcome(mKey, mCall.attemptId(), recorded(answer))
+                .whenComplete((ignored, failure) -> mLoop.execute(() -> written(answer, failure)));
+    }
+
+    /** Time that the answer waits for its record; leaves time to deliver it by the deadline. */
+    private Duration recordWait() {
+        Duration half = mDeadline.left(mClock).dividedBy(2);
+        boolean shorter = !half.isNegative() && half.compareTo(RECORD_TIMEOUT) < 0;
+        return shorter ? half : RECORD_TIMEOUT;
+    }
+
+    private void written(PlainAnswer answer, Throwable failure) {
+        if (failure != null) {
+            logWarning("outcome could not be recorded", failure);
+        }
+        deliver(answer);
+    }
+
+    private void deliver(PlainAnswer answer) {
+        if (!mEnded) {
+            mListener.answered(answer);
+            end();
+        }
+    }
+
+    private void sendFailed(Throwable failure) {
+        if (mEnded) {
+            return;
+        }
+        RequestFailure known = PlainFailures.ofSend(failure);
+        if (known.execution() == Execution.NOT_RUN) {
+            abandon();
+        }
+        fail(known);
+    }
+
+    private void answerOverdue() {
+        mExchange.cancel();
+        fail(failure(FailureCode.OUTCOME_UNKNOWN, "plain service sent no answer in time"));
+    }
+
+    private void replay(RecordedAnswer answer) {
+        if (mEnded) {
+            return;
+        }
+        if (answer.body().isEmpty()) {
+            fail(
+                    RequestFailure.of(
+                            FailureCode.OUTCOME_UNKNOWN,
+                            Execution.RAN,
+                            "the call ran with status "
+                                    + answer.status()
+                                    + "; its answer was too large to keep"));
+            return;
+        }
+        List<Header> headers =
+                answer.contentType().isEmpty()
+                        ? List.of()
+                        : List.of(
+                                Header.newBuilder()
+                                        .setName("Content-Type")
+                                        .setValue(answer.contentType())
+                                        .build());
+        deliver(
+                new PlainAnswer(
+                        answer.status(),
+                        headers,
+                        ByteString.copyFromUtf8(answer.body().get()),
+                        true));
+    }
+
+    private void abandon() {
+        mIntents.abandon(mKey, mCall.attemptId())
+                .whenComplete(
+                        (ignored, failure) -> {
+                            if (failure != null) {
+                                logWarning("unsent call could not be abandoned", failure);
+                            }
+                        });
+    }
+
+    private void fail(RequestFailure failure) {
+        if (!mEnded) {
+            mListener.failed(failure);
+            end();
+        }
+    }
+
+    private void end() {
+        if (!mEnded) {
+            mEnded = true;
+            mTimer.cancel();
+            mListener.ended();
+        }
+    }
+
+    private void logWarning(String message, Throwable failure) {
+        sLogger.atWarning()
+                .withCause(Futures.rootFailure(failure))
+                .with(LogKeys.ATTEMPT_ID, mCall.attemptId().value())
+                .with(LogKeys.WORKSPACE, mKey.workspace())
+                .log("%s", message);
+    }
+
+    private static RequestFailure failure(FailureCode code, String message) {
+        return RequestFailure.of(code, Execution.UNKNOWN, message);
+    }
+
+    private static RecordedAnswer recorded(PlainAnswer answer) {
+        String contentType =
+                answer.headers().stream()
+                        .filter(h -> h.getName().equalsIgnoreCase("Content-Type"))
+                        .map(Header::getValue)
+                        .findFirst()
+                        .orElse("");
+        boolean kept =
+                answer.body().size() <= MAX_RECORDED_BODY_BYTES && answer.body().isValidUtf8();
+        Optional<String> body = kept ? Optional.of(answer.body().toStringUtf8()) : Optional.empty();
+        return new RecordedAnswer(answer.status(), contentType, body);
+    }
+}
--- /dev/null
+++ b/tanagergap-agent/src/main/java/org/tanagergap/agent/plain/PlainServiceCaller.java
@@ -0,0 +1,48 @@
+package org.tanagergap.agent.plain;
+
+import java.util.Objects;
+import java.util.Optional;
+import java.util.concurrent.Executor;
+import org.tanagergap.api.time.Deadline;
+import org.tanagergap.api.time.RuntimeClock;
+import org.tanagergap.state.intent.IntentKey;
+import org.tanagergap.state.intent.IntentLog;
+
+/** Calls the plain service, non-idempotent calls at most once. */
+public final class PlainServiceCaller {
+
+    private final PlainUpstream mUpstream;
+    private final IntentLog mIntents;
+    private final RuntimeClock mClock;
+    private final Executor mLoop;
+
+    /**
+     * Creates a caller.
+     *
+     * @param loop runs tasks one after another; all state of calls changes on it
+     */
+    public PlainServiceCaller(
+            PlainUpstream upstream, IntentLog intents, RuntimeClock clock, Executor loop) {
+        mUpstream = Objects.requireNonNull(upstream, "upstream must not be null");
+        mIntents = Objects.requireNonNull(intents, "intents must not be null");
+        mClock = Objects.requireNonNull(clock, "clock must not be null");
+        mLoop = Objects.requireNonNull(loop, "loop must not be null");
+    }
+
+    /**
+     * Prepares a call; {@code start} sends it.
+     *
+     * @param key identity of a call that must not be repeated; empty for idempotent calls
+     */
+    CallInFlight prepare(
+            PlainCall call,
+            Optional<IntentKey> key,
+            Deadline deadline,
+            PlainCallListener listener) {
+        if (key.isEmpty()) {
+            return new RepeatableCall(mUpstream, mLoop, call, listener);
+        }
+        return new AtMostOnceCall(
+                mUpstream, mIntents, mClock, mLoop, call, key.get(), deadline, listener);
+    }
+}
--- /dev/null
+++ b/tanagergap-agent/src/main/java/org/tanagergap/agent/plain/RepeatableCall.java
@@ -0,0 +1,60 @@
+package org.tanagergap.agent.plain;
+
+import io.smallrye.mutiny.subscription.Cancellable;
+import java.util.concurrent.Executor;
+
+/** Idempotent call; it stops when its caller leaves. */
+final class RepeatableCall implements CallInFlight {
+
+    private final PlainUpstream mUpstream;
+    private final Executor mLoop;
+    private final PlainCall mCall;
+    private final PlainCallListener mListener;
+    private Cancellable mExchange = () -> {};
+    private boolean mEnded;
+
+    RepeatableCall(
+            PlainUpstream upstream, Executor loop, PlainCall call, PlainCallListener listener) {
+        mUpstream = upstream;
+        mLoop = loop;
+        mCall = call;
+        mListener = listener;
+    }
+
+    @Override
+    public void start() {
+        mListener.sending();
+        mExchange =
+                mUpstream
+                        .send(mCall)
+                        .subscribe()
+                        .with(
+                                answer -> mLoop.execute(() -> answered(answer)),
+                                failure -> mLoop.execute(() -> failed(failure)));
+    }
+
+    @Override
+    public void cancel() {
+        if (!mEnded) {
+            mEnded = true;
+            mExchange.cancel();
+            mListener.ended();
+        }
+    }
+
+    private void answered(PlainAnswer answer) {
+        if (!mEnded) {
+            mEnded = true;
+            mListener.answered(answer);
+            mListener.ended();
+        }
+    }
+
+    private void failed(Throwable failure) {
+        if (!mEnded) {
+            mEnded = true;
+            mListener.failed(PlainFailures.ofSend(failure));
+            mListener.ended();
+        }
+    }
+}
--- /dev/null
+++ b/tanagergap-agent/src/main/java/org/tanagergap/agent/policy/PolicyTable.java
@@ -0,0 +1,91 @@
+package org.tanagergap.agent.policy;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.atomic.AtomicLong;
+import org.tanagergap.api.time.RuntimeClock;
+import org.tanagergap.decisions.policy.PolicyStamp;
+import org.tanagergap.protocol.v1.RankPolicy;
+
+/**
+ * Highest known version of each workspace's and each rank's scheduling properties. Requests with an
+ * older stamp, from an entry that is behind, are scheduled by the newer properties.
+ */
+public final class PolicyTable {
+
+    private static final Duration RETENTION = Duration.ofMinutes(10);
+
+    /** Seen workspaces are searched for old ones when this many more have been added. */
+    private static final int SWEEP_EVERY = 256;
+
+    private final RuntimeClock mClock;
+    private final Map<String, Weight> mWeights = new HashMap<>();
+    private final Map<String, Rank> mRanks = new HashMap<>();
+    private final AtomicLong mVersion = new AtomicLong();
+    private int mNextSweep = SWEEP_EVERY;
+
+    private record Weight(long version, int weight, long seenNanos) {}
+
+    private record Rank(long version, int priority, int floorPercent) {}
+
+    public PolicyTable(RuntimeClock clock) {
+        mClock = clock;
+    }
+
+    /** Configuration version in effect. */
+    public long version() {
+        return mVersion.get();
+    }
+
+    /** Applies the ranks of a configuration; returns false unless the version is higher. */
+    public synchronized boolean apply(long version, List<RankPolicy> ranks) {
+        if (version <= mVersion.get()) {
+            return false;
+        }
+        mVersion.set(version);
+        for (RankPolicy rank : ranks) {
+            mRanks.put(
+                    rank.getName(), new Rank(version, rank.getPriority(), rank.getFloorPercent()));
+        }
+        return true;
+    }
+
+    /** Merges a stamp with what is known and returns the stamp to schedule by. */
+    public synchronized PolicyStamp effective(PolicyStamp stamp) {
+        Weight weight = mWeights.get(stamp.workspace());
+        boolean newer = weight == null || stamp.configurationVersion() >= weight.version();
+        weight =
+                new Weight(
+                        newer ? stamp.configurationVersion() : weight.version(),
+                        newer ? stamp.weight() : weight.weight(),
+                        mClock.nanoTime());
+        mWeights.put(stamp.workspace(), weight);
+        Rank rank = mRanks.get(stamp.rank());
+        if (rank == null || stamp.configurationVersion() > rank.version()) {
+            rank =
+                    new Rank(
+                            stamp.configurationVersion(),
+                            stamp.rankPriority(),
+                            stamp.rankFloorPercent());
+            mRanks.put(stamp.rank(), rank);
+        }
+        sweep();
+        return new PolicyStamp(
+                Math.max(weight.version(), rank.version()),
+                stamp.workspace(),
+                weight.weight(),
+                stamp.rank(),
+                rank.priority(),
+                rank.floorPercent());
+    }
+
+    private void sweep() {
+        if (mWeights.size() >= mNextSweep) {
+            long oldest = mClock.nanoTime() - RETENTION.toNanos();
+            mWeights.values().removeIf(w -> w.seenNanos() - oldest < 0);
+            mNextSweep = mWeights.size() + SWEEP_EVERY;
+        }
+    }
+}
--- /dev/null
+++ b/tanagergap-agent/src/main/java/org/tanagergap/agent/server/GrpcEndpoint.java
@@ -0,0 +1,98 @@
+package org.tanagergap.agent.server;
+
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpServer;
+import io.vertx.core.http.HttpServerOptions;
+import io.vertx.grpc.server.GrpcServer;
+import io.vertx.grpc.server.GrpcServerOptions;
+import io.vertx.grpc.server.GrpcServerRequest;
+import io.vertx.grpc.server.GrpcServerResponse;
+import java.util.Objects;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
+import org.tanagergap.api.lifecycle.Service;
+import org.tanagergap.protocol.v1.RunEvent;
+import org.tanagergap.protocol.v1.RunRequest;
+import org.tanagergap.protocol.v1.UpstreamAgentGrpcService;
+import org.tanagergap.runtime.async.Futures;
+import org.tanagergap.runtime.settings.HostPort;
+
+/** Serves the agent's calls by gRPC. */
+public final class GrpcEndpoint implements Service {
+
+    /** Twice the largest body of a caller, which JSON and protobuf may enlarge. */
+    public static final int MAX_MESSAGE_BYTES = 32 * 1024 * 1024;
+
+    /** Time for the last events to reach their callers at shutdown. */
+    private static final long SHUTDOWN_SECONDS = 1;
+
+    private final Vertx mVertx;
+    private final HostPort mAddress;
+    private final UpstreamAgentCalls mCalls;
+    private HttpServer mServer;
+
+    public GrpcEndpoint(Vertx vertx, HostPort address, UpstreamAgentCalls calls) {
+        mVertx = Objects.requireNonNull(vertx, "vertx must not be null");
+        mAddress = Objects.requireNonNull(address, "address must not be null");
+        mCalls = Objects.requireNonNull(calls, "calls must not be null");
+    }
+
+    @Override
+    public CompletableFuture<Void> start() {
+        GrpcServerOptions options = new GrpcServerOptions().setMaxMessageSize(MAX_MESSAGE_BYTES);
+        GrpcServer grpc = GrpcServer.server(mVertx, options);
+        UpstreamAgentGrpcService.builder(mCalls)
+                .bind(
+                        UpstreamAgentGrpcService.Cancel,
+                        UpstreamAgentGrpcService.Hold,
+                        UpstreamAgentGrpcService.ReleaseHold,
+                        UpstreamAgentGrpcService.PrefillSegment,
+                        UpstreamAgentGrpcService.Exchange,
+                        UpstreamAgentGrpcService.Status)
+                .build()
+                .bind(grpc);
+        // The generated handler does not report when a caller closes the call.
+        grpc.callHandler(UpstreamAgentGrpcService.Run, this::run);
+        mServer = mVertx.createHttpServer(new HttpServerOptions()).requestHandler(grpc);
+        return Futures.toCompletable(mServer.listen(mAddress.port(), mAddress.host()).mapEmpty());
+    }
+
+    @Override
+    public CompletableFuture<Void> stop() {
+        Future<Void> closed =
+                mServer == null
+                        ? Future.succeededFuture()
+                        : mServer.shutdown(SHUTDOWN_SECONDS, TimeUnit.SECONDS);
+        return Futures.toCompletable(closed);
+    }
+
+    /** Port that the server listens on. */
+    public int port() {
+        return mServer.actualPort();
+    }
+
+    private void run(GrpcServerRequest<RunRequest, RunEvent> call) {
+        AtomicReference<Runnable> closed = new AtomicReference<>(() -> {});
+        // A reset stream and a broken connection are reported by either side of the call.
+        call.exceptionHandler(failure -> closed.get().run());
+        call.errorHandler(failure -> closed.get().run());
+        call.response().exceptionHandler(failure -> closed.get().run());
+        call.handler(request -> closed.set(mCalls.run(request, new ResponseSink(call.response()))));
+    }
+
+    private record ResponseSink(GrpcServerResponse<RunRequest, RunEvent> response)
+            implements org.tanagergap.agent.attempt.EventSink {
+
+        @Override
+        public void send(RunEvent event) {
+            response.write(event);
+        }
+
+        @Override
+        public void end() {
+            response.end();
+        }
+    }
+}
--- /dev/null
+++ b/tanagergap-agent/src/test/java/org/tanagergap/agent/RecordingSink.java
@@ -0,0 +1,43 @@
+package org.tanagergap.agent;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.tanagergap.agent.attempt.EventSink;
+import org.tanagergap.protocol.v1.Failed;
+import org.tanagergap.protocol.v1.RunEvent;
+
+/** Keeps the events of one attempt. */
+final class RecordingSink implements EventSink {
+
+    final List<RunEvent> mEvents = new ArrayList<>();
+    int mEnds;
+
+    @Override
+    public void send(RunEvent event) {
+        mEvents.add(event);
+    }
+
+    @Override
+    public void end() {
+        mEnds++;
+    }
+
+    RunEvent last() {
+        return mEvents.get(mEvents.size() - 1);
+    }
+
+    /** Code and execution of the failure, as {@code code/EXECUTION}; empty without one. */
+    String failure() {
+        Failed failed = mEvents.isEmpty() ? Failed.getDefaultInstance() : last().getFailed();
+        return failed.getCode().isEmpty()
+                ? ""
+                : failed.getCode() + "/" + failed.getExecution().name().substring(10);
+    }
+
+    List<Long> tokens() {
+        return mEvents.stream()
+                .filter(RunEvent::hasToken)
+                .map(e -> e.getToken().getIndex())
+                .toList();
+    }
+}
