--- /dev/null
+++ b/tanagergap-agent/src/test/java/org/tanagergap/agent/FakeIntentLog.java
@@ -0,0 +1,47 @@
+package org.tanagergap.agent;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import org.tanagergap.api.request.AttemptId;
+import org.tanagergap.state.intent.IntentDecision;
+import org.tanagergap.state.intent.IntentKey;
+import org.tanagergap.state.intent.IntentLog;
+import org.tanagergap.state.intent.RecordedAnswer;
+
+/** Intent log whose decisions a test makes by hand. */
+final class FakeIntentLog implements IntentLog {
+
+    final List<CompletableFuture<IntentDecision>> mBegun = new ArrayList<>();
+    final List<String> mHashes = new ArrayList<>();
+    final List<RecordedAnswer> mRecorded = new ArrayList<>();
+    final List<IntentKey> mAbandoned = new ArrayList<>();
+    CompletableFuture<Void> mRecording = CompletableFuture.completedFuture(null);
+
+    @Override
+    public CompletableFuture<IntentDecision> begin(
+            IntentKey key, String bodyHash, AttemptId attempt, Duration timeLeft) {
+        CompletableFuture<IntentDecision> decision = new CompletableFuture<>();
+        mBegun.add(decision);
+        mHashes.add(bodyHash);
+        return decision;
+    }
+
+    @Override
+    public CompletableFuture<Void> recordOutcome(
+            IntentKey key, AttemptId attempt, RecordedAnswer answer) {
+        mRecorded.add(answer);
+        return mRecording;
+    }
+
+    @Override
+    public CompletableFuture<Void> abandon(IntentKey key, AttemptId attempt) {
+        mAbandoned.add(key);
+        return CompletableFuture.completedFuture(null);
+    }
+
+    void decide(IntentDecision decision) {
+        mBegun.get(mBegun.size() - 1).complete(decision);
+    }
+}
