--- a/tanagergap-api/src/main/java/org/tanagergap/api/failure/FailureCode.java
+++ b/tanagergap-api/src/main/java/org/tanagergap/api/failure/FailureCode.java
@@ -22,6 +22,8 @@
     UNKNOWN_MODEL(404),
     /** The service does not exist. */
     UNKNOWN_SERVICE(404),
+    /** The body did not arrive in time. */
+    REQUEST_TIMEOUT(408),
     /** A call with the same idempotency key is still running. */
     IN_PROGRESS(409),
     /** An earlier call with the same key was sent and its outcome is not known. */
--- /dev/null
+++ b/tanagergap-entry/src/main/java/org/tanagergap/entry/agent/AgentClients.java
@@ -0,0 +1,74 @@
+package org.tanagergap.entry.agent;
+
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.http.Http2Settings;
+import io.vertx.core.http.HttpClientOptions;
+import io.vertx.core.net.SocketAddress;
+import io.vertx.grpc.client.GrpcClient;
+import io.vertx.grpc.client.GrpcClientOptions;
+import io.vertx.grpc.client.GrpcClientRequest;
+import java.util.Objects;
+import org.tanagergap.protocol.v1.EntryPeerGrpcClient;
+import org.tanagergap.protocol.v1.RunEvent;
+import org.tanagergap.protocol.v1.RunRequest;
+import org.tanagergap.protocol.v1.UpstreamAgentGrpcClient;
+import org.tanagergap.runtime.settings.HostPort;
+
+/** gRPC connections to agents and to other entries. */
+public final class AgentClients {
+
+    /** A body of 16 MiB can double when its text is encoded. */
+    public static final long MAX_MESSAGE_BYTES = 32L * 1024 * 1024;
+
+    private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
+    // One completion is one HTTP/2 stream; peers usually allow 100 to 256 on a connection.
+    private static final int STREAMS_PER_CONNECTION = 100;
+    private static final int STREAM_WINDOW_BYTES = 256 * 1024;
+
+    private final GrpcClient mClient;
+
+    public AgentClients(Vertx vertx) {
+        Objects.requireNonNull(vertx, "vertx must not be null");
+        mClient =
+                GrpcClient.client(
+                        vertx,
+                        new GrpcClientOptions().setMaxMessageSize(MAX_MESSAGE_BYTES),
+                        new HttpClientOptions()
+                                .setConnectTimeout(CONNECT_TIMEOUT_MILLIS)
+                                .setHttp2MultiplexingLimit(STREAMS_PER_CONNECTION)
+                                .setInitialSettings(
+                                        new Http2Settings()
+                                                .setInitialWindowSize(STREAM_WINDOW_BYTES)));
+    }
+
+    /** Connects to an agent for one attempt; nothing has been sent when the future fails. */
+    public Future<GrpcClientRequest<RunRequest, RunEvent>> connectForRun(String address) {
+        return socketAddress(address)
+                .compose(socket -> mClient.request(socket, UpstreamAgentGrpcClient.Run));
+    }
+
+    /** Client of an agent for calls other than Run. */
+    public Future<UpstreamAgentGrpcClient> agent(String address) {
+        return socketAddress(address).map(a -> UpstreamAgentGrpcClient.create(mClient, a));
+    }
+
+    /** Client of another entry. */
+    public EntryPeerGrpcClient peer(HostPort peer) {
+        return EntryPeerGrpcClient.create(
+                mClient, SocketAddress.inetSocketAddress(peer.port(), peer.host()));
+    }
+
+    /** Closes all connections. */
+    public Future<Void> close() {
+        return mClient.close();
+    }
+
+    private static Future<SocketAddress> socketAddress(String address) {
+        return HostPort.parse(address)
+                .map(a -> SocketAddress.inetSocketAddress(a.port(), a.host()))
+                .map(Future::succeededFuture)
+                .orElseGet(
+                        () -> Future.failedFuture("address \"" + address + "\" is not host:port"));
+    }
+}
--- /dev/null
+++ b/tanagergap-entry/src/main/java/org/tanagergap/entry/configuration/ConfigurationFeed.java
@@ -0,0 +1,101 @@
+package org.tanagergap.entry.configuration;
+
+import com.google.common.flogger.FluentLogger;
+import io.smallrye.mutiny.subscription.Cancellable;
+import io.vertx.core.Future;
+import java.time.Duration;
+import java.util.List;
+import java.util.Objects;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.tanagergap.api.lifecycle.Service;
+import org.tanagergap.api.time.RuntimeClock;
+import org.tanagergap.entry.agent.AgentClients;
+import org.tanagergap.protocol.v1.ConfigurationReply;
+import org.tanagergap.protocol.v1.ConfigurationRequest;
+import org.tanagergap.runtime.settings.HostPort;
+import org.tanagergap.runtime.time.PeriodicTask;
+import org.tanagergap.state.configuration.ConfigurationStore;
+import org.tanagergap.state.configuration.StoredConfiguration;
+
+/**
+ * Feeds the view from the key-value service and, until that has delivered a configuration, from the
+ * peers.
+ */
+public final class ConfigurationFeed implements Service {
+
+    private static final FluentLogger sLogger = FluentLogger.forEnclosingClass();
+
+    private static final Duration PEER_INTERVAL = Duration.ofSeconds(1);
+    private static final long PEER_TIMEOUT_MILLIS = 1_000;
+
+    private final ConfigurationStore mStore;
+    private final ConfigurationView mView;
+    private final AgentClients mClients;
+    private final List<HostPort> mPeers;
+    private final PeriodicTask mPeerTask;
+    private volatile boolean mStoreAnswered;
+    private Cancellable mWatch = () -> {};
+
+    public ConfigurationFeed(
+            ConfigurationStore store,
+            ConfigurationView view,
+            AgentClients clients,
+            List<HostPort> peers,
+            RuntimeClock clock) {
+        mStore = Objects.requireNonNull(store, "store must not be null");
+        mView = Objects.requireNonNull(view, "view must not be null");
+        mClients = Objects.requireNonNull(clients, "clients must not be null");
+        mPeers = List.copyOf(peers);
+        mPeerTask = new PeriodicTask(clock, PEER_INTERVAL, this::askPeers);
+    }
+
+    @Override
+    public CompletableFuture<Void> start() {
+        mWatch =
+                mStore.watch()
+                        .subscribe()
+                        .with(
+                                this::storeEmitted,
+                                failure ->
+                                        sLogger.atSevere().withCause(failure).log(
+                                                "the watch of the configuration ended"));
+        return mPeers.isEmpty() ? CompletableFuture.completedFuture(null) : mPeerTask.start();
+    }
+
+    @Override
+    public CompletableFuture<Void> stop() {
+        mWatch.cancel();
+        return mPeerTask.stop();
+    }
+
+    private void storeEmitted(StoredConfiguration stored) {
+        mStoreAnswered = true;
+        mView.offer(stored);
+    }
+
+    private void askPeers() {
+        if (mStoreAnswered) {
+            return;
+        }
+        ConfigurationRequest request =
+                ConfigurationRequest.newBuilder()
+                        .setKnownVersion(mView.current().version())
+                        .build();
+        for (HostPort peer : mPeers) {
+            Future<ConfigurationReply> reply =
+                    mClients.peer(peer)
+                            .configuration(request)
+                            .timeout(PEER_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+            reply.onComplete(
+                    this::peerAnswered,
+                    failure -> sLogger.atFine().log("peer %s did not answer: %s", peer, failure));
+        }
+    }
+
+    private void peerAnswered(ConfigurationReply reply) {
+        if (!reply.getDocument().isEmpty()) {
+            mView.offer(new StoredConfiguration(reply.getVersion(), reply.getDocument()));
+        }
+    }
+}
--- /dev/null
+++ b/tanagergap-entry/src/main/java/org/tanagergap/entry/configuration/PeerServer.java
@@ -0,0 +1,67 @@
+package org.tanagergap.entry.configuration;
+
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpServer;
+import io.vertx.grpc.server.GrpcServer;
+import io.vertx.grpc.server.GrpcServerOptions;
+import java.util.Objects;
+import java.util.concurrent.CompletableFuture;
+import org.tanagergap.api.lifecycle.Service;
+import org.tanagergap.entry.agent.AgentClients;
+import org.tanagergap.protocol.v1.ConfigurationReply;
+import org.tanagergap.protocol.v1.ConfigurationRequest;
+import org.tanagergap.protocol.v1.EntryPeerGrpcService;
+import org.tanagergap.protocol.v1.EntryPeerService;
+import org.tanagergap.runtime.async.Futures;
+import org.tanagergap.runtime.settings.HostPort;
+
+/** Serves the configuration in effect to other entries and to operators. */
+public final class PeerServer implements Service {
+
+    private final Vertx mVertx;
+    private final HostPort mAddress;
+    private final ConfigurationView mView;
+    private HttpServer mServer;
+
+    public PeerServer(Vertx vertx, HostPort address, ConfigurationView view) {
+        mVertx = Objects.requireNonNull(vertx, "vertx must not be null");
+        mAddress = Objects.requireNonNull(address, "address must not be null");
+        mView = Objects.requireNonNull(view, "view must not be null");
+    }
+
+    @Override
+    public CompletableFuture<Void> start() {
+        GrpcServer grpc =
+                GrpcServer.server(
+                        mVertx,
+                        new GrpcServerOptions().setMaxMessageSize(AgentClients.MAX_MESSAGE_BYTES));
+        grpc.addService(EntryPeerGrpcService.of(new Handler()));
+        mServer = mVertx.createHttpServer().requestHandler(grpc);
+        return Futures.toCompletable(mServer.listen(mAddress.port(), mAddress.host()).mapEmpty());
+    }
+
+    @Override
+    public CompletableFuture<Void> stop() {
+        return Futures.toCompletable(
+                mServer == null ? Future.<Void>succeededFuture() : mServer.close());
+    }
+
+    /** Port that the server listens on. */
+    public int port() {
+        return mServer.actualPort();
+    }
+
+    private final class Handler extends EntryPeerService {
+        @Override
+        public Future<ConfigurationReply> configuration(ConfigurationRequest request) {
+            ConfigurationSnapshot snapshot = mView.current();
+            ConfigurationReply.Builder reply =
+                    ConfigurationReply.newBuilder().setVersion(snapshot.version());
+            if (snapshot.version() > request.getKnownVersion()) {
+                reply.setDocument(snapshot.document());
+            }
+            return Future.succeededFuture(reply.build());
+        }
+    }
+}
--- /dev/null
+++ b/tanagergap-entry/src/main/java/org/tanagergap/entry/execution/AttemptListener.java
@@ -0,0 +1,14 @@
+package org.tanagergap.entry.execution;
+
+import org.tanagergap.api.failure.RequestFailure;
+import org.tanagergap.protocol.v1.RunEvent;
+
+/** Receives the accepted events and the end of one attempt, on the request's event loop. */
+interface AttemptListener {
+
+    /** Receives an event other than a failure. */
+    void event(Attempt attempt, RunEvent event);
+
+    /** The attempt failed; called at most once and never after the finished event. */
+    void failed(Attempt attempt, RequestFailure failure);
+}
--- /dev/null
+++ b/tanagergap-entry/src/main/java/org/tanagergap/entry/execution/CallerRequest.java
@@ -0,0 +1,25 @@
+package org.tanagergap.entry.execution;
+
+import io.opentelemetry.api.trace.Span;
+import java.util.Objects;
+import org.tanagergap.api.request.RequestId;
+import org.tanagergap.api.time.Deadline;
+import org.tanagergap.decisions.policy.PolicyStamp;
+
+/**
+ * Accepted request of a caller.
+ *
+ * @param id identifier of the request
+ * @param service name of the service
+ * @param policy scheduling properties
+ * @param deadline time by which the request finishes or fails
+ * @param work what the upstream is asked to do
+ * @param span span of the request
+ */
+public record CallerRequest(
+        RequestId id, String service, PolicyStamp policy, Deadline deadline, Work work, Span span) {
+    public CallerRequest {
+        Objects.requireNonNull(id, "id must not be null");
+        Objects.requireNonNull(work, "work must not be null");
+    }
+}
--- /dev/null
+++ b/tanagergap-entry/src/main/java/org/tanagergap/entry/execution/EventVerdict.java
@@ -0,0 +1,18 @@
+package org.tanagergap.entry.execution;
+
+/** What to do with an event of an attempt. */
+enum EventVerdict {
+    ACCEPT,
+    /** The event carries the identifier of another attempt. */
+    CROSSED,
+    /** The token was received before. */
+    DUPLICATE,
+    /** At least one token before this one is missing; the attempt fails. */
+    GAP,
+    /** The attempt has ended. */
+    LATE;
+
+    String label() {
+        return name().toLowerCase(java.util.Locale.ROOT);
+    }
+}
--- /dev/null
+++ b/tanagergap-entry/src/main/java/org/tanagergap/entry/execution/ExecutorContext.java
@@ -0,0 +1,31 @@
+package org.tanagergap.entry.execution;
+
+import io.vertx.core.Vertx;
+import org.tanagergap.api.time.RuntimeClock;
+import org.tanagergap.decisions.routing.RequestRouter;
+import org.tanagergap.entry.agent.AgentActivity;
+import org.tanagergap.entry.agent.AgentClients;
+import org.tanagergap.entry.metrics.EntryMetrics;
+import org.tanagergap.runtime.trace.Tracing;
+
+/**
+ * What all requests of an entry share.
+ *
+ * @param vertx event loops
+ * @param clock source of time
+ * @param router chooses agents
+ * @param clients connections to agents
+ * @param activity when agents were last heard
+ * @param retries decides about further attempts
+ * @param metrics metrics of the entry
+ * @param tracing creates spans
+ */
+public record ExecutorContext(
+        Vertx vertx,
+        RuntimeClock clock,
+        RequestRouter router,
+        AgentClients clients,
+        AgentActivity activity,
+        RetryGate retries,
+        EntryMetrics metrics,
+        Tracing tracing) {}
--- /dev/null
+++ b/tanagergap-entry/src/main/java/org/tanagergap/entry/execution/RequestExecutor.java
@@ -0,0 +1,25 @@
+package org.tanagergap.entry.execution;
+
+import java.util.Objects;
+
+/** Runs requests of callers on agents. */
+public final class RequestExecutor {
+
+    private final ExecutorContext mContext;
+
+    public RequestExecutor(ExecutorContext context) {
+        mContext = Objects.requireNonNull(context, "context must not be null");
+    }
+
+    /**
+     * Runs a request; the answer arrives at the sink on the calling event loop. Exactly one of
+     * {@link AnswerSink#finished} and {@link AnswerSink#failed} is called, by the deadline at the
+     * latest, unless the caller disconnects first.
+     */
+    public RunHandle execute(CallerRequest request, AnswerSink sink) {
+        RequestRun run =
+                new RequestRun(mContext, request, sink, mContext.vertx().getOrCreateContext());
+        run.start();
+        return run::callerDisconnected;
+    }
+}
--- /dev/null
+++ b/tanagergap-entry/src/main/java/org/tanagergap/entry/execution/SpanReservation.java
@@ -0,0 +1,19 @@
+package org.tanagergap.entry.execution;
+
+import java.util.List;
+import org.tanagergap.protocol.v1.SegmentHandle;
+
+/**
+ * Memory reserved and segments prefilled for a prompt that spans several engines.
+ *
+ * @param holdId identifier of the reservation; empty for prompts that fit one engine
+ * @param segments prefilled segments
+ */
+record SpanReservation(String holdId, List<SegmentHandle> segments) {
+
+    static final SpanReservation NONE = new SpanReservation("", List.of());
+
+    SpanReservation {
+        segments = List.copyOf(segments);
+    }
+}
