--- /dev/null
+++ b/tanagergap-entry/src/main/java/org/tanagergap/entry/caller/BodyReader.java
@@ -0,0 +1,140 @@
+package org.tanagergap.entry.caller;
+
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpServerRequest;
+import java.time.Duration;
+import java.util.function.Consumer;
+import org.tanagergap.api.failure.FailureCode;
+import org.tanagergap.api.failure.RequestFailure;
+import org.tanagergap.api.time.Timer;
+
+/** Reads the body of one call within the limits on its size, its time and the bytes in flight. */
+final class BodyReader {
+
+    private static final String BODY_FIELD = "body";
+    private static final Duration OVERLOADED_RETRY_AFTER = Duration.ofMillis(500);
+
+    /** Time for the caller to read a refusal before its unfinished body ends the connection. */
+    private static final Duration LINGER = Duration.ofSeconds(1);
+
+    private final CallerShared mShared;
+    private final CallerCall mCall;
+    private final HttpServerRequest mRequest;
+    private final Consumer<Buffer> mConsumer;
+    private final Buffer mBody = Buffer.buffer();
+    private boolean mEnded;
+    private Timer mTimer = () -> {};
+
+    private BodyReader(CallerShared shared, CallerCall call, Consumer<Buffer> consumer) {
+        mShared = shared;
+        mCall = call;
+        mRequest = call.context().request();
+        mConsumer = consumer;
+    }
+
+    /** Reads the body and passes it on, or refuses the call. */
+    static void read(CallerShared shared, CallerCall call, Consumer<Buffer> consumer) {
+        new BodyReader(shared, call, consumer).start();
+    }
+
+    private void start() {
+        long declared = declaredBytes();
+        if (declared > mShared.settings().maxBodyBytes()) {
+            discard();
+            refuse(tooLarge());
+            return;
+        }
+        var eventLoop = mShared.vertx().getOrCreateContext();
+        mTimer =
+                mShared.clock()
+                        .schedule(
+                                mShared.settings().bodyTimeout(),
+                                () -> eventLoop.runOnContext(ignored -> timedOut()));
+        mCall.onDisconnect(this::abandoned);
+        mRequest.exceptionHandler(ignored -> abandoned());
+        mRequest.handler(this::received);
+        mRequest.endHandler(ignored -> completed());
+    }
+
+    private long declaredBytes() {
+        String length = mRequest.getHeader("Content-Length");
+        try {
+            return length == null ? 0 : Long.parseLong(length);
+        } catch (NumberFormatException e) {
+            return 0;
+        }
+    }
+
+    private void received(Buffer chunk) {
+        if (mEnded) {
+            return;
+        }
+        if (mBody.length() + (long) chunk.length() > mShared.settings().maxBodyBytes()) {
+            refuse(tooLarge());
+        } else if (!mCall.tryReserve(chunk.length())) {
+            refuse(
+                    RequestFailure.notRun(
+                                    FailureCode.OVERLOADED,
+                                    "the entry holds too many bytes of bodies")
+                            .withField(BODY_FIELD)
+                            .withRetryAfter(OVERLOADED_RETRY_AFTER));
+        } else {
+            mBody.appendBuffer(chunk);
+        }
+    }
+
+    private void completed() {
+        if (!mEnded) {
+            mEnded = true;
+            mTimer.cancel();
+            mConsumer.accept(mBody);
+        }
+    }
+
+    private void timedOut() {
+        if (!mEnded) {
+            refuse(
+                    RequestFailure.notRun(
+                                    FailureCode.REQUEST_TIMEOUT,
+                                    "the body did not arrive within "
+                                            + mShared.settings().bodyTimeout().toMillis()
+                                            + " ms")
+                            .withField(BODY_FIELD));
+        }
+    }
+
+    private void abandoned() {
+        if (!mEnded) {
+            mEnded = true;
+            mTimer.cancel();
+            mCall.abandoned();
+        }
+    }
+
+    private RequestFailure tooLarge() {
+        return RequestFailure.notRun(
+                        FailureCode.BODY_TOO_LARGE,
+                        "the body exceeds " + mShared.settings().maxBodyBytes() + " bytes")
+                .withField(BODY_FIELD);
+    }
+
+    private void refuse(RequestFailure failure) {
+        mEnded = true;
+        mTimer.cancel();
+        mCall.refuse(failure);
+        var eventLoop = mShared.vertx().getOrCreateContext();
+        mShared.clock()
+                .schedule(LINGER, () -> eventLoop.runOnContext(ignored -> closeIfUnfinished()));
+    }
+
+    private void closeIfUnfinished() {
+        if (!mRequest.isEnded()) {
+            mRequest.connection().close();
+        }
+    }
+
+    private void discard() {
+        mRequest.exceptionHandler(ignored -> {});
+        mRequest.handler(ignored -> {});
+    }
+}
--- /dev/null
+++ b/tanagergap-entry/src/main/java/org/tanagergap/entry/caller/CallerCall.java
@@ -0,0 +1,173 @@
+package org.tanagergap.entry.caller;
+
+import com.google.common.flogger.FluentLogger;
+import io.opentelemetry.api.trace.Span;
+import io.opentelemetry.api.trace.StatusCode;
+import io.vertx.core.http.HttpServerResponse;
+import io.vertx.ext.web.RoutingContext;
+import java.time.Duration;
+import org.tanagergap.api.failure.RequestFailure;
+import org.tanagergap.api.request.LengthBand;
+import org.tanagergap.api.request.RequestId;
+import org.tanagergap.entry.execution.CallerRequest;
+import org.tanagergap.entry.execution.Work;
+import org.tanagergap.runtime.log.LogKeys;
+
+/** One call on the caller port, from its head to its end. Confined to one event loop. */
+final class CallerCall {
+
+    private static final FluentLogger sLogger = FluentLogger.forEnclosingClass();
+
+    private static final String NO_RANK = "none";
+    private static final long MILLIS_PER_SECOND = 1_000;
+
+    private final CallerShared mShared;
+    private final RoutingContext mContext;
+    private final RequestId mId;
+    private final Span mSpan;
+    private final long mStartNanos;
+    private CallerPolicy mPolicy;
+    private long mReservedBytes;
+    private Runnable mDisconnectTask = () -> {};
+    private boolean mDisconnected;
+    private boolean mEnded;
+
+    CallerCall(CallerShared shared, RoutingContext context, RequestId id, Span span) {
+        mShared = shared;
+        mContext = context;
+        mId = id;
+        mSpan = span;
+        mStartNanos = shared.clock().nanoTime();
+        mSpan.setAttribute("request_id", id.value());
+        response().putHeader(CallerHeaders.REQUEST_ID, id.value());
+        response().closeHandler(ignored -> connectionClosed());
+        response().exceptionHandler(ignored -> connectionClosed());
+    }
+
+    RoutingContext context() {
+        return mContext;
+    }
+
+    HttpServerResponse response() {
+        return mContext.response();
+    }
+
+    RequestId id() {
+        return mId;
+    }
+
+    boolean isDisconnected() {
+        return mDisconnected;
+    }
+
+    boolean hasEnded() {
+        return mEnded;
+    }
+
+    CallerPolicy policy() {
+        return mPolicy;
+    }
+
+    void selectPolicy(CallerPolicy policy) {
+        mPolicy = policy;
+        mSpan.setAttribute("workspace", policy.workspace().name());
+        mSpan.setAttribute("rank", policy.rank().name());
+    }
+
+    /** Request for the executor. */
+    CallerRequest request(String service, Work work) {
+        return new CallerRequest(mId, service, mPolicy.stamp(), mPolicy.deadline(), work, mSpan);
+    }
+
+    /** Counts bytes of the body as in flight until the call ends; false over the bound. */
+    boolean tryReserve(long bytes) {
+        if (!mShared.bytesInFlight().tryReserve(bytes)) {
+            return false;
+        }
+        mReservedBytes += bytes;
+        return true;
+    }
+
+    /** Sets the task that runs when the caller disconnects before the end. */
+    void onDisconnect(Runnable task) {
+        mDisconnectTask = task;
+        if (mDisconnected) {
+            task.run();
+        }
+    }
+
+    void firstToken(LengthBand band) {
+        Duration time = Duration.ofNanos(mShared.clock().nanoTime() - mStartNanos);
+        mShared.metrics().firstToken(rank(), band, time);
+        mSpan.addEvent("first_token");
+    }
+
+    /** Ends the call after a complete answer. */
+    void succeeded() {
+        end("ok", StatusCode.OK);
+    }
+
+    /** Ends the call with an error answer; the head of the answer must not have been sent. */
+    void refuse(RequestFailure failure) {
+        if (mEnded) {
+            return;
+        }
+        if (!mDisconnected) {
+            HttpServerResponse response = response();
+            response.setStatusCode(failure.code().httpStatus());
+            failure.retryAfter()
+                    .map(after -> Math.max(1, after.toMillis() / MILLIS_PER_SECOND))
+                    .ifPresent(after -> response.putHeader("Retry-After", Long.toString(after)));
+            response.putHeader("Content-Type", "application/json");
+            response.end(ErrorBody.of(failure, mId).toBuffer());
+        }
+        failed(failure);
+    }
+
+    /** Ends the call whose error answer has been sent. */
+    void failed(RequestFailure failure) {
+        if (mEnded) {
+            return;
+        }
+        sLogger.atInfo()
+                .with(LogKeys.REQUEST_ID, mId.value())
+                .with(LogKeys.WORKSPACE, mPolicy == null ? "" : mPolicy.workspace().name())
+                .with(LogKeys.CODE, failure.code().wireName())
+                .withCause(failure.getCause())
+                .log(
+                        "request failed: %s; execution %s; field %s",
+                        failure.getMessage(),
+                        failure.execution().wireName(),
+                        failure.field().orElse("none"));
+        end(failure.code().wireName(), StatusCode.ERROR);
+    }
+
+    /** Ends the call of a caller that has disconnected. */
+    void abandoned() {
+        end("caller_disconnected", StatusCode.ERROR);
+    }
+
+    private void connectionClosed() {
+        if (!mEnded && !mDisconnected) {
+            mDisconnected = true;
+            mDisconnectTask.run();
+        }
+    }
+
+    private void end(String code, StatusCode status) {
+        if (mEnded) {
+            return;
+        }
+        mEnded = true;
+        mShared.bytesInFlight().release(mReservedBytes);
+        mShared.metrics().requestEnded(rank(), code);
+        mSpan.setAttribute("code", code);
+        mSpan.setStatus(status);
+        mSpan.end();
+        mShared.requestsInFlight().end();
+    }
+
+    private String rank() {
+        return mPolicy == null ? NO_RANK : mPolicy.rank().name();
+    }
+}
--- /dev/null
+++ b/tanagergap-entry/src/main/java/org/tanagergap/entry/caller/CallerSettings.java
@@ -0,0 +1,21 @@
+package org.tanagergap.entry.caller;
+
+import java.time.Duration;
+import java.util.Objects;
+import org.tanagergap.runtime.settings.HostPort;
+
+/**
+ * Settings of the caller API.
+ *
+ * @param listen address of the caller port
+ * @param maxBodyBytes largest body
+ * @param maxBytesInFlight most bytes of bodies that the entry holds at once
+ * @param bodyTimeout time within which a body must arrive
+ */
+public record CallerSettings(
+        HostPort listen, long maxBodyBytes, long maxBytesInFlight, Duration bodyTimeout) {
+    public CallerSettings {
+        Objects.requireNonNull(listen, "listen must not be null");
+        Objects.requireNonNull(bodyTimeout, "bodyTimeout must not be null");
+    }
+}
--- /dev/null
+++ b/tanagergap-entry/src/main/java/org/tanagergap/entry/caller/CallerShared.java
@@ -0,0 +1,31 @@
+package org.tanagergap.entry.caller;
+
+import io.vertx.core.Vertx;
+import org.tanagergap.api.time.RuntimeClock;
+import org.tanagergap.entry.metrics.EntryMetrics;
+import org.tanagergap.entry.execution.RequestExecutor;
+import org.tanagergap.runtime.trace.Tracing;
+
+/**
+ * What all calls on the caller port share.
+ *
+ * @param vertx event loops
+ * @param clock source of time
+ * @param settings settings of the caller API
+ * @param executor runs requests
+ * @param tokens estimates the length of prompts
+ * @param metrics metrics of the entry
+ * @param tracing creates spans
+ * @param bytesInFlight bounds the bytes of bodies
+ * @param requestsInFlight counts requests
+ */
+public record CallerShared(
+        Vertx vertx,
+        RuntimeClock clock,
+        CallerSettings settings,
+        RequestExecutor executor,
+        PromptMeter tokens,
+        EntryMetrics metrics,
+        Tracing tracing,
+        BytesInFlight bytesInFlight,
+        RequestsInFlight requestsInFlight) {}
--- /dev/null
+++ b/tanagergap-entry/src/main/java/org/tanagergap/entry/caller/CompletionAnswer.java
@@ -0,0 +1,82 @@
+package org.tanagergap.entry.caller;
+
+import io.vertx.core.http.HttpServerResponse;
+import org.tanagergap.api.failure.RequestFailure;
+import org.tanagergap.api.request.LengthBand;
+import org.tanagergap.entry.execution.AnswerSink;
+import org.tanagergap.protocol.v1.Finished;
+
+/** Sends a completion to its caller, as a stream of events or as one JSON document. */
+final class CompletionAnswer implements AnswerSink {
+
+    private final CallerCall mCall;
+    private final CompletionFormat mFormat;
+    private final LengthBand mBand;
+    private final boolean mStream;
+    private final StringBuilder mText = new StringBuilder();
+    private boolean mStarted;
+
+    CompletionAnswer(CallerCall call, CompletionFormat format, LengthBand band, boolean stream) {
+        mCall = call;
+        mFormat = format;
+        mBand = band;
+        mStream = stream;
+    }
+
+    @Override
+    public void token(String text) {
+        if (!mStarted) {
+            mStarted = true;
+            mCall.firstToken(mBand);
+            startStream();
+        }
+        if (mStream) {
+            mCall.response().write(mFormat.token(text));
+        } else {
+            mText.append(text);
+        }
+    }
+
+    @Override
+    public boolean isFull() {
+        return mStream && mCall.response().writeQueueFull();
+    }
+
+    @Override
+    public void onDrain(Runnable task) {
+        mCall.response().drainHandler(ignored -> task.run());
+    }
+
+    @Override
+    public void finished(Finished finished) {
+        if (mStream) {
+            startStream();
+            mCall.response().end(mFormat.end(finished));
+        } else {
+            mCall.response()
+                    .putHeader("Content-Type", "application/json")
+                    .end(mFormat.whole(mText.toString(), finished).toBuffer());
+        }
+        mCall.succeeded();
+    }
+
+    @Override
+    public void failed(RequestFailure failure) {
+        if (!mCall.response().headWritten()) {
+            mCall.refuse(failure);
+            return;
+        }
+        String body = ErrorBody.of(failure, mCall.id()).encode();
+        mCall.response().end("event: error\ndata: " + body + "\n\n");
+        mCall.failed(failure);
+    }
+
+    private void startStream() {
+        HttpServerResponse response = mCall.response();
+        if (mStream && !response.headWritten() && !response.isChunked()) {
+            response.setChunked(true)
+                    .putHeader("Content-Type", "text/event-stream")
+                    .putHeader("Cache-Control", "no-cache");
+        }
+    }
+}
--- /dev/null
+++ b/tanagergap-entry/src/main/java/org/tanagergap/entry/caller/CompletionParser.java
@@ -0,0 +1,112 @@
+package org.tanagergap.entry.caller;
+
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.json.DecodeException;
+import io.vertx.core.json.Json;
+import io.vertx.core.json.JsonArray;
+import io.vertx.core.json.JsonObject;
+import java.nio.charset.StandardCharsets;
+import org.tanagergap.api.failure.FailureCode;
+import org.tanagergap.api.failure.RequestFailure;
+
+/** Reads the bodies of completion requests; fields are named by JSON pointers. */
+final class CompletionParser {
+
+    private static final long DEFAULT_MAX_TOKENS = 256;
+    private static final long MAX_MAX_TOKENS = 1_000_000;
+
+    private CompletionParser() {}
+
+    /** Parses a body; throws {@link RequestFailure} when it is not valid. */
+    static ParsedCompletion parse(Buffer body, boolean chat) {
+        JsonObject json = object(body);
+        String model = text(json, "model", "/model");
+        long maxTokens = wholeNumber(json, "max_tokens", DEFAULT_MAX_TOKENS, MAX_MAX_TOKENS);
+        // The engine's protocol has one answer for each prompt.
+        wholeNumber(json, "n", 1, 1);
+        boolean stream = flag(json, "stream");
+        String prompt = chat ? messages(json) : text(json, "prompt", "/prompt");
+        long bytes = prompt.getBytes(StandardCharsets.UTF_8).length;
+        return new ParsedCompletion(model, prompt, bytes, maxTokens, stream, chat);
+    }
+
+    private static JsonObject object(Buffer body) {
+        try {
+            if (Json.decodeValue(body) instanceof JsonObject json) {
+                return json;
+            }
+        } catch (DecodeException e) {
+            throw malformed("", "the body is not valid JSON").withCause(e);
+        }
+        throw malformed("", "the body must be a JSON object");
+    }
+
+    // Engines take one text, so that each message becomes a paragraph headed by its role.
+    private static String messages(JsonObject json) {
+        if (!(json.getValue("messages") instanceof JsonArray messages) || messages.isEmpty()) {
+            throw malformed("/messages", "messages must be a list with at least one message");
+        }
+        StringBuilder prompt = new StringBuilder();
+        for (int i = 0; i < messages.size(); i++) {
+            String place = "/messages/" + i;
+            if (!(messages.getValue(i) instanceof JsonObject message)) {
+                throw malformed(place, "a message must be an object");
+            }
+            prompt.append(text(message, "role", place + "/role"))
+                    .append(": ")
+                    .append(content(message, place + "/content"))
+                    .append("\n\n");
+        }
+        return prompt.append("assistant:").toString();
+    }
+
+    private static String content(JsonObject message, String place) {
+        if (!(message.getValue("content") instanceof JsonArray parts)) {
+            return text(message, "content", place);
+        }
+        StringBuilder content = new StringBuilder();
+        for (int i = 0; i < parts.size(); i++) {
+            String partPlace = place + "/" + i;
+            if (!(parts.getValue(i) instanceof JsonObject part)
+                    || !"text".equals(part.getValue("type"))) {
+                throw malformed(partPlace, "a part of a message must be of type \"text\"");
+            }
+            content.append(text(part, "text", partPlace + "/text"));
+        }
+        return content.toString();
+    }
+
+    private static String text(JsonObject json, String name, String place) {
+        if (json.getValue(name) instanceof String value && !value.isEmpty()) {
+            return value;
+        }
+        throw malformed(place, name + " must be a text that is not empty");
+    }
+
+    private static long wholeNumber(JsonObject json, String name, long defaultValue, long max) {
+        Object value = json.getValue(name);
+        if (value == null) {
+            return defaultValue;
+        }
+        if ((value instanceof Integer || value instanceof Long)
+                && ((Number) value).longValue() >= 1
+                && ((Number) value).longValue() <= max) {
+            return ((Number) value).longValue();
+        }
+        throw malformed("/" + name, name + " must be a whole number from 1 to " + max);
+    }
+
+    private static boolean flag(JsonObject json, String name) {
+        Object value = json.getValue(name);
+        if (value == null || value instanceof Boolean) {
+            return Boolean.TRUE.equals(value);
+        }
+        throw malformed("/" + name, name + " must be true or false");
+    }
+
+    // The JSON pointer of the whole document is the empty text, which says little in an answer.
+    private static RequestFailure malformed(String place, String message) {
+        return RequestFailure.notRun(FailureCode.MALFORMED_REQUEST, message)
+                .withField(place.isEmpty() ? "body" : place);
+    }
+}
--- /dev/null
+++ b/tanagergap-entry/src/main/java/org/tanagergap/entry/caller/ErrorBody.java
@@ -0,0 +1,23 @@
+package org.tanagergap.entry.caller;
+
+import io.vertx.core.json.JsonObject;
+import org.tanagergap.api.failure.RequestFailure;
+import org.tanagergap.api.request.RequestId;
+
+/** Writes the one body that all failures have. */
+final class ErrorBody {
+
+    private ErrorBody() {}
+
+    static JsonObject of(RequestFailure failure, RequestId id) {
+        JsonObject error =
+                new JsonObject()
+                        .put("code", failure.code().wireName())
+                        .put("message", failure.getMessage());
+        failure.field().ifPresent(field -> error.put("field", field));
+        error.put("execution", failure.execution().wireName());
+        failure.retryAfter().ifPresent(after -> error.put("retry_after_ms", after.toMillis()));
+        error.put("request_id", id.value());
+        return new JsonObject().put("error", error);
+    }
+}
--- /dev/null
+++ b/tanagergap-entry/src/main/java/org/tanagergap/entry/caller/ForwardedHeaders.java
@@ -0,0 +1,58 @@
+package org.tanagergap.entry.caller;
+
+import io.vertx.core.MultiMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Set;
+import org.tanagergap.protocol.v1.Header;
+
+/** Decides which headers pass between callers and plain services. */
+final class ForwardedHeaders {
+
+    private static final String OWN_PREFIX = "tanagergap-";
+
+    /** Headers that concern one connection (RFC 9110, section 7.6.1) or its framing. */
+    private static final Set<String> CONNECTION_HEADERS =
+            Set.of(
+                    "connection",
+                    "proxy-connection",
+                    "keep-alive",
+                    "te",
+                    "trailer",
+                    "transfer-encoding",
+                    "upgrade",
+                    "http2-settings",
+                    "content-length",
+                    "expect",
+                    "host");
+
+    /** Headers that address this system: the key must not reach upstreams. */
+    private static final Set<String> SYSTEM_HEADERS =
+            Set.of(
+                    "authorization",
+                    "proxy-authorization",
+                    "idempotency-key",
+                    "traceparent",
+                    "tracestate");
+
+    private ForwardedHeaders() {}
+
+    static List<Header> ofCaller(MultiMap headers) {
+        return headers.entries().stream()
+                .filter(h -> isForwardedToUpstream(h.getKey()))
+                .map(h -> Header.newBuilder().setName(h.getKey()).setValue(h.getValue()).build())
+                .toList();
+    }
+
+    static boolean isForwardedToCaller(String name) {
+        String lower = name.toLowerCase(Locale.ROOT);
+        return !CONNECTION_HEADERS.contains(lower) && !lower.startsWith(OWN_PREFIX);
+    }
+
+    private static boolean isForwardedToUpstream(String name) {
+        String lower = name.toLowerCase(Locale.ROOT);
+        return !CONNECTION_HEADERS.contains(lower)
+                && !SYSTEM_HEADERS.contains(lower)
+                && !lower.startsWith(OWN_PREFIX);
+    }
+}
--- /dev/null
+++ b/tanagergap-entry/src/main/java/org/tanagergap/entry/caller/ParsedCompletion.java
@@ -0,0 +1,19 @@
+package org.tanagergap.entry.caller;
+
+/**
+ * Body of a completion request.
+ *
+ * @param model name of the model
+ * @param prompt text of the prompt
+ * @param promptBytes length of the prompt in UTF-8
+ * @param maxTokens most tokens to generate
+ * @param stream whether the answer is a stream of events
+ * @param chat whether the answer has the format of chat completions
+ */
+record ParsedCompletion(
+        String model,
+        String prompt,
+        long promptBytes,
+        long maxTokens,
+        boolean stream,
+        boolean chat) {}
--- /dev/null
+++ b/tanagergap-entry/src/main/java/org/tanagergap/entry/caller/PlainAnswer.java
@@ -0,0 +1,91 @@
+package org.tanagergap.entry.caller;
+
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpServerResponse;
+import org.tanagergap.api.failure.RequestFailure;
+import org.tanagergap.entry.execution.AnswerSink;
+import org.tanagergap.protocol.v1.Finished;
+import org.tanagergap.protocol.v1.ResponseHead;
+
+/** Sends the answer of a plain service to its caller. */
+final class PlainAnswer implements AnswerSink {
+
+    private static final int MIN_STATUS = 200;
+    private static final int MAX_STATUS = 599;
+    private static final int BAD_GATEWAY = 502;
+
+    private final CallerCall mCall;
+    private boolean mStarted;
+    private Runnable mDrainTask = () -> {};
+
+    PlainAnswer(CallerCall call) {
+        mCall = call;
+    }
+
+    @Override
+    public void head(ResponseHead head) {
+        if (mStarted || mCall.isDisconnected()) {
+            return;
+        }
+        mStarted = true;
+        HttpServerResponse response = mCall.response();
+        int status = head.getStatus();
+        response.setStatusCode(status < MIN_STATUS || status > MAX_STATUS ? BAD_GATEWAY : status);
+        head.getHeadersList().stream()
+                .filter(h -> ForwardedHeaders.isForwardedToCaller(h.getName()))
+                .forEach(h -> response.headers().add(h.getName(), h.getValue()));
+    }
+
+    @Override
+    public void body(Buffer part) {
+        if (!mCall.isDisconnected() && part.length() > 0) {
+            mCall.response().setChunked(true);
+            mCall.response().write(part);
+        }
+    }
+
+    @Override
+    public boolean isFull() {
+        return !mCall.isDisconnected() && mCall.response().writeQueueFull();
+    }
+
+    @Override
+    public void onDrain(Runnable task) {
+        mDrainTask = task;
+        mCall.response().drainHandler(ignored -> drained());
+    }
+
+    /** Lets a call that must run at most once go on to its outcome without a reader. */
+    void callerDisconnected() {
+        drained();
+    }
+
+    @Override
+    public void finished(Finished finished) {
+        if (mCall.isDisconnected()) {
+            mCall.abandoned();
+            return;
+        }
+        mCall.response().end();
+        mCall.succeeded();
+    }
+
+    @Override
+    public void failed(RequestFailure failure) {
+        if (!mStarted) {
+            mCall.refuse(failure);
+            return;
+        }
+        // Without a reset the caller could take the truncated answer for a complete one.
+        if (!mCall.isDisconnected()) {
+            mCall.response().reset();
+        }
+        mCall.failed(failure);
+    }
+
+    private void drained() {
+        Runnable task = mDrainTask;
+        mDrainTask = () -> {};
+        task.run();
+    }
+}
--- a/tanagergap-entry/src/main/java/org/tanagergap/entry/execution/RequestExecutor.java
+++ b/tanagergap-entry/src/main/java/org/tanagergap/entry/execution/RequestExecutor.java
@@ -14,12 +14,12 @@
     /**
      * Runs a request; the answer arrives at the sink on the calling event loop. Exactly one of
      * {@link AnswerSink#finished} and {@link AnswerSink#failed} is called, by the deadline at the
-     * latest, unless the caller disconnects first.
+     * latest, unless the request is cancelled first.
      */
     public RunHandle execute(CallerRequest request, AnswerSink sink) {
         RequestRun run =
                 new RequestRun(mContext, request, sink, mContext.vertx().getOrCreateContext());
         run.start();
-        return run::callerDisconnected;
+        return run::cancel;
     }
 }
--- a/tanagergap-entry/src/main/java/org/tanagergap/entry/execution/RequestRun.java
+++ b/tanagergap-entry/src/main/java/org/tanagergap/entry/execution/RequestRun.java
@@ -35,7 +35,6 @@
     private long mNextIndex;
     private boolean mHeadSent;
     private boolean mWaitingForDrain;
-    private boolean mDetached;
     private boolean mEnded;
     private Timer mDeadlineTimer = () -> {};
 
@@ -56,17 +55,9 @@
         startAttempt();
     }
 
-    /** Cancels idempotent work; a call that must run at most once goes on to its outcome. */
-    void callerDisconnected() {
-        mEventLoop.runOnContext(
-                ignored -> {
-                    mDetached = true;
-                    if (mRequest.work().idempotent()) {
-                        end();
-                    } else if (mCurrent != null && mWaitingForDrain) {
-                        mCurrent.resume();
-                    }
-                });
+    /** Cancels the request; the sink is not called any more. */
+    void cancel() {
+        mEventLoop.runOnContext(ignored -> end());
     }
 
     @Override
@@ -79,21 +70,15 @@
             case TOKEN -> token(event.getToken().getText());
             case HEAD -> {
                 mHeadSent = true;
-                if (!mDetached) {
-                    mSink.head(event.getHead());
-                }
+                mSink.head(event.getHead());
             }
             case BODY -> {
-                if (!mDetached) {
-                    mSink.body(Buffer.buffer(event.getBody().toByteArray()));
+                mSink.body(Buffer.buffer(event.getBody().toByteArray()));
                     applyBackPressure();
-                }
             }
             case FINISHED -> {
                 end();
-                if (!mDetached) {
-                    mSink.finished(event.getFinished());
-                }
+                mSink.finished(event.getFinished());
             }
             default -> {}
         }
@@ -140,6 +125,9 @@
         }
         mCurrent = new Attempt(mShared, mEventLoop, mRequest, id, agent.get(), mNextIndex, this);
         mCurrent.start(new Resumption(mNextIndex, mText.toString()), SpanReservation.NONE);
+        if (mWaitingForDrain) {
+            mCurrent.pause();
+        }
     }
 
     private RequestFailure noAgent() {
@@ -164,12 +152,11 @@
             return;
         }
         mWaitingForDrain = true;
-        Attempt paused = mCurrent;
-        paused.pause();
+        mCurrent.pause();
         mSink.onDrain(
                 () -> {
                     mWaitingForDrain = false;
-                    paused.resume();
+                    mCurrent.resume();
                 });
     }
 
@@ -188,9 +175,7 @@
 
     private void fail(RequestFailure failure) {
         end();
-        if (!mDetached) {
-            mSink.failed(WireFailures.withExecution(failure, mExecution));
-        }
+        mSink.failed(WireFailures.withExecution(failure, mExecution));
     }
 
     private void end() {
--- a/tanagergap-entry/src/main/java/org/tanagergap/entry/execution/RunHandle.java
+++ b/tanagergap-entry/src/main/java/org/tanagergap/entry/execution/RunHandle.java
@@ -4,6 +4,6 @@
 @FunctionalInterface
 public interface RunHandle {
 
-    /** Tells the executor that the caller has disconnected. */
-    void callerDisconnected();
+    /** Cancels the request and its attempt; the sink is not called any more. */
+    void cancel();
 }
