Serve completions from caller to agent and back

The parts of the entry were not connected. EntryService wires the caller API, the peer server, the feeds and the admin server; one test sends a streamed completion through a fake agent over gRPC.

--- /dev/null
+++ b/tanagergap-entry/src/main/java/org/tanagergap/entry/EntryParts.java
@@ -0,0 +1,33 @@
+package org.tanagergap.entry;
+
+import java.util.Objects;
+import java.util.Optional;
+import org.tanagergap.decisions.routing.RequestRouter;
+import org.tanagergap.entry.caller.PromptMeter;
+import org.tanagergap.entry.configuration.DocumentReader;
+import org.tanagergap.entry.execution.RetryGate;
+import org.tanagergap.platform.instances.InstanceList;
+import org.tanagergap.state.configuration.ConfigurationStore;
+
+/**
+ * Parts of an entry that differ between the program and tests.
+ *
+ * @param store the configuration in the key-value service
+ * @param instances list of instances, when the platform has one
+ * @param documents reads configuration documents
+ * @param router chooses agents
+ * @param retries decides about further attempts
+ * @param tokens estimates the length of prompts
+ */
+public record EntryParts(
+        ConfigurationStore store,
+        Optional<InstanceList> instances,
+        DocumentReader documents,
+        RequestRouter router,
+        RetryGate retries,
+        PromptMeter tokens) {
+    public EntryParts {
+        Objects.requireNonNull(store, "store must not be null");
+        Objects.requireNonNull(router, "router must not be null");
+    }
+}
--- /dev/null
+++ b/tanagergap-entry/src/main/java/org/tanagergap/entry/EntryService.java
@@ -0,0 +1,186 @@
+package org.tanagergap.entry;
+
+import com.codahale.metrics.Gauge;
+import com.google.common.flogger.FluentLogger;
+import java.security.SecureRandom;
+import java.time.Duration;
+import java.util.List;
+import java.util.Objects;
+import java.util.concurrent.CompletableFuture;
+import org.tanagergap.api.lifecycle.Service;
+import org.tanagergap.entry.agent.AgentActivity;
+import org.tanagergap.entry.agent.AgentClients;
+import org.tanagergap.entry.caller.BytesInFlight;
+import org.tanagergap.entry.caller.CallerServer;
+import org.tanagergap.entry.caller.CallerShared;
+import org.tanagergap.entry.caller.RequestIds;
+import org.tanagergap.entry.caller.RequestsInFlight;
+import org.tanagergap.entry.configuration.ConfigurationFeed;
+import org.tanagergap.entry.configuration.ConfigurationView;
+import org.tanagergap.entry.configuration.PeerServer;
+import org.tanagergap.entry.execution.ExecutorContext;
+import org.tanagergap.entry.execution.RequestExecutor;
+import org.tanagergap.entry.membership.AgentExchange;
+import org.tanagergap.entry.membership.AgentMembership;
+import org.tanagergap.entry.metrics.EntryMetrics;
+import org.tanagergap.runtime.admin.AdminServer;
+import org.tanagergap.runtime.async.Futures;
+import org.tanagergap.runtime.metrics.MetricsText;
+import org.tanagergap.runtime.program.ProgramContext;
+
+/** Wires the parts of an entry and starts and stops them in order. */
+public final class EntryService implements Service {
+
+    private static final FluentLogger sLogger = FluentLogger.forEnclosingClass();
+
+    private final ProgramContext mContext;
+    private final EntrySettings mSettings;
+    private final ConfigurationView mView;
+    private final RequestsInFlight mRequests = new RequestsInFlight();
+    private final AgentClients mClients;
+    private final CallerServer mCallerServer;
+    private final PeerServer mPeerServer;
+    private final AdminServer mAdminServer;
+    private final List<Service> mFeeds;
+    private volatile boolean mAccepting;
+
+    public EntryService(ProgramContext context, EntrySettings settings, EntryParts parts) {
+        mContext = Objects.requireNonNull(context, "context must not be null");
+        mSettings = Objects.requireNonNull(settings, "settings must not be null");
+        mView = new ConfigurationView(parts.documents());
+        mClients = new AgentClients(context.vertx());
+        AgentActivity activity = new AgentActivity(context.clock());
+        ConfigurationFeed feed =
+                new ConfigurationFeed(
+                        parts.store(),
+                        mView,
+                        mClients,
+                        settings.peers(),
+                        context.vertx(),
+                        context.clock());
+        AgentMembership membership =
+                new AgentMembership(
+                        settings.id(),
+                        mView,
+                        parts.instances(),
+                        parts.router(),
+                        activity,
+                        context.clock());
+        AgentExchange exchange =
+                new AgentExchange(
+                        settings.id(),
+                        context.vertx(),
+                        mView,
+                        parts.router(),
+                        mClients,
+                        activity,
+                        context.clock());
+        mFeeds = List.of(membership, exchange, feed);
+        mCallerServer = callerServer(parts, activity);
+        mPeerServer = new PeerServer(context.vertx(), settings.peerListen(), mView);
+        EntryStatus status = new EntryStatus(settings, mView, parts.router(), mRequests);
+        mAdminServer =
+                new AdminServer(
+                        context.vertx(),
+                        context.adminListen(),
+                        new MetricsText(context.metrics()),
+                        this::isReady,
+                        () -> status.toJson(isReady()));
+    }
+
+    @Override
+    public CompletableFuture<Void> start() {
+        CompletableFuture<Void> started =
+                mAdminServer
+                        .start()
+                        .thenCompose(ignored -> mPeerServer.start())
+                        .thenCompose(ignored -> mCallerServer.start());
+        for (Service feed : mFeeds) {
+            started = started.thenCompose(ignored -> feed.start());
+        }
+        return started.thenRun(
+                () -> {
+                    mAccepting = true;
+                    sLogger.atInfo().log(
+                            "entry %s serves callers on port %d and peers on port %d",
+                            mSettings.id(), mCallerServer.port(), mPeerServer.port());
+                });
+    }
+
+    @Override
+    public CompletableFuture<Void> stop() {
+        mAccepting = false;
+        sLogger.atInfo().log("finishing %d requests in flight", mRequests.count());
+        CompletableFuture<Void> stopped =
+                delay(mSettings.drain()).thenCompose(ignored -> mCallerServer.stop());
+        for (Service feed : mFeeds) {
+            stopped = stopped.thenCompose(ignored -> feed.stop());
+        }
+        return stopped.thenCompose(ignored -> mPeerServer.stop())
+                .thenCompose(ignored -> Futures.toCompletable(mClients.close()))
+                .thenCompose(ignored -> mAdminServer.stop());
+    }
+
+    /** Whether the balancer may send requests. */
+    public boolean isReady() {
+        return mAccepting && mView.isPresent();
+    }
+
+    /** Port for callers. */
+    public int callerPort() {
+        return mCallerServer.port();
+    }
+
+    /** Port for other entries. */
+    public int peerPort() {
+        return mPeerServer.port();
+    }
+
+    /** Port for operators. */
+    public int adminPort() {
+        return mAdminServer.port();
+    }
+
+    private CallerServer callerServer(EntryParts parts, AgentActivity activity) {
+        EntryMetrics metrics = new EntryMetrics(mContext.metrics());
+        RequestExecutor executor =
+                new RequestExecutor(
+                        new ExecutorContext(
+                                mContext.vertx(),
+                                mContext.clock(),
+                                parts.router(),
+                                mClients,
+                                activity,
+                                parts.retries(),
+                                metrics,
+                                mContext.tracing()));
+        BytesInFlight bytes = new BytesInFlight(mSettings.caller().maxBytesInFlight());
+        mContext.metrics().register("body_bytes_in_flight", (Gauge<Long>) bytes::bytes);
+        mContext.metrics().register("requests_in_flight", (Gauge<Integer>) mRequests::count);
+        mContext.metrics()
+                .register("configuration_version", (Gauge<Long>) () -> mView.current().version());
+        return new CallerServer(
+                new CallerShared(
+                        mContext.vertx(),
+                        mContext.clock(),
+                        mSettings.caller(),
+                        executor,
+                        parts.tokens(),
+                        metrics,
+                        mContext.tracing(),
+                        bytes,
+                        mRequests),
+                mView,
+                new RequestIds(mSettings.id(), new SecureRandom()));
+    }
+
+    private CompletableFuture<Void> delay(Duration time) {
+        CompletableFuture<Void> result = new CompletableFuture<>();
+        if (time.isZero()) {
+            result.complete(null);
+        } else {
+            mContext.clock().schedule(time, () -> result.complete(null));
+        }
+        return result;
+    }
+}
--- /dev/null
+++ b/tanagergap-entry/src/main/java/org/tanagergap/entry/caller/CallerServer.java
@@ -0,0 +1,147 @@
+package org.tanagergap.entry.caller;
+
+import com.google.common.flogger.FluentLogger;
+import io.opentelemetry.api.trace.Span;
+import io.opentelemetry.api.trace.SpanKind;
+import io.vertx.core.Future;
+import io.vertx.core.http.HttpServer;
+import io.vertx.core.http.HttpServerOptions;
+import io.vertx.core.json.JsonArray;
+import io.vertx.core.json.JsonObject;
+import io.vertx.ext.web.Router;
+import io.vertx.ext.web.RoutingContext;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
+import org.tanagergap.api.failure.FailureCode;
+import org.tanagergap.api.failure.RequestFailure;
+import org.tanagergap.api.lifecycle.Service;
+import org.tanagergap.entry.configuration.ConfigurationView;
+import org.tanagergap.runtime.async.Futures;
+
+/** Serves the caller API. */
+public final class CallerServer implements Service {
+
+    private static final FluentLogger sLogger = FluentLogger.forEnclosingClass();
+
+    private final CallerShared mShared;
+    private final RequestIds mIds;
+    private final PolicyReader mPolicies;
+    private final CompletionHandler mCompletions;
+    private final PlainHandler mPlain;
+    private HttpServer mServer;
+
+    public CallerServer(CallerShared shared, ConfigurationView view, RequestIds ids) {
+        mShared = Objects.requireNonNull(shared, "shared must not be null");
+        mIds = Objects.requireNonNull(ids, "ids must not be null");
+        mPolicies = new PolicyReader(view, shared.clock());
+        mCompletions = new CompletionHandler(shared);
+        mPlain = new PlainHandler(shared);
+    }
+
+    @Override
+    public CompletableFuture<Void> start() {
+        Router router = Router.router(mShared.vertx());
+        router.post("/v1/completions")
+                .handler(context -> handle(context, call -> mCompletions.handle(call, false)));
+        router.post("/v1/chat/completions")
+                .handler(context -> handle(context, call -> mCompletions.handle(call, true)));
+        router.get("/v1/models").handler(context -> handle(context, CallerServer::models));
+        router.route(PlainHandler.PREFIX + "*").handler(c -> handle(c, mPlain::handle));
+        router.route().handler(context -> handle(context, CallerServer::unknownPath));
+        mServer = mShared.vertx().createHttpServer(new HttpServerOptions()).requestHandler(router);
+        var address = mShared.settings().listen();
+        return Futures.toCompletable(mServer.listen(address.port(), address.host()).mapEmpty());
+    }
+
+    /** Refuses new requests, finishes those in flight and closes the port. */
+    @Override
+    public CompletableFuture<Void> stop() {
+        return mShared.requestsInFlight().close().thenCompose(ignored -> close());
+    }
+
+    /** Port that the server listens on. */
+    public int port() {
+        return mServer.actualPort();
+    }
+
+    private CompletableFuture<Void> close() {
+        // A graceful close lets the last bytes of answers reach their callers.
+        return Futures.toCompletable(
+                mServer == null ? Future.<Void>succeededFuture() : mServer.shutdown());
+    }
+
+    private void handle(RoutingContext context, Consumer<CallerCall> handler) {
+        Span span =
+                mShared.tracing()
+                        .start(
+                                "request",
+                                SpanKind.SERVER,
+                                Optional.ofNullable(
+                                        context.request().getHeader(CallerHeaders.TRACEPARENT)));
+        boolean accepted = mShared.requestsInFlight().tryBegin();
+        if (!accepted) {
+            refuseDuringShutdown(context, span);
+            return;
+        }
+        CallerCall call = new CallerCall(mShared, context, mIds.next(), span);
+        call.onDisconnect(call::abandoned);
+        try {
+            call.selectPolicy(mPolicies.read(context.request()));
+            handler.accept(call);
+        } catch (RequestFailure e) {
+            call.refuse(e);
+        } catch (RuntimeException e) {
+            // The request has not reached the executor, which reports failures to its sink.
+            sLogger.atSevere().withCause(e).log("a request could not be handled");
+            call.refuse(
+                    RequestFailure.notRun(FailureCode.UNAVAILABLE, "internal failure")
+                            .withCause(e));
+        }
+    }
+
+    private void refuseDuringShutdown(RoutingContext context, Span span) {
+        RequestFailure failure =
+                RequestFailure.notRun(FailureCode.UNAVAILABLE, "the entry is shutting down");
+        mShared.metrics().requestEnded("none", failure.code().wireName());
+        var id = mIds.next();
+        sLogger.atInfo().log("request %s refused: %s", id, failure.getMessage());
+        span.end();
+        context.response()
+                .setStatusCode(failure.code().httpStatus())
+                .putHeader(CallerHeaders.REQUEST_ID, id.value())
+                .putHeader("Content-Type", "application/json")
+                .putHeader("Connection", "close")
+                .end(ErrorBody.of(failure, id).toBuffer());
+    }
+
+    private static void models(CallerCall call) {
+        JsonArray data = new JsonArray();
+        for (String name : call.policy().workspace().services()) {
+            call.policy()
+                    .configuration()
+                    .service(name)
+                    .flatMap(service -> service.model())
+                    .ifPresent(
+                            model ->
+                                    data.add(
+                                            new JsonObject()
+                                                    .put("id", model)
+                                                    .put("object", "model")
+                                                    .put("owned_by", name)));
+        }
+        call.context().json(new JsonObject().put("object", "list").put("data", data));
+        call.succeeded();
+    }
+
+    private static void unknownPath(CallerCall call) {
+        throw RequestFailure.notRun(
+                        FailureCode.UNKNOWN_SERVICE,
+                        call.context().request().method()
+                                + " "
+                                + call.context().normalizedPath()
+                                + " does not exist")
+                .withField("path");
+    }
+}
--- a/tanagergap-entry/src/main/java/org/tanagergap/entry/caller/CallerShared.java
+++ b/tanagergap-entry/src/main/java/org/tanagergap/entry/caller/CallerShared.java
@@ -2,8 +2,8 @@
 
 import io.vertx.core.Vertx;
 import org.tanagergap.api.time.RuntimeClock;
-import org.tanagergap.entry.metrics.EntryMetrics;
 import org.tanagergap.entry.execution.RequestExecutor;
+import org.tanagergap.entry.metrics.EntryMetrics;
 import org.tanagergap.runtime.trace.Tracing;
 
 /**
--- a/tanagergap-entry/src/main/java/org/tanagergap/entry/caller/CompletionFormat.java
+++ b/tanagergap-entry/src/main/java/org/tanagergap/entry/caller/CompletionFormat.java
@@ -47,8 +47,7 @@
     JsonObject whole(String text, Finished finished) {
         JsonObject choice = new JsonObject().put("index", 0);
         if (mChat) {
-            choice.put(
-                    "message", new JsonObject().put("role", "assistant").put("content", text));
+            choice.put("message", new JsonObject().put("role", "assistant").put("content", text));
         } else {
             choice.put("text", text);
         }
--- a/tanagergap-entry/src/main/java/org/tanagergap/entry/configuration/ConfigurationFeed.java
+++ b/tanagergap-entry/src/main/java/org/tanagergap/entry/configuration/ConfigurationFeed.java
@@ -3,6 +3,7 @@
 import com.google.common.flogger.FluentLogger;
 import io.smallrye.mutiny.subscription.Cancellable;
 import io.vertx.core.Future;
+import io.vertx.core.Vertx;
 import java.time.Duration;
 import java.util.List;
 import java.util.Objects;
@@ -33,6 +34,7 @@
     private final ConfigurationView mView;
     private final AgentClients mClients;
     private final List<HostPort> mPeers;
+    private final Vertx mVertx;
     private final PeriodicTask mPeerTask;
     private volatile boolean mStoreAnswered;
     private Cancellable mWatch = () -> {};
@@ -42,11 +44,13 @@
             ConfigurationView view,
             AgentClients clients,
             List<HostPort> peers,
+            Vertx vertx,
             RuntimeClock clock) {
         mStore = Objects.requireNonNull(store, "store must not be null");
         mView = Objects.requireNonNull(view, "view must not be null");
         mClients = Objects.requireNonNull(clients, "clients must not be null");
         mPeers = List.copyOf(peers);
+        mVertx = Objects.requireNonNull(vertx, "vertx must not be null");
         mPeerTask = new PeriodicTask(clock, PEER_INTERVAL, this::askPeers);
     }
 
@@ -71,7 +75,21 @@
 
     private void storeEmitted(StoredConfiguration stored) {
         mStoreAnswered = true;
-        mView.offer(stored);
+        offer(stored);
+    }
+
+    // Validating a document of 1 MB takes too long for an event loop.
+    private void offer(StoredConfiguration stored) {
+        mVertx.executeBlocking(
+                        () -> {
+                            mView.offer(stored);
+                            return null;
+                        })
+                .onFailure(
+                        failure ->
+                                sLogger.atSevere().withCause(failure).log(
+                                        "configuration version %d could not be applied",
+                                        stored.version()));
     }
 
     private void askPeers() {
@@ -95,7 +113,7 @@
 
     private void peerAnswered(ConfigurationReply reply) {
         if (!reply.getDocument().isEmpty()) {
-            mView.offer(new StoredConfiguration(reply.getVersion(), reply.getDocument()));
+            offer(new StoredConfiguration(reply.getVersion(), reply.getDocument()));
         }
     }
 }
--- a/tanagergap-entry/src/main/java/org/tanagergap/entry/execution/RequestRun.java
+++ b/tanagergap-entry/src/main/java/org/tanagergap/entry/execution/RequestRun.java
@@ -74,7 +74,7 @@
             }
             case BODY -> {
                 mSink.body(Buffer.buffer(event.getBody().toByteArray()));
-                    applyBackPressure();
+                applyBackPressure();
             }
             case FINISHED -> {
                 end();
--- /dev/null
+++ b/tanagergap-entry/src/main/java/org/tanagergap/entry/membership/AgentMembership.java
@@ -0,0 +1,147 @@
+package org.tanagergap.entry.membership;
+
+import com.google.common.flogger.FluentLogger;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import java.util.stream.Collectors;
+import org.tanagergap.api.configuration.UpstreamDefinition;
+import org.tanagergap.api.lifecycle.Service;
+import org.tanagergap.api.lock.LockRank;
+import org.tanagergap.api.lock.OrderedLock;
+import org.tanagergap.api.time.RuntimeClock;
+import org.tanagergap.decisions.routing.AgentEndpoint;
+import org.tanagergap.decisions.routing.RequestRouter;
+import org.tanagergap.entry.agent.AgentActivity;
+import org.tanagergap.entry.configuration.ConfigurationSnapshot;
+import org.tanagergap.entry.configuration.ConfigurationView;
+import org.tanagergap.platform.instances.Instance;
+import org.tanagergap.platform.instances.InstanceList;
+import org.tanagergap.runtime.time.PeriodicTask;
+
+/**
+ * Proposes agents to the router: the upstreams of the configuration, with the addresses of the
+ * instance list where it knows them, without the instances that are leaving.
+ */
+public final class AgentMembership implements Service {
+
+    private static final FluentLogger sLogger = FluentLogger.forEnclosingClass();
+
+    /** A third of the bound for leaving upstreams (3 s), as the list itself lags. */
+    private static final Duration POLL_INTERVAL = Duration.ofSeconds(1);
+
+    private final String mEntryId;
+    private final ConfigurationView mView;
+    private final Optional<InstanceList> mInstances;
+    private final RequestRouter mRouter;
+    private final AgentActivity mActivity;
+    private final PeriodicTask mPoll;
+    private final OrderedLock mLock = new OrderedLock(LockRank.MEMBERSHIP_TABLE);
+    private List<Instance> mAgents = List.of();
+    private Set<String> mEntries = Set.of();
+
+    public AgentMembership(
+            String entryId,
+            ConfigurationView view,
+            Optional<InstanceList> instances,
+            RequestRouter router,
+            AgentActivity activity,
+            RuntimeClock clock) {
+        mEntryId = Objects.requireNonNull(entryId, "entryId must not be null");
+        mView = Objects.requireNonNull(view, "view must not be null");
+        mInstances = Objects.requireNonNull(instances, "instances must not be null");
+        mRouter = Objects.requireNonNull(router, "router must not be null");
+        mActivity = Objects.requireNonNull(activity, "activity must not be null");
+        mPoll = new PeriodicTask(clock, POLL_INTERVAL, this::poll);
+        view.addListener(ignored -> apply());
+    }
+
+    @Override
+    public CompletableFuture<Void> start() {
+        poll();
+        return mInstances.isPresent() ? mPoll.start() : CompletableFuture.completedFuture(null);
+    }
+
+    @Override
+    public CompletableFuture<Void> stop() {
+        return mPoll.stop();
+    }
+
+    /** A failed read keeps the last list, because observed behaviour decides anyway. */
+    private void poll() {
+        if (mInstances.isEmpty()) {
+            return;
+        }
+        CompletableFuture<List<Instance>> agents = mInstances.get().read("agents");
+        CompletableFuture<List<Instance>> entries = mInstances.get().read("entries");
+        agents.thenAcceptBoth(entries, this::listArrived)
+                .exceptionally(
+                        failure -> {
+                            sLogger.atFine().withCause(failure).log(
+                                    "the instance list could not be read");
+                            return null;
+                        });
+    }
+
+    private void listArrived(List<Instance> agents, List<Instance> entries) {
+        Set<String> live =
+                entries.stream()
+                        .filter(e -> !e.leaving())
+                        .map(Instance::name)
+                        .collect(Collectors.toSet());
+        boolean changed =
+                mLock.call(
+                        () -> {
+                            boolean differs = !agents.equals(mAgents) || !live.equals(mEntries);
+                            mAgents = agents;
+                            mEntries = live;
+                            return differs;
+                        });
+        if (changed) {
+            apply();
+        }
+    }
+
+    private void apply() {
+        ConfigurationSnapshot configuration = mView.current();
+        List<AgentEndpoint> agents = mLock.call(() -> merge(configuration));
+        mRouter.replaceAgents(agents);
+        mActivity.retain(agents.stream().map(AgentEndpoint::name).toList());
+    }
+
+    private List<AgentEndpoint> merge(ConfigurationSnapshot configuration) {
+        Map<String, Instance> byName = new HashMap<>();
+        Map<String, Instance> byAddress = new HashMap<>();
+        for (Instance instance : mAgents) {
+            byName.put(instance.name(), instance);
+            byAddress.put(instance.address(), instance);
+        }
+        Map<String, List<AgentEndpoint>> byService = new TreeMap<>();
+        for (UpstreamDefinition upstream : configuration.configuration().upstreams()) {
+            Instance instance =
+                    byName.getOrDefault(upstream.name(), byAddress.get(upstream.agentAddress()));
+            if (instance != null && instance.leaving()) {
+                continue;
+            }
+            byService
+                    .computeIfAbsent(upstream.service(), ignored -> new ArrayList<>())
+                    .add(endpoint(upstream, instance));
+        }
+        List<AgentEndpoint> subset = new ArrayList<>();
+        byService.values().forEach(a -> subset.addAll(AgentSubset.of(mEntryId, mEntries, a)));
+        return subset;
+    }
+
+    private static AgentEndpoint endpoint(UpstreamDefinition upstream, Instance instance) {
+        String address = instance == null ? upstream.agentAddress() : instance.address();
+        return new AgentEndpoint(
+                upstream.name(), upstream.service(), address, upstream.failureDomain());
+    }
+}
--- /dev/null
+++ b/tanagergap-entry/src/test/java/org/tanagergap/entry/CompletionTests.java
@@ -0,0 +1,31 @@
+package org.tanagergap.entry;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.net.http.HttpResponse;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+/** Guards the path of a completion from its caller through an agent and back. */
+final class CompletionTests {
+
+    private final EntryHarness mHarness = new EntryHarness();
+
+    @AfterEach
+    void close() {
+        mHarness.close();
+    }
+
+    @Test
+    void streamedCompletionArrivesWholeAndEndsWithDone() {
+        FakeAgent agent = mHarness.agent("runner-1");
+        mHarness.start();
+
+        HttpResponse<String> answer = mHarness.send(mHarness.completion(true));
+
+        assertThat(answer.statusCode()).isEqualTo(200);
+        assertThat(answer.headers().firstValue("Tanagergap-Request-Id")).isPresent();
+        assertThat(answer.body()).containsMatch("(?s)t0 .*t1 .*t2 .*\"stop\".*\\[DONE\\]\n\n$");
+        assertThat(agent.mRuns.remove().getPolicy().getWorkspace()).isEqualTo("press");
+    }
+}
--- /dev/null
+++ b/tanagergap-entry/src/test/java/org/tanagergap/entry/FakeAgent.java
@@ -0,0 +1,180 @@
+package org.tanagergap.entry;
+
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpServer;
+import io.vertx.core.streams.WriteStream;
+import io.vertx.grpc.server.GrpcServer;
+import io.vertx.grpc.server.GrpcServerOptions;
+import io.vertx.grpc.server.GrpcServerResponse;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.function.BiConsumer;
+import org.tanagergap.protocol.v1.Admitted;
+import org.tanagergap.protocol.v1.ExchangeReply;
+import org.tanagergap.protocol.v1.ExchangeRequest;
+import org.tanagergap.protocol.v1.Execution;
+import org.tanagergap.protocol.v1.Failed;
+import org.tanagergap.protocol.v1.Finished;
+import org.tanagergap.protocol.v1.Hint;
+import org.tanagergap.protocol.v1.HoldReply;
+import org.tanagergap.protocol.v1.HoldRequest;
+import org.tanagergap.protocol.v1.PrefillSegmentReply;
+import org.tanagergap.protocol.v1.PrefillSegmentRequest;
+import org.tanagergap.protocol.v1.ReleaseHoldReply;
+import org.tanagergap.protocol.v1.ReleaseHoldRequest;
+import org.tanagergap.protocol.v1.RunEvent;
+import org.tanagergap.protocol.v1.RunRequest;
+import org.tanagergap.protocol.v1.SegmentHandle;
+import org.tanagergap.protocol.v1.Token;
+import org.tanagergap.protocol.v1.UpstreamAgentGrpcService;
+import org.tanagergap.protocol.v1.UpstreamAgentService;
+
+/** Agent served over gRPC in the same process, whose answers a test scripts. */
+final class FakeAgent extends UpstreamAgentService {
+
+    /** Behaviour of the next runs. */
+    volatile BiConsumer<RunRequest, Stream> mScript = (request, stream) -> stream.complete(3);
+
+    volatile Hint mHint = Hint.newBuilder().setUpstreamReady(true).build();
+    volatile boolean mAnswersExchange = true;
+    final BlockingQueue<RunRequest> mRuns = new LinkedBlockingQueue<>();
+    final BlockingQueue<String> mCancelled = new LinkedBlockingQueue<>();
+    final BlockingQueue<ExchangeRequest> mExchanges = new LinkedBlockingQueue<>();
+    final List<String> mCalls = new CopyOnWriteArrayList<>();
+    private final String mName;
+    private HttpServer mServer;
+
+    FakeAgent(String name) {
+        mName = name;
+    }
+
+    FakeAgent start(Vertx vertx) {
+        GrpcServer grpc =
+                GrpcServer.server(
+                        vertx, new GrpcServerOptions().setMaxMessageSize(32L * 1024 * 1024));
+        grpc.addService(UpstreamAgentGrpcService.of(this));
+        mServer = vertx.createHttpServer().requestHandler(grpc).listen(0, "127.0.0.1").await();
+        return this;
+    }
+
+    String address() {
+        return "127.0.0.1:" + mServer.actualPort();
+    }
+
+    void stop() {
+        mServer.close().await();
+    }
+
+    @Override
+    protected void run(RunRequest request, WriteStream<RunEvent> response) {
+        mRuns.add(request);
+        response.exceptionHandler(ignored -> mCancelled.add(request.getAttemptId()));
+        mScript.accept(request, new Stream(request, response));
+    }
+
+    @Override
+    public Future<ExchangeReply> exchange(ExchangeRequest request) {
+        mExchanges.add(request);
+        if (!mAnswersExchange) {
+            return Future.failedFuture("no answer");
+        }
+        return Future.succeededFuture(
+                ExchangeReply.newBuilder()
+                        .setAgentId(mName)
+                        .setConfigurationVersion(request.getConfigurationVersion())
+                        .setHint(
+                                mHint.toBuilder()
+                                        .setConfigurationVersion(request.getConfigurationVersion()))
+                        .build());
+    }
+
+    @Override
+    public Future<HoldReply> hold(HoldRequest request) {
+        mCalls.add("hold " + request.getTokens());
+        boolean held = request.getTokens() <= mHint.getMemoryTokensFree();
+        return Future.succeededFuture(
+                HoldReply.newBuilder().setHeld(held).setUpstreamUrl("http://" + mName).build());
+    }
+
+    @Override
+    public Future<ReleaseHoldReply> releaseHold(ReleaseHoldRequest request) {
+        mCalls.add("release");
+        return Future.succeededFuture(ReleaseHoldReply.getDefaultInstance());
+    }
+
+    @Override
+    public Future<PrefillSegmentReply> prefillSegment(PrefillSegmentRequest request) {
+        mCalls.add("prefill after " + request.getSegmentsCount());
+        return Future.succeededFuture(
+                PrefillSegmentReply.newBuilder()
+                        .setSegment(SegmentHandle.newBuilder().setUrl("http://" + mName))
+                        .build());
+    }
+
+    /** Writes the events of one run. */
+    static final class Stream {
+        private final RunRequest mRequest;
+        private final WriteStream<RunEvent> mResponse;
+
+        Stream(RunRequest request, WriteStream<RunEvent> response) {
+            mRequest = request;
+            mResponse = response;
+        }
+
+        /** Sends the tokens from the one asked for up to the given count, and the end. */
+        void complete(long count) {
+            tokens(mRequest.getCompletion().getResumeFrom(), count);
+            finish(count);
+        }
+
+        Stream tokens(long from, long to) {
+            send(event().setAdmitted(Admitted.getDefaultInstance()));
+            for (long i = from; i < to; i++) {
+                token(i);
+            }
+            return this;
+        }
+
+        Stream token(long index) {
+            return send(
+                    event().setToken(
+                                    Token.newBuilder().setIndex(index).setText("t" + index + " ")));
+        }
+
+        void finish(long count) {
+            RunEvent.Builder last =
+                    event().setFinished(
+                                    Finished.newBuilder()
+                                            .setOutputTokens(count)
+                                            .setFinishReason("stop"));
+            mResponse.end(last.build());
+        }
+
+        void fail(String code, Execution execution) {
+            mResponse.end(
+                    event().setFailed(
+                                    Failed.newBuilder()
+                                            .setCode(code)
+                                            .setMessage("scripted")
+                                            .setExecution(execution))
+                            .build());
+        }
+
+        /** Breaks the call as a dying agent does. */
+        void die() {
+            ((GrpcServerResponse<?, ?>) mResponse).cancel();
+        }
+
+        RunEvent.Builder event() {
+            return RunEvent.newBuilder().setAttemptId(mRequest.getAttemptId());
+        }
+
+        Stream send(RunEvent.Builder event) {
+            mResponse.write(event.build());
+            return this;
+        }
+    }
+}
