--- a/tanagergap-entry/src/main/java/org/tanagergap/entry/EntryParts.java
+++ b/tanagergap-entry/src/main/java/org/tanagergap/entry/EntryParts.java
@@ -2,10 +2,10 @@
 
 import java.util.Objects;
 import java.util.Optional;
+import org.tanagergap.decisions.cost.TokenEstimator;
+import org.tanagergap.decisions.retry.RetryBudget;
 import org.tanagergap.decisions.routing.RequestRouter;
-import org.tanagergap.entry.caller.PromptMeter;
 import org.tanagergap.entry.configuration.DocumentReader;
-import org.tanagergap.entry.execution.RetryGate;
 import org.tanagergap.platform.instances.InstanceList;
 import org.tanagergap.state.configuration.ConfigurationStore;
 
@@ -16,7 +16,7 @@
  * @param instances list of instances, when the platform has one
  * @param documents reads configuration documents
  * @param router chooses agents
- * @param retries decides about further attempts
+ * @param retryBudget limits further attempts
  * @param tokens estimates the length of prompts
  */
 public record EntryParts(
@@ -24,8 +24,8 @@
         Optional<InstanceList> instances,
         DocumentReader documents,
         RequestRouter router,
-        RetryGate retries,
-        PromptMeter tokens) {
+        RetryBudget retryBudget,
+        TokenEstimator tokens) {
     public EntryParts {
         Objects.requireNonNull(store, "store must not be null");
         Objects.requireNonNull(router, "router must not be null");
--- a/tanagergap-entry/src/main/java/org/tanagergap/entry/EntryService.java
+++ b/tanagergap-entry/src/main/java/org/tanagergap/entry/EntryService.java
@@ -8,6 +8,7 @@
 import java.util.Objects;
 import java.util.concurrent.CompletableFuture;
 import org.tanagergap.api.lifecycle.Service;
+import org.tanagergap.decisions.retry.RetryPolicy;
 import org.tanagergap.entry.agent.AgentActivity;
 import org.tanagergap.entry.agent.AgentClients;
 import org.tanagergap.entry.caller.BytesInFlight;
@@ -151,7 +152,8 @@
                                 parts.router(),
                                 mClients,
                                 activity,
-                                parts.retries(),
+                                new RetryPolicy(mContext.clock(), parts.retryBudget()),
+                                parts.retryBudget(),
                                 metrics,
                                 mContext.tracing()));
         BytesInFlight bytes = new BytesInFlight(mSettings.caller().maxBytesInFlight());
--- a/tanagergap-entry/src/main/java/org/tanagergap/entry/caller/CallerShared.java
+++ b/tanagergap-entry/src/main/java/org/tanagergap/entry/caller/CallerShared.java
@@ -2,6 +2,7 @@
 
 import io.vertx.core.Vertx;
 import org.tanagergap.api.time.RuntimeClock;
+import org.tanagergap.decisions.cost.TokenEstimator;
 import org.tanagergap.entry.execution.RequestExecutor;
 import org.tanagergap.entry.metrics.EntryMetrics;
 import org.tanagergap.runtime.trace.Tracing;
@@ -24,7 +25,7 @@
         RuntimeClock clock,
         CallerSettings settings,
         RequestExecutor executor,
-        PromptMeter tokens,
+        TokenEstimator tokens,
         EntryMetrics metrics,
         Tracing tracing,
         BytesInFlight bytesInFlight,
--- a/tanagergap-entry/src/main/java/org/tanagergap/entry/caller/CompletionAnswer.java
+++ b/tanagergap-entry/src/main/java/org/tanagergap/entry/caller/CompletionAnswer.java
@@ -1,6 +1,7 @@
 package org.tanagergap.entry.caller;
 
 import io.vertx.core.http.HttpServerResponse;
+import java.util.function.LongConsumer;
 import org.tanagergap.api.failure.RequestFailure;
 import org.tanagergap.api.request.LengthBand;
 import org.tanagergap.entry.execution.AnswerSink;
@@ -14,13 +15,25 @@
     private final LengthBand mBand;
     private final boolean mStream;
     private final StringBuilder mText = new StringBuilder();
+    private final LongConsumer mPromptTokens;
     private boolean mStarted;
 
-    CompletionAnswer(CallerCall call, CompletionFormat format, LengthBand band, boolean stream) {
+    /**
+     * Creates an answer.
+     *
+     * @param promptTokens receives the engine's count of the prompt's tokens
+     */
+    CompletionAnswer(
+            CallerCall call,
+            CompletionFormat format,
+            LengthBand band,
+            boolean stream,
+            LongConsumer promptTokens) {
         mCall = call;
         mFormat = format;
         mBand = band;
         mStream = stream;
+        mPromptTokens = promptTokens;
     }
 
     @Override
@@ -49,6 +62,7 @@
 
     @Override
     public void finished(Finished finished) {
+        mPromptTokens.accept(finished.getPromptTokens());
         if (mStream) {
             startStream();
             mCall.response().end(mFormat.end(finished));
--- a/tanagergap-entry/src/main/java/org/tanagergap/entry/caller/CompletionHandler.java
+++ b/tanagergap-entry/src/main/java/org/tanagergap/entry/caller/CompletionHandler.java
@@ -56,9 +56,7 @@
             return;
         }
         RequestCost cost =
-                new RequestCost(
-                        mShared.tokens().tokens(parsed.model(), parsed.promptBytes()),
-                        parsed.maxTokens());
+                mShared.tokens().cost(parsed.model(), parsed.promptBytes(), parsed.maxTokens());
         ServiceDefinition service;
         try {
             service = service(call.policy(), parsed, cost);
@@ -74,7 +72,13 @@
                         mShared.clock().now().getEpochSecond());
         CompletionAnswer answer =
                 new CompletionAnswer(
-                        call, format, LengthBand.of(cost.promptTokens()), parsed.stream());
+                        call,
+                        format,
+                        LengthBand.of(cost.promptTokens()),
+                        parsed.stream(),
+                        count ->
+                                mShared.tokens()
+                                        .observe(parsed.model(), parsed.promptBytes(), count));
         Work work =
                 new Work.Completion(
                         parsed.model(), parsed.prompt(), cost, prefixHash(call.policy(), parsed));
--- a/tanagergap-entry/src/main/java/org/tanagergap/entry/execution/ExecutorContext.java
+++ b/tanagergap-entry/src/main/java/org/tanagergap/entry/execution/ExecutorContext.java
@@ -2,6 +2,8 @@
 
 import io.vertx.core.Vertx;
 import org.tanagergap.api.time.RuntimeClock;
+import org.tanagergap.decisions.retry.RetryBudget;
+import org.tanagergap.decisions.retry.RetryPolicy;
 import org.tanagergap.decisions.routing.RequestRouter;
 import org.tanagergap.entry.agent.AgentActivity;
 import org.tanagergap.entry.agent.AgentClients;
@@ -16,7 +18,8 @@
  * @param router chooses agents
  * @param clients connections to agents
  * @param activity when agents were last heard
- * @param retries decides about further attempts
+ * @param retryPolicy decides about further attempts
+ * @param retryBudget limits further attempts
  * @param metrics metrics of the entry
  * @param tracing creates spans
  */
@@ -26,6 +29,7 @@
         RequestRouter router,
         AgentClients clients,
         AgentActivity activity,
-        RetryGate retries,
+        RetryPolicy retryPolicy,
+        RetryBudget retryBudget,
         EntryMetrics metrics,
         Tracing tracing) {}
--- a/tanagergap-entry/src/main/java/org/tanagergap/entry/execution/RequestRun.java
+++ b/tanagergap-entry/src/main/java/org/tanagergap/entry/execution/RequestRun.java
@@ -51,7 +51,7 @@
                         .schedule(
                                 mRequest.deadline().left(mShared.clock()),
                                 () -> mEventLoop.runOnContext(ignored -> deadlinePassed()));
-        mShared.retries().firstAttempt();
+        mShared.retryBudget().firstAttempt();
         startAttempt();
     }
 
@@ -95,7 +95,7 @@
             mExecution = failure.execution();
         }
         // The caller already has the head of the first answer, to which another cannot be joined.
-        if (mHeadSent || !mShared.retries().mayRetry(mRequest, failure, mAttempts)) {
+        if (mHeadSent || !mayRetry(failure)) {
             fail(failure);
             return;
         }
@@ -130,6 +130,11 @@
         }
     }
 
+    private boolean mayRetry(RequestFailure failure) {
+        return mShared.retryPolicy()
+                .mayRetry(failure, mRequest.work().idempotent(), mAttempts, mRequest.deadline());
+    }
+
     private RequestFailure noAgent() {
         if (mLastFailure != null) {
             return mLastFailure;
--- a/tanagergap-entry/src/test/java/org/tanagergap/entry/EntryHarness.java
+++ b/tanagergap-entry/src/test/java/org/tanagergap/entry/EntryHarness.java
@@ -17,6 +17,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BooleanSupplier;
 import org.tanagergap.api.configuration.Configuration;
@@ -27,6 +28,10 @@
 import org.tanagergap.api.configuration.ServiceKind;
 import org.tanagergap.api.configuration.UpstreamDefinition;
 import org.tanagergap.api.configuration.WorkspaceDefinition;
+import org.tanagergap.decisions.cost.TokenEstimator;
+import org.tanagergap.decisions.retry.RetryBudget;
+import org.tanagergap.decisions.routing.RouterSettings;
+import org.tanagergap.decisions.routing.SubsetRequestRouter;
 import org.tanagergap.document.ConfigurationDocument;
 import org.tanagergap.entry.caller.CallerSettings;
 import org.tanagergap.runtime.program.ProgramContext;
@@ -48,6 +53,7 @@
     final MetricRegistry mMetrics = new MetricRegistry();
     final Map<String, FakeAgent> mAgents = new LinkedHashMap<>();
     final HttpClient mClient = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+    RetryBudget mRetryBudget = new RetryBudget();
     long mMaxBodyBytes = 100_000;
     Duration mBodyTimeout = Duration.ofMillis(300);
     long mMemoryTokens = 100_000;
@@ -92,9 +98,10 @@
                 new FakeStore(),
                 Optional.empty(),
                 ConfigurationDocument::parse,
-                new FakeRouter(),
-                new FakeRetries(),
-                (model, bytes) -> bytes / 4);
+                new SubsetRequestRouter(
+                        context.clock(), RouterSettings.defaults("north"), new Random(1)),
+                mRetryBudget,
+                new TokenEstimator());
     }
 
     Configuration configuration() {
