--- a/tanagergap-endtoend/src/test/java/org/tanagergap/endtoend/FreePorts.java
+++ b/tanagergap-endtoend/src/test/java/org/tanagergap/endtoend/FreePorts.java
@@ -17,8 +17,7 @@
     /** Port that was free a moment ago and that no earlier call has returned. */
     static synchronized int next() {
         while (true) {
-            try (ServerSocket socket =
-                    new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
                 if (sTaken.add(socket.getLocalPort())) {
                     return socket.getLocalPort();
                 }
--- a/tanagergap-endtoend/src/test/java/org/tanagergap/endtoend/RunningSystem.java
+++ b/tanagergap-endtoend/src/test/java/org/tanagergap/endtoend/RunningSystem.java
@@ -107,11 +107,7 @@
     }
 
     void startOrders() {
-        run(
-                "orders",
-                "org.tanagergap.standins.orders.OrderMain",
-                "--listen",
-                address("orders"));
+        run("orders", "org.tanagergap.standins.orders.OrderMain", "--listen", address("orders"));
         startOrderAgent();
     }
 
--- a/tanagergap-endtoend/src/test/java/org/tanagergap/endtoend/WholePathTests.java
+++ b/tanagergap-endtoend/src/test/java/org/tanagergap/endtoend/WholePathTests.java
@@ -90,11 +90,7 @@
         String trace = "4bf92f3577b34da6a3ce929d0e0e4736";
         sSystem.send(
                 sSystem.completion(
-                        1,
-                        "trace",
-                        2,
-                        "traceparent",
-                        "00-" + trace + "-00f067aa0ba902b7-01"));
+                        1, "trace", 2, "traceparent", "00-" + trace + "-00f067aa0ba902b7-01"));
 
         // Spans are exported in batches.
         for (int i = 0; i < 100 && !tracedInBoth(trace); i++) {
--- a/tanagergap-measure/src/main/java/org/tanagergap/measure/MeasureMain.java
+++ b/tanagergap-measure/src/main/java/org/tanagergap/measure/MeasureMain.java
@@ -25,8 +25,8 @@
 import org.tanagergap.measure.scenario.Policies;
 import org.tanagergap.measure.scenario.Scenario;
 import org.tanagergap.measure.scenario.ScenarioRunner;
-import org.tanagergap.measure.scenario.WorkspaceScenario;
 import org.tanagergap.measure.scenario.Workloads;
+import org.tanagergap.measure.scenario.WorkspaceScenario;
 import org.tanagergap.runtime.program.ExitStatus;
 
 /** Measures the decisions on the paused clock and writes tables and plots. */
@@ -90,12 +90,7 @@
                     rows.addAll(added);
                 }
             }
-            writer.write(
-                    "decisions",
-                    "Decisions under load",
-                    seeds,
-                    rows,
-                    Policies.naive().name());
+            writer.write("decisions", "Decisions under load", seeds, rows, Policies.naive().name());
             if (!mSkipLag) {
                 sweepLag(runner, fleets, seeds, writer);
             }
--- a/tanagergap-measure/src/main/java/org/tanagergap/measure/report/ReportWriter.java
+++ b/tanagergap-measure/src/main/java/org/tanagergap/measure/report/ReportWriter.java
@@ -25,8 +25,7 @@
             String name, String title, List<Long> seeds, List<ResultRow> rows, String baseline)
             throws IOException {
         Files.createDirectories(mDirectory);
-        Files.writeString(
-                mDirectory.resolve(name + ".md"), markdown(title, seeds, rows, baseline));
+        Files.writeString(mDirectory.resolve(name + ".md"), markdown(title, seeds, rows, baseline));
         Files.writeString(mDirectory.resolve(name + ".csv"), csv(rows));
     }
 
@@ -53,8 +52,7 @@
         return text.toString();
     }
 
-    private static Optional<ResultRow> find(
-            List<ResultRow> rows, ResultRow like, String policy) {
+    private static Optional<ResultRow> find(List<ResultRow> rows, ResultRow like, String policy) {
         return rows.stream()
                 .filter(r -> r.policy().equals(policy))
                 .filter(r -> r.fleet().equals(like.fleet()))
--- a/tanagergap-measure/src/main/java/org/tanagergap/measure/scenario/MixedLoadScenario.java
+++ b/tanagergap-measure/src/main/java/org/tanagergap/measure/scenario/MixedLoadScenario.java
@@ -26,9 +26,7 @@
         FleetRun mixed = run(fleet, policy, seed, true);
         FleetRun alone = run(fleet, policy, seed, false);
         Predicate<RequestRecord> shortPrompts =
-                r ->
-                        r.lengthBand() == LengthBand.SHORT
-                                && r.arrivalNanos() >= WARM_UP.toNanos();
+                r -> r.lengthBand() == LengthBand.SHORT && r.arrivalNanos() >= WARM_UP.toNanos();
         List<RequestRecord> requests = mixed.requests();
         double firstToken = Statistics.firstTokenSeconds(requests, shortPrompts, QUANTILE);
         double aloneFirstToken =
--- a/tanagergap-measure/src/main/java/org/tanagergap/measure/scenario/Policies.java
+++ b/tanagergap-measure/src/main/java/org/tanagergap/measure/scenario/Policies.java
@@ -1,6 +1,5 @@
 package org.tanagergap.measure.scenario;
 
-import java.time.Duration;
 import org.tanagergap.api.request.LengthBand;
 import org.tanagergap.decisions.baseline.FirstComeScheduler;
 import org.tanagergap.decisions.baseline.RoundRobinRouter;
@@ -40,7 +39,7 @@
         return new Policy(
                 "naive",
                 clock -> new FirstComeScheduler(clock, FleetSettings.ENGINE_MEMORY_TOKENS),
-                (clock, domain, random) -> new RoundRobinRouter(clock, Duration.ofSeconds(2)),
+                (clock, domain, random) -> new RoundRobinRouter(clock),
                 item -> 0,
                 3,
                 1);
--- a/tanagergap-measure/src/main/java/org/tanagergap/measure/scenario/Statistics.java
+++ b/tanagergap-measure/src/main/java/org/tanagergap/measure/scenario/Statistics.java
@@ -70,8 +70,7 @@
                 .filter(
                         r ->
                                 r.outcome() == RequestRecord.Outcome.PENDING
-                                        || r.endNanos()
-                                                > r.deadlineNanos() + tolerance.toNanos())
+                                        || r.endNanos() > r.deadlineNanos() + tolerance.toNanos())
                 .count();
     }
 
--- a/tanagergap-measure/src/main/java/org/tanagergap/measure/scenario/WorkspaceScenario.java
+++ b/tanagergap-measure/src/main/java/org/tanagergap/measure/scenario/WorkspaceScenario.java
@@ -39,10 +39,7 @@
             worst = Math.min(worst, kept / Math.min(demand, fairShare));
         }
         return Measurement.atLeast(
-                "one workspace at 20 times its share: least kept by another",
-                95,
-                "%",
-                100 * worst);
+                "one workspace at 20 times its share: least kept by another", 95, "%", 100 * worst);
     }
 
     private static Measurement saturated(FleetSettings fleet, Policy policy, long seed) {
@@ -60,8 +57,7 @@
                 "Jain's index of workspaces at saturation", 0.95, "", Statistics.jainIndex(kept));
     }
 
-    private static FleetRun run(
-            FleetSettings fleet, Policy policy, long seed, List<Double> loads) {
+    private static FleetRun run(FleetSettings fleet, Policy policy, long seed, List<Double> loads) {
         FleetRun run = new FleetRun(fleet, policy, seed);
         for (int i = 0; i < loads.size(); i++) {
             run.offer(
