--- a/tanagergap-state/src/test/java/org/tanagergap/state/fake/FakeKeyValueStore.java
+++ b/tanagergap-state/src/test/java/org/tanagergap/state/fake/FakeKeyValueStore.java
@@ -68,6 +68,11 @@
         }
     }
 
+    /** Stops sending changes to the present watches without ending them. */
+    public void stallWatches() {
+        mWatchers.clear();
+    }
+
     /** Applies the next writes but loses their replies. */
     public void loseReplies(int count) {
         mLoseReplies += count;
