--- a/tanagergap-agent/src/main/java/org/tanagergap/agent/IntentLogs.java
+++ b/tanagergap-agent/src/main/java/org/tanagergap/agent/IntentLogs.java
@@ -1,14 +1,32 @@
 package org.tanagergap.agent;
 
+import java.time.Duration;
+import org.tanagergap.platform.keyvalue.HttpKeyValueStore;
+import org.tanagergap.platform.keyvalue.KeyValueStore;
 import org.tanagergap.runtime.program.ProgramContext;
+import org.tanagergap.runtime.settings.HostPort;
 import org.tanagergap.state.intent.IntentLog;
+import org.tanagergap.state.intent.IntentLogSettings;
+import org.tanagergap.state.intent.KeyValueIntentLog;
 
 /** Creates the intent log of an agent beside a plain service. */
 final class IntentLogs {
 
+    /** The key-value service answers in milliseconds; longer silence counts as an outage. */
+    private static final Duration KEY_VALUE_TIMEOUT = Duration.ofSeconds(1);
+
     private IntentLogs() {}
 
     static IntentLog of(AgentSettings settings, ProgramContext program) {
-        throw new UnsupportedOperationException("intent log is not available yet");
+        HostPort address =
+                settings.keyValue()
+                        .orElseThrow(
+                                () ->
+                                        new IllegalArgumentException(
+                                                "a plain service needs a key-value service"));
+        KeyValueStore store =
+                new HttpKeyValueStore(
+                        program.vertx(), address, KEY_VALUE_TIMEOUT, program.metrics());
+        return new KeyValueIntentLog(store, program.clock(), IntentLogSettings.defaults());
     }
 }
--- a/tanagergap-agent/src/main/java/org/tanagergap/agent/server/GrpcEndpoint.java
+++ b/tanagergap-agent/src/main/java/org/tanagergap/agent/server/GrpcEndpoint.java
@@ -4,6 +4,7 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerOptions;
+import io.vertx.core.http.HttpServerRequest;
 import io.vertx.grpc.server.GrpcServer;
 import io.vertx.grpc.server.GrpcServerOptions;
 import io.vertx.grpc.server.GrpcServerRequest;
@@ -12,6 +13,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
+import org.tanagergap.agent.attempt.EventSink;
 import org.tanagergap.api.lifecycle.Service;
 import org.tanagergap.protocol.v1.RunEvent;
 import org.tanagergap.protocol.v1.RunRequest;
@@ -33,6 +35,12 @@
     private final UpstreamAgentCalls mCalls;
     private HttpServer mServer;
 
+    /**
+     * What the call that is being opened does when its caller closes it. The gRPC server invokes
+     * the handler of a call synchronously, on the one event loop of the agent.
+     */
+    private AtomicReference<Runnable> mOpening;
+
     public GrpcEndpoint(Vertx vertx, HostPort address, UpstreamAgentCalls calls) {
         mVertx = Objects.requireNonNull(vertx, "vertx must not be null");
         mAddress = Objects.requireNonNull(address, "address must not be null");
@@ -53,9 +61,10 @@
                         UpstreamAgentGrpcService.Status)
                 .build()
                 .bind(grpc);
-        // The generated handler does not report when a caller closes the call.
         grpc.callHandler(UpstreamAgentGrpcService.Run, this::run);
-        mServer = mVertx.createHttpServer(new HttpServerOptions()).requestHandler(grpc);
+        mServer =
+                mVertx.createHttpServer(new HttpServerOptions())
+                        .requestHandler(request -> open(request, grpc));
         return Futures.toCompletable(mServer.listen(mAddress.port(), mAddress.host()).mapEmpty());
     }
 
@@ -73,17 +82,28 @@
         return mServer.actualPort();
     }
 
-    private void run(GrpcServerRequest<RunRequest, RunEvent> call) {
+    /**
+     * Passes a request to the gRPC server. Its handlers do not report a stream that the caller
+     * resets after sending its request, so the response below them is watched instead.
+     */
+    private void open(HttpServerRequest request, GrpcServer grpc) {
         AtomicReference<Runnable> closed = new AtomicReference<>(() -> {});
-        // A reset stream and a broken connection are reported by either side of the call.
-        call.exceptionHandler(failure -> closed.get().run());
-        call.errorHandler(failure -> closed.get().run());
-        call.response().exceptionHandler(failure -> closed.get().run());
+        request.response().closeHandler(ignored -> closed.get().run());
+        mOpening = closed;
+        try {
+            grpc.handle(request);
+        } finally {
+            mOpening = null;
+        }
+    }
+
+    private void run(GrpcServerRequest<RunRequest, RunEvent> call) {
+        AtomicReference<Runnable> closed = mOpening;
         call.handler(request -> closed.set(mCalls.run(request, new ResponseSink(call.response()))));
     }
 
     private record ResponseSink(GrpcServerResponse<RunRequest, RunEvent> response)
-            implements org.tanagergap.agent.attempt.EventSink {
+            implements EventSink {
 
         @Override
         public void send(RunEvent event) {
