Test refusals, faulty streams, disconnects and shutdown of the entry

Adds failure tests against a scripted agent over gRPC. An attempt whose agent does not close the call after its last event is now reset after 1 s, because the stream would otherwise stay open.

--- a/tanagergap-entry/src/main/java/org/tanagergap/entry/execution/Attempt.java
+++ b/tanagergap-entry/src/main/java/org/tanagergap/entry/execution/Attempt.java
@@ -28,6 +28,9 @@
     /** Two exchange intervals: a live agent is heard at least once within this time. */
     private static final Duration ACTIVITY_WINDOW = Duration.ofSeconds(4);
 
+    /** Time for an agent to close a call after its last event. */
+    private static final Duration LINGER = Duration.ofSeconds(1);
+
     private final ExecutorContext mShared;
     private final Context mEventLoop;
     private final CallerRequest mRequest;
@@ -44,6 +47,7 @@
     private boolean mPaused;
     private boolean mEnded;
     private Timer mStallTimer = () -> {};
+    private Timer mLingerTimer = () -> {};
 
     Attempt(
             ExecutorContext shared,
@@ -182,9 +186,13 @@
 
     private void accept(RunEvent event) {
         switch (event.getEventCase()) {
-            case FAILED -> fail(WireFailures.read(event.getFailed()));
+            case FAILED -> {
+                awaitStreamEnd();
+                fail(WireFailures.read(event.getFailed()));
+            }
             case FINISHED -> {
                 mExecution = Execution.RAN;
+                awaitStreamEnd();
                 end(StatusCode.OK);
                 mListener.event(this, event);
             }
@@ -202,7 +210,14 @@
         }
     }
 
+    private void awaitStreamEnd() {
+        mLingerTimer =
+                mShared.clock()
+                        .schedule(LINGER, () -> mEventLoop.runOnContext(ignored -> mCall.cancel()));
+    }
+
     private void streamEnded(GrpcStatus status) {
+        mLingerTimer.cancel();
         if (!mEnded) {
             broken(new IllegalStateException("stream ended early with status " + status));
         }
--- a/tanagergap-entry/src/test/java/org/tanagergap/entry/FakeAgent.java
+++ b/tanagergap-entry/src/test/java/org/tanagergap/entry/FakeAgent.java
@@ -55,7 +55,24 @@
         GrpcServer grpc =
                 GrpcServer.server(
                         vertx, new GrpcServerOptions().setMaxMessageSize(32L * 1024 * 1024));
-        grpc.addService(UpstreamAgentGrpcService.of(this));
+        UpstreamAgentGrpcService.builder(this)
+                .bind(
+                        UpstreamAgentGrpcService.Cancel,
+                        UpstreamAgentGrpcService.Hold,
+                        UpstreamAgentGrpcService.ReleaseHold,
+                        UpstreamAgentGrpcService.PrefillSegment,
+                        UpstreamAgentGrpcService.Exchange)
+                .build()
+                .bind(grpc);
+        // The generated handler does not tell the service that its client has cancelled a call.
+        grpc.callHandler(
+                UpstreamAgentGrpcService.Run,
+                call -> {
+                    call.errorHandler(ignored -> mCancelled.add("error"));
+                    call.exceptionHandler(ignored -> mCancelled.add("broken"));
+                    call.response().exceptionHandler(ignored -> mCancelled.add("reset"));
+                    call.handler(request -> run(request, call.response()));
+                });
         mServer = vertx.createHttpServer().requestHandler(grpc).listen(0, "127.0.0.1").await();
         return this;
     }
@@ -71,7 +88,6 @@
     @Override
     protected void run(RunRequest request, WriteStream<RunEvent> response) {
         mRuns.add(request);
-        response.exceptionHandler(ignored -> mCancelled.add(request.getAttemptId()));
         mScript.accept(request, new Stream(request, response));
     }
 
