Add the operators' console

Operators edit the document in forms, so that a submission needs neither a shell nor knowledge of the format.

The console validates and compares with the code of the document module. It keeps salts and hashes of accepted keys out of browsers and restores them by key id on submission. A conflict answers with both differences and leaves the forms as typed.

--- /dev/null
+++ b/tanagergap-console/src/main/java/org/tanagergap/console/ConsoleJson.java
@@ -0,0 +1,63 @@
+package org.tanagergap.console;
+
+import io.vertx.core.json.Json;
+import io.vertx.core.json.JsonArray;
+import io.vertx.core.json.JsonObject;
+import java.util.List;
+import java.util.Optional;
+import java.util.regex.Pattern;
+import org.tanagergap.api.configuration.Configuration;
+import org.tanagergap.api.finding.Finding;
+import org.tanagergap.document.ConfigurationChange;
+import org.tanagergap.document.ConfigurationDocument;
+import org.tanagergap.state.configuration.StoredConfiguration;
+
+/** JSON forms of what the console sends to browsers. */
+final class ConsoleJson {
+
+    /** Forms have no lines; only the pointer of a place is of use to them. */
+    private static final Pattern LINE = Pattern.compile(" \\(line \\d+\\)$");
+
+    private ConsoleJson() {}
+
+    static JsonObject findings(List<Finding> findings) {
+        JsonArray array = new JsonArray();
+        for (Finding finding : findings) {
+            String pointer = LINE.matcher(finding.place()).replaceFirst("");
+            array.add(
+                    new JsonObject()
+                            .put("pointer", pointer.startsWith("/") ? pointer : "")
+                            .put("message", finding.message()));
+        }
+        return new JsonObject()
+                .put("result", findings.isEmpty() ? "valid" : "invalid")
+                .put("findings", array);
+    }
+
+    static JsonArray changes(List<ConfigurationChange> changes) {
+        JsonArray array = new JsonArray();
+        for (ConfigurationChange change : changes) {
+            array.add(
+                    new JsonObject()
+                            .put("pointer", change.pointer())
+                            .put("subject", change.subject())
+                            .put("old", value(change.oldValue()))
+                            .put("new", value(change.newValue())));
+        }
+        return array;
+    }
+
+    /** Text of the accepted document; a document without objects before the first. */
+    static String text(Optional<StoredConfiguration> current) {
+        return current.map(StoredConfiguration::document)
+                .orElseGet(() -> ConfigurationDocument.write(Configuration.EMPTY));
+    }
+
+    static long version(Optional<StoredConfiguration> current) {
+        return current.map(StoredConfiguration::version).orElse(0L);
+    }
+
+    private static Object value(Optional<String> json) {
+        return json.map(Json::decodeValue).orElse(null);
+    }
+}
--- /dev/null
+++ b/tanagergap-console/src/main/java/org/tanagergap/console/ConsoleService.java
@@ -0,0 +1,65 @@
+package org.tanagergap.console;
+
+import io.vertx.core.Future;
+import io.vertx.core.http.HttpServer;
+import io.vertx.core.json.JsonObject;
+import java.util.Objects;
+import java.util.concurrent.CompletableFuture;
+import org.tanagergap.api.lifecycle.Service;
+import org.tanagergap.runtime.admin.AdminServer;
+import org.tanagergap.runtime.async.Futures;
+import org.tanagergap.runtime.metrics.MetricsText;
+import org.tanagergap.runtime.program.ProgramContext;
+import org.tanagergap.state.configuration.ConfigurationStore;
+
+/** Serves the console to browsers, and its own state to operators. */
+final class ConsoleService implements Service {
+
+    private final ProgramContext mContext;
+    private final ConsoleSettings mSettings;
+    private final ConfigurationStore mStore;
+    private final AdminServer mAdmin;
+    private HttpServer mServer;
+    private volatile boolean mReady;
+
+    ConsoleService(ProgramContext context, ConsoleSettings settings, ConfigurationStore store) {
+        mContext = Objects.requireNonNull(context, "context must not be null");
+        mSettings = Objects.requireNonNull(settings, "settings must not be null");
+        mStore = Objects.requireNonNull(store, "store must not be null");
+        mAdmin =
+                new AdminServer(
+                        context.vertx(),
+                        context.adminListen(),
+                        new MetricsText(context.metrics()),
+                        () -> mReady,
+                        this::status);
+    }
+
+    @Override
+    public CompletableFuture<Void> start() {
+        mServer =
+                mContext.vertx()
+                        .createHttpServer()
+                        .requestHandler(ConsoleRouter.create(mContext.vertx(), mSettings, mStore));
+        return Futures.toCompletable(
+                        mServer.listen(mSettings.listen().port(), mSettings.listen().host()))
+                .thenCompose(ignored -> mAdmin.start())
+                .thenRun(() -> mReady = true);
+    }
+
+    @Override
+    public CompletableFuture<Void> stop() {
+        mReady = false;
+        Future<Void> closed = mServer == null ? Future.succeededFuture() : mServer.close();
+        return Futures.toCompletable(closed).thenCompose(ignored -> mAdmin.stop());
+    }
+
+    /** Port that browsers connect to. */
+    int port() {
+        return mServer.actualPort();
+    }
+
+    private JsonObject status() {
+        return new JsonObject().put("name", mSettings.name()).put("program", "tanagergap-console");
+    }
+}
--- /dev/null
+++ b/tanagergap-console/src/main/java/org/tanagergap/console/StatusRoutes.java
@@ -0,0 +1,66 @@
+package org.tanagergap.console;
+
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.json.JsonArray;
+import io.vertx.core.json.JsonObject;
+import io.vertx.ext.web.Router;
+import java.time.Duration;
+import java.util.List;
+import java.util.Locale;
+import org.tanagergap.runtime.async.Futures;
+import org.tanagergap.runtime.settings.HostPort;
+import org.tanagergap.runtime.status.ProcessState;
+import org.tanagergap.runtime.status.ProcessStatus;
+import org.tanagergap.runtime.status.ProcessStatusClient;
+import org.tanagergap.state.configuration.ConfigurationStore;
+
+/** Tells in which processes the accepted version is in effect. */
+final class StatusRoutes {
+
+    private static final Duration ANSWER_TIMEOUT = Duration.ofSeconds(2);
+
+    private final ProcessStatusClient mClient;
+    private final List<HostPort> mProcesses;
+    private final ConfigurationStore mStore;
+
+    StatusRoutes(Vertx vertx, List<HostPort> processes, ConfigurationStore store) {
+        mClient = new ProcessStatusClient(vertx, ANSWER_TIMEOUT);
+        mProcesses = processes;
+        mStore = store;
+    }
+
+    void mount(Router router) {
+        router.get("/api/status").respond(context -> status());
+    }
+
+    private Future<JsonObject> status() {
+        return Futures.toVertx(mStore.read())
+                .map(ConsoleJson::version)
+                .compose(
+                        version ->
+                                Futures.toVertx(mClient.read(mProcesses))
+                                        .map(statuses -> json(version, statuses)));
+    }
+
+    private static JsonObject json(long version, List<ProcessStatus> statuses) {
+        JsonArray processes = new JsonArray();
+        for (ProcessStatus status : statuses) {
+            JsonObject process =
+                    new JsonObject()
+                            .put("address", status.address().toString())
+                            .put("name", status.name())
+                            .put("program", status.program())
+                            .put("detail", status.detail())
+                            .put("state", status.state(version).name().toLowerCase(Locale.ROOT));
+            status.version().ifPresent(v -> process.put("configuration_version", v));
+            processes.add(process);
+        }
+        return new JsonObject()
+                .put("version", version)
+                .put(
+                        "in_effect",
+                        statuses.stream().allMatch(s -> s.state(version) == ProcessState.IN_EFFECT))
+                .put("processes", processes);
+    }
+}
--- /dev/null
+++ b/tanagergap-console/src/main/java/org/tanagergap/console/SubmitRoutes.java
@@ -0,0 +1,112 @@
+package org.tanagergap.console;
+
+import com.google.common.flogger.FluentLogger;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.json.JsonObject;
+import io.vertx.ext.web.Router;
+import io.vertx.ext.web.RoutingContext;
+import java.util.Optional;
+import java.util.UUID;
+import org.tanagergap.document.ConfigurationDiff;
+import org.tanagergap.document.ConfigurationDocument;
+import org.tanagergap.runtime.async.Futures;
+import org.tanagergap.state.configuration.ConfigurationStore;
+import org.tanagergap.state.configuration.StoredConfiguration;
+import org.tanagergap.state.configuration.SubmitResult;
+
+/** Submits documents and answers what became of earlier submissions. */
+final class SubmitRoutes {
+
+    private static final FluentLogger sLogger = FluentLogger.forEnclosingClass();
+
+    private final Vertx mVertx;
+    private final ConfigurationStore mStore;
+
+    SubmitRoutes(Vertx vertx, ConfigurationStore store) {
+        mVertx = vertx;
+        mStore = store;
+    }
+
+    void mount(Router router) {
+        router.post("/api/submit").handler(this::submit);
+        router.get("/api/outcome/:nonce").handler(this::outcome);
+    }
+
+    private void submit(RoutingContext context) {
+        JsonObject document = DocumentRoutes.document(context, "document");
+        JsonObject body = context.body().asJsonObject();
+        long base = body.getLong("base_version", 0L);
+        // The browser chooses the nonce, so that it can ask for the outcome when the reply is lost.
+        String nonce = body.getString("nonce", UUID.randomUUID().toString());
+        Futures.toVertx(mStore.read())
+                .compose(current -> submit(current, document, base, nonce))
+                .onSuccess(result -> reply(context, result, document))
+                .onFailure(context::fail);
+    }
+
+    private Future<SubmitResult> submit(
+            Optional<StoredConfiguration> current, JsonObject document, long base, String nonce) {
+        // Keys are restored from the base, so a document of another base must not be completed.
+        if (ConsoleJson.version(current) != base && current.isPresent()) {
+            return Future.succeededFuture(new SubmitResult.Conflict(current.get()));
+        }
+        return mVertx.executeBlocking(() -> validText(document, current))
+                .compose(text -> Futures.toVertx(mStore.submit(text, base, nonce)));
+    }
+
+    private static String validText(JsonObject document, Optional<StoredConfiguration> current) {
+        JsonObject restored = KeyRedaction.restore(document, DocumentRoutes.accepted(current));
+        return ConfigurationDocument.write(ConfigurationDocument.parse(restored.encode(), 0));
+    }
+
+    private void outcome(RoutingContext context) {
+        try {
+            Futures.toVertx(mStore.outcome(context.pathParam("nonce")))
+                    .onSuccess(result -> reply(context, result, null))
+                    .onFailure(context::fail);
+        } catch (IllegalArgumentException e) {
+            context.fail(HttpResponseStatus.BAD_REQUEST.code());
+        }
+    }
+
+    private static void reply(RoutingContext context, SubmitResult result, JsonObject document) {
+        JsonObject json = new JsonObject();
+        HttpResponseStatus status;
+        if (result instanceof SubmitResult.Accepted accepted) {
+            sLogger.atInfo().log("version %d accepted", accepted.version());
+            status = HttpResponseStatus.OK;
+            json.put("result", "accepted").put("version", accepted.version());
+        } else if (result instanceof SubmitResult.Conflict conflict) {
+            status = HttpResponseStatus.CONFLICT;
+            putConflict(json, conflict.current(), document);
+        } else if (result instanceof SubmitResult.Unresolved unresolved) {
+            status = HttpResponseStatus.GATEWAY_TIMEOUT;
+            json.put("result", "unresolved")
+                    .put("nonce", unresolved.nonce())
+                    .put("message", unresolved.reason());
+        } else {
+            status = HttpResponseStatus.CONFLICT;
+            json.put("result", "rejected")
+                    .put("message", ((SubmitResult.Rejected) result).reason());
+        }
+        context.response().setStatusCode(status.code());
+        context.json(json);
+    }
+
+    private static void putConflict(
+            JsonObject json, StoredConfiguration current, JsonObject document) {
+        JsonObject accepted = new JsonObject(current.document());
+        json.put("result", "conflict")
+                .put("version", current.version())
+                .put("document", KeyRedaction.hide(accepted));
+        if (document != null) {
+            JsonObject restored = KeyRedaction.restore(document, accepted);
+            json.put(
+                    "changes",
+                    ConsoleJson.changes(
+                            ConfigurationDiff.between(current.document(), restored.encode())));
+        }
+    }
+}
--- /dev/null
+++ b/tanagergap-console/src/main/resources/org/tanagergap/console/web/api.js
@@ -0,0 +1,36 @@
+/** Failure of a call, with the JSON body of the answer when there is one. */
+export class CallError extends Error {
+  constructor(status, body) {
+    super((body && body.message) || `the console answered with HTTP status ${status}`);
+    this.status = status;
+    this.body = body;
+  }
+}
+
+/** Calls the console; throws CallError unless the answer is a success. */
+export async function call(method, path, body) {
+  const response = await fetch(path, {
+    method,
+    headers: body === undefined ? {} : {'Content-Type': 'application/json'},
+    body: body === undefined ? undefined : JSON.stringify(body),
+    credentials: 'same-origin',
+  });
+  const text = await response.text();
+  let json = null;
+  try {
+    json = text ? JSON.parse(text) : null;
+  } catch (e) {
+    json = null;
+  }
+  if (!response.ok) {
+    throw new CallError(response.status, json);
+  }
+  return json;
+}
+
+/** Random text by which the outcome of a submission can be asked for. */
+export function newNonce() {
+  // crypto.randomUUID is missing on pages that are served without TLS.
+  const bytes = crypto.getRandomValues(new Uint8Array(16));
+  return Array.from(bytes, (b) => b.toString(16).padStart(2, '0')).join('');
+}
--- /dev/null
+++ b/tanagergap-console/src/main/resources/org/tanagergap/console/web/results.js
@@ -0,0 +1,94 @@
+import {element, idOf} from './forms.js';
+
+const show = (value) => (value === null ? '(absent)' : JSON.stringify(value));
+
+function table(caption, headings, rows) {
+  const head = element('tr', {}, ...headings.map((h) => element('th', {scope: 'col'}, h)));
+  const body = rows.map((cells) =>
+    element('tr', {}, ...cells.map((cell) => element('td', {}, cell))));
+  return element('div', {className: 'scroll'},
+    element('table', {},
+      element('caption', {}, caption),
+      element('thead', {}, head),
+      element('tbody', {}, ...body)));
+}
+
+/** Table of changes between two documents. */
+export function changes(caption, list) {
+  return list.length === 0
+    ? element('p', {}, `${caption}: none.`)
+    : table(caption, ['Place', 'Before', 'After'],
+      list.map((change) => [change.subject, show(change.old), show(change.new)]));
+}
+
+/** Field of a pointer, or of the nearest object around it. */
+function target(pointer) {
+  for (let p = pointer; p; p = p.slice(0, p.lastIndexOf('/'))) {
+    const found = document.getElementById(idOf(p));
+    if (found) {
+      return found;
+    }
+  }
+  return null;
+}
+
+/** Opens the row of a pointer, so that its field exists. */
+function reveal(pointer) {
+  const [, list, index] = pointer.split('/');
+  const filter = document.getElementById(`filter-${list}`);
+  if (filter && filter.value) {
+    filter.value = '';
+    filter.dispatchEvent(new Event('input'));
+  }
+  const summary = document.getElementById(idOf(`/${list}/${index}`));
+  const details = summary && summary.closest('details');
+  if (details && !details.open) {
+    // The toggle event comes later, so the focus waits for it.
+    details.addEventListener('toggle', () => focus(pointer), {once: true});
+    details.open = true;
+  } else {
+    focus(pointer);
+  }
+}
+
+function focus(pointer) {
+  const found = target(pointer);
+  if (found) {
+    found.setAttribute('aria-invalid', 'true');
+    if (found.tabIndex < 0) {
+      found.tabIndex = -1;
+    }
+    found.focus();
+    found.scrollIntoView({block: 'center'});
+  }
+}
+
+/** List of findings; each one is a button that leads to its field. */
+export function findings(list) {
+  const items = list.map((finding) => {
+    const link = element('button', {type: 'button'}, finding.pointer || 'document');
+    link.addEventListener('click', () => reveal(finding.pointer));
+    return element('li', {}, link, ` ${finding.message}`);
+  });
+  const count = list.length === 1 ? '1 finding' : `${list.length} findings`;
+  return element('div', {className: 'error', role: 'alert'},
+    element('h2', {}, count), element('ul', {}, ...items));
+}
+
+/** Table of processes with the version in effect in each. */
+export function status(answer) {
+  const behind = answer.processes.filter((process) => process.state !== 'in_effect').length;
+  const caption = answer.processes.length === 0
+    ? 'No processes are named in the settings.'
+    : `Version ${answer.version} is in effect in `
+      + `${answer.processes.length - behind} of ${answer.processes.length} processes`;
+  return table(caption, ['Process', 'Address', 'State', 'Version'],
+    answer.processes.map((process) => [
+      process.name || '(unknown)',
+      process.address,
+      process.state.replace('_', ' '),
+      process.configuration_version === undefined
+        ? process.detail
+        : String(process.configuration_version),
+    ]));
+}
