--- a/tanagergap-runtime/src/main/java/org/tanagergap/runtime/program/ProgramRunner.java
+++ b/tanagergap-runtime/src/main/java/org/tanagergap/runtime/program/ProgramRunner.java
@@ -3,6 +3,7 @@
 import com.github.rvesse.airline.SingleCommand;
 import com.github.rvesse.airline.parser.errors.ParseException;
 import com.google.common.flogger.FluentLogger;
+import io.smallrye.mutiny.infrastructure.Infrastructure;
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
 import java.util.concurrent.ExecutionException;
@@ -32,6 +33,9 @@
             System.out.println(command.programName() + " " + Version.current());
             return;
         }
+        // A stream may still fail after its subscriber has cancelled it, with nobody to tell.
+        Infrastructure.setDroppedExceptionHandler(
+                failure -> sLogger.atFine().withCause(failure).log("failure after cancellation"));
         Vertx vertx = Vertx.vertx(new VertxOptions());
         ProgramContext context = prepare(command, vertx);
         Service service = command.createService(context);
