Bound the wait of claims and restrict them to the rank in turn

Cause: a new property showed that a prompt of 350,000 tokens under a floor did not start within 6 s on an engine of 400,000 tokens during a flood: with half of the released memory, the last part accrues ever more slowly. Work of a rank without a floor could also claim memory before more urgent work. Prompts with one prefix scattered over agents until a hint reported it. Change: a claim accrues all released memory after three times its delay; only the rank whose turn it is may claim; the router credits its own choice of the last 30 s as a prefix hit.

--- a/tanagergap-decisions/src/main/java/org/tanagergap/decisions/routing/FirstTokenPrediction.java
+++ b/tanagergap-decisions/src/main/java/org/tanagergap/decisions/routing/FirstTokenPrediction.java
@@ -29,11 +29,11 @@
         mSettings = settings;
     }
 
-    double seconds(AgentState agent, RoutingRequest request, long nowNanos) {
+    double seconds(AgentState agent, RoutingRequest request, boolean holdsPrefix, long nowNanos) {
         double load =
                 request.cost().memoryTokens() == 0
                         ? plainCallSeconds(agent)
-                        : completionSeconds(agent, request);
+                        : completionSeconds(agent, request, holdsPrefix);
         double delay =
                 agent.endpoint().failureDomain().equals(mSettings.failureDomain())
                         ? 0
@@ -45,10 +45,11 @@
         return load * (1 + AGE_PENALTY * age / interval) + AGE_PENALTY * age + delay;
     }
 
-    private double completionSeconds(AgentState agent, RoutingRequest request) {
+    private double completionSeconds(
+            AgentState agent, RoutingRequest request, boolean holdsPrefix) {
         double rate = rate(agent);
         long queued = agent.hint().map(LoadHint::prefillTokensQueued).orElse(0L);
-        double prompt = request.cost().promptTokens() - prefixHit(agent, request);
+        double prompt = request.cost().promptTokens() - (holdsPrefix ? prefixHit(request) : 0);
         double missing = missingMemory(agent, request);
         // In a steady state memory is released about as fast as prompts are prefilled.
         return (queued + agent.unseenPromptTokens() + prompt + missing) / rate;
@@ -59,16 +60,9 @@
         return measured > 0 ? measured : mSettings.initialPrefillTokensPerSecond();
     }
 
-    private static double prefixHit(AgentState agent, RoutingRequest request) {
-        boolean isHeld =
-                request.prefixHash().isPresent()
-                        && agent.hint()
-                                .map(h -> h.prefixHashes().contains(request.prefixHash().get()))
-                                .orElse(false);
-        return isHeld
-                ? Math.min(
-                        MAX_PREFIX_HIT_TOKENS, MAX_PREFIX_HIT_SHARE * request.cost().promptTokens())
-                : 0;
+    private static double prefixHit(RoutingRequest request) {
+        return Math.min(
+                MAX_PREFIX_HIT_TOKENS, MAX_PREFIX_HIT_SHARE * request.cost().promptTokens());
     }
 
     private static double missingMemory(AgentState agent, RoutingRequest request) {
--- a/tanagergap-decisions/src/main/java/org/tanagergap/decisions/routing/PrefixAffinity.java
+++ b/tanagergap-decisions/src/main/java/org/tanagergap/decisions/routing/PrefixAffinity.java
@@ -1,5 +1,6 @@
 package org.tanagergap.decisions.routing;
 
+import java.time.Duration;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
@@ -13,12 +14,15 @@
     /** 4,096 hashes of 64 characters take about 1 MB. */
     private static final int MAX_RECENT = 4_096;
 
+    /** Bridges the time until hints and cache events, which arrive late, report the prefix. */
+    private static final Duration RECENT = Duration.ofSeconds(30);
+
     private final Map<String, Set<String>> mHolders = new HashMap<>();
     private final Map<String, Set<String>> mHashesByAgent = new HashMap<>();
-    private final Map<String, String> mRecent =
+    private final Map<String, Choice> mRecent =
             new LinkedHashMap<>(16, 0.75f, true) {
                 @Override
-                protected boolean removeEldestEntry(Map.Entry<String, String> eldest) {
+                protected boolean removeEldestEntry(Map.Entry<String, Choice> eldest) {
                     return size() > MAX_RECENT;
                 }
             };
@@ -49,17 +53,30 @@
         }
     }
 
-    void chosen(String hash, String agent) {
-        mRecent.put(hash, agent);
+    void chosen(String hash, String agent, long nowNanos) {
+        mRecent.put(hash, new Choice(agent, nowNanos));
     }
 
     /** Name of the agent that most probably holds the prefix. */
-    Optional<String> agent(String hash) {
-        String recent = mRecent.get(hash);
-        if (recent != null) {
-            return Optional.of(recent);
+    Optional<String> agent(String hash, long nowNanos) {
+        Choice recent = mRecent.get(hash);
+        if (recent != null && isCurrent(recent, nowNanos)) {
+            return Optional.of(recent.agent());
         }
         Set<String> holders = mHolders.get(hash);
         return holders == null ? Optional.empty() : Optional.of(holders.iterator().next());
     }
+
+    /** Whether the agent reports the prefix or was chosen for it shortly ago. */
+    boolean holds(String agent, String hash, long nowNanos) {
+        Choice recent = mRecent.get(hash);
+        return mHashesByAgent.getOrDefault(agent, Set.of()).contains(hash)
+                || (recent != null && recent.agent().equals(agent) && isCurrent(recent, nowNanos));
+    }
+
+    private static boolean isCurrent(Choice choice, long nowNanos) {
+        return nowNanos - choice.nanos() < RECENT.toNanos();
+    }
+
+    private record Choice(String agent, long nanos) {}
 }
--- a/tanagergap-decisions/src/main/java/org/tanagergap/decisions/routing/SubsetRequestRouter.java
+++ b/tanagergap-decisions/src/main/java/org/tanagergap/decisions/routing/SubsetRequestRouter.java
@@ -182,7 +182,7 @@
                         mSettings.allCandidatesUpTo(),
                         request.excluded());
         request.prefixHash()
-                .flatMap(mAffinity::agent)
+                .flatMap(hash -> mAffinity.agent(hash, now))
                 .map(mPool::find)
                 .filter(agent -> agent.isUsable() && isAllowed(agent, request))
                 .ifPresent(candidates::add);
@@ -199,7 +199,11 @@
             if (!isAllowed(agent, request) || !isLargeEnough(agent, request)) {
                 continue;
             }
-            double seconds = mPrediction.seconds(agent, request, now);
+            boolean holdsPrefix =
+                    request.prefixHash()
+                            .map(hash -> mAffinity.holds(agent.name(), hash, now))
+                            .orElse(false);
+            double seconds = mPrediction.seconds(agent, request, holdsPrefix, now);
             if (seconds < lowest) {
                 lowest = seconds;
                 best = agent;
@@ -234,7 +238,7 @@
             before.attemptEnded(request.attemptId());
         }
         agent.attemptSent(request.attemptId(), request.cost(), now);
-        request.prefixHash().ifPresent(hash -> mAffinity.chosen(hash, agent.name()));
+        request.prefixHash().ifPresent(hash -> mAffinity.chosen(hash, agent.name(), now));
     }
 
     private static boolean isAllowed(AgentState agent, RoutingRequest request) {
--- a/tanagergap-decisions/src/main/java/org/tanagergap/decisions/scheduling/DispatchGate.java
+++ b/tanagergap-decisions/src/main/java/org/tanagergap/decisions/scheduling/DispatchGate.java
@@ -4,5 +4,11 @@
 @FunctionalInterface
 interface DispatchGate {
 
-    boolean canStart(QueuedWork work);
+    /**
+     * Whether the item can start.
+     *
+     * @param mayClaim whether memory may accrue to the item; only the rank whose turn it is may
+     *     claim, because a claim of a later rank would take memory from more urgent work
+     */
+    boolean canStart(QueuedWork work, boolean mayClaim);
 }
--- a/tanagergap-decisions/src/main/java/org/tanagergap/decisions/scheduling/FairQueue.java
+++ b/tanagergap-decisions/src/main/java/org/tanagergap/decisions/scheduling/FairQueue.java
@@ -69,12 +69,14 @@
 
     /** Item whose turn it is among those that the gate lets start. */
     Optional<QueuedWork> next(long nowNanos, DispatchGate gate) {
+        boolean isFirstRank = true;
         for (RankQueue rank : mRanks.order(nowNanos)) {
             for (QueuedWork work : candidates(rank.shares())) {
-                if (gate.canStart(work)) {
+                if (gate.canStart(work, isFirstRank)) {
                     return Optional.of(work);
                 }
             }
+            isFirstRank = false;
         }
         return Optional.empty();
     }
--- a/tanagergap-decisions/src/main/java/org/tanagergap/decisions/scheduling/FairUpstreamScheduler.java
+++ b/tanagergap-decisions/src/main/java/org/tanagergap/decisions/scheduling/FairUpstreamScheduler.java
@@ -29,6 +29,7 @@
     private final SchedulerSettings mSettings;
     private final MemoryLedger mLedger;
     private final FairQueue mQueue;
+    private final ClaimPolicy mClaims;
     private final HoldTable mHolds;
     private final PolicyTable mPolicies;
     private final PrefillRateEstimator mRate;
@@ -44,7 +45,8 @@
         mSettings = Objects.requireNonNull(settings, "settings must not be null");
         mLedger = new MemoryLedger(settings.memoryTokens(), settings.longMemoryShare());
         mQueue = new FairQueue(settings.floorWindow());
-        mHolds = new HoldTable(mLedger, settings.claimAfter());
+        mClaims = new ClaimPolicy(mLedger, settings.claimAfter());
+        mHolds = new HoldTable(mLedger, mClaims);
         mPolicies = new PolicyTable(settings.policyRetention());
         mRate = new PrefillRateEstimator(settings.initialPrefillTokensPerSecond());
         mSlots = new PrefillSlots(settings, mRate);
@@ -119,8 +121,10 @@
         }
         mLock.run(
                 () -> {
+                    if (memoryTokens < mLedger.capacity()) {
+                        mQueue.largerThan(memoryTokens).forEach(this::expire);
+                    }
                     mLedger.setCapacity(memoryTokens);
-                    mQueue.largerThan(memoryTokens).forEach(this::expire);
                 });
     }
 
@@ -216,10 +220,11 @@
         sweepExpired(now);
         List<WorkItem> started = new ArrayList<>();
         startClaimed(now).ifPresent(started::add);
-        Optional<QueuedWork> next = mQueue.next(now, work -> canStart(work, now));
+        DispatchGate gate = (work, mayClaim) -> canStart(work, mayClaim, now);
+        Optional<QueuedWork> next = mQueue.next(now, gate);
         while (next.isPresent()) {
             started.add(start(next.get(), now));
-            next = mQueue.next(now, work -> canStart(work, now));
+            next = mQueue.next(now, gate);
         }
         return started;
     }
@@ -229,11 +234,11 @@
         return mLedger.claimOwner()
                 .filter(AttemptId.class::isInstance)
                 .flatMap(owner -> mQueue.find((AttemptId) owner))
-                .filter(work -> canStart(work, now))
+                .filter(work -> canStart(work, true, now))
                 .map(work -> start(work, now));
     }
 
-    private boolean canStart(QueuedWork work, long now) {
+    private boolean canStart(QueuedWork work, boolean mayClaim, long now) {
         if (work.promptTokens() > 0 && !mSlots.canStart(work.band())) {
             return false;
         }
@@ -241,8 +246,8 @@
         if (mLedger.fits(attempt, work.memoryTokens(), work.isLong())) {
             return true;
         }
-        if (work.blockedNanos(now) >= mSettings.claimAfter().toNanos()) {
-            mLedger.claim(attempt, work.memoryTokens(), work.isLong());
+        if (mayClaim) {
+            mClaims.blocked(attempt, work.memoryTokens(), work.isLong(), work.blockedNanos(now));
         }
         return false;
     }
--- a/tanagergap-decisions/src/main/java/org/tanagergap/decisions/scheduling/HoldTable.java
+++ b/tanagergap-decisions/src/main/java/org/tanagergap/decisions/scheduling/HoldTable.java
@@ -18,15 +18,15 @@
     private static final Duration RETRY_GAP = Duration.ofSeconds(2);
 
     private final MemoryLedger mLedger;
-    private final Duration mClaimAfter;
+    private final ClaimPolicy mClaims;
     private final Map<String, Hold> mHolds = new HashMap<>();
     private final TreeSet<Hold> mByExpiry =
             new TreeSet<>(Comparator.comparingLong(Hold::expiryNanos).thenComparing(Hold::id));
     private final Map<String, Attempt> mRefused = new HashMap<>();
 
-    HoldTable(MemoryLedger ledger, Duration claimAfter) {
+    HoldTable(MemoryLedger ledger, ClaimPolicy claims) {
         mLedger = ledger;
-        mClaimAfter = claimAfter;
+        mClaims = claims;
     }
 
     /** Reserves or extends; a known hold keeps its size unless the new one fits. */
@@ -101,9 +101,7 @@
         Attempt first = mRefused.get(id);
         long firstNanos = first == null ? nowNanos : first.firstNanos();
         mRefused.put(id, new Attempt(firstNanos, nowNanos));
-        if (nowNanos - firstNanos >= mClaimAfter.toNanos()) {
-            mLedger.claim(new HoldOwner(id), tokens, true);
-        }
+        mClaims.blocked(new HoldOwner(id), tokens, true, nowNanos - firstNanos);
     }
 
     private void giveUp(String id) {
--- a/tanagergap-decisions/src/main/java/org/tanagergap/decisions/scheduling/MemoryLedger.java
+++ b/tanagergap-decisions/src/main/java/org/tanagergap/decisions/scheduling/MemoryLedger.java
@@ -12,7 +12,9 @@
 final class MemoryLedger {
 
     /**
-     * Half of the released memory accrues to a claim; the rest keeps small work running meanwhile.
+     * Half of the released memory accrues to a new claim; the rest keeps small work running. An old
+     * claim accrues everything, because with half of it the last tokens of a large claim would take
+     * a time that grows with the logarithm of its size.
      */
     private static final int ACCRUAL_DIVISOR = 2;
 
@@ -25,6 +27,7 @@
     private boolean mClaimIsLong;
     private long mClaimTokens;
     private long mAccrued;
+    private boolean mAccruesAll;
 
     MemoryLedger(long capacity, double longShare) {
         mCapacity = capacity;
@@ -115,17 +118,20 @@
     /**
      * Starts or renews the owner's claim, unless another owner has one. Work that waits only for
      * the cap on long work keeps other long work away but lets small work use free memory.
+     *
+     * @param accruesAll whether all released memory accrues to the claim from now on
      */
-    void claim(Object owner, long tokens, boolean isLong) {
+    void claim(Object owner, long tokens, boolean isLong, boolean accruesAll) {
         Objects.requireNonNull(owner, "owner must not be null");
         if (mClaimOwner != null && !mClaimOwner.equals(owner)) {
             return;
         }
-        boolean first = mClaimOwner == null || mClaimTokens == 0;
+        boolean isNew = mClaimTokens == 0;
         mClaimOwner = owner;
         mClaimIsLong = isLong;
+        mAccruesAll = accruesAll;
         mClaimTokens = isLong && !fitsLongCap(owner, tokens) ? 0 : tokens;
-        if (first) {
+        if (isNew || accruesAll) {
             mAccrued = Math.min(mClaimTokens, free());
         }
         clampAccrued();
@@ -150,7 +156,7 @@
     private void accrue(long released) {
         if (released > 0) {
             // Rounds up, so that releases of single tokens accrue too.
-            mAccrued += (released + ACCRUAL_DIVISOR - 1) / ACCRUAL_DIVISOR;
+            mAccrued += mAccruesAll ? released : (released + ACCRUAL_DIVISOR - 1) / ACCRUAL_DIVISOR;
         }
         clampAccrued();
     }
--- a/tanagergap-decisions/src/test/java/org/tanagergap/decisions/routing/SubsetRequestRouterTests.java
+++ b/tanagergap-decisions/src/test/java/org/tanagergap/decisions/routing/SubsetRequestRouterTests.java
@@ -150,6 +150,19 @@
             assertThat(mRouter.choose(second).orElseThrow().name()).isNotEqualTo("a33");
         }
 
+        /** Guards against prompts with one prefix that scatter until a hint reports it. */
+        @Test
+        void aPrefixStaysWithItsAgentBeforeAHintReportsIt() {
+            RoutingRequest first = request(4_000, "p", null, Set.of());
+            String agent = mRouter.choose(first).orElseThrow().name();
+            mRouter.attemptEnded(first.attemptId());
+            for (int i = 0; i < 20; i++) {
+                RoutingRequest next = request(4_000, "p", null, Set.of());
+                assertThat(mRouter.choose(next).orElseThrow().name()).isEqualTo(agent);
+                mRouter.attemptEnded(next.attemptId());
+            }
+        }
+
         @Test
         void excludedAgentsAreNotChosen() {
             for (int i = 0; i < 50; i++) {
--- a/tanagergap-decisions/src/test/java/org/tanagergap/decisions/scheduling/FairUpstreamSchedulerPropertyTests.java
+++ b/tanagergap-decisions/src/test/java/org/tanagergap/decisions/scheduling/FairUpstreamSchedulerPropertyTests.java
@@ -114,6 +114,39 @@
         schedulers.forEach(scheduler -> assertThat(scheduler.reservedTokens()).isEqualTo(0));
     }
 
+    /** Guards against starvation of a rank with a floor, whatever the lengths of its prompts. */
+    @Property(seed = "20261204", tries = 40)
+    void workUnderAFloorStartsWithinABoundDuringAFlood(
+            @ForAll @Size(3) List<@IntRange(min = 100, max = 350_000) Integer> prompts,
+            @ForAll @IntRange(min = 500, max = 7_000) int floodPrompt) {
+        PausedClock clock = new PausedClock();
+        FairUpstreamScheduler scheduler =
+                new FairUpstreamScheduler(
+                        clock, SchedulerSettings.defaults().withMemoryTokens(400_000));
+        SimulatedEngine engine =
+                new SimulatedEngine(clock, scheduler, 200_000, Duration.ofSeconds(2));
+        int[] next = {0};
+        Runnable flood =
+                () -> {
+                    for (int i = 0; i < 1 + 4_000 / floodPrompt; i++) {
+                        Work work = Work.URGENT.of("w" + next[0] % 30);
+                        String id = "f" + next[0]++;
+                        scheduler.submit(
+                                work.item(clock, id, floodPrompt, 100, Duration.ofSeconds(20)));
+                    }
+                };
+        for (int i = 0; i < prompts.size(); i++) {
+            // The window forgets the item before, so that the rank is below its floor.
+            engine.run(Duration.ofSeconds(12), flood);
+            String id = "bulk" + i;
+            WorkItem item = Work.BULK.item(clock, id, prompts.get(i), 100, Duration.ofMinutes(2));
+            assertThat(scheduler.submit(item)).isInstanceOf(AdmissionDecision.Queued.class);
+            // 1 s until a claim, 2 s until all memory accrues to it, 2 s of decoding, and prefill.
+            engine.run(Duration.ofSeconds(6), flood);
+            assertThat(engine.hasStarted(id)).isTrue();
+        }
+    }
+
     private static void release(SchedulerModel model, int choice, boolean ofQueued) {
         // Takes expired items first, because the scheduler drops them on its own.
         model.expire();
--- a/tanagergap-decisions/src/test/java/org/tanagergap/decisions/scheduling/FairUpstreamSchedulerTests.java
+++ b/tanagergap-decisions/src/test/java/org/tanagergap/decisions/scheduling/FairUpstreamSchedulerTests.java
@@ -154,6 +154,21 @@
             assertThat(held[0]).isTrue();
         }
 
+        /** Guards against claims by which work without a floor takes memory from urgent work. */
+        @Test
+        void aRankWhoseTurnItIsNotGainsNoClaim() {
+            FairUpstreamScheduler scheduler =
+                    scheduler(SchedulerSettings.defaults().withMemoryTokens(100_000));
+            SimulatedEngine engine =
+                    new SimulatedEngine(mClock, scheduler, 200_000, Duration.ofSeconds(2));
+            Work idle = new Work("idle", 1, "idle", 9, 0);
+            Runnable small = () -> submit(scheduler, Work.URGENT.of("w" + mNext % 20), 2_000);
+            engine.run(Duration.ofSeconds(5), small);
+            scheduler.submit(idle.item(mClock, "large", 80_000, 100, MINUTE));
+            engine.run(Duration.ofSeconds(15), small);
+            assertThat(engine.hasStarted("large")).isFalse();
+        }
+
         /** Guards against long prompts that fill the engine. */
         @Test
         void longWorkLeavesMemoryForShortWork() {
