Test the adapters against the stand-ins and the intent log by cases

Cause: adapters and stand-ins had no tests. The first run showed that ending a watch reported its own reset as a dropped failure. Change: the HTTP adapters are tested against the stand-in servers in one JVM. A watch that its subscriber ends reports no failure. The intent log no longer treats a compacted number apart; a settings check replaces it.

--- a/tanagergap-platform/src/main/java/org/tanagergap/platform/keyvalue/HttpKeyValueStore.java
+++ b/tanagergap-platform/src/main/java/org/tanagergap/platform/keyvalue/HttpKeyValueStore.java
@@ -23,6 +23,8 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Consumer;
 import org.tanagergap.runtime.async.Futures;
 import org.tanagergap.runtime.metrics.MetricName;
 import org.tanagergap.runtime.settings.HostPort;
@@ -165,41 +167,57 @@
 
     private void openWatch(String prefix, MultiEmitter<? super KeyValue> emitter) {
         mWatches.inc();
+        AtomicBoolean ended = new AtomicBoolean();
+        // Ending a watch resets its request, which must not be reported as a failure.
+        Consumer<Throwable> fail =
+                failure -> {
+                    if (ended.compareAndSet(false, true)) {
+                        emitter.fail(failure);
+                    }
+                };
         mWatchClient
                 .request(options("/v3/watch"))
                 .compose(
                         request -> {
-                            emitter.onTermination(request::reset);
+                            emitter.onTermination(
+                                    () -> {
+                                        ended.set(true);
+                                        request.reset();
+                                    });
                             return request.send(GatewayMessages.watch(prefix).toBuffer());
                         })
-                .onSuccess(response -> readWatch(response, emitter))
-                .onFailure(failure -> emitter.fail(failed("/v3/watch", true, failure)));
+                .onSuccess(response -> readWatch(response, emitter, fail))
+                .onFailure(failure -> fail.accept(failed("/v3/watch", true, failure)));
     }
 
-    private void readWatch(HttpClientResponse response, MultiEmitter<? super KeyValue> emitter) {
+    private void readWatch(
+            HttpClientResponse response,
+            MultiEmitter<? super KeyValue> emitter,
+            Consumer<Throwable> fail) {
         if (response.statusCode() != HTTP_OK) {
             String message = "/v3/watch answered " + response.statusCode();
-            emitter.fail(new KeyValueException(message, true, null));
+            fail.accept(new KeyValueException(message, true, null));
             return;
         }
         RecordParser lines = RecordParser.newDelimited("\n", response);
-        lines.exceptionHandler(failure -> emitter.fail(failed("/v3/watch", true, failure)));
+        lines.exceptionHandler(failure -> fail.accept(failed("/v3/watch", true, failure)));
         lines.endHandler(
-                ignored -> emitter.fail(new KeyValueException("/v3/watch ended", true, null)));
-        lines.handler(line -> emitLine(line, emitter));
+                ignored -> fail.accept(new KeyValueException("/v3/watch ended", true, null)));
+        lines.handler(line -> emitLine(line, emitter, fail));
     }
 
-    private static void emitLine(Buffer line, MultiEmitter<? super KeyValue> emitter) {
+    private static void emitLine(
+            Buffer line, MultiEmitter<? super KeyValue> emitter, Consumer<Throwable> fail) {
         try {
             JsonObject message = new JsonObject(line);
             JsonObject result = message.getJsonObject("result");
             if (result == null || result.getBoolean("canceled", false)) {
-                emitter.fail(new KeyValueException("watch was cancelled: " + line, true, null));
+                fail.accept(new KeyValueException("watch was cancelled: " + line, true, null));
                 return;
             }
             GatewayMessages.changes(result).forEach(emitter::emit);
         } catch (DecodeException | ClassCastException e) {
-            emitter.fail(new KeyValueException("watch sent an unreadable message", true, e));
+            fail.accept(new KeyValueException("watch sent an unreadable message", true, e));
         }
     }
 
--- /dev/null
+++ b/tanagergap-platform/src/test/java/org/tanagergap/platform/instances/HttpInstanceListTests.java
@@ -0,0 +1,98 @@
+package org.tanagergap.platform.instances;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.json.JsonObject;
+import io.vertx.ext.web.client.WebClient;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.tanagergap.runtime.settings.HostPort;
+import org.tanagergap.standins.instances.InstanceListServer;
+import org.tanagergap.testing.PausedClock;
+
+class HttpInstanceListTests {
+
+    private static final HostPort ANY = new HostPort("127.0.0.1", 0);
+    private static final Duration LAG = Duration.ofSeconds(3);
+
+    private final Vertx mVertx = Vertx.vertx();
+    private final PausedClock mClock = new PausedClock();
+    private final InstanceListServer mServer = new InstanceListServer(mVertx, ANY, LAG, mClock);
+    private HttpInstanceList mList;
+
+    @BeforeEach
+    void start() throws Exception {
+        await(mServer.start());
+        HostPort address = new HostPort("127.0.0.1", mServer.port());
+        mList = new HttpInstanceList(mVertx, address, Duration.ofSeconds(5));
+    }
+
+    @AfterEach
+    void stop() throws Exception {
+        await(mVertx.close().toCompletionStage().toCompletableFuture());
+    }
+
+    private static <T> T await(CompletableFuture<T> future) throws Exception {
+        return future.get(10, TimeUnit.SECONDS);
+    }
+
+    private int change(HttpMethod method, String path, JsonObject body) throws Exception {
+        return await(
+                WebClient.create(mVertx)
+                        .request(method, mServer.port(), "127.0.0.1", path)
+                        .sendJsonObject(body)
+                        .map(response -> response.statusCode())
+                        .toCompletionStage()
+                        .toCompletableFuture());
+    }
+
+    private static JsonObject instance(String address, boolean leaving) {
+        return new JsonObject()
+                .put("address", address)
+                .put("failureDomain", "north")
+                .put("leaving", leaving);
+    }
+
+    @Test
+    void readersSeeChangesOfTheirGroupAfterTheLag() throws Exception {
+        change(HttpMethod.PUT, "/instances/agents/m1", instance("127.0.0.1:71", false));
+        change(HttpMethod.PUT, "/instances/agents/m2", instance("127.0.0.1:72", true));
+        change(HttpMethod.PUT, "/instances/entries/e1", instance("127.0.0.1:81", false));
+        assertThat(await(mList.read("agents"))).isEmpty();
+
+        mClock.advance(LAG);
+        List<Instance> seen = await(mList.read("agents"));
+        change(HttpMethod.DELETE, "/instances/agents/m1", new JsonObject());
+
+        assertThat(seen)
+                .containsExactly(
+                        new Instance("m1", "127.0.0.1:71", "north", false),
+                        new Instance("m2", "127.0.0.1:72", "north", true));
+        assertThat(await(mList.read("agents"))).hasSize(2);
+        mClock.advance(LAG);
+        assertThat(await(mList.read("agents")).stream().map(Instance::name)).containsExactly("m2");
+    }
+
+    @Test
+    void refusesAnInstanceWithoutAnAddress() throws Exception {
+        int status = change(HttpMethod.PUT, "/instances/agents/m1", new JsonObject());
+
+        assertThat(status).isEqualTo(400);
+    }
+
+    @Test
+    void failsWhenTheListCannotBeReached() throws Exception {
+        await(mServer.stop());
+
+        assertThrows(ExecutionException.class, () -> await(mList.read("agents")));
+    }
+}
--- a/tanagergap-standins/src/main/java/org/tanagergap/standins/keyvalue/KeyValueServer.java
+++ b/tanagergap-standins/src/main/java/org/tanagergap/standins/keyvalue/KeyValueServer.java
@@ -69,7 +69,7 @@
         router.post("/v3/watch")
                 .handler(context -> admit(context, CallKind.WATCHES, () -> watch(context)));
         router.put("/faults").handler(this::changeFaults);
-        router.get("/faults").handler(context -> context.json(mFaults.toJson()));
+        router.get("/faults").handler(this::showFaults);
         router.get("/counts").handler(this::counts);
         mServer = mVertx.createHttpServer().requestHandler(router);
         Future<HttpServer> listening = mServer.listen(mAddress.port(), mAddress.host());
@@ -230,6 +230,12 @@
         }
     }
 
+    private void showFaults(RoutingContext context) {
+        synchronized (mLock) {
+            context.json(mFaults.toJson());
+        }
+    }
+
     private void counts(RoutingContext context) {
         JsonObject counts = new JsonObject();
         synchronized (mLock) {
--- a/tanagergap-standins/src/main/java/org/tanagergap/standins/keyvalue/KeyValueState.java
+++ b/tanagergap-standins/src/main/java/org/tanagergap/standins/keyvalue/KeyValueState.java
@@ -2,7 +2,6 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -215,7 +214,7 @@
     }
 
     private void report(List<KeyChange> changes) {
-        for (Watcher watcher : new HashMap<>(mWatchers).values()) {
+        for (Watcher watcher : List.copyOf(mWatchers.values())) {
             List<KeyChange> seen =
                     changes.stream().filter(c -> watcher.range().contains(c.key())).toList();
             if (!seen.isEmpty()) {
--- a/tanagergap-state/src/main/java/org/tanagergap/state/intent/IntentLogSettings.java
+++ b/tanagergap-state/src/main/java/org/tanagergap/state/intent/IntentLogSettings.java
@@ -38,6 +38,11 @@
         if (shardCount <= 0) {
             throw new IllegalArgumentException("shardCount must be positive: " + shardCount);
         }
+        // An intent that still waits for its confirmation must not be compacted.
+        if (retention.compareTo(confirmTimeout.multipliedBy(2)) < 0) {
+            throw new IllegalArgumentException(
+                    "retention must be at least twice confirmTimeout: " + retention);
+        }
     }
 
     /** Settings of a running program, with a new writer id. */
--- a/tanagergap-state/src/main/java/org/tanagergap/state/intent/ShardLog.java
+++ b/tanagergap-state/src/main/java/org/tanagergap/state/intent/ShardLog.java
@@ -225,16 +225,13 @@
         return mReplica.refresh();
     }
 
+    /**
+     * Gives up the number when the floor has changed. Copies in flight require the old floor and
+     * cannot take effect any more. A record that compaction has deleted is as old as the retention,
+     * so the callers of its intents have been refused long ago.
+     */
     private void settleAbsent(UnsettledBatch batch) {
-        if (mUnsettled.isEmpty()) {
-            return;
-        }
-        if (batch.number() < mReplica.floor()) {
-            // Deleted by compaction; whether it had been created cannot be known any more.
-            mUnsettled = Optional.empty();
-            batch.events().forEach(PendingEvent::failUnconfirmed);
-        } else if (batch.floorRevision() != mReplica.floorRevision()) {
-            // Copies in flight require the old floor and cannot take effect any more.
+        if (mUnsettled.isPresent() && batch.floorRevision() != mReplica.floorRevision()) {
             requeue(batch);
         }
     }
