--- a/tanagergap-platform/src/test/java/org/tanagergap/platform/keyvalue/HttpKeyValueStoreTests.java
+++ b/tanagergap-platform/src/test/java/org/tanagergap/platform/keyvalue/HttpKeyValueStoreTests.java
@@ -6,6 +6,7 @@
 import com.codahale.metrics.MetricRegistry;
 import io.smallrye.mutiny.subscription.Cancellable;
 import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
 import io.vertx.core.json.JsonObject;
 import io.vertx.ext.web.client.WebClient;
 import java.time.Duration;
@@ -205,6 +206,22 @@
             assertThat(failureOf(mStore.commit(create("/a", "1"))).notSent()).isFalse();
         }
 
+        // A call that arrived late once went unanswered when its body was malformed.
+        @Test
+        void theStandInRefusesAMalformedBodyEvenWhenItIsSlow() throws Exception {
+            setFaults(new JsonObject().put("delay_ms", 5));
+
+            int status =
+                    await(
+                            WebClient.create(mVertx)
+                                    .post(mServer.port(), "127.0.0.1", "/v3/kv/put")
+                                    .sendBuffer(Buffer.buffer("not json"))
+                                    .map(response -> response.statusCode())
+                                    .toCompletionStage()
+                                    .toCompletableFuture());
+            assertThat(status).isEqualTo(400);
+        }
+
         @Test
         void aRefusedConnectionIsReportedAsNotSent() throws Exception {
             int port = mServer.port();
--- a/tanagergap-standins/src/main/java/org/tanagergap/standins/keyvalue/KeyValueServer.java
+++ b/tanagergap-standins/src/main/java/org/tanagergap/standins/keyvalue/KeyValueServer.java
@@ -4,6 +4,7 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerResponse;
+import io.vertx.core.json.DecodeException;
 import io.vertx.core.json.JsonArray;
 import io.vertx.core.json.JsonObject;
 import io.vertx.ext.web.Router;
@@ -186,16 +187,16 @@
     }
 
     private void watch(RoutingContext context) {
-        JsonObject create = body(context).getJsonObject("create_request", new JsonObject());
+        KeyRange range;
+        try {
+            JsonObject body = body(context);
+            range = GatewayJson.range(body.getJsonObject("create_request", new JsonObject()));
+        } catch (RefusedCallException e) {
+            refuse(context, e);
+            return;
+        }
         HttpServerResponse response = context.response().setChunked(true);
         synchronized (mLock) {
-            KeyRange range;
-            try {
-                range = GatewayJson.range(create);
-            } catch (RefusedCallException e) {
-                refuse(context, e);
-                return;
-            }
             long id = mState.watch(range, changes -> sendChanges(response, changes));
             mWatches.add(response);
             response.closeHandler(ignored -> endWatch(response, id));
@@ -221,8 +222,15 @@
     }
 
     private void changeFaults(RoutingContext context) {
+        JsonObject faults;
+        try {
+            faults = body(context);
+        } catch (RefusedCallException e) {
+            refuse(context, e);
+            return;
+        }
         synchronized (mLock) {
-            mFaults.update(body(context));
+            mFaults.update(faults);
             if (mFaults.outage()) {
                 mWatches.forEach(HttpServerResponse::reset);
             }
@@ -254,8 +262,12 @@
     }
 
     private static JsonObject body(RoutingContext context) {
-        JsonObject body = context.body().asJsonObject();
-        return body == null ? new JsonObject() : body;
+        try {
+            JsonObject body = context.body().asJsonObject();
+            return body == null ? new JsonObject() : body;
+        } catch (DecodeException | ClassCastException e) {
+            throw RefusedCallException.invalid("the body is not a JSON object");
+        }
     }
 
     private static void refuse(RoutingContext context, RefusedCallException refusal) {
