--- a/tanagergap-standins/src/main/java/org/tanagergap/standins/keyvalue/KeyValueServer.java
+++ b/tanagergap-standins/src/main/java/org/tanagergap/standins/keyvalue/KeyValueServer.java
@@ -4,6 +4,7 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerResponse;
+import io.vertx.core.json.DecodeException;
 import io.vertx.core.json.JsonArray;
 import io.vertx.core.json.JsonObject;
 import io.vertx.ext.web.Router;
@@ -69,7 +70,7 @@
         router.post("/v3/watch")
                 .handler(context -> admit(context, CallKind.WATCHES, () -> watch(context)));
         router.put("/faults").handler(this::changeFaults);
-        router.get("/faults").handler(context -> context.json(mFaults.toJson()));
+        router.get("/faults").handler(this::showFaults);
         router.get("/counts").handler(this::counts);
         mServer = mVertx.createHttpServer().requestHandler(router);
         Future<HttpServer> listening = mServer.listen(mAddress.port(), mAddress.host());
@@ -186,16 +187,16 @@
     }
 
     private void watch(RoutingContext context) {
-        JsonObject create = body(context).getJsonObject("create_request", new JsonObject());
+        KeyRange range;
+        try {
+            JsonObject body = body(context);
+            range = GatewayJson.range(body.getJsonObject("create_request", new JsonObject()));
+        } catch (RefusedCallException e) {
+            refuse(context, e);
+            return;
+        }
         HttpServerResponse response = context.response().setChunked(true);
         synchronized (mLock) {
-            KeyRange range;
-            try {
-                range = GatewayJson.range(create);
-            } catch (RefusedCallException e) {
-                refuse(context, e);
-                return;
-            }
             long id = mState.watch(range, changes -> sendChanges(response, changes));
             mWatches.add(response);
             response.closeHandler(ignored -> endWatch(response, id));
@@ -221,8 +222,15 @@
     }
 
     private void changeFaults(RoutingContext context) {
+        JsonObject faults;
+        try {
+            faults = body(context);
+        } catch (RefusedCallException e) {
+            refuse(context, e);
+            return;
+        }
         synchronized (mLock) {
-            mFaults.update(body(context));
+            mFaults.update(faults);
             if (mFaults.outage()) {
                 mWatches.forEach(HttpServerResponse::reset);
             }
@@ -230,6 +238,12 @@
         }
     }
 
+    private void showFaults(RoutingContext context) {
+        synchronized (mLock) {
+            context.json(mFaults.toJson());
+        }
+    }
+
     private void counts(RoutingContext context) {
         JsonObject counts = new JsonObject();
         synchronized (mLock) {
@@ -248,8 +262,12 @@
     }
 
     private static JsonObject body(RoutingContext context) {
-        JsonObject body = context.body().asJsonObject();
-        return body == null ? new JsonObject() : body;
+        try {
+            JsonObject body = context.body().asJsonObject();
+            return body == null ? new JsonObject() : body;
+        } catch (DecodeException | ClassCastException e) {
+            throw RefusedCallException.invalid("the body is not a JSON object");
+        }
     }
 
     private static void refuse(RoutingContext context, RefusedCallException refusal) {
