Detect callers that close their call, and release despite write failures

Cause: the gRPC server's handlers do not report a stream that is reset after the request, and writing to such a stream throws. The exception prevented the release of the reservation, so memory leaked until the deadline. Calls of HttpModelEngine start on subscription, so that an exception of the client does not end the polling.

--- a/tanagergap-agent/src/main/java/org/tanagergap/agent/attempt/Attempt.java
+++ b/tanagergap-agent/src/main/java/org/tanagergap/agent/attempt/Attempt.java
@@ -107,9 +107,10 @@
         end();
         logFailure(mContext, mRequest, failure);
         mSpan.setStatus(StatusCode.ERROR, failure.code().wireName());
-        mSink.send(withHint(RunEvent.newBuilder().setFailed(Messages.failed(failure))));
-        mSink.end();
+        RunEvent event = withHint(RunEvent.newBuilder().setFailed(Messages.failed(failure)));
         stopOrRelease(running);
+        mSink.send(event);
+        mSink.end();
     }
 
     /** Stops the attempt without an answer, because its caller closed the call. */
@@ -127,8 +128,8 @@
                         running ? knownExecution() : Execution.NOT_RUN,
                         "caller cancelled the attempt"));
         mSpan.setStatus(StatusCode.ERROR, "cancelled");
-        mSink.end();
         stopOrRelease(running);
+        mSink.end();
     }
 
     /** Sends the request to the upstream and follows the answer. */
--- a/tanagergap-agent/src/main/java/org/tanagergap/agent/engine/HttpModelEngine.java
+++ b/tanagergap-agent/src/main/java/org/tanagergap/agent/engine/HttpModelEngine.java
@@ -20,6 +20,7 @@
 import java.util.List;
 import java.util.Objects;
 import java.util.function.Function;
+import java.util.function.Supplier;
 import org.tanagergap.api.failure.Execution;
 import org.tanagergap.api.failure.FailureCode;
 import org.tanagergap.api.failure.RequestFailure;
@@ -68,21 +69,26 @@
 
     @Override
     public Uni<Void> cancel(AttemptId attempt) {
-        return Futures.toUni(
-                mControl.postAbs(mBaseUrl + "/v1/runs/" + encode(attempt.value()) + "/cancel")
-                        .timeout(CONTROL_TIMEOUT.toMillis())
-                        .send()
-                        .compose(HttpModelEngine::checkDone));
+        return lazily(
+                () ->
+                        mControl.postAbs(
+                                        mBaseUrl
+                                                + "/v1/runs/"
+                                                + encode(attempt.value())
+                                                + "/cancel")
+                                .timeout(CONTROL_TIMEOUT.toMillis())
+                                .send()
+                                .compose(HttpModelEngine::checkDone));
     }
 
     @Override
     public Uni<List<EngineRun>> runs() {
-        return Futures.toUni(read("/v1/runs").map(EngineMessages::runs));
+        return lazily(() -> read("/v1/runs").map(EngineMessages::runs));
     }
 
     @Override
     public Uni<EngineLoad> load() {
-        return Futures.toUni(read("/load").map(EngineMessages::load));
+        return lazily(() -> read("/load").map(EngineMessages::load));
     }
 
     @Override
@@ -113,11 +119,12 @@
 
     @Override
     public Uni<Void> releaseSegment(String handle) {
-        return Futures.toUni(
-                mControl.deleteAbs(mBaseUrl + "/kv/" + encode(handle))
-                        .timeout(CONTROL_TIMEOUT.toMillis())
-                        .send()
-                        .compose(HttpModelEngine::checkDone));
+        return lazily(
+                () ->
+                        mControl.deleteAbs(mBaseUrl + "/kv/" + encode(handle))
+                                .timeout(CONTROL_TIMEOUT.toMillis())
+                                .send()
+                                .compose(HttpModelEngine::checkDone));
     }
 
     private <T> Multi<T> stream(RequestOptions options, Buffer body, Function<String, T> parser) {
@@ -134,6 +141,11 @@
                         BackPressureStrategy.BUFFER);
     }
 
+    /** Starts the call on subscription, so that an exception of the client becomes a failure. */
+    private static <T> Uni<T> lazily(Supplier<Future<T>> call) {
+        return Uni.createFrom().deferred(() -> Futures.toUni(call.get()));
+    }
+
     private Future<JsonObject> read(String path) {
         return mControl.getAbs(mBaseUrl + path)
                 .timeout(CONTROL_TIMEOUT.toMillis())
--- a/tanagergap-agent/src/main/java/org/tanagergap/agent/server/GrpcEndpoint.java
+++ b/tanagergap-agent/src/main/java/org/tanagergap/agent/server/GrpcEndpoint.java
@@ -8,12 +8,10 @@
 import io.vertx.grpc.server.GrpcServer;
 import io.vertx.grpc.server.GrpcServerOptions;
 import io.vertx.grpc.server.GrpcServerRequest;
-import io.vertx.grpc.server.GrpcServerResponse;
 import java.util.Objects;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
-import org.tanagergap.agent.attempt.EventSink;
 import org.tanagergap.api.lifecycle.Service;
 import org.tanagergap.protocol.v1.RunEvent;
 import org.tanagergap.protocol.v1.RunRequest;
@@ -99,20 +97,15 @@
 
     private void run(GrpcServerRequest<RunRequest, RunEvent> call) {
         AtomicReference<Runnable> closed = mOpening;
-        call.handler(request -> closed.set(mCalls.run(request, new ResponseSink(call.response()))));
-    }
-
-    private record ResponseSink(GrpcServerResponse<RunRequest, RunEvent> response)
-            implements EventSink {
-
-        @Override
-        public void send(RunEvent event) {
-            response.write(event);
-        }
-
-        @Override
-        public void end() {
-            response.end();
-        }
+        ResponseSink sink = new ResponseSink(call.response());
+        call.handler(
+                request -> {
+                    Runnable cancel = mCalls.run(request, sink);
+                    closed.set(
+                            () -> {
+                                sink.close();
+                                cancel.run();
+                            });
+                });
     }
 }
--- /dev/null
+++ b/tanagergap-agent/src/main/java/org/tanagergap/agent/server/ResponseSink.java
@@ -0,0 +1,51 @@
+package org.tanagergap.agent.server;
+
+import com.google.common.flogger.FluentLogger;
+import io.vertx.grpc.server.GrpcServerResponse;
+import org.tanagergap.agent.attempt.EventSink;
+import org.tanagergap.protocol.v1.RunEvent;
+import org.tanagergap.protocol.v1.RunRequest;
+
+/**
+ * Sends the events of an attempt to its caller. A closed call throws on each write; this class
+ * discards events then, because the attempt must still release its reservation.
+ */
+final class ResponseSink implements EventSink {
+
+    private static final FluentLogger sLogger = FluentLogger.forEnclosingClass();
+
+    private final GrpcServerResponse<RunRequest, RunEvent> mResponse;
+    private boolean mClosed;
+
+    ResponseSink(GrpcServerResponse<RunRequest, RunEvent> response) {
+        mResponse = response;
+    }
+
+    @Override
+    public void send(RunEvent event) {
+        write(() -> mResponse.write(event));
+    }
+
+    @Override
+    public void end() {
+        write(mResponse::end);
+        mClosed = true;
+    }
+
+    /** Discards all further events. */
+    void close() {
+        mClosed = true;
+    }
+
+    private void write(Runnable task) {
+        if (mClosed) {
+            return;
+        }
+        try {
+            task.run();
+        } catch (RuntimeException e) {
+            mClosed = true;
+            sLogger.atFine().withCause(e).log("event for a closed call is discarded");
+        }
+    }
+}
