--- a/tanagergap-agent/src/main/java/org/tanagergap/agent/engine/EngineExchange.java
+++ b/tanagergap-agent/src/main/java/org/tanagergap/agent/engine/EngineExchange.java
@@ -27,6 +27,7 @@
     private HttpClientRequest mRequest;
     private boolean mClosed;
     private boolean mComplete;
+    private boolean mFailed;
 
     EngineExchange(HttpClient client, RequestOptions options, Buffer body) {
         mClient = client;
@@ -36,21 +37,23 @@
 
     /** Sends the request and passes on the data of each server-sent event. */
     void readEvents(Consumer<String> data, Runnable end, Consumer<Throwable> failed) {
-        send(response -> parseEvents(response, data, end, failed), failed);
+        Consumer<Throwable> once = once(failed);
+        send(response -> parseEvents(response, data, end, once), once);
     }
 
     /** Sends the request and passes on the whole answer. */
     void readWhole(Consumer<Buffer> answered, Consumer<Throwable> failed) {
+        Consumer<Throwable> once = once(failed);
         send(
                 response ->
                         response.body()
                                 .onSuccess(
                                         body -> {
                                             complete();
-                                            guard(() -> answered.accept(body), failed);
+                                            guard(() -> answered.accept(body), once);
                                         })
-                                .onFailure(failure -> failed.accept(broken(failure))),
-                failed);
+                                .onFailure(failure -> once.accept(broken(failure))),
+                once);
     }
 
     /** Closes the connection unless the answer is complete, which cancels the engine's work. */
@@ -138,6 +141,22 @@
         }
     }
 
+    /**
+     * Passes on the first failure. A broken connection is reported by the request and by the
+     * response, and again when it is reset.
+     */
+    private Consumer<Throwable> once(Consumer<Throwable> failed) {
+        return failure -> {
+            synchronized (this) {
+                if (mClosed || mFailed) {
+                    return;
+                }
+                mFailed = true;
+            }
+            failed.accept(failure);
+        };
+    }
+
     private static void guard(Runnable task, Consumer<Throwable> failed) {
         try {
             task.run();
--- a/tanagergap-agent/src/test/java/org/tanagergap/agent/EngineOverNetworkTests.java
+++ b/tanagergap-agent/src/test/java/org/tanagergap/agent/EngineOverNetworkTests.java
@@ -1,13 +1,16 @@
 package org.tanagergap.agent;
 
 import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 
+import io.vertx.core.Promise;
 import io.vertx.core.json.JsonObject;
 import io.vertx.core.net.SocketAddress;
 import io.vertx.grpc.client.GrpcClientRequest;
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -18,6 +21,7 @@
 import org.tanagergap.protocol.v1.RunEvent;
 import org.tanagergap.protocol.v1.RunRequest;
 import org.tanagergap.protocol.v1.UpstreamAgentGrpcClient;
+import org.tanagergap.runtime.async.Futures;
 import org.tanagergap.standins.engine.EngineServer;
 import org.tanagergap.standins.engine.EngineServerSettings;
 import org.tanagergap.standins.engine.EngineSettings;
@@ -155,6 +159,31 @@
         assertThat(mFixture.run(again.build()).failure()).isEqualTo("unavailable/NOT_RUN");
     }
 
+    @Test
+    void aStoppingAgentFinishesItsWorkAndThenClosesItsPort() {
+        RunRequest.Builder request = AgentFixture.completion("a.1");
+        request.getCompletionBuilder().getCostBuilder().setMaxOutputTokens(40);
+        RecordingSink sink = new RecordingSink();
+        Promise<Void> ended = Promise.promise();
+        mFixture.mCalls
+                .run(request.build())
+                .onSuccess(
+                        stream -> {
+                            stream.handler(sink::send);
+                            stream.exceptionHandler(ended::tryFail);
+                            stream.endHandler(ignored -> ended.tryComplete());
+                        });
+        mFixture.awaitTrue(() -> engineRuns() == 1);
+        CompletableFuture<Void> stopped = mFixture.mAgent.stop();
+        assertThat(run("b.1").failure()).isEqualTo("unavailable/NOT_RUN");
+        NetworkFixture.await(ended.future());
+        assertThat(sink.tokens()).hasSize(40);
+        assertThat(sink.last().getHint().getDraining()).isTrue();
+        NetworkFixture.await(Futures.toVertx(stopped));
+        assertThrows(AssertionError.class, mFixture::status);
+        mFixture.startAgent(UpstreamKind.MODEL, mEngine.port(), Optional.empty());
+    }
+
     private RecordingSink run(String attempt) {
         return mFixture.run(AgentFixture.completion(attempt).build());
     }
--- /dev/null
+++ b/tanagergap-agent/src/test/java/org/tanagergap/agent/ExchangeTests.java
@@ -0,0 +1,94 @@
+package org.tanagergap.agent;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import org.junit.jupiter.api.Test;
+import org.tanagergap.agent.engine.CacheEvent;
+import org.tanagergap.protocol.v1.ExchangeReply;
+import org.tanagergap.protocol.v1.ExchangeRequest;
+import org.tanagergap.protocol.v1.PolicyStamp;
+import org.tanagergap.protocol.v1.RankPolicy;
+import org.tanagergap.protocol.v1.RunRequest;
+import org.tanagergap.protocol.v1.UpstreamPolicy;
+
+/** Guards against configurations that revert and hints that mislead. */
+class ExchangeTests {
+
+    private final FakeEngine mEngine = new FakeEngine();
+    private final AgentFixture mFixture = AgentFixture.ofEngine(mEngine);
+
+    @Test
+    void onlyHigherVersionsAreApplied() {
+        assertThat(exchange(7, 120).getHint().getMemoryTokensTotal()).isEqualTo(120);
+        assertThat(exchange(6, 500).getHint().getMemoryTokensTotal()).isEqualTo(120);
+        assertThat(exchange(7, 500).getHint().getMemoryTokensTotal()).isEqualTo(120);
+        ExchangeReply reply = exchange(8, 130);
+        assertThat(reply.getHint().getMemoryTokensTotal()).isEqualTo(130);
+        assertThat(reply.getConfigurationVersion()).isEqualTo(8);
+    }
+
+    @Test
+    void aVersionWithoutItsContentsIsNotApplied() {
+        ExchangeReply reply =
+                mFixture.mAgent
+                        .calls()
+                        .exchange(ExchangeRequest.newBuilder().setConfigurationVersion(9).build())
+                        .result();
+        assertThat(reply.getConfigurationVersion()).isEqualTo(0);
+    }
+
+    @Test
+    void theEnginesOwnMemoryLimitsTheConfiguredOne() {
+        // The fake engine reports 1,000 tokens.
+        assertThat(exchange(7, 5_000).getHint().getMemoryTokensTotal()).isEqualTo(1_000);
+    }
+
+    @Test
+    void aStampOfAnOlderVersionDoesNotRevertThePolicy() {
+        run("a.1", 5, 2);
+        run("a.2", 4, 9);
+        run("a.3", 6, 3);
+        assertThat(mEngine.mCompletions.stream().map(c -> c.priority()).toList())
+                .containsExactly(2, 2, 3)
+                .inOrder();
+    }
+
+    @Test
+    void gapsInCacheEventsAreCountedAndTolerated() {
+        mEngine.mCache.emit(new CacheEvent(1, true, "p1"));
+        mEngine.mCache.emit(new CacheEvent(2, true, "p2"));
+        mEngine.mCache.emit(new CacheEvent(5, false, "p1"));
+        mEngine.mCache.emit(new CacheEvent(3, true, "p1"));
+        assertThat(exchange(1, 100).getHint().getPrefixHashesList()).containsExactly("p2");
+        assertThat(mFixture.counter("agent_cache_event_gaps_total")).isEqualTo(1);
+    }
+
+    @Test
+    void theHintListsAtMostThirtyTwoPrefixes() {
+        for (int i = 0; i < 100; i++) {
+            mEngine.mCache.emit(new CacheEvent(i, true, "p" + i));
+        }
+        assertThat(exchange(1, 100).getHint().getPrefixHashesList()).hasSize(32);
+    }
+
+    private ExchangeReply exchange(long version, long memoryTokens) {
+        ExchangeRequest request =
+                ExchangeRequest.newBuilder()
+                        .setConfigurationVersion(version)
+                        .addRanks(RankPolicy.newBuilder().setName("urgent").setPriority(1))
+                        .setUpstream(
+                                UpstreamPolicy.newBuilder()
+                                        .setName("engine-1")
+                                        .setMemoryTokens(memoryTokens))
+                        .build();
+        return mFixture.mAgent.calls().exchange(request).result();
+    }
+
+    private void run(String attempt, long version, int priority) {
+        RunRequest.Builder request = AgentFixture.completion(attempt);
+        PolicyStamp.Builder policy = request.getPolicyBuilder();
+        policy.setConfigurationVersion(version).setRankPriority(priority);
+        mFixture.mAgent.calls().run(request.build(), new RecordingSink());
+        mEngine.finish(attempt, 0);
+    }
+}
--- a/tanagergap-agent/src/test/java/org/tanagergap/agent/NetworkFixture.java
+++ b/tanagergap-agent/src/test/java/org/tanagergap/agent/NetworkFixture.java
@@ -2,6 +2,7 @@
 
 import com.codahale.metrics.MetricRegistry;
 import io.vertx.core.Future;
+import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.json.JsonObject;
@@ -15,12 +16,14 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import java.util.function.BooleanSupplier;
 import org.tanagergap.agent.server.GrpcEndpoint;
 import org.tanagergap.api.lifecycle.Service;
 import org.tanagergap.protocol.v1.RunRequest;
 import org.tanagergap.protocol.v1.StatusReply;
 import org.tanagergap.protocol.v1.StatusRequest;
 import org.tanagergap.protocol.v1.UpstreamAgentGrpcClient;
+import org.tanagergap.runtime.async.Futures;
 import org.tanagergap.runtime.program.ProgramContext;
 import org.tanagergap.runtime.settings.HostPort;
 import org.tanagergap.runtime.time.VertxRuntimeClock;
@@ -73,7 +76,7 @@
     }
 
     void start(Service service) {
-        await(org.tanagergap.runtime.async.Futures.toVertx(service.start()));
+        await(Futures.toVertx(service.start()));
     }
 
     StatusReply status() {
@@ -87,8 +90,7 @@
                 mCalls.run(request)
                         .compose(
                                 stream -> {
-                                    io.vertx.core.Promise<Void> end =
-                                            io.vertx.core.Promise.promise();
+                                    Promise<Void> end = Promise.promise();
                                     stream.handler(sink::send);
                                     stream.exceptionHandler(end::tryFail);
                                     stream.endHandler(ignored -> end.tryComplete());
@@ -115,7 +117,7 @@
                 .bodyAsJsonObject();
     }
 
-    void awaitTrue(java.util.function.BooleanSupplier condition) {
+    void awaitTrue(BooleanSupplier condition) {
         for (int i = 0; i < TIMEOUT_SECONDS * 100; i++) {
             if (condition.getAsBoolean()) {
                 return;
--- a/tanagergap-agent/src/test/java/org/tanagergap/agent/OrdersOverNetworkTests.java
+++ b/tanagergap-agent/src/test/java/org/tanagergap/agent/OrdersOverNetworkTests.java
@@ -8,6 +8,7 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.tanagergap.protocol.v1.RunRequest;
+import org.tanagergap.runtime.async.Futures;
 import org.tanagergap.runtime.settings.HostPort;
 import org.tanagergap.standins.keyvalue.KeyValueLimits;
 import org.tanagergap.standins.keyvalue.KeyValueServer;
@@ -64,7 +65,7 @@
 
     @Test
     void anUnreachableServiceIsNotRunAndTheKeyCanBeUsedAgain() {
-        NetworkFixture.await(org.tanagergap.runtime.async.Futures.toVertx(mOrders.stop()));
+        NetworkFixture.await(Futures.toVertx(mOrders.stop()));
         assertThat(order("a.1", "k1").failure()).isEqualTo("upstream_failed/NOT_RUN");
         mFixture.awaitTrue(() -> order("a.2", "k1").failure().equals("upstream_failed/NOT_RUN"));
         assertThat(mOrders.book().counts()).isEmpty();
