--- a/tanagergap-agent/src/main/java/org/tanagergap/agent/attempt/AttemptTable.java
+++ b/tanagergap-agent/src/main/java/org/tanagergap/agent/attempt/AttemptTable.java
@@ -2,10 +2,12 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import org.tanagergap.agent.hold.HoldTable;
 import org.tanagergap.agent.load.AgentState;
@@ -108,13 +110,20 @@
 
     /** Compares the attempts with the engine's runs; returns the runs that must be cancelled. */
     public List<AttemptId> reconcile(List<EngineRun> engineRuns) {
-        List<EngineRun> runs = new ArrayList<>(engineRuns);
-        runs.removeIf(r -> mHolds.attempts().contains(r.attemptId()));
+        Set<AttemptId> held = mHolds.attempts();
+        Set<AttemptId> listed = new HashSet<>();
+        List<EngineRun> runs = new ArrayList<>();
+        for (EngineRun run : engineRuns) {
+            if (!held.contains(run.attemptId())) {
+                runs.add(run);
+                listed.add(run.attemptId());
+            }
+        }
         for (Attempt attempt : mAttempts.values()) {
             // The engine may not list a run that is on its way to it.
             if (attempt.reachedUpstream()
                     && attempt.beingDispatched()
-                    && runs.stream().noneMatch(r -> r.attemptId().equals(attempt.id()))) {
+                    && listed.add(attempt.id())) {
                 runs.add(new EngineRun(attempt.id(), 0));
             }
         }
