Run prompts beyond one engine's memory over several agents

A prompt larger than the largest engine is planned over several agents, held in ascending order of name, prefilled in order and decoded by the last agent. All holds are released at the end, and a refused hold releases the others. Usage in answers counts the tokens that the caller received, over all attempts.

--- a/tanagergap-entry/src/main/java/org/tanagergap/entry/caller/CompletionAnswer.java
+++ b/tanagergap-entry/src/main/java/org/tanagergap/entry/caller/CompletionAnswer.java
@@ -61,8 +61,10 @@
     }
 
     @Override
-    public void finished(Finished finished) {
-        mPromptTokens.accept(finished.getPromptTokens());
+    public void finished(Finished finished, boolean oneRun) {
+        if (oneRun) {
+            mPromptTokens.accept(finished.getPromptTokens());
+        }
         if (mStream) {
             startStream();
             mCall.response().end(mFormat.end(finished));
--- a/tanagergap-entry/src/main/java/org/tanagergap/entry/caller/PlainAnswer.java
+++ b/tanagergap-entry/src/main/java/org/tanagergap/entry/caller/PlainAnswer.java
@@ -61,7 +61,7 @@
     }
 
     @Override
-    public void finished(Finished finished) {
+    public void finished(Finished finished, boolean oneRun) {
         if (mCall.isDisconnected()) {
             mCall.abandoned();
             return;
--- a/tanagergap-entry/src/main/java/org/tanagergap/entry/execution/AnswerSink.java
+++ b/tanagergap-entry/src/main/java/org/tanagergap/entry/execution/AnswerSink.java
@@ -23,8 +23,13 @@
     /** Runs the task once when the sink is no longer full. */
     void onDrain(Runnable task);
 
-    /** Ends a complete answer. */
-    void finished(Finished finished);
+    /**
+     * Ends a complete answer.
+     *
+     * @param oneRun whether one run processed exactly the caller's prompt, so that the engine's
+     *     count of its tokens is the prompt's
+     */
+    void finished(Finished finished, boolean oneRun);
 
     /** Ends the request with a failure. */
     void failed(RequestFailure failure);
--- a/tanagergap-entry/src/main/java/org/tanagergap/entry/execution/CallerRequest.java
+++ b/tanagergap-entry/src/main/java/org/tanagergap/entry/execution/CallerRequest.java
@@ -22,4 +22,9 @@
         Objects.requireNonNull(id, "id must not be null");
         Objects.requireNonNull(work, "work must not be null");
     }
+
+    /** Copy with other work. */
+    CallerRequest withWork(Work other) {
+        return new CallerRequest(id, service, policy, deadline, other, span);
+    }
 }
--- a/tanagergap-entry/src/main/java/org/tanagergap/entry/execution/RequestRun.java
+++ b/tanagergap-entry/src/main/java/org/tanagergap/entry/execution/RequestRun.java
@@ -13,10 +13,11 @@
 import org.tanagergap.api.time.Timer;
 import org.tanagergap.decisions.routing.AgentEndpoint;
 import org.tanagergap.decisions.routing.RoutingRequest;
+import org.tanagergap.protocol.v1.Finished;
 import org.tanagergap.protocol.v1.RunEvent;
 
 /** A request from its acceptance to its end. Confined to one event loop. */
-final class RequestRun implements AttemptListener {
+final class RequestRun implements AttemptListener, SpanListener {
 
     /** Time after which a request that found no agent may be repeated. */
     private static final Duration NO_AGENT_RETRY_AFTER = Duration.ofMillis(500);
@@ -29,6 +30,8 @@
     private final StringBuilder mText = new StringBuilder();
 
     private Attempt mCurrent;
+    private AttemptId mAttemptId;
+    private SpanSession mSpan;
     private RequestFailure mLastFailure;
     private Execution mExecution = Execution.NOT_RUN;
     private int mAttempts;
@@ -77,8 +80,9 @@
                 applyBackPressure();
             }
             case FINISHED -> {
+                boolean whole = mSpan == null && mAttempts == 1;
                 end();
-                mSink.finished(event.getFinished());
+                mSink.finished(counted(event.getFinished()), whole);
             }
             default -> {}
         }
@@ -89,7 +93,29 @@
         if (mEnded || attempt != mCurrent) {
             return;
         }
-        mExcluded.add(attempt.agent().name());
+        if (mSpan == null) {
+            // A spanning prompt may need every agent, so it excludes none.
+            mExcluded.add(attempt.agent().name());
+        }
+        attemptFailed(failure);
+    }
+
+    @Override
+    public void placed(AgentEndpoint agent, Work.Completion last, SpanReservation reservation) {
+        if (!mEnded) {
+            startAttempt(agent, mRequest.withWork(last), reservation);
+        }
+    }
+
+    @Override
+    public void spanFailed(RequestFailure failure) {
+        if (!mEnded) {
+            attemptFailed(failure);
+        }
+    }
+
+    private void attemptFailed(RequestFailure failure) {
+        closeSpan();
         mLastFailure = failure;
         if (failure.execution() != Execution.NOT_RUN && mExecution != Execution.RAN) {
             mExecution = failure.execution();
@@ -107,12 +133,18 @@
     }
 
     private void startAttempt() {
-        AttemptId id = mRequest.id().attempt(++mAttempts);
+        mAttemptId = mRequest.id().attempt(++mAttempts);
+        if (mRequest.work() instanceof Work.Completion completion && exceedsEngine(completion)) {
+            mCurrent = null;
+            mSpan = new SpanSession(mShared, mEventLoop, mRequest, completion, mAttemptId, this);
+            mSpan.start();
+            return;
+        }
         Optional<AgentEndpoint> agent =
                 mShared.router()
                         .choose(
                                 new RoutingRequest(
-                                        id,
+                                        mAttemptId,
                                         mRequest.service(),
                                         mRequest.policy().rankPriority(),
                                         mRequest.work().cost(),
@@ -123,13 +155,30 @@
             fail(noAgent());
             return;
         }
-        mCurrent = new Attempt(mShared, mEventLoop, mRequest, id, agent.get(), mNextIndex, this);
-        mCurrent.start(new Resumption(mNextIndex, mText.toString()), SpanReservation.NONE);
+        startAttempt(agent.get(), mRequest, SpanReservation.NONE);
+    }
+
+    private void startAttempt(
+            AgentEndpoint agent, CallerRequest request, SpanReservation reservation) {
+        mCurrent = new Attempt(mShared, mEventLoop, request, mAttemptId, agent, mNextIndex, this);
+        mCurrent.start(new Resumption(mNextIndex, mText.toString()), reservation);
         if (mWaitingForDrain) {
             mCurrent.pause();
         }
     }
 
+    private boolean exceedsEngine(Work.Completion completion) {
+        long largest = mShared.router().largestMemoryTokens(mRequest.service());
+        return largest > 0 && completion.cost().memoryTokens() > largest;
+    }
+
+    private void closeSpan() {
+        if (mSpan != null) {
+            mSpan.close();
+            mSpan = null;
+        }
+    }
+
     private boolean mayRetry(RequestFailure failure) {
         return mShared.retryPolicy()
                 .mayRetry(failure, mRequest.work().idempotent(), mAttempts, mRequest.deadline());
@@ -161,7 +210,9 @@
         mSink.onDrain(
                 () -> {
                     mWaitingForDrain = false;
-                    mCurrent.resume();
+                    if (mCurrent != null) {
+                        mCurrent.resume();
+                    }
                 });
     }
 
@@ -169,8 +220,8 @@
         if (mEnded) {
             return;
         }
-        if (mCurrent != null && mExecution != Execution.RAN) {
-            Execution current = mCurrent.execution();
+        if (mExecution != Execution.RAN) {
+            Execution current = currentExecution();
             mExecution = current == Execution.NOT_RUN ? mExecution : current;
         }
         fail(
@@ -178,6 +229,17 @@
                         FailureCode.DEADLINE_EXCEEDED, mExecution, "the deadline has passed"));
     }
 
+    /** The caller's count covers all attempts, while an engine may count only its own tokens. */
+    private Finished counted(Finished finished) {
+        return finished.toBuilder().setOutputTokens(mNextIndex).build();
+    }
+
+    private Execution currentExecution() {
+        Execution span = mSpan == null ? Execution.NOT_RUN : mSpan.execution();
+        Execution attempt = mCurrent == null ? Execution.NOT_RUN : mCurrent.execution();
+        return attempt == Execution.NOT_RUN ? span : attempt;
+    }
+
     private void fail(RequestFailure failure) {
         end();
         mSink.failed(WireFailures.withExecution(failure, mExecution));
@@ -192,5 +254,6 @@
         if (mCurrent != null) {
             mCurrent.cancel();
         }
+        closeSpan();
     }
 }
--- a/tanagergap-entry/src/test/java/org/tanagergap/entry/EntryHarness.java
+++ b/tanagergap-entry/src/test/java/org/tanagergap/entry/EntryHarness.java
@@ -19,6 +19,7 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.function.BooleanSupplier;
 import org.tanagergap.api.configuration.Configuration;
 import org.tanagergap.api.configuration.KeyDefinition;
@@ -54,6 +55,10 @@
     final Map<String, FakeAgent> mAgents = new LinkedHashMap<>();
     final HttpClient mClient = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
     RetryBudget mRetryBudget = new RetryBudget();
+
+    /** Holds, releases and prefills of all agents, in order. */
+    final List<String> mCalls = new CopyOnWriteArrayList<>();
+
     long mMaxBodyBytes = 100_000;
     Duration mBodyTimeout = Duration.ofMillis(300);
     long mMemoryTokens = 100_000;
@@ -62,7 +67,7 @@
     EntryService mEntry;
 
     FakeAgent agent(String name) {
-        FakeAgent agent = new FakeAgent(name).start(mVertx);
+        FakeAgent agent = new FakeAgent(name, mCalls).start(mVertx);
         mAgents.put(name, agent);
         return agent;
     }
--- a/tanagergap-entry/src/test/java/org/tanagergap/entry/FakeAgent.java
+++ b/tanagergap-entry/src/test/java/org/tanagergap/entry/FakeAgent.java
@@ -9,7 +9,6 @@
 import io.vertx.grpc.server.GrpcServerResponse;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
-import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.function.BiConsumer;
 import org.tanagergap.protocol.v1.Admitted;
@@ -43,12 +42,13 @@
     final BlockingQueue<RunRequest> mRuns = new LinkedBlockingQueue<>();
     final BlockingQueue<String> mCancelled = new LinkedBlockingQueue<>();
     final BlockingQueue<ExchangeRequest> mExchanges = new LinkedBlockingQueue<>();
-    final List<String> mCalls = new CopyOnWriteArrayList<>();
+    private final List<String> mCalls;
     private final String mName;
     private HttpServer mServer;
 
-    FakeAgent(String name) {
+    FakeAgent(String name, List<String> calls) {
         mName = name;
+        mCalls = calls;
     }
 
     FakeAgent start(Vertx vertx) {
@@ -109,7 +109,7 @@
 
     @Override
     public Future<HoldReply> hold(HoldRequest request) {
-        mCalls.add("hold " + request.getTokens());
+        mCalls.add(mName + " hold " + request.getTokens());
         boolean held = request.getTokens() <= mHint.getMemoryTokensFree();
         return Future.succeededFuture(
                 HoldReply.newBuilder().setHeld(held).setUpstreamUrl("http://" + mName).build());
@@ -117,13 +117,13 @@
 
     @Override
     public Future<ReleaseHoldReply> releaseHold(ReleaseHoldRequest request) {
-        mCalls.add("release");
+        mCalls.add(mName + " release");
         return Future.succeededFuture(ReleaseHoldReply.getDefaultInstance());
     }
 
     @Override
     public Future<PrefillSegmentReply> prefillSegment(PrefillSegmentRequest request) {
-        mCalls.add("prefill after " + request.getSegmentsCount());
+        mCalls.add(mName + " prefill " + request.getPrompt().length());
         return Future.succeededFuture(
                 PrefillSegmentReply.newBuilder()
                         .setSegment(SegmentHandle.newBuilder().setUrl("http://" + mName))
--- /dev/null
+++ b/tanagergap-entry/src/test/java/org/tanagergap/entry/SpanningPromptTests.java
@@ -0,0 +1,94 @@
+package org.tanagergap.entry;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.net.http.HttpRequest.BodyPublishers;
+import java.net.http.HttpResponse;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.tanagergap.protocol.v1.Hint;
+import org.tanagergap.protocol.v1.RunRequest;
+
+/** Guards prompts beyond one engine's memory: order of holds, segments and releases. */
+final class SpanningPromptTests {
+
+    private final EntryHarness mHarness = new EntryHarness();
+    private FakeAgent mFirst;
+    private FakeAgent mSecond;
+
+    @BeforeEach
+    void start() {
+        mHarness.mMemoryTokens = 1_000;
+        mSecond = mHarness.agent("runner-2");
+        mFirst = mHarness.agent("runner-1");
+        mFirst.mHint = hint(1_000);
+        mSecond.mHint = hint(1_000);
+    }
+
+    @AfterEach
+    void close() {
+        mHarness.close();
+    }
+
+    private void startEntry() {
+        mHarness.start();
+        EntryHarness.await(() -> !mFirst.mExchanges.isEmpty() && !mSecond.mExchanges.isEmpty());
+        EntryHarness.pause(200);
+    }
+
+    private static Hint hint(long free) {
+        return Hint.newBuilder()
+                .setUpstreamReady(true)
+                .setMemoryTokensTotal(1_000)
+                .setMemoryTokensFree(free)
+                .setPrefillTokensPerSecond(10_000)
+                .build();
+    }
+
+    private HttpResponse<String> send(int promptTokens) {
+        String prompt = "lid ".repeat(promptTokens);
+        String body = "{\"model\":\"lid-7b\",\"max_tokens\":10,\"prompt\":\"" + prompt + "\"}";
+        return mHarness.send(
+                mHarness.request("/v1/completions").POST(BodyPublishers.ofString(body)).build());
+    }
+
+    @Test
+    void promptRunsOverTwoAgentsInOrderOfName() throws Exception {
+        startEntry();
+        HttpResponse<String> answer = send(1_500);
+
+        assertThat(answer.body()).contains("t0 t1 t2");
+        RunRequest run = mSecond.mRuns.take();
+        assertThat(run.getCompletion().getSegmentsCount()).isEqualTo(1);
+        assertThat(run.getCompletion().getHoldId()).isEqualTo(run.getAttemptId());
+        EntryHarness.await(() -> mHarness.mCalls.size() == 5);
+        assertThat(mHarness.mCalls.get(0)).startsWith("runner-1 hold");
+        assertThat(mHarness.mCalls.get(1)).startsWith("runner-2 hold");
+        int prefilled = Integer.parseInt(mHarness.mCalls.get(2).split("prefill ")[1]);
+        // Together the segments are the prompt, without a missing or doubled character.
+        assertThat(prefilled + run.getCompletion().getPrompt().length()).isEqualTo(6_000);
+        assertThat(mHarness.mCalls.subList(3, 5))
+                .containsExactly("runner-1 release", "runner-2 release");
+        assertThat(mFirst.mRuns).isEmpty();
+    }
+
+    @Test
+    void promptThatNoAgentsCanHoldIsRefused() {
+        startEntry();
+        HttpResponse<String> answer = send(1_995);
+        assertThat(answer.statusCode()).isEqualTo(413);
+        assertThat(answer.body()).contains("\"execution\":\"not_run\"");
+        assertThat(mHarness.mCalls).isEmpty();
+    }
+
+    @Test
+    void refusedHoldReleasesTheOthersAndIsTriedAgain() {
+        startEntry();
+        mSecond.mHint = hint(0);
+        mHarness.mVertx.setTimer(600, ignored -> mSecond.mHint = hint(1_000));
+        assertThat(send(1_500).body()).contains("t0 t1 t2");
+        assertThat(mHarness.mCalls.subList(2, 4))
+                .containsExactly("runner-1 release", "runner-2 release");
+    }
+}
