--- a/tanagergap-entry/src/main/java/org/tanagergap/entry/execution/Attempt.java
+++ b/tanagergap-entry/src/main/java/org/tanagergap/entry/execution/Attempt.java
@@ -185,6 +185,11 @@
     }
 
     private void accept(RunEvent event) {
+        boolean completion = mRequest.work() instanceof Work.Completion;
+        if (completion ? event.hasHead() || event.hasBody() : event.hasToken()) {
+            mShared.metrics().eventDropped("unexpected");
+            return;
+        }
         switch (event.getEventCase()) {
             case FAILED -> {
                 awaitStreamEnd();
