--- a/tanagergap-entry/src/main/java/org/tanagergap/entry/caller/BodyReader.java
+++ b/tanagergap-entry/src/main/java/org/tanagergap/entry/caller/BodyReader.java
@@ -2,6 +2,7 @@
 
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpServerRequest;
+import io.vertx.core.http.HttpVersion;
 import java.time.Duration;
 import java.util.function.Consumer;
 import org.tanagergap.api.failure.FailureCode;
@@ -128,7 +129,13 @@
     }
 
     private void closeIfUnfinished() {
-        if (!mRequest.isEnded()) {
+        if (mRequest.isEnded()) {
+            return;
+        }
+        if (mRequest.version() == HttpVersion.HTTP_2) {
+            // Other requests share the connection.
+            mRequest.response().reset();
+        } else {
             mRequest.connection().close();
         }
     }
--- a/tanagergap-entry/src/main/java/org/tanagergap/entry/caller/CallerServer.java
+++ b/tanagergap-entry/src/main/java/org/tanagergap/entry/caller/CallerServer.java
@@ -6,6 +6,7 @@
 import io.vertx.core.Future;
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerOptions;
+import io.vertx.core.http.HttpVersion;
 import io.vertx.core.json.JsonArray;
 import io.vertx.core.json.JsonObject;
 import io.vertx.ext.web.Router;
@@ -108,11 +109,14 @@
         var id = mIds.next();
         sLogger.atInfo().log("request %s refused: %s", id, failure.getMessage());
         span.end();
+        // HTTP/2 has no such header; its connections are told by the server's shutdown.
+        if (context.request().version() != HttpVersion.HTTP_2) {
+            context.response().putHeader("Connection", "close");
+        }
         context.response()
                 .setStatusCode(failure.code().httpStatus())
                 .putHeader(CallerHeaders.REQUEST_ID, id.value())
                 .putHeader("Content-Type", "application/json")
-                .putHeader("Connection", "close")
                 .end(ErrorBody.of(failure, id).toBuffer());
     }
 
--- a/tanagergap-entry/src/test/java/org/tanagergap/entry/FakeAgent.java
+++ b/tanagergap-entry/src/test/java/org/tanagergap/entry/FakeAgent.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.BiConsumer;
 import org.tanagergap.protocol.v1.Admitted;
 import org.tanagergap.protocol.v1.ExchangeReply;
@@ -179,6 +180,22 @@
                             .build());
         }
 
+        /** Sends large tokens for as long as the entry reads them; returns their number so far. */
+        AtomicLong flood(Vertx vertx) {
+            AtomicLong sent = new AtomicLong();
+            String text = "x".repeat(10_000);
+            vertx.setPeriodic(
+                    1,
+                    timer -> {
+                        while (!mResponse.writeQueueFull() && sent.get() < 10_000) {
+                            Token.Builder token =
+                                    Token.newBuilder().setIndex(sent.getAndIncrement());
+                            send(event().setToken(token.setText(text)));
+                        }
+                    });
+            return sent;
+        }
+
         /** Breaks the call as a dying agent does. */
         void die() {
             ((GrpcServerResponse<?, ?>) mResponse).cancel();
--- a/tanagergap-entry/src/test/java/org/tanagergap/entry/StreamFailureTests.java
+++ b/tanagergap-entry/src/test/java/org/tanagergap/entry/StreamFailureTests.java
@@ -279,6 +279,46 @@
                 () -> mHarness.mAgents.values().stream().anyMatch(a -> !a.mCancelled.isEmpty()));
     }
 
+    /** An order whose caller has gone must reach its outcome, which a repeated call replays. */
+    @Test
+    void orderOfDisconnectedCallerGoesOn() throws Exception {
+        CompletableFuture<FakeAgent.Stream> run = new CompletableFuture<>();
+        everyRun((request, stream) -> run.complete(stream));
+        try (java.net.Socket socket =
+                new java.net.Socket("127.0.0.1", mHarness.mEntry.callerPort())) {
+            String head =
+                    "POST /services/orders/place HTTP/1.1\r\nHost: entry\r\nIdempotency-Key: k\r\n"
+                            + "Content-Length: 0\r\nAuthorization: Bearer "
+                            + EntryHarness.KEY
+                            + "\r\n\r\n";
+            socket.getOutputStream().write(head.getBytes(java.nio.charset.StandardCharsets.UTF_8));
+            run.get(5, TimeUnit.SECONDS);
+        }
+        EntryHarness.pause(300);
+        assertThat(mHarness.mAgents.values().stream().allMatch(a -> a.mCancelled.isEmpty()))
+                .isTrue();
+        run.get().finish(0);
+        EntryHarness.await(
+                () -> mHarness.counter("requests{rank=urgent,code=caller_disconnected}") == 1);
+    }
+
+    /** The entry must not collect the answer of a caller that does not read. */
+    @Test
+    void slowCallerSlowsTheAgent() throws Exception {
+        CompletableFuture<java.util.concurrent.atomic.AtomicLong> sent = new CompletableFuture<>();
+        everyRun((request, stream) -> sent.complete(stream.flood(mHarness.mVertx)));
+        HttpResponse<InputStream> answer =
+                mHarness.mClient.send(mHarness.completion(true), BodyHandlers.ofInputStream());
+        EntryHarness.pause(1_000);
+        long before = sent.get().get();
+        EntryHarness.pause(500);
+        assertThat(sent.get().get()).isEqualTo(before);
+        assertThat(before).isLessThan(3_000);
+        answer.body().readNBytes(20_000_000);
+        EntryHarness.await(() -> sent.join().get() > before);
+        answer.body().close();
+    }
+
     @Test
     void shutdownFinishesStreamsInFlight() throws Exception {
         firstRun(
