--- a/tanagergap-console/src/main/java/org/tanagergap/console/StatusRoutes.java
+++ b/tanagergap-console/src/main/java/org/tanagergap/console/StatusRoutes.java
@@ -58,9 +58,13 @@
         }
         return new JsonObject()
                 .put("version", version)
-                .put(
-                        "in_effect",
-                        statuses.stream().allMatch(s -> s.state(version) == ProcessState.IN_EFFECT))
+                .put("in_effect", isInEffect(version, statuses))
                 .put("processes", processes);
     }
+
+    /** Without processes nothing is known, so the version does not count as in effect. */
+    private static boolean isInEffect(long version, List<ProcessStatus> statuses) {
+        return !statuses.isEmpty()
+                && statuses.stream().allMatch(s -> s.state(version) == ProcessState.IN_EFFECT);
+    }
 }
--- a/tanagergap-console/src/main/resources/org/tanagergap/console/web/console.js
+++ b/tanagergap-console/src/main/resources/org/tanagergap/console/web/console.js
@@ -44,7 +44,7 @@
 function report(error) {
   if (error.status === 401) {
     askForKey();
-    message('Sign in to continue; nothing that you typed is lost.');
+    message(state.doc === null ? '' : 'Sign in to continue; nothing that you typed is lost.');
   } else if (error.body && error.body.findings) {
     message('The document has findings.');
     showResults(results.findings(error.body.findings));
@@ -178,6 +178,9 @@
 async function watchStatus(version) {
   for (let i = 0; i < STATUS_POLLS; i += 1) {
     const answer = await refreshStatus();
+    if (answer.processes.length === 0) {
+      return;
+    }
     if (answer.in_effect && answer.version >= version) {
       message(`Version ${answer.version} is in effect.`);
       return;
--- a/tanagergap-ctl/src/main/java/org/tanagergap/ctl/OverviewCommand.java
+++ b/tanagergap-ctl/src/main/java/org/tanagergap/ctl/OverviewCommand.java
@@ -1,31 +1,47 @@
 package org.tanagergap.ctl;
 
 import com.github.rvesse.airline.annotations.AirlineModule;
+import com.github.rvesse.airline.annotations.Arguments;
 import com.github.rvesse.airline.annotations.Command;
 import com.github.rvesse.airline.help.Help;
 import com.github.rvesse.airline.model.GlobalMetadata;
 import java.io.IOException;
+import java.util.ArrayList;
 import java.util.List;
 
-/** Prints the list of commands. */
-@Command(name = "help", description = "Lists the commands")
+/** Prints the list of commands or the manual of one. */
+@Command(name = "help", description = "Lists the commands or describes one")
 public final class OverviewCommand extends CtlCommand {
 
     @AirlineModule GlobalMetadata<CtlCommand> mGlobal;
 
+    @Arguments(title = "COMMAND", description = "Command to describe")
+    List<String> mCommand = new ArrayList<>();
+
     @Override
     int execute() {
+        // This is the default command, so a misspelled command arrives here as an argument.
+        if (!mCommand.isEmpty() && (mCommand.size() > 1 || !isCommand(mCommand.get(0)))) {
+            reader().reject("COMMAND", "there is no command " + String.join(" ", mCommand));
+            reader().findings().throwIfAny();
+        }
         try {
-            Help.help(mGlobal, List.of(), context().out());
+            Help.help(mGlobal, mCommand, context().out());
         } catch (IOException e) {
             throw new CallFailedException("help could not be printed: " + e.getMessage(), e);
         }
-        context()
-                .out()
-                .println(
-                        "Each command explains its options with --help."
-                                + " Exit statuses: 0 done; 1 failed or not yet in effect;"
-                                + " 2 invalid input; 3 conflict; 4 unresolved.");
+        if (mCommand.isEmpty()) {
+            context()
+                    .out()
+                    .println(
+                            "Exit statuses: 0 done; 1 failed or not yet in effect; 2 invalid input;"
+                                    + " 3 conflict; 4 unresolved.");
+        }
         return CtlStatus.DONE;
     }
+
+    private boolean isCommand(String name) {
+        return mGlobal.getDefaultGroupCommands().stream()
+                .anyMatch(command -> command.getName().equals(name));
+    }
 }
--- a/tanagergap-ctl/src/test/java/org/tanagergap/ctl/CtlProgramTests.java
+++ b/tanagergap-ctl/src/test/java/org/tanagergap/ctl/CtlProgramTests.java
@@ -86,6 +86,8 @@
             assertThat(run("--help")).isEqualTo(CtlStatus.DONE);
             assertThat(out()).contains("hash-key");
             assertThat(out()).contains("4 unresolved");
+            assertThat(run("help", "submit")).isEqualTo(CtlStatus.DONE);
+            assertThat(out()).contains("--base-version");
             assertThat(run("--version")).isEqualTo(CtlStatus.DONE);
             assertThat(out()).startsWith("tanagergap-ctl ");
             assertThat(run("submit", "--version")).isEqualTo(CtlStatus.DONE);
@@ -94,6 +96,7 @@
         @Test
         void thatAreWrongGiveStatusTwo() {
             assertThat(run("no-such-command")).isEqualTo(CtlStatus.INVALID_INPUT);
+            assertThat(err()).contains("no-such-command");
             assertThat(run("show", "--no-such-flag")).isEqualTo(CtlStatus.INVALID_INPUT);
             assertThat(run("validate")).isEqualTo(CtlStatus.INVALID_INPUT);
             assertThat(run("show", "--output", "xml")).isEqualTo(CtlStatus.INVALID_INPUT);
