Report lost outcomes as unresolved and arguments by their own name

Findings about arguments named an environment variable that does not exist. Wrong nonces are answered with HTTP status 400.

--- a/tanagergap-console/src/main/java/org/tanagergap/console/ConsoleRouter.java
+++ b/tanagergap-console/src/main/java/org/tanagergap/console/ConsoleRouter.java
@@ -53,8 +53,13 @@
         if (failure instanceof InvalidInputException invalid) {
             context.response().setStatusCode(HttpResponseStatus.UNPROCESSABLE_ENTITY.code());
             context.json(ConsoleJson.findings(invalid.findings()));
-        } else if (failure instanceof DecodeException || failure instanceof ClassCastException) {
-            reply(context, HttpResponseStatus.BAD_REQUEST.code(), "the body has another form");
+        } else if (failure instanceof DecodeException
+                || failure instanceof ClassCastException
+                || failure instanceof IllegalArgumentException) {
+            reply(
+                    context,
+                    HttpResponseStatus.BAD_REQUEST.code(),
+                    "the request has another form: " + failure.getMessage());
         } else if (failure instanceof KeyValueException) {
             reply(
                     context,
--- a/tanagergap-console/src/main/java/org/tanagergap/console/SubmitRoutes.java
+++ b/tanagergap-console/src/main/java/org/tanagergap/console/SubmitRoutes.java
@@ -53,7 +53,17 @@
             return Future.succeededFuture(new SubmitResult.Conflict(current.get()));
         }
         return mVertx.executeBlocking(() -> validText(document, current))
-                .compose(text -> Futures.toVertx(mStore.submit(text, base, nonce)));
+                .compose(text -> submit(text, base, nonce));
+    }
+
+    private Future<SubmitResult> submit(String text, long base, String nonce) {
+        // The write may have taken effect when the call fails, so only "unresolved" is correct.
+        return Futures.toVertx(mStore.submit(text, base, nonce))
+                .otherwise(
+                        failure ->
+                                new SubmitResult.Unresolved(
+                                        nonce,
+                                        String.valueOf(Futures.rootFailure(failure).getMessage())));
     }
 
     private static String validText(JsonObject document, Optional<StoredConfiguration> current) {
@@ -62,13 +72,9 @@
     }
 
     private void outcome(RoutingContext context) {
-        try {
-            Futures.toVertx(mStore.outcome(context.pathParam("nonce")))
-                    .onSuccess(result -> reply(context, result, null))
-                    .onFailure(context::fail);
-        } catch (IllegalArgumentException e) {
-            context.fail(HttpResponseStatus.BAD_REQUEST.code());
-        }
+        Futures.toVertx(mStore.outcome(context.pathParam("nonce")))
+                .onSuccess(result -> reply(context, result, null))
+                .onFailure(context::fail);
     }
 
     private static void reply(RoutingContext context, SubmitResult result, JsonObject document) {
--- a/tanagergap-console/src/test/java/org/tanagergap/console/ConsoleServiceTests.java
+++ b/tanagergap-console/src/test/java/org/tanagergap/console/ConsoleServiceTests.java
@@ -254,6 +254,18 @@
             assertThat(answer.statusCode()).isEqualTo(400);
         }
 
+        /** A browser asks for the outcome when the reply to its submission was lost. */
+        @Test
+        void canBeAskedForByTheirNonce() {
+            JsonObject submission = new JsonObject().put("document", local()).put("nonce", "n-1");
+            assertThat(post("/api/submit", submission).statusCode()).isEqualTo(200);
+            assertThat(get("/api/outcome/n-1").bodyAsJsonObject().getLong("version")).isEqualTo(1);
+            assertThat(get("/api/outcome/n-2").statusCode()).isEqualTo(409);
+            assertThat(get("/api/outcome/n%20").statusCode()).isEqualTo(400);
+            submission.put("nonce", "n 3").put("base_version", 1);
+            assertThat(post("/api/submit", submission).statusCode()).isEqualTo(400);
+        }
+
         @Test
         void cannotBeReadDuringAnOutage() {
             mClient.put(mKeyValue.port(), "127.0.0.1", "/faults")
--- a/tanagergap-ctl/src/main/java/org/tanagergap/ctl/CtlCommand.java
+++ b/tanagergap-ctl/src/main/java/org/tanagergap/ctl/CtlCommand.java
@@ -12,10 +12,12 @@
 import java.nio.file.InvalidPathException;
 import java.nio.file.Path;
 import java.time.Duration;
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import org.tanagergap.api.finding.Finding;
 import org.tanagergap.api.finding.InvalidInputException;
 import org.tanagergap.runtime.program.Version;
 import org.tanagergap.runtime.settings.HostPort;
@@ -112,11 +114,15 @@
         return CtlStatus.FAILED;
     }
 
+    /** Exception for a wrong argument; unlike flags, arguments have no environment variable. */
+    static InvalidInputException invalidArgument(String argument, String message) {
+        return new InvalidInputException(List.of(new Finding(argument, message)));
+    }
+
     /** Text of a file; {@code -} is standard input. */
     final String readFile(String file) {
         if (file == null) {
-            mReader.reject("FILE", "is required; expected a file name or -");
-            mReader.findings().throwIfAny();
+            throw invalidArgument("FILE", "is required; expected a file name or -");
         }
         try {
             return file.equals("-")
--- a/tanagergap-ctl/src/main/java/org/tanagergap/ctl/OutcomeCommand.java
+++ b/tanagergap-ctl/src/main/java/org/tanagergap/ctl/OutcomeCommand.java
@@ -4,7 +4,6 @@
 import com.github.rvesse.airline.annotations.Command;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
-import org.tanagergap.api.finding.InvalidInputException;
 import org.tanagergap.state.configuration.ConfigurationStore;
 import org.tanagergap.state.configuration.SubmitResult;
 
@@ -18,9 +17,15 @@
     @Override
     int execute() {
         if (mNonce == null || mNonce.isBlank()) {
-            reader().reject("NONCE", "is required; expected the nonce of a submission");
+            throw invalidArgument("NONCE", "is required; expected the nonce of a submission");
+        }
+        SubmitResult result;
+        try {
+            result = await(outcome(), "asking for the outcome");
+        } catch (CallFailedException e) {
+            // Without an answer the submission stays as unresolved as it was.
+            result = new SubmitResult.Unresolved(mNonce, e.getMessage());
         }
-        SubmitResult result = await(outcome(), "asking for the outcome");
         return new SubmissionReport(this::print).print(result, Optional.empty(), Optional.empty());
     }
 
@@ -29,8 +34,7 @@
         try {
             return store.outcome(mNonce);
         } catch (IllegalArgumentException e) {
-            reader().reject("NONCE", e.getMessage());
-            throw new InvalidInputException(reader().findings().toList());
+            throw invalidArgument("NONCE", e.getMessage());
         }
     }
 }
--- a/tanagergap-ctl/src/main/java/org/tanagergap/ctl/OverviewCommand.java
+++ b/tanagergap-ctl/src/main/java/org/tanagergap/ctl/OverviewCommand.java
@@ -22,8 +22,7 @@
     int execute() {
         // This is the default command, so a misspelled command arrives here as an argument.
         if (!mCommand.isEmpty() && (mCommand.size() > 1 || !isCommand(mCommand.get(0)))) {
-            reader().reject("COMMAND", "there is no command " + String.join(" ", mCommand));
-            reader().findings().throwIfAny();
+            throw invalidArgument("COMMAND", "there is no command " + String.join(" ", mCommand));
         }
         try {
             Help.help(mGlobal, mCommand, context().out());
--- a/tanagergap-ctl/src/test/java/org/tanagergap/ctl/CtlOverHttpTests.java
+++ b/tanagergap-ctl/src/test/java/org/tanagergap/ctl/CtlOverHttpTests.java
@@ -98,8 +98,9 @@
     }
 
     @Test
-    void reportsAnOutageBeforeTheSubmissionAsFailed() {
+    void reportsAnOutageBeforeTheSubmissionAsFailedAndALaterOneAsUnresolved() {
         fault(new JsonObject().put("outage", true));
         assertThat(run("submit", LOCAL)).isEqualTo(CtlStatus.FAILED);
+        assertThat(run("outcome", "nonce-1")).isEqualTo(CtlStatus.UNRESOLVED);
     }
 }
