--- a/tanagergap-endtoend/src/test/java/org/tanagergap/endtoend/WholePathTests.java
+++ b/tanagergap-endtoend/src/test/java/org/tanagergap/endtoend/WholePathTests.java
@@ -19,7 +19,7 @@
 @TestMethodOrder(MethodOrderer.OrderAnnotation.class)
 class WholePathTests {
 
-    private static final int LAST = 100;
+    private static final int LAST = Integer.MAX_VALUE;
 
     private static RunningSystem sSystem;
 
