Let a release win over an expiry that was not reported yet

Cause: an attempt cancelled between its expiry and the next call of expired() was unknown to release() and then reported as expired, so that the agent would have ended it twice. Change: release() finds such items and expired() no longer reports them; the stateful property no longer collects expired items before a release.

--- a/tanagergap-decisions/src/main/java/org/tanagergap/decisions/scheduling/FairUpstreamScheduler.java
+++ b/tanagergap-decisions/src/main/java/org/tanagergap/decisions/scheduling/FairUpstreamScheduler.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
@@ -37,7 +38,7 @@
     private final PrefillSlots mSlots;
     private final AdmissionControl mAdmission;
     private final Map<AttemptId, RunningWork> mRunning = new HashMap<>();
-    private final List<WorkItem> mExpired = new ArrayList<>();
+    private final Map<AttemptId, WorkItem> mExpired = new LinkedHashMap<>();
     private long mSequence;
 
     public FairUpstreamScheduler(RuntimeClock clock, SchedulerSettings settings) {
@@ -69,7 +70,7 @@
         return mLock.call(
                 () -> {
                     sweepExpired(mClock.nanoTime());
-                    List<WorkItem> expired = List.copyOf(mExpired);
+                    List<WorkItem> expired = List.copyOf(mExpired.values());
                     mExpired.clear();
                     return expired;
                 });
@@ -276,8 +277,10 @@
     }
 
     private boolean releaseLocked(AttemptId attempt, long outputTokens, long now) {
-        if (mQueue.contains(attempt)) {
-            drop(mQueue.find(attempt).orElseThrow());
+        Optional<QueuedWork> queued = mQueue.find(attempt);
+        queued.ifPresent(this::drop);
+        // An expired item that is released first was cancelled and is not reported as expired.
+        if (queued.isPresent() || mExpired.remove(attempt) != null) {
             return true;
         }
         RunningWork run = mRunning.remove(attempt);
@@ -328,7 +331,7 @@
 
     private void expire(QueuedWork work) {
         drop(work);
-        mExpired.add(work.item());
+        mExpired.put(work.item().attemptId(), work.item());
     }
 
     private void drop(QueuedWork work) {
--- a/tanagergap-decisions/src/test/java/org/tanagergap/decisions/scheduling/FairUpstreamSchedulerPropertyTests.java
+++ b/tanagergap-decisions/src/test/java/org/tanagergap/decisions/scheduling/FairUpstreamSchedulerPropertyTests.java
@@ -70,7 +70,7 @@
                         3,
                         action(
                                 Combinators.combine(choice, flag)
-                                        .as((c, f) -> change("release", m -> release(m, c, f)))))
+                                        .as((c, f) -> change("release", m -> m.release(c, f)))))
                 .withAction(1, action(choice.map(c -> change("late reply", m -> m.lateReply(c)))))
                 .withAction(2, action(flag.map(f -> change("reconcile", m -> m.reconcile(f)))))
                 .withAction(
@@ -147,12 +147,6 @@
         }
     }
 
-    private static void release(SchedulerModel model, int choice, boolean ofQueued) {
-        // Takes expired items first, because the scheduler drops them on its own.
-        model.expire();
-        model.release(choice, ofQueued);
-    }
-
     private static Action.Independent<SchedulerModel> action(
             Arbitrary<Transformer<SchedulerModel>> transformer) {
         return () -> transformer;
--- a/tanagergap-decisions/src/test/java/org/tanagergap/decisions/scheduling/SchedulerModel.java
+++ b/tanagergap-decisions/src/test/java/org/tanagergap/decisions/scheduling/SchedulerModel.java
@@ -104,7 +104,6 @@
         if (!mEnded.isEmpty()) {
             List<AttemptId> ended = new ArrayList<>(mEnded);
             AttemptId attempt = ended.get(choice % ended.size());
-            expire();
             mScheduler.prefillFinished(attempt, 1_000);
             assertThat(mScheduler.release(attempt, 10)).isFalse();
         }
