Keep floors inside the engine and predict the time of output

Cause: (1) the engine runs lower priorities only with what higher ones leave, and ranks were charged at dispatch, so that a stream of short prompts starved prefills that had been dispatched; (2) admission and expiry ignored the time of output and counted longer prompts in the engine as work before short ones; (3) no prefill beside a long prompt was a sample of the rate, so that the rate became outdated during a flood and its predictions were not used. Change: PrefillProgress estimates the progress of each prefill from the rate and the engine's order, charges ranks when the service is provided, holds back work that would run before a rank below its floor (FloorCredit) and learns the rate beside longer prompts too. Admission, expiry and dispatch include the learnt time per output token. EnginePriority is the shared rule of engine priorities.

--- a/tanagergap-decisions/src/main/java/org/tanagergap/decisions/scheduling/AdmissionControl.java
+++ b/tanagergap-decisions/src/main/java/org/tanagergap/decisions/scheduling/AdmissionControl.java
@@ -10,48 +10,70 @@
     /** Keeps predictions finite for a rank without a floor below a saturated one. */
     private static final double MIN_SHARE = 0.01;
 
+    /** Allowance for steps that become slower while the work runs. */
+    private static final double MARGIN = 1.2;
+
     private final RankShares mRanks;
-    private final PrefillSlots mSlots;
-    private final PrefillRateEstimator mRate;
-    private final ResidencyEstimator mResidency;
+    private final RunningTable mRunning;
     private final MemoryLedger mLedger;
 
-    AdmissionControl(
-            RankShares ranks,
-            PrefillSlots slots,
-            PrefillRateEstimator rate,
-            ResidencyEstimator residency,
-            MemoryLedger ledger) {
+    AdmissionControl(RankShares ranks, RunningTable running, MemoryLedger ledger) {
         mRanks = ranks;
-        mSlots = slots;
-        mRate = rate;
-        mResidency = residency;
+        mRunning = running;
         mLedger = ledger;
     }
 
     /** Time until an item that arrives now would start. */
     Duration predictedWait(RankQueue rank, int weight, WorkItem item, long nowNanos) {
-        boolean isLong = item.lengthBand() == LengthBand.LONG;
+        LengthBand band = item.lengthBand();
         double share = expectedShare(rank, nowNanos);
         String workspace = item.policy().workspace();
 
         long prefill = 0;
         if (item.cost().promptTokens() > 0) {
             double queued =
-                    workAhead(rank, workspace, weight, share, b -> b.promptTokensBefore(isLong));
-            prefill = mRate.nanosFor(mSlots.tokensBefore(isLong) + queued);
+                    workAhead(rank, workspace, weight, share, b -> b.promptTokensUpTo(band));
+            prefill = mRunning.rate().nanosFor(mRunning.slots().tokensUpTo(band) + queued);
         }
         double queuedMemory = workAhead(rank, workspace, weight, share, Backlog::memoryTokens);
         double missing = queuedMemory + QueuedWork.memoryTokens(item) - mLedger.free();
-        long memory = mResidency.nanosFor(missing, mLedger.capacity());
+        long memory = mRunning.residency().nanosFor(missing, mLedger.capacity());
         return Duration.ofNanos(Math.max(prefill, memory));
     }
 
-    /** Time that the item's own prefill takes; zero while no rate has been measured lately. */
-    Duration prefillTime(WorkItem item, long nowNanos) {
-        return mRate.isFresh(nowNanos)
-                ? Duration.ofNanos(mRate.nanosFor(item.cost().promptTokens()))
-                : Duration.ZERO;
+    /**
+     * Time that the item's prefill and output take in the engine; the parts for which nothing has
+     * been measured lately count as zero.
+     */
+    Duration runTime(WorkItem item, long nowNanos) {
+        double prefill = 0;
+        if (mRunning.rate().isFresh(nowNanos)) {
+            double share = engineShare(item, nowNanos);
+            prefill = mRunning.rate().nanosFor(item.cost().promptTokens() / share);
+        }
+        long output = mRunning.tokenTime().nanosFor(item.cost().maxOutputTokens(), nowNanos);
+        return Duration.ofNanos((long) (MARGIN * (prefill + output)));
+    }
+
+    /** Whether an item that starts now finishes by its deadline, as predicted. */
+    boolean canFinish(WorkItem item, long nowNanos) {
+        return runTime(item, nowNanos).toNanos() <= item.deadline().nanos() - nowNanos;
+    }
+
+    /** Share of the engine's prefill that work of higher priority in the engine left lately. */
+    private double engineShare(WorkItem item, long nowNanos) {
+        int priority = EnginePriority.of(item);
+        double floor = MIN_SHARE;
+        long above = 0;
+        for (RankQueue rank : mRanks.all()) {
+            if (rank.name().equals(item.policy().rank())) {
+                floor = Math.max(floor, rank.floor());
+            } else if (EnginePriority.of(rank.priority(), LengthBand.SHORT) < priority) {
+                above += rank.served().sum(nowNanos);
+            }
+        }
+        double possible = mRunning.rate().tokensPerSecond() * mRanks.window().toSeconds();
+        return Math.max(floor, 1 - above / possible);
     }
 
     /** Tokens served before the item: those of more urgent ranks and its workspace's fair part. */
--- a/tanagergap-decisions/src/main/java/org/tanagergap/decisions/scheduling/Backlog.java
+++ b/tanagergap-decisions/src/main/java/org/tanagergap/decisions/scheduling/Backlog.java
@@ -1,12 +1,14 @@
 package org.tanagergap.decisions.scheduling;
 
+import org.tanagergap.api.request.LengthBand;
+
 /** Sums over queued items. */
 final class Backlog {
 
     private int mCount;
     private long mMemoryTokens;
     private long mPromptTokens;
-    private long mLongPromptTokens;
+    private final long[] mBandTokens = new long[LengthBand.values().length];
 
     void add(QueuedWork work) {
         change(work, 1);
@@ -28,17 +30,19 @@
         return mPromptTokens;
     }
 
-    /** Prompt tokens that are prefilled before new work; long prompts yield to shorter ones. */
-    long promptTokensBefore(boolean isLong) {
-        return isLong ? mPromptTokens : mPromptTokens - mLongPromptTokens;
+    /** Prompt tokens of the band and shorter ones; longer prompts yield to them. */
+    long promptTokensUpTo(LengthBand band) {
+        long tokens = 0;
+        for (int i = 0; i <= band.ordinal(); i++) {
+            tokens += mBandTokens[i];
+        }
+        return tokens;
     }
 
     private void change(QueuedWork work, int sign) {
         mCount += sign;
         mMemoryTokens += sign * work.memoryTokens();
         mPromptTokens += sign * work.promptTokens();
-        if (work.isLong()) {
-            mLongPromptTokens += sign * work.promptTokens();
-        }
+        mBandTokens[work.band().ordinal()] += sign * work.promptTokens();
     }
 }
--- a/tanagergap-decisions/src/main/java/org/tanagergap/decisions/scheduling/FairQueue.java
+++ b/tanagergap-decisions/src/main/java/org/tanagergap/decisions/scheduling/FairQueue.java
@@ -86,7 +86,8 @@
         forget(work);
         RankQueue rank = mRanks.rank(work.rank());
         rank.shares().dispatch(work);
-        rank.served().add(nowNanos, work.memoryTokens());
+        // The prompt is charged to the rank while the engine prefills it.
+        rank.served().add(nowNanos, work.memoryTokens() - work.promptTokens());
     }
 
     /** Gives back the part of a charge that was not used. */
--- a/tanagergap-decisions/src/main/java/org/tanagergap/decisions/scheduling/FairUpstreamScheduler.java
+++ b/tanagergap-decisions/src/main/java/org/tanagergap/decisions/scheduling/FairUpstreamScheduler.java
@@ -2,18 +2,16 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
-import java.util.Set;
 import org.tanagergap.api.failure.FailureCode;
 import org.tanagergap.api.lock.LockRank;
 import org.tanagergap.api.lock.OrderedLock;
 import org.tanagergap.api.request.AttemptId;
+import org.tanagergap.api.request.LengthBand;
 import org.tanagergap.api.time.RuntimeClock;
 
 /**
@@ -22,9 +20,6 @@
  */
 public final class FairUpstreamScheduler implements UpstreamScheduler {
 
-    /** Lists without a run after which its reservation is released; one list may be outdated. */
-    private static final int MISSING_LISTS = 2;
-
     private final OrderedLock mLock = new OrderedLock(LockRank.FAIR_QUEUE);
     private final RuntimeClock mClock;
     private final SchedulerSettings mSettings;
@@ -33,11 +28,8 @@
     private final ClaimPolicy mClaims;
     private final HoldTable mHolds;
     private final PolicyTable mPolicies;
-    private final PrefillRateEstimator mRate;
-    private final ResidencyEstimator mResidency = new ResidencyEstimator();
-    private final PrefillSlots mSlots;
+    private final RunningTable mRunning;
     private final AdmissionControl mAdmission;
-    private final Map<AttemptId, RunningWork> mRunning = new HashMap<>();
     private final Map<AttemptId, WorkItem> mExpired = new LinkedHashMap<>();
     private long mSequence;
 
@@ -49,9 +41,8 @@
         mClaims = new ClaimPolicy(mLedger, settings.claimAfter());
         mHolds = new HoldTable(mLedger, mClaims);
         mPolicies = new PolicyTable(settings.policyRetention());
-        mRate = new PrefillRateEstimator(settings.initialPrefillTokensPerSecond());
-        mSlots = new PrefillSlots(settings, mRate);
-        mAdmission = new AdmissionControl(mQueue.ranks(), mSlots, mRate, mResidency, mLedger);
+        mRunning = new RunningTable(settings, mQueue.ranks());
+        mAdmission = new AdmissionControl(mQueue.ranks(), mRunning, mLedger);
     }
 
     @Override
@@ -141,12 +132,13 @@
 
     @Override
     public long prefillTokensQueued() {
-        return mLock.call(() -> mQueue.promptTokens() + mSlots.tokensBefore(true));
+        return mLock.call(
+                () -> mQueue.promptTokens() + mRunning.slots().tokensUpTo(LengthBand.LONG));
     }
 
     @Override
     public double prefillTokensPerSecond() {
-        return mLock.call(mRate::tokensPerSecond);
+        return mLock.call(mRunning.rate()::tokensPerSecond);
     }
 
     @Override
@@ -161,7 +153,7 @@
 
     private AdmissionDecision submitLocked(WorkItem item, long now) {
         sweepExpired(now);
-        if (mQueue.contains(item.attemptId()) || mRunning.containsKey(item.attemptId())) {
+        if (mQueue.contains(item.attemptId()) || mRunning.contains(item.attemptId())) {
             return Refusals.refused(
                     FailureCode.IN_PROGRESS, "attempt " + item.attemptId() + " is already known");
         }
@@ -186,13 +178,13 @@
                     "queue of workspace \"%s\" is full".formatted(workspace),
                     wait);
         }
-        Duration prefill = mAdmission.prefillTime(item, now);
-        Duration excess = wait.plus(prefill).minus(left);
+        Duration run = mAdmission.runTime(item, now);
+        Duration excess = wait.plus(run).minus(left);
         if (excess.compareTo(Duration.ZERO) > 0) {
             return Refusals.refused(
                     FailureCode.OVERLOADED,
-                    "predicted wait of %d ms exceeds the deadline"
-                            .formatted(wait.plus(prefill).toMillis()),
+                    "predicted time of %d ms exceeds the deadline"
+                            .formatted(wait.plus(run).toMillis()),
                     excess);
         }
         QueuedWork work =
@@ -200,7 +192,7 @@
                         item,
                         mSequence++,
                         now,
-                        item.deadline().nanos() - prefill.toNanos(),
+                        item.deadline().nanos() - run.toNanos(),
                         mSettings.ageingPerSecond());
         mQueue.add(work, weight);
         return displaceIfFull(work, wait);
@@ -219,12 +211,18 @@
 
     private List<WorkItem> dispatchLocked(long now) {
         sweepExpired(now);
+        mRunning.progress().advance(now);
         List<WorkItem> started = new ArrayList<>();
         startClaimed(now).ifPresent(started::add);
         DispatchGate gate = (work, mayClaim) -> canStart(work, mayClaim, now);
         Optional<QueuedWork> next = mQueue.next(now, gate);
         while (next.isPresent()) {
-            started.add(start(next.get(), now));
+            QueuedWork work = next.get();
+            if (mAdmission.canFinish(work.item(), now)) {
+                started.add(start(work, now));
+            } else {
+                expire(work);
+            }
             next = mQueue.next(now, gate);
         }
         return started;
@@ -240,7 +238,7 @@
     }
 
     private boolean canStart(QueuedWork work, boolean mayClaim, long now) {
-        if (work.promptTokens() > 0 && !mSlots.canStart(work.band())) {
+        if (!mRunning.canStart(work, mQueue.ranks().rank(work.rank()))) {
             return false;
         }
         AttemptId attempt = work.item().attemptId();
@@ -259,21 +257,17 @@
             throw new IllegalStateException("memory for " + item.attemptId() + " is not free");
         }
         mQueue.dispatch(work, now);
-        mSlots.started(work.band(), work.promptTokens());
-        mRunning.put(item.attemptId(), new RunningWork(work, now));
+        mRunning.start(work, mQueue.ranks().rank(work.rank()), now);
         return item;
     }
 
     private void prefillFinishedLocked(AttemptId attempt, long promptTokens, long now) {
-        RunningWork run = mRunning.get(attempt);
-        if (run == null || !run.isPrefilling()) {
-            return;
-        }
-        WorkItem item = run.item();
-        boolean besideLong = mSlots.hasOtherLong(item.lengthBand());
-        endPrefill(run);
-        mRate.finished(run.dispatchedNanos(), now, promptTokens, besideLong);
-        mLedger.resize(attempt, Math.max(1, promptTokens + item.cost().maxOutputTokens()));
+        mRunning.firstToken(attempt, promptTokens, now)
+                .ifPresent(
+                        run -> {
+                            long output = run.item().cost().maxOutputTokens();
+                            mLedger.resize(attempt, Math.max(1, promptTokens + output));
+                        });
     }
 
     private boolean releaseLocked(AttemptId attempt, long outputTokens, long now) {
@@ -283,42 +277,26 @@
         if (queued.isPresent() || mExpired.remove(attempt) != null) {
             return true;
         }
-        RunningWork run = mRunning.remove(attempt);
-        if (run == null) {
-            return false;
-        }
-        endPrefill(run);
-        mLedger.release(attempt)
-                .ifPresent(tokens -> mResidency.released(tokens, now - run.dispatchedNanos()));
+        Optional<RunningWork> running = mRunning.remove(attempt, outputTokens, now);
+        running.ifPresent(run -> end(run, outputTokens, now));
+        return running.isPresent();
+    }
+
+    private void end(RunningWork run, long outputTokens, long now) {
+        mLedger.release(run.item().attemptId())
+                .ifPresent(
+                        tokens ->
+                                mRunning.residency().released(tokens, now - run.dispatchedNanos()));
         long used = Math.max(1, run.item().cost().promptTokens() + Math.max(0, outputTokens));
         if (used < run.chargedTokens()) {
             mQueue.refund(run.item().policy(), run.chargedTokens() - used, now);
         }
-        return true;
     }
 
     private ReconcileResult reconcileLocked(List<EngineRun> engineRuns, long now) {
-        Set<AttemptId> listed = new HashSet<>();
-        List<AttemptId> orphans = new ArrayList<>();
-        for (EngineRun run : engineRuns) {
-            AttemptId attempt = run.attemptId();
-            listed.add(attempt);
-            if (!mRunning.containsKey(attempt) && !mHolds.contains(attempt.value())) {
-                orphans.add(attempt);
-            }
-        }
-        List<AttemptId> lost = new ArrayList<>();
-        mRunning.forEach(
-                (attempt, run) -> {
-                    if (listed.contains(attempt)) {
-                        run.seenInList();
-                    } else if (now - run.dispatchedNanos() >= mSettings.dispatchGrace().toNanos()
-                            && run.missingInList() >= MISSING_LISTS) {
-                        lost.add(attempt);
-                    }
-                });
-        lost.forEach(attempt -> releaseLocked(attempt, 0, now));
-        return new ReconcileResult(orphans, lost);
+        ReconcileResult result = mRunning.compare(engineRuns, mHolds, now);
+        result.released().forEach(attempt -> releaseLocked(attempt, 0, now));
+        return result;
     }
 
     private void sweepExpired(long now) {
@@ -339,11 +317,4 @@
         mQueue.remove(attempt);
         mLedger.endClaim(attempt);
     }
-
-    private void endPrefill(RunningWork run) {
-        if (run.isPrefilling()) {
-            run.endPrefill();
-            mSlots.ended(run.item().lengthBand(), run.item().cost().promptTokens());
-        }
-    }
 }
--- /dev/null
+++ b/tanagergap-decisions/src/main/java/org/tanagergap/decisions/scheduling/PrefillProgress.java
@@ -0,0 +1,114 @@
+package org.tanagergap.decisions.scheduling;
+
+import java.util.NavigableMap;
+import java.util.TreeMap;
+import java.util.TreeSet;
+
+/**
+ * Estimates from the learnt rate and the engine's order of priorities how far each prompt in
+ * prefill is, and charges the service to ranks when it is provided. Ranks with prompts in prefill
+ * are owed their floors; work that would run before one that is owed service is held back.
+ */
+final class PrefillProgress {
+
+    private static final double NANOS_PER_SECOND = 1e9;
+
+    private final TreeSet<RunningWork> mRuns = new TreeSet<>(RunningWork.BY_ENGINE_ORDER);
+    private final NavigableMap<Integer, Served> mServed = new TreeMap<>();
+    private final PrefillRateEstimator mRate;
+    private final RankShares mRanks;
+    private long mLastNanos;
+
+    PrefillProgress(PrefillRateEstimator rate, RankShares ranks) {
+        mRate = rate;
+        mRanks = ranks;
+    }
+
+    void started(RunningWork run, long nowNanos) {
+        advance(nowNanos);
+        run.setServedBefore(servedUpTo(run.priority()));
+        mRuns.add(run);
+        run.rank().floorCredit().entered();
+    }
+
+    /** Ends a prefill that delivered its first token, and learns the rate from it. */
+    void finished(RunningWork run, long nowNanos, long promptTokens) {
+        advance(nowNanos);
+        charge(run, Math.max(0, run.prefillLeft()), nowNanos);
+        Served own = mServed.computeIfAbsent(run.priority(), p -> new Served());
+        double total = servedUpTo(run.priority());
+        // Prompts of one priority run one after another: a sample starts at the end of the last.
+        boolean followsOther = own.mFinishedNanos > run.dispatchedNanos();
+        long since = followsOther ? own.mFinishedNanos : run.dispatchedNanos();
+        double before = followsOther ? own.mTotalAtFinish : run.servedBefore();
+        double correction = promptTokens - run.item().cost().promptTokens();
+        mRate.sample(total - before + correction, nowNanos - since, nowNanos, promptTokens);
+        own.mFinishedNanos = nowNanos;
+        own.mTotalAtFinish = total;
+    }
+
+    /** Removes a prompt whose prefill finished or was cancelled. */
+    void ended(RunningWork run, long nowNanos) {
+        advance(nowNanos);
+        if (mRuns.remove(run)) {
+            run.rank().floorCredit().left();
+        }
+    }
+
+    /**
+     * Whether new work of the rank and engine priority may start: the prompt that the engine would
+     * prefill instead must not belong to a rank that is owed service.
+     */
+    boolean keepsFloors(RankQueue rank, int priority) {
+        for (RunningWork run : mRuns) {
+            if (run.priority() > priority) {
+                return run.rank() == rank
+                        || !run.rank().floorCredit().isOwed()
+                        || rank.floorCredit().isOwed();
+            }
+        }
+        return true;
+    }
+
+    void advance(long nowNanos) {
+        double budget = mRate.tokensPerSecond() * ((nowNanos - mLastNanos) / NANOS_PER_SECOND);
+        mLastNanos = nowNanos;
+        for (RunningWork run : mRuns) {
+            if (budget <= 0) {
+                return;
+            }
+            double tokens = Math.min(budget, run.prefillLeft());
+            charge(run, tokens, nowNanos);
+            budget -= tokens;
+        }
+    }
+
+    private void charge(RunningWork run, double tokens, long nowNanos) {
+        if (tokens <= 0) {
+            return;
+        }
+        run.prefilled(tokens);
+        mServed.computeIfAbsent(run.priority(), p -> new Served()).mTokens += tokens;
+        run.rank().served().add(nowNanos, Math.round(tokens));
+        for (RankQueue rank : mRanks.all()) {
+            double own = rank == run.rank() ? tokens : 0;
+            rank.floorCredit().served(own, tokens, rank.floor(), mRate.tokensPerSecond());
+        }
+    }
+
+    private double servedUpTo(int priority) {
+        double tokens = 0;
+        for (Served served : mServed.headMap(priority, true).values()) {
+            tokens += served.mTokens;
+        }
+        return tokens;
+    }
+
+    /** Prefill of one priority so far. */
+    private static final class Served {
+
+        private double mTokens;
+        private double mTotalAtFinish;
+        private long mFinishedNanos = Long.MIN_VALUE;
+    }
+}
--- a/tanagergap-decisions/src/main/java/org/tanagergap/decisions/scheduling/PrefillRateEstimator.java
+++ b/tanagergap-decisions/src/main/java/org/tanagergap/decisions/scheduling/PrefillRateEstimator.java
@@ -17,7 +17,6 @@
 
     private double mTokensPerSecond;
     private boolean mMeasured;
-    private long mLastFinishNanos;
     private long mLastSampleNanos;
 
     PrefillRateEstimator(double initialTokensPerSecond) {
@@ -38,22 +37,18 @@
     }
 
     /**
-     * Records the end of a prefill. Prefills that overlap share the engine, so a sample starts at
-     * the end of the one before.
+     * Records prefill at the engine.
      *
-     * @param besideLong whether a long prompt was prefilled at the same time, which makes the
-     *     sample useless
+     * @param tokens tokens prefilled in the interval
+     * @param firstTokenOf length of the prompt whose first token ended the interval
      */
-    void finished(long startNanos, long nowNanos, long tokens, boolean besideLong) {
-        long since = mMeasured ? Math.max(startNanos, mLastFinishNanos) : startNanos;
-        long interval = nowNanos - since;
-        mLastFinishNanos = nowNanos;
-        if (besideLong || tokens <= 0 || interval <= 0) {
+    void sample(double tokens, long intervalNanos, long nowNanos, long firstTokenOf) {
+        if (tokens <= 0 || intervalNanos <= 0) {
             return;
         }
-        double sample = tokens / (interval / NANOS_PER_SECOND);
+        double sample = tokens / (intervalNanos / NANOS_PER_SECOND);
         if (!mMeasured) {
-            if (tokens >= MIN_FIRST_SAMPLE_TOKENS) {
+            if (firstTokenOf >= MIN_FIRST_SAMPLE_TOKENS) {
                 mTokensPerSecond = sample;
                 mMeasured = true;
                 mLastSampleNanos = nowNanos;
@@ -64,7 +59,7 @@
                 Math.max(
                         mTokensPerSecond / MAX_CHANGE,
                         Math.min(mTokensPerSecond * MAX_CHANGE, sample));
-        double weight = 1 - Math.exp(-interval / (double) MEMORY.toNanos());
+        double weight = 1 - Math.exp(-intervalNanos / (double) MEMORY.toNanos());
         mTokensPerSecond += weight * (bounded - mTokensPerSecond);
         mLastSampleNanos = nowNanos;
     }
--- a/tanagergap-decisions/src/main/java/org/tanagergap/decisions/scheduling/PrefillSlots.java
+++ b/tanagergap-decisions/src/main/java/org/tanagergap/decisions/scheduling/PrefillSlots.java
@@ -44,15 +44,15 @@
         change(band, -promptTokens, -1);
     }
 
-    /** Whether a long prompt other than one of this band itself is being prefilled. */
-    boolean hasOtherLong(LengthBand band) {
-        return mLongPrefills > (band == LengthBand.LONG ? 1 : 0);
-    }
-
-    /** Tokens in prefill that the engine computes before new work of the band. */
-    long tokensBefore(boolean isLong) {
-        long shorter = mTokens.get(LengthBand.SHORT) + mTokens.get(LengthBand.MEDIUM);
-        return isLong ? shorter + mTokens.get(LengthBand.LONG) : shorter;
+    /** Tokens of the band and shorter ones in prefill. */
+    long tokensUpTo(LengthBand band) {
+        long tokens = 0;
+        for (Map.Entry<LengthBand, Long> entry : mTokens.entrySet()) {
+            if (entry.getKey().compareTo(band) <= 0) {
+                tokens += entry.getValue();
+            }
+        }
+        return tokens;
     }
 
     private void change(LengthBand band, long tokens, int count) {
--- a/tanagergap-decisions/src/main/java/org/tanagergap/decisions/scheduling/RankQueue.java
+++ b/tanagergap-decisions/src/main/java/org/tanagergap/decisions/scheduling/RankQueue.java
@@ -11,6 +11,7 @@
     private final String mName;
     private final WorkspaceShares mShares = new WorkspaceShares();
     private final ServiceWindow mServed;
+    private final FloorCredit mFloorCredit = new FloorCredit();
     private long mVersion = Long.MIN_VALUE;
     private int mPriority;
     private int mFloorPercent;
@@ -53,4 +54,9 @@
     ServiceWindow served() {
         return mServed;
     }
+
+    /** Service in the engine beyond the floor. */
+    FloorCredit floorCredit() {
+        return mFloorCredit;
+    }
 }
--- a/tanagergap-decisions/src/main/java/org/tanagergap/decisions/scheduling/RankShares.java
+++ b/tanagergap-decisions/src/main/java/org/tanagergap/decisions/scheduling/RankShares.java
@@ -29,6 +29,10 @@
         return rank;
     }
 
+    Duration window() {
+        return mWindow;
+    }
+
     RankQueue rank(String name) {
         return mRanks.get(name);
     }
--- /dev/null
+++ b/tanagergap-decisions/src/main/java/org/tanagergap/decisions/scheduling/RunningTable.java
@@ -0,0 +1,133 @@
+package org.tanagergap.decisions.scheduling;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.tanagergap.api.request.AttemptId;
+
+/** Attempts that the engine runs, and what is learnt from them about its speed. */
+final class RunningTable {
+
+    /** Lists without a run after which its reservation is released; one list may be outdated. */
+    private static final int MISSING_LISTS = 2;
+
+    private final SchedulerSettings mSettings;
+    private final PrefillRateEstimator mRate;
+    private final ResidencyEstimator mResidency = new ResidencyEstimator();
+    private final TokenTimeEstimator mTokenTime = new TokenTimeEstimator();
+    private final PrefillSlots mSlots;
+    private final PrefillProgress mProgress;
+    private final Map<AttemptId, RunningWork> mRunning = new HashMap<>();
+    private long mSequence;
+
+    RunningTable(SchedulerSettings settings, RankShares ranks) {
+        mSettings = settings;
+        mRate = new PrefillRateEstimator(settings.initialPrefillTokensPerSecond());
+        mSlots = new PrefillSlots(settings, mRate);
+        mProgress = new PrefillProgress(mRate, ranks);
+    }
+
+    PrefillRateEstimator rate() {
+        return mRate;
+    }
+
+    ResidencyEstimator residency() {
+        return mResidency;
+    }
+
+    TokenTimeEstimator tokenTime() {
+        return mTokenTime;
+    }
+
+    PrefillSlots slots() {
+        return mSlots;
+    }
+
+    PrefillProgress progress() {
+        return mProgress;
+    }
+
+    int size() {
+        return mRunning.size();
+    }
+
+    boolean contains(AttemptId attempt) {
+        return mRunning.containsKey(attempt);
+    }
+
+    /** Whether the engine's queue has room for the work and ranks keep their floors. */
+    boolean canStart(QueuedWork work, RankQueue rank) {
+        return work.promptTokens() == 0
+                || (mSlots.canStart(work.band())
+                        && mProgress.keepsFloors(rank, EnginePriority.of(work.item())));
+    }
+
+    void start(QueuedWork work, RankQueue rank, long nowNanos) {
+        RunningWork run = new RunningWork(work, rank, mSequence++, nowNanos);
+        mSlots.started(work.band(), work.promptTokens());
+        mProgress.started(run, nowNanos);
+        mRunning.put(work.item().attemptId(), run);
+    }
+
+    /** Records the first token; empty when the attempt is unknown or had one before. */
+    Optional<RunningWork> firstToken(AttemptId attempt, long promptTokens, long nowNanos) {
+        RunningWork run = mRunning.get(attempt);
+        if (run == null || !run.isPrefilling()) {
+            return Optional.empty();
+        }
+        mProgress.finished(run, nowNanos, promptTokens);
+        endPrefill(run, nowNanos);
+        return Optional.of(run);
+    }
+
+    /** Removes an attempt. */
+    Optional<RunningWork> remove(AttemptId attempt, long outputTokens, long nowNanos) {
+        RunningWork run = mRunning.remove(attempt);
+        if (run == null) {
+            return Optional.empty();
+        }
+        if (run.isPrefilling()) {
+            endPrefill(run, nowNanos);
+        } else {
+            mTokenTime.released(run.firstTokenNanos(), nowNanos, outputTokens);
+        }
+        return Optional.of(run);
+    }
+
+    /**
+     * Compares with the runs that the engine lists; the released attempts are still to be ended.
+     */
+    ReconcileResult compare(List<EngineRun> engineRuns, HoldTable holds, long nowNanos) {
+        Set<AttemptId> listed = new HashSet<>();
+        List<AttemptId> orphans = new ArrayList<>();
+        for (EngineRun run : engineRuns) {
+            AttemptId attempt = run.attemptId();
+            listed.add(attempt);
+            if (!mRunning.containsKey(attempt) && !holds.contains(attempt.value())) {
+                orphans.add(attempt);
+            }
+        }
+        List<AttemptId> lost = new ArrayList<>();
+        mRunning.forEach(
+                (attempt, run) -> {
+                    if (listed.contains(attempt)) {
+                        run.seenInList();
+                    } else if (nowNanos - run.dispatchedNanos()
+                                    >= mSettings.dispatchGrace().toNanos()
+                            && run.missingInList() >= MISSING_LISTS) {
+                        lost.add(attempt);
+                    }
+                });
+        return new ReconcileResult(orphans, lost);
+    }
+
+    private void endPrefill(RunningWork run, long nowNanos) {
+        run.endPrefill(nowNanos);
+        mProgress.ended(run, nowNanos);
+        mSlots.ended(run.item().lengthBand(), run.item().cost().promptTokens());
+    }
+}
--- a/tanagergap-decisions/src/main/java/org/tanagergap/decisions/scheduling/RunningWork.java
+++ b/tanagergap-decisions/src/main/java/org/tanagergap/decisions/scheduling/RunningWork.java
@@ -1,25 +1,46 @@
 package org.tanagergap.decisions.scheduling;
 
+import java.util.Comparator;
+
 /** Attempt that was handed to the engine. */
 final class RunningWork {
 
+    /** Order in which the engine prefills. */
+    static final Comparator<RunningWork> BY_ENGINE_ORDER =
+            Comparator.comparingInt((RunningWork r) -> r.mPriority)
+                    .thenComparingLong(r -> r.mSequence);
+
     private final WorkItem mItem;
+    private final RankQueue mRank;
     private final long mChargedTokens;
     private final long mDispatchedNanos;
+    private final int mPriority;
+    private final long mSequence;
+    private double mPrefillLeft;
+    private double mServedBefore;
+    private long mFirstTokenNanos;
     private boolean mPrefilling = true;
     private int mMissingLists;
 
-    RunningWork(QueuedWork work, long nowNanos) {
+    RunningWork(QueuedWork work, RankQueue rank, long sequence, long nowNanos) {
         mItem = work.item();
+        mRank = rank;
         mChargedTokens = work.memoryTokens();
         mDispatchedNanos = nowNanos;
+        mPriority = EnginePriority.of(mItem);
+        mSequence = sequence;
+        mPrefillLeft = work.promptTokens();
     }
 
     WorkItem item() {
         return mItem;
     }
 
-    /** Tokens charged to the workspace and rank at dispatch. */
+    RankQueue rank() {
+        return mRank;
+    }
+
+    /** Tokens charged to the workspace at dispatch. */
     long chargedTokens() {
         return mChargedTokens;
     }
@@ -28,12 +49,39 @@
         return mDispatchedNanos;
     }
 
+    int priority() {
+        return mPriority;
+    }
+
+    /** Prompt tokens that the engine has not prefilled yet, as estimated. */
+    double prefillLeft() {
+        return mPrefillLeft;
+    }
+
+    void prefilled(double tokens) {
+        mPrefillLeft -= tokens;
+    }
+
+    /** Tokens of this and higher priorities that the engine had prefilled at dispatch. */
+    double servedBefore() {
+        return mServedBefore;
+    }
+
+    void setServedBefore(double tokens) {
+        mServedBefore = tokens;
+    }
+
     boolean isPrefilling() {
         return mPrefilling;
     }
 
-    void endPrefill() {
+    void endPrefill(long nowNanos) {
         mPrefilling = false;
+        mFirstTokenNanos = nowNanos;
+    }
+
+    long firstTokenNanos() {
+        return mFirstTokenNanos;
     }
 
     void seenInList() {
--- /dev/null
+++ b/tanagergap-decisions/src/main/java/org/tanagergap/decisions/scheduling/TokenTimeEstimator.java
@@ -0,0 +1,38 @@
+package org.tanagergap.decisions.scheduling;
+
+import java.time.Duration;
+
+/**
+ * Learns the time that the engine takes per output token. It follows rises at once and falls
+ * slowly, because work that is admitted on too low a value misses its deadline.
+ */
+final class TokenTimeEstimator {
+
+    private static final double FALL_PER_SAMPLE = 0.02;
+    private static final Duration FRESH = Duration.ofSeconds(10);
+
+    /** Shorter outputs measure single steps, which one large chunk of prefill distorts. */
+    private static final long MIN_SAMPLE_TOKENS = 8;
+
+    private double mNanosPerToken;
+    private long mLastSampleNanos;
+    private boolean mMeasured;
+
+    /** Records the output of an attempt whose first token came at the given time. */
+    void released(long firstTokenNanos, long nowNanos, long outputTokens) {
+        if (outputTokens < MIN_SAMPLE_TOKENS || nowNanos <= firstTokenNanos) {
+            return;
+        }
+        double sample = (nowNanos - firstTokenNanos) / (outputTokens - 1.0);
+        mNanosPerToken =
+                Math.max(sample, mNanosPerToken + FALL_PER_SAMPLE * (sample - mNanosPerToken));
+        mLastSampleNanos = nowNanos;
+        mMeasured = true;
+    }
+
+    /** Time for the tokens after the first; zero while no output has been measured lately. */
+    long nanosFor(long outputTokens, long nowNanos) {
+        boolean isFresh = mMeasured && nowNanos - mLastSampleNanos < FRESH.toNanos();
+        return isFresh ? (long) (mNanosPerToken * Math.max(0, outputTokens - 1)) : 0;
+    }
+}
--- a/tanagergap-measure/src/main/java/org/tanagergap/measure/scenario/Policies.java
+++ b/tanagergap-measure/src/main/java/org/tanagergap/measure/scenario/Policies.java
@@ -4,9 +4,9 @@
 import org.tanagergap.decisions.baseline.RoundRobinRouter;
 import org.tanagergap.decisions.routing.RouterSettings;
 import org.tanagergap.decisions.routing.SubsetRequestRouter;
+import org.tanagergap.decisions.scheduling.EnginePriority;
 import org.tanagergap.decisions.scheduling.FairUpstreamScheduler;
 import org.tanagergap.decisions.scheduling.SchedulerSettings;
-import org.tanagergap.decisions.scheduling.WorkItem;
 import org.tanagergap.measure.fleet.FleetSettings;
 import org.tanagergap.measure.fleet.Policy;
 
@@ -26,7 +26,7 @@
                                         .withMemoryTokens(FleetSettings.ENGINE_MEMORY_TOKENS)),
                 (clock, domain, random) ->
                         new SubsetRequestRouter(clock, RouterSettings.defaults(domain), random),
-                Policies::enginePriority,
+                EnginePriority::of,
                 3,
                 0.1);
     }
@@ -41,8 +41,4 @@
                 3,
                 1);
     }
-
-    private static int enginePriority(WorkItem item) {
-        return item.lengthBand().ordinal();
-    }
 }
