Plan an engine step only after the one before ended; measure floors by progress

Cause: (1) when an observer submitted a run from a callback, the engine model planned the next step before the one under way was recorded. Prompts were planned twice, wasting a part of the chunk, and then generated two tokens a step. (2) The flood of urgent work compared a floor with requests that ended in the window; a long request at its floor runs for most of the window, so service at its end did not count. Change: the step flag is cleared at the end of a step. FloodScenario compares the floor with the recorded progress, between the ends of the window, of requests that finish within their deadline.

--- a/tanagergap-measure/src/main/java/org/tanagergap/measure/fleet/AgentModel.java
+++ b/tanagergap-measure/src/main/java/org/tanagergap/measure/fleet/AgentModel.java
@@ -74,7 +74,7 @@
         return new LoadHint(
                 mMemoryTokens,
                 mScheduler.freeTokens(),
-                mScheduler.prefillTokensQueued(),
+                mScheduler.prefillBacklog(),
                 mScheduler.prefillTokensPerSecond(),
                 mScheduler.queuedByRank(),
                 false,
@@ -92,6 +92,18 @@
         return mEngine;
     }
 
+    /** Tells the observers of running attempts how far they are. */
+    void reportProgress() {
+        mAttempts.forEach(
+                (id, attempt) -> {
+                    if (attempt.mDispatched) {
+                        long left = mEngine.prefillLeft(id.value());
+                        long prompt = attempt.mItem.cost().promptTokens();
+                        attempt.mObserver.onProgress(prompt - left + attempt.mTokens);
+                    }
+                });
+    }
+
     private void refuse(AttemptId id, String reason) {
         Attempt attempt = mAttempts.remove(id);
         if (attempt != null) {
@@ -111,6 +123,7 @@
     private void dispatch(WorkItem item) {
         Attempt attempt = mAttempts.get(item.attemptId());
         attempt.mObserver.onAdmitted();
+        attempt.mDispatched = true;
         attempt.mDeadlineTimer =
                 mClock.schedule(item.deadline().left(mClock), () -> deadlinePassed(item));
         EngineRequest request =
@@ -164,6 +177,7 @@
         private final WorkItem mItem;
         private final AttemptObserver mObserver;
         private Timer mDeadlineTimer = () -> {};
+        private boolean mDispatched;
         private long mTokens;
 
         Attempt(WorkItem item, AttemptObserver observer) {
--- a/tanagergap-measure/src/main/java/org/tanagergap/measure/fleet/AttemptObserver.java
+++ b/tanagergap-measure/src/main/java/org/tanagergap/measure/fleet/AttemptObserver.java
@@ -6,6 +6,9 @@
     /** The attempt left the queue. */
     void onAdmitted();
 
+    /** Tokens that were prefilled and generated so far. */
+    void onProgress(long tokens);
+
     void onToken(long index);
 
     void onFinished();
--- a/tanagergap-measure/src/main/java/org/tanagergap/measure/fleet/EntryModel.java
+++ b/tanagergap-measure/src/main/java/org/tanagergap/measure/fleet/EntryModel.java
@@ -131,6 +131,11 @@
             sendHint(mAgent);
         }
 
+        @Override
+        public void onProgress(long tokens) {
+            mRequest.progressed(mClock.nanoTime(), tokens);
+        }
+
         // The delay of the way back moves all tokens alike, so it is added to the time only.
         @Override
         public void onToken(long index) {
--- a/tanagergap-measure/src/main/java/org/tanagergap/measure/fleet/FleetRun.java
+++ b/tanagergap-measure/src/main/java/org/tanagergap/measure/fleet/FleetRun.java
@@ -59,6 +59,12 @@
         scheduleArrival(requestClass, from, until);
     }
 
+    /** Records the progress of running requests at a time of the run. */
+    public void recordProgressAt(Duration time) {
+        mClock.schedule(
+                time.minus(elapsed()), () -> mAgents.values().forEach(AgentModel::reportProgress));
+    }
+
     /** Advances the clock. */
     public void advance(Duration duration) {
         mClock.advance(duration);
--- a/tanagergap-measure/src/main/java/org/tanagergap/measure/scenario/FloodScenario.java
+++ b/tanagergap-measure/src/main/java/org/tanagergap/measure/scenario/FloodScenario.java
@@ -38,6 +38,8 @@
         FleetRun run = new FleetRun(fleet, policy, seed);
         Workloads.mixed(fleet, LOAD).forEach(c -> run.offer(c, Duration.ZERO, FLOOD_END));
         flood(fleet).forEach(c -> run.offer(c, FLOOD_START, FLOOD_END));
+        run.recordProgressAt(FLOOD_START.plus(SETTLING));
+        run.recordProgressAt(FLOOD_END);
         run.advance(FLOOD_END.plus(Duration.ofMinutes(25)));
         List<Measurement> figures = new ArrayList<>();
         for (String rank : List.of(Workloads.URGENT, Workloads.STANDARD, Workloads.BATCH)) {
@@ -89,7 +91,7 @@
     private Measurement floorKept(FleetRun run, String rank) {
         Duration from = FLOOD_START.plus(SETTLING);
         Predicate<RequestRecord> all = r -> r.requestClass().policy().rank().equals(rank);
-        double served = Statistics.goodput(run.requests(), all, from, FLOOD_END);
+        double served = Statistics.service(run.requests(), all, from, FLOOD_END);
         double demand = offered(run, rank, from, FLOOD_END);
         double floor = Workloads.fleetCapacity(run.settings()) * FLOORS.get(rank) / 100;
         return Measurement.atLeast(
--- a/tanagergap-measure/src/main/java/org/tanagergap/measure/scenario/Statistics.java
+++ b/tanagergap-measure/src/main/java/org/tanagergap/measure/scenario/Statistics.java
@@ -58,6 +58,26 @@
         return tokens / (until.minus(from).toNanos() / 1e9);
     }
 
+    /**
+     * Work done in the window for requests that finish within their deadline, in tokens per second.
+     * Progress must have been recorded at both ends of the window. Long requests run for a large
+     * part of a window, so that counting whole requests by their end would count service before the
+     * window and miss service at its end.
+     */
+    public static double service(
+            List<RequestRecord> requests,
+            Predicate<RequestRecord> filter,
+            Duration from,
+            Duration until) {
+        double tokens = 0;
+        for (RequestRecord request : requests) {
+            if (filter.test(request) && isGood(request)) {
+                tokens += request.workDoneBy(until.toNanos()) - request.workDoneBy(from.toNanos());
+            }
+        }
+        return tokens / (until.minus(from).toNanos() / 1e9);
+    }
+
     /** Mean attempts of the requests. */
     public static double attemptsPerRequest(List<RequestRecord> requests) {
         return requests.stream().mapToInt(RequestRecord::attempts).average().orElse(Double.NaN);
--- a/tanagergap-standins/src/main/java/org/tanagergap/standins/engine/EngineModel.java
+++ b/tanagergap-standins/src/main/java/org/tanagergap/standins/engine/EngineModel.java
@@ -84,6 +84,12 @@
         return states;
     }
 
+    /** Prompt tokens that a run has still to prefill; 0 for an unknown run. */
+    public long prefillLeft(String requestId) {
+        ActiveRun run = mRuns.get(requestId);
+        return run == null ? 0 : run.prefillLeft();
+    }
+
     /** Load at this moment. */
     public EngineLoad load() {
         long prefill = 0;
@@ -179,8 +185,9 @@
                 .plus(mSettings.decodeTimePerRun().multipliedBy(decoding));
     }
 
+    // Observers may submit and cancel from here; the next step is planned after this one ended,
+    // else it would prefill again what this step has prefilled but not yet recorded.
     private void finishStep(List<PrefillShare> shares, List<ActiveRun> decoding) {
-        mStepScheduled = false;
         for (ActiveRun run : decoding) {
             if (isActive(run)) {
                 emitToken(run);
@@ -194,6 +201,7 @@
                 }
             }
         }
+        mStepScheduled = false;
         scheduleStep();
     }
 
--- a/tanagergap-standins/src/test/java/org/tanagergap/standins/engine/EngineModelTests.java
+++ b/tanagergap-standins/src/test/java/org/tanagergap/standins/engine/EngineModelTests.java
@@ -56,6 +56,34 @@
         assertThat(mEngine.runs()).isEmpty();
     }
 
+    /** Guards against a prompt that is planned twice and then generates two tokens a step. */
+    @Test
+    void aRunSubmittedByAnObserverDoesNotDisturbTheStepUnderWay() {
+        List<Long> times = new ArrayList<>();
+        RunObserver submitsAnother =
+                new Recorder() {
+                    @Override
+                    public void onFinished(String finishReason, RunUsage usage) {
+                        mEngine.submit(request("next", 10, 1, 0, 0), new Recorder());
+                    }
+                };
+        mEngine.submit(request("first", 10, 2, 0, 0), submitsAnother);
+        mClock.advance(Duration.ofMillis(1));
+        RunObserver timed =
+                new Recorder() {
+                    @Override
+                    public void onToken(long index, String text) {
+                        times.add(mClock.nanoTime());
+                    }
+                };
+        mEngine.submit(request("other", 500, 5, 0, 0), timed);
+
+        mClock.advance(Duration.ofSeconds(1));
+
+        assertThat(times).hasSize(5);
+        assertThat(times).containsNoDuplicates();
+    }
+
     @Nested
     class Priorities {
 
@@ -136,7 +164,7 @@
                 id, tokens, 42, 0, 0, "s", List.of(), 0, 0, Optional.of("h-" + id));
     }
 
-    private static final class Recorder implements RunObserver {
+    private static class Recorder implements RunObserver {
 
         private final List<Long> mIndexes = new ArrayList<>();
         private final List<String> mTexts = new ArrayList<>();
