Count only the prefill that a request waits behind; keep memory for short prompts

Cause: (1) the router and admission counted long prompts in the engine and in the queue as work before short ones, so short prompts herded on the engine with the fewest long prompts and were refused elsewhere; (2) claims and long prompts left no memory to short prompts during a flood of batch work; (3) a prompt that joins others in the engine waits for the step under way, which distorted short samples of the prefill rate. A margin of 1.5 on the time of prefill and 1.1 on that of output replaces 1.2 on both.

--- a/tanagergap-decisions/src/main/java/org/tanagergap/decisions/baseline/FirstComeScheduler.java
+++ b/tanagergap-decisions/src/main/java/org/tanagergap/decisions/baseline/FirstComeScheduler.java
@@ -19,6 +19,7 @@
 import org.tanagergap.api.time.RuntimeClock;
 import org.tanagergap.decisions.scheduling.AdmissionDecision;
 import org.tanagergap.decisions.scheduling.EngineRun;
+import org.tanagergap.decisions.scheduling.PrefillBacklog;
 import org.tanagergap.decisions.scheduling.RankLoad;
 import org.tanagergap.decisions.scheduling.ReconcileResult;
 import org.tanagergap.decisions.scheduling.UpstreamScheduler;
@@ -155,8 +156,9 @@
     }
 
     @Override
-    public long prefillTokensQueued() {
-        return mLock.call(() -> mPrefillTokens);
+    public PrefillBacklog prefillBacklog() {
+        // First come, first served: every prompt waits behind all others.
+        return mLock.call(() -> new PrefillBacklog(mPrefillTokens, 0, 0));
     }
 
     @Override
--- a/tanagergap-decisions/src/main/java/org/tanagergap/decisions/routing/AgentState.java
+++ b/tanagergap-decisions/src/main/java/org/tanagergap/decisions/routing/AgentState.java
@@ -6,7 +6,9 @@
 import java.util.Map;
 import java.util.Optional;
 import org.tanagergap.api.request.AttemptId;
+import org.tanagergap.api.request.LengthBand;
 import org.tanagergap.api.request.RequestCost;
+import org.tanagergap.decisions.scheduling.PrefillBacklog;
 
 /** What an entry knows about one agent. */
 final class AgentState {
@@ -26,7 +28,7 @@
     private AgentEndpoint mEndpoint;
     private LoadHint mHint;
     private long mHintNanos;
-    private long mUnseenPromptTokens;
+    private PrefillBacklog mUnseenPrompts = PrefillBacklog.EMPTY;
     private long mUnseenMemoryTokens;
     private int mInFlight;
     private int mFailures;
@@ -64,8 +66,8 @@
     }
 
     /** Prompt tokens sent to the agent that its hint does not show yet. */
-    long unseenPromptTokens() {
-        return mUnseenPromptTokens;
+    PrefillBacklog unseenPrompts() {
+        return mUnseenPrompts;
     }
 
     long unseenMemoryTokens() {
@@ -113,7 +115,7 @@
     void attemptSent(AttemptId attempt, RequestCost cost, long nowNanos) {
         mInFlight++;
         mUnseen.put(attempt, new Sent(cost, nowNanos));
-        mUnseenPromptTokens += cost.promptTokens();
+        countPrompt(cost, cost.promptTokens());
         mUnseenMemoryTokens += memoryTokens(cost);
     }
 
@@ -179,9 +181,13 @@
     }
 
     private void forget(RequestCost cost) {
-        mUnseenPromptTokens -= cost.promptTokens();
+        countPrompt(cost, -cost.promptTokens());
         mUnseenMemoryTokens -= memoryTokens(cost);
     }
 
+    private void countPrompt(RequestCost cost, long tokens) {
+        mUnseenPrompts = mUnseenPrompts.plus(LengthBand.of(cost.promptTokens()), tokens);
+    }
+
     private record Sent(RequestCost cost, long sentNanos) {}
 }
--- a/tanagergap-decisions/src/main/java/org/tanagergap/decisions/routing/FirstTokenPrediction.java
+++ b/tanagergap-decisions/src/main/java/org/tanagergap/decisions/routing/FirstTokenPrediction.java
@@ -1,5 +1,6 @@
 package org.tanagergap.decisions.routing;
 
+import org.tanagergap.api.request.LengthBand;
 import org.tanagergap.decisions.scheduling.RankLoad;
 
 /** Predicts the time to the first token of a request at an agent, in seconds. */
@@ -48,11 +49,12 @@
     private double completionSeconds(
             AgentState agent, RoutingRequest request, boolean holdsPrefix) {
         double rate = rate(agent);
-        long queued = agent.hint().map(LoadHint::prefillTokensQueued).orElse(0L);
+        LengthBand band = LengthBand.of(request.cost().promptTokens());
+        long queued = agent.hint().map(h -> h.prefillBacklog().upTo(band)).orElse(0L);
         double prompt = request.cost().promptTokens() - (holdsPrefix ? prefixHit(request) : 0);
         double missing = missingMemory(agent, request);
         // In a steady state memory is released about as fast as prompts are prefilled.
-        return (queued + agent.unseenPromptTokens() + prompt + missing) / rate;
+        return (queued + agent.unseenPrompts().upTo(band) + prompt + missing) / rate;
     }
 
     private double rate(AgentState agent) {
--- a/tanagergap-decisions/src/main/java/org/tanagergap/decisions/routing/LoadHint.java
+++ b/tanagergap-decisions/src/main/java/org/tanagergap/decisions/routing/LoadHint.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.Map;
 import java.util.Set;
+import org.tanagergap.decisions.scheduling.PrefillBacklog;
 import org.tanagergap.decisions.scheduling.RankLoad;
 
 /**
@@ -10,7 +11,7 @@
  *
  * @param memoryTokensTotal memory of the engine, in tokens
  * @param memoryTokensFree free memory, in tokens
- * @param prefillTokensQueued prompt tokens that wait or are being prefilled
+ * @param prefillBacklog prompt tokens that wait or are being prefilled
  * @param prefillTokensPerSecond measured prefill rate
  * @param ranks queued work by rank
  * @param draining whether the agent refuses new work
@@ -22,7 +23,7 @@
 public record LoadHint(
         long memoryTokensTotal,
         long memoryTokensFree,
-        long prefillTokensQueued,
+        PrefillBacklog prefillBacklog,
         double prefillTokensPerSecond,
         Map<String, RankLoad> ranks,
         boolean draining,
@@ -35,4 +36,9 @@
         ranks = Map.copyOf(ranks);
         prefixHashes = Set.copyOf(prefixHashes);
     }
+
+    /** Prompt tokens of all lengths that wait or are being prefilled. */
+    public long prefillTokensQueued() {
+        return prefillBacklog.total();
+    }
 }
--- a/tanagergap-decisions/src/main/java/org/tanagergap/decisions/scheduling/AdmissionControl.java
+++ b/tanagergap-decisions/src/main/java/org/tanagergap/decisions/scheduling/AdmissionControl.java
@@ -10,8 +10,11 @@
     /** Keeps predictions finite for a rank without a floor below a saturated one. */
     private static final double MIN_SHARE = 0.01;
 
-    /** Allowance for steps that become slower while the work runs. */
-    private static final double MARGIN = 1.2;
+    /** Allowance for a share of the engine that falls while the prompt is prefilled. */
+    private static final double PREFILL_MARGIN = 1.5;
+
+    /** Allowance for steps that become slower; the learnt time is close to the recent maximum. */
+    private static final double OUTPUT_MARGIN = 1.1;
 
     private final RankShares mRanks;
     private final RunningTable mRunning;
@@ -52,7 +55,7 @@
             prefill = mRunning.rate().nanosFor(item.cost().promptTokens() / share);
         }
         long output = mRunning.tokenTime().nanosFor(item.cost().maxOutputTokens(), nowNanos);
-        return Duration.ofNanos((long) (MARGIN * (prefill + output)));
+        return Duration.ofNanos((long) (PREFILL_MARGIN * prefill + OUTPUT_MARGIN * output));
     }
 
     /** Whether an item that starts now finishes by its deadline, as predicted. */
--- a/tanagergap-decisions/src/main/java/org/tanagergap/decisions/scheduling/Backlog.java
+++ b/tanagergap-decisions/src/main/java/org/tanagergap/decisions/scheduling/Backlog.java
@@ -7,7 +7,6 @@
 
     private int mCount;
     private long mMemoryTokens;
-    private long mPromptTokens;
     private final long[] mBandTokens = new long[LengthBand.values().length];
 
     void add(QueuedWork work) {
@@ -26,8 +25,8 @@
         return mMemoryTokens;
     }
 
-    long promptTokens() {
-        return mPromptTokens;
+    long promptTokens(LengthBand band) {
+        return mBandTokens[band.ordinal()];
     }
 
     /** Prompt tokens of the band and shorter ones; longer prompts yield to them. */
@@ -42,7 +41,6 @@
     private void change(QueuedWork work, int sign) {
         mCount += sign;
         mMemoryTokens += sign * work.memoryTokens();
-        mPromptTokens += sign * work.promptTokens();
         mBandTokens[work.band().ordinal()] += sign * work.promptTokens();
     }
 }
--- a/tanagergap-decisions/src/main/java/org/tanagergap/decisions/scheduling/FairQueue.java
+++ b/tanagergap-decisions/src/main/java/org/tanagergap/decisions/scheduling/FairQueue.java
@@ -129,8 +129,15 @@
         return load;
     }
 
-    long promptTokens() {
-        return mRanks.all().stream().mapToLong(r -> r.shares().backlog().promptTokens()).sum();
+    /** Adds the prompt tokens of queued items. */
+    PrefillBacklog addPromptTokens(PrefillBacklog running) {
+        PrefillBacklog sum = running;
+        for (RankQueue rank : mRanks.all()) {
+            for (LengthBand band : LengthBand.values()) {
+                sum = sum.plus(band, rank.shares().backlog().promptTokens(band));
+            }
+        }
+        return sum;
     }
 
     /** Items larger than the memory, which can never start. */
--- a/tanagergap-decisions/src/main/java/org/tanagergap/decisions/scheduling/FairUpstreamScheduler.java
+++ b/tanagergap-decisions/src/main/java/org/tanagergap/decisions/scheduling/FairUpstreamScheduler.java
@@ -11,7 +11,6 @@
 import org.tanagergap.api.lock.LockRank;
 import org.tanagergap.api.lock.OrderedLock;
 import org.tanagergap.api.request.AttemptId;
-import org.tanagergap.api.request.LengthBand;
 import org.tanagergap.api.time.RuntimeClock;
 
 /**
@@ -131,9 +130,8 @@
     }
 
     @Override
-    public long prefillTokensQueued() {
-        return mLock.call(
-                () -> mQueue.promptTokens() + mRunning.slots().tokensUpTo(LengthBand.LONG));
+    public PrefillBacklog prefillBacklog() {
+        return mLock.call(() -> mQueue.addPromptTokens(mRunning.slots().backlog()));
     }
 
     @Override
@@ -242,7 +240,8 @@
             return false;
         }
         AttemptId attempt = work.item().attemptId();
-        if (mLedger.fits(attempt, work.memoryTokens(), work.isLong())) {
+        if (mLedger.fits(attempt, work.memoryTokens(), work.isLong())
+                && mLedger.leavesHeadroom(work.memoryTokens())) {
             return true;
         }
         if (mayClaim) {
--- a/tanagergap-decisions/src/main/java/org/tanagergap/decisions/scheduling/MemoryLedger.java
+++ b/tanagergap-decisions/src/main/java/org/tanagergap/decisions/scheduling/MemoryLedger.java
@@ -18,11 +18,22 @@
      */
     private static final int ACCRUAL_DIVISOR = 2;
 
+    /** Divides the capacity into the most that small work needs. */
+    private static final int SMALL_DIVISOR = 40;
+
+    /**
+     * Divides the capacity into the part that small work can use despite claims and larger work:
+     * about what short prompts hold at half of an engine's load. Without it a flood of long prompts
+     * kept short ones waiting for memory until their deadlines.
+     */
+    private static final int HEADROOM_DIVISOR = 10;
+
     private final Map<Object, Reservation> mReservations = new HashMap<>();
     private final double mLongShare;
     private long mCapacity;
     private long mReserved;
     private long mLongReserved;
+    private long mSmallReserved;
     private Object mClaimOwner;
     private boolean mClaimIsLong;
     private long mClaimTokens;
@@ -66,9 +77,18 @@
 
     /** Whether {@link #reserve} would succeed. */
     boolean fits(Object owner, long tokens, boolean isLong) {
+        if (isSmall(tokens) && tokens <= smallHeadroom()) {
+            return tokens <= free();
+        }
         return tokens <= available(owner) && (!isLong || fitsLongCap(owner, tokens));
     }
 
+    /** Whether the headroom of small work remains when work of this size starts. */
+    boolean leavesHeadroom(long tokens) {
+        long headroom = Math.min(smallHeadroom(), mCapacity - tokens);
+        return isSmall(tokens) || tokens <= free() - headroom;
+    }
+
     /** Reserves memory; returns whether it was free. Ends the owner's claim. */
     boolean reserve(Object owner, long tokens, boolean isLong) {
         requireNotNegative(tokens);
@@ -79,8 +99,9 @@
             return false;
         }
         endClaim(owner);
-        mReservations.put(owner, new Reservation(tokens, isLong));
-        add(tokens, isLong);
+        Reservation reservation = new Reservation(tokens, isLong, isSmall(tokens));
+        mReservations.put(owner, reservation);
+        add(tokens, reservation);
         clampAccrued();
         return true;
     }
@@ -94,8 +115,8 @@
         }
         long change = Math.min(tokens - old.tokens(), free());
         long corrected = old.tokens() + change;
-        mReservations.put(owner, new Reservation(corrected, old.isLong()));
-        add(change, old.isLong());
+        mReservations.put(owner, new Reservation(corrected, old.isLong(), old.isSmall()));
+        add(change, old);
         accrue(-change);
         return corrected;
     }
@@ -106,7 +127,7 @@
         if (reservation == null) {
             return Optional.empty();
         }
-        add(-reservation.tokens(), reservation.isLong());
+        add(-reservation.tokens(), reservation);
         accrue(reservation.tokens());
         return Optional.of(reservation.tokens());
     }
@@ -146,11 +167,25 @@
         }
     }
 
-    private void add(long tokens, boolean isLong) {
+    private void add(long tokens, Reservation reservation) {
         mReserved += tokens;
-        if (isLong) {
+        if (reservation.isLong()) {
             mLongReserved += tokens;
         }
+        if (reservation.isSmall()) {
+            mSmallReserved += tokens;
+        }
+    }
+
+    private boolean isSmall(long tokens) {
+        return tokens <= mCapacity / SMALL_DIVISOR;
+    }
+
+    /** Part of the headroom that small work does not use yet. */
+    private long smallHeadroom() {
+        // A capacity that counts calls has no small work, and so needs no headroom for it.
+        long headroom = mCapacity < SMALL_DIVISOR ? 0 : mCapacity / HEADROOM_DIVISOR;
+        return Math.max(0, headroom - mSmallReserved);
     }
 
     private void accrue(long released) {
@@ -171,5 +206,5 @@
         }
     }
 
-    private record Reservation(long tokens, boolean isLong) {}
+    private record Reservation(long tokens, boolean isLong, boolean isSmall) {}
 }
--- a/tanagergap-decisions/src/main/java/org/tanagergap/decisions/scheduling/PrefillProgress.java
+++ b/tanagergap-decisions/src/main/java/org/tanagergap/decisions/scheduling/PrefillProgress.java
@@ -12,6 +12,7 @@
 final class PrefillProgress {
 
     private static final double NANOS_PER_SECOND = 1e9;
+    private static final long MIN_JOINED_NANOS = 1_000_000_000L;
 
     private final TreeSet<RunningWork> mRuns = new TreeSet<>(RunningWork.BY_ENGINE_ORDER);
     private final NavigableMap<Integer, Served> mServed = new TreeMap<>();
@@ -26,7 +27,7 @@
 
     void started(RunningWork run, long nowNanos) {
         advance(nowNanos);
-        run.setServedBefore(servedUpTo(run.priority()));
+        run.setServedBefore(servedUpTo(run.priority()), mRuns.isEmpty());
         mRuns.add(run);
         run.rank().floorCredit().entered();
     }
@@ -42,7 +43,11 @@
         long since = followsOther ? own.mFinishedNanos : run.dispatchedNanos();
         double before = followsOther ? own.mTotalAtFinish : run.servedBefore();
         double correction = promptTokens - run.item().cost().promptTokens();
-        mRate.sample(total - before + correction, nowNanos - since, nowNanos, promptTokens);
+        long interval = nowNanos - since;
+        // A prompt that joins others waits for the step under way, which distorts short intervals.
+        if (followsOther || run.startedAlone() || interval >= MIN_JOINED_NANOS) {
+            mRate.sample(total - before + correction, interval, nowNanos, promptTokens);
+        }
         own.mFinishedNanos = nowNanos;
         own.mTotalAtFinish = total;
     }
--- a/tanagergap-decisions/src/main/java/org/tanagergap/decisions/scheduling/PrefillSlots.java
+++ b/tanagergap-decisions/src/main/java/org/tanagergap/decisions/scheduling/PrefillSlots.java
@@ -46,13 +46,14 @@
 
     /** Tokens of the band and shorter ones in prefill. */
     long tokensUpTo(LengthBand band) {
-        long tokens = 0;
-        for (Map.Entry<LengthBand, Long> entry : mTokens.entrySet()) {
-            if (entry.getKey().compareTo(band) <= 0) {
-                tokens += entry.getValue();
-            }
-        }
-        return tokens;
+        return backlog().upTo(band);
+    }
+
+    PrefillBacklog backlog() {
+        return new PrefillBacklog(
+                mTokens.get(LengthBand.SHORT),
+                mTokens.get(LengthBand.MEDIUM),
+                mTokens.get(LengthBand.LONG));
     }
 
     private void change(LengthBand band, long tokens, int count) {
--- a/tanagergap-decisions/src/main/java/org/tanagergap/decisions/scheduling/RunningWork.java
+++ b/tanagergap-decisions/src/main/java/org/tanagergap/decisions/scheduling/RunningWork.java
@@ -18,6 +18,7 @@
     private final long mSequence;
     private double mPrefillLeft;
     private double mServedBefore;
+    private boolean mStartedAlone;
     private long mFirstTokenNanos;
     private boolean mPrefilling = true;
     private int mMissingLists;
@@ -67,8 +68,14 @@
         return mServedBefore;
     }
 
-    void setServedBefore(double tokens) {
+    /** Whether the engine prefilled nothing else at dispatch. */
+    boolean startedAlone() {
+        return mStartedAlone;
+    }
+
+    void setServedBefore(double tokens, boolean startedAlone) {
         mServedBefore = tokens;
+        mStartedAlone = startedAlone;
     }
 
     boolean isPrefilling() {
--- a/tanagergap-decisions/src/main/java/org/tanagergap/decisions/scheduling/UpstreamScheduler.java
+++ b/tanagergap-decisions/src/main/java/org/tanagergap/decisions/scheduling/UpstreamScheduler.java
@@ -58,7 +58,12 @@
     long reservedTokens();
 
     /** Prompt tokens that wait in the queue or are being prefilled. */
-    long prefillTokensQueued();
+    PrefillBacklog prefillBacklog();
+
+    /** Prompt tokens of all lengths that wait in the queue or are being prefilled. */
+    default long prefillTokensQueued() {
+        return prefillBacklog().total();
+    }
 
     /** Learnt prefill rate, in tokens per second. */
     double prefillTokensPerSecond();
