Send queued prefill by band and take the engine priority from the shared rule

The agent fills Hint.prefill_tokens_by_band, the entry reads it and falls back to the total for agents without it.

--- a/tanagergap-agent/src/main/java/org/tanagergap/agent/attempt/ModelAttemptFactory.java
+++ b/tanagergap-agent/src/main/java/org/tanagergap/agent/attempt/ModelAttemptFactory.java
@@ -8,6 +8,7 @@
 import org.tanagergap.api.request.AttemptId;
 import org.tanagergap.api.request.LengthBand;
 import org.tanagergap.decisions.policy.PolicyStamp;
+import org.tanagergap.decisions.scheduling.EnginePriority;
 import org.tanagergap.decisions.scheduling.UpstreamScheduler;
 import org.tanagergap.protocol.v1.CompletionWork;
 import org.tanagergap.protocol.v1.RunRequest;
@@ -15,9 +16,6 @@
 /** Creates attempts for a model engine and learns from their answers. */
 public final class ModelAttemptFactory implements AttemptFactory, ModelFeedback {
 
-    /** Long prompts run after all others, whatever their rank, so that short work is not slowed. */
-    private static final int LONG_PRIORITY_OFFSET = 1_000_000;
-
     private final AttemptContext mContext;
     private final UpstreamScheduler mScheduler;
     private final ModelEngine mEngine;
@@ -50,7 +48,6 @@
     @Override
     public Attempt create(RunRequest request, EventSink sink, PolicyStamp policy) {
         long promptTokens = request.getCompletion().getCost().getPromptTokens();
-        int offset = LengthBand.of(promptTokens) == LengthBand.LONG ? LONG_PRIORITY_OFFSET : 0;
         return new ModelAttempt(
                 mContext,
                 request,
@@ -58,7 +55,7 @@
                 mEngine,
                 this,
                 () -> predictedPrefillMillis(promptTokens),
-                policy.rankPriority() + offset);
+                EnginePriority.of(policy.rankPriority(), LengthBand.of(promptTokens)));
     }
 
     @Override
--- a/tanagergap-agent/src/main/java/org/tanagergap/agent/load/HintSource.java
+++ b/tanagergap-agent/src/main/java/org/tanagergap/agent/load/HintSource.java
@@ -3,6 +3,7 @@
 import java.util.Map;
 import java.util.function.Supplier;
 import org.tanagergap.agent.policy.PolicyTable;
+import org.tanagergap.decisions.scheduling.PrefillBacklog;
 import org.tanagergap.decisions.scheduling.RankLoad;
 import org.tanagergap.decisions.scheduling.UpstreamScheduler;
 import org.tanagergap.protocol.v1.Hint;
@@ -35,11 +36,15 @@
     @Override
     public Hint get() {
         long free = mScheduler.freeTokens();
+        PrefillBacklog prefill = mScheduler.prefillBacklog();
         Hint.Builder hint =
                 Hint.newBuilder()
                         .setMemoryTokensTotal(free + mScheduler.reservedTokens())
                         .setMemoryTokensFree(free)
-                        .setPrefillTokensQueued(mScheduler.prefillTokensQueued())
+                        .setPrefillTokensQueued(prefill.total())
+                        .addPrefillTokensByBand(prefill.shortTokens())
+                        .addPrefillTokensByBand(prefill.mediumTokens())
+                        .addPrefillTokensByBand(prefill.longTokens())
                         .setPrefillTokensPerSecond(mScheduler.prefillTokensPerSecond())
                         .setDraining(mState.draining())
                         .setConfigurationVersion(mPolicies.version())
--- a/tanagergap-entry/src/main/java/org/tanagergap/entry/agent/HintReader.java
+++ b/tanagergap-entry/src/main/java/org/tanagergap/entry/agent/HintReader.java
@@ -4,7 +4,9 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
+import org.tanagergap.api.request.LengthBand;
 import org.tanagergap.decisions.routing.LoadHint;
+import org.tanagergap.decisions.scheduling.PrefillBacklog;
 import org.tanagergap.decisions.scheduling.RankLoad;
 import org.tanagergap.protocol.v1.Hint;
 
@@ -31,7 +33,7 @@
         return new LoadHint(
                 hint.getMemoryTokensTotal(),
                 hint.getMemoryTokensFree(),
-                hint.getPrefillTokensQueued(),
+                backlog(hint),
                 hint.getPrefillTokensPerSecond(),
                 ranks,
                 hint.getDraining(),
@@ -41,4 +43,14 @@
                         hint.getPrefixHashesList().stream().limit(MAX_PREFIX_HASHES).toList()),
                 hint.getConfigurationVersion());
     }
+
+    /** Agents that do not tell lengths apart count as if all work were in front of new work. */
+    private static PrefillBacklog backlog(Hint hint) {
+        return hint.getPrefillTokensByBandCount() == LengthBand.values().length
+                ? new PrefillBacklog(
+                        hint.getPrefillTokensByBand(LengthBand.SHORT.ordinal()),
+                        hint.getPrefillTokensByBand(LengthBand.MEDIUM.ordinal()),
+                        hint.getPrefillTokensByBand(LengthBand.LONG.ordinal()))
+                : new PrefillBacklog(hint.getPrefillTokensQueued(), 0, 0);
+    }
 }
