--- /dev/null
+++ b/tanagergap-measure/src/main/java/org/tanagergap/measure/benchmark/DecisionBenchmark.java
@@ -0,0 +1,117 @@
+package org.tanagergap.measure.benchmark;
+
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.openjdk.jmh.annotations.Benchmark;
+import org.openjdk.jmh.annotations.BenchmarkMode;
+import org.openjdk.jmh.annotations.Fork;
+import org.openjdk.jmh.annotations.Level;
+import org.openjdk.jmh.annotations.Measurement;
+import org.openjdk.jmh.annotations.Mode;
+import org.openjdk.jmh.annotations.OutputTimeUnit;
+import org.openjdk.jmh.annotations.Param;
+import org.openjdk.jmh.annotations.Scope;
+import org.openjdk.jmh.annotations.Setup;
+import org.openjdk.jmh.annotations.State;
+import org.openjdk.jmh.annotations.TearDown;
+import org.openjdk.jmh.annotations.Warmup;
+import org.tanagergap.api.request.AttemptId;
+import org.tanagergap.api.request.RequestCost;
+import org.tanagergap.api.time.Deadline;
+import org.tanagergap.decisions.policy.PolicyStamp;
+import org.tanagergap.decisions.scheduling.FairUpstreamScheduler;
+import org.tanagergap.decisions.scheduling.SchedulerSettings;
+import org.tanagergap.decisions.scheduling.WorkItem;
+import org.tanagergap.testing.PausedClock;
+
+/** Cost of an arrival at an agent where each of many workspaces has one queued item. */
+@State(Scope.Thread)
+@BenchmarkMode(Mode.SampleTime)
+@OutputTimeUnit(TimeUnit.MICROSECONDS)
+@Warmup(iterations = 4, time = 2)
+@Measurement(iterations = 4, time = 3)
+@Fork(1)
+public class DecisionBenchmark {
+
+    private static final long PROMPT_TOKENS = 1_000;
+    private static final long OUTPUT_TOKENS = 64;
+    private static final int[] FLOORS = {40, 30, 10};
+    private static final Duration DEADLINE = Duration.ofDays(100);
+
+    /** One prompt ends in this time, which is the initial rate of the scheduler. */
+    private static final Duration PREFILL = Duration.ofMillis(50);
+
+    @Param({"12000", "24000", "48000"})
+    int mWorkspaces;
+
+    private PausedClock mClock;
+    private FairUpstreamScheduler mScheduler;
+    private Deque<WorkItem> mRunning;
+    private WorkItem mNext;
+    private List<WorkItem> mStarted;
+    private long mSequence;
+
+    /** Queues one item of each workspace. */
+    @Setup(Level.Trial)
+    public void fill() {
+        mClock = new PausedClock();
+        mRunning = new ArrayDeque<>();
+        SchedulerSettings settings =
+                SchedulerSettings.defaults().withQueueLimits(2 * mWorkspaces, mWorkspaces);
+        mScheduler = new FairUpstreamScheduler(mClock, settings);
+        for (int i = 0; i < mWorkspaces; i++) {
+            mScheduler.submit(item());
+        }
+        mRunning.addAll(mScheduler.dispatchable());
+    }
+
+    @Setup(Level.Invocation)
+    public void arrive() {
+        mNext = item();
+    }
+
+    /** The call that is measured. */
+    @Benchmark
+    public List<WorkItem> submitAndDispatch() {
+        mScheduler.submit(mNext);
+        mStarted = mScheduler.dispatchable();
+        return mStarted;
+    }
+
+    /** The engine ends one prompt, which makes room for the next. */
+    @TearDown(Level.Invocation)
+    public void end() {
+        mRunning.addAll(mStarted);
+        mClock.advance(PREFILL);
+        WorkItem done = mRunning.poll();
+        if (done != null) {
+            mScheduler.prefillFinished(done.attemptId(), PROMPT_TOKENS);
+            mScheduler.release(done.attemptId(), OUTPUT_TOKENS);
+        }
+    }
+
+    /** A queue that drained or filled up would measure another size. */
+    @TearDown(Level.Iteration)
+    public void checkSize() {
+        int queued =
+                mScheduler.queuedByRank().values().stream().mapToInt(load -> load.queued()).sum();
+        if (Math.abs(queued - mWorkspaces) > mWorkspaces / 10) {
+            throw new IllegalStateException("queue holds " + queued + " items");
+        }
+    }
+
+    private WorkItem item() {
+        int index = (int) (mSequence % mWorkspaces);
+        int rank = index % FLOORS.length;
+        PolicyStamp policy =
+                new PolicyStamp(1, "workspace-" + index, 1, "rank-" + rank, rank, FLOORS[rank]);
+        return new WorkItem(
+                new AttemptId("a" + mSequence++),
+                policy,
+                new RequestCost(PROMPT_TOKENS, OUTPUT_TOKENS),
+                Deadline.after(mClock, DEADLINE));
+    }
+}
