Try outcomes and abandonments until the retention ends

Cause: trial seed 1 of the intent log fuzzer failed at try 12328: a writer that resumed after a pause refused a call as not_run, and its abandonment was given up after the answer timeout of an outage, so the key stayed held. The shrunk chain is now a case; it failed before the change. Change: outcomes and abandonments are tried until the retention ends. Only the caller's wait ends after the answer timeout, now 10 s.

--- a/tanagergap-state/src/main/java/org/tanagergap/state/intent/IntentLogSettings.java
+++ b/tanagergap-state/src/main/java/org/tanagergap/state/intent/IntentLogSettings.java
@@ -11,7 +11,8 @@
  * @param shardCount logs per service; every writer of a service must use the same number
  * @param writeInterval least time between two writes of a shard that is not idle
  * @param confirmTimeout time within which the record of an intent must be confirmed
- * @param answerTimeout time for which recording an outcome or an abandonment is tried
+ * @param answerTimeout time for which a caller waits for an outcome or an abandonment to be
+ *     recorded; the log goes on trying after it
  * @param retention time for which records are kept
  * @param compactionInterval least time between two compactions of a shard by this writer
  */
@@ -52,7 +53,7 @@
                 8,
                 Duration.ofMillis(40),
                 Duration.ofSeconds(2),
-                Duration.ofMinutes(10),
+                Duration.ofSeconds(10),
                 Duration.ofHours(24),
                 Duration.ofMinutes(10));
     }
--- a/tanagergap-state/src/main/java/org/tanagergap/state/intent/PendingEvent.java
+++ b/tanagergap-state/src/main/java/org/tanagergap/state/intent/PendingEvent.java
@@ -65,12 +65,16 @@
     }
 
     void failUnconfirmed() {
+        fail(unconfirmed());
+    }
+
+    /** Failure of an event whose record was not confirmed in time. */
+    RequestFailure unconfirmed() {
         Execution execution =
                 mEvent instanceof IntentEvent.Outcome ? Execution.RAN : Execution.NOT_RUN;
-        fail(
-                RequestFailure.of(
-                        FailureCode.UNAVAILABLE,
-                        execution,
-                        "the intent log could not confirm the record in time"));
+        return RequestFailure.of(
+                FailureCode.UNAVAILABLE,
+                execution,
+                "the intent log could not confirm the record in time");
     }
 }
--- a/tanagergap-state/src/main/java/org/tanagergap/state/intent/ShardLog.java
+++ b/tanagergap-state/src/main/java/org/tanagergap/state/intent/ShardLog.java
@@ -15,6 +15,7 @@
 import org.tanagergap.api.failure.FailureCode;
 import org.tanagergap.api.failure.RequestFailure;
 import org.tanagergap.api.time.RuntimeClock;
+import org.tanagergap.api.time.Timer;
 import org.tanagergap.platform.keyvalue.KeyValueStore;
 import org.tanagergap.platform.keyvalue.TransactionResult;
 
@@ -64,12 +65,20 @@
         return pending.result();
     }
 
-    /** Records an outcome or an abandonment. */
+    /**
+     * Records an outcome or an abandonment. It is tried until the retention ends, because an outage
+     * may be long; the caller waits for a shorter time.
+     */
     CompletableFuture<Void> record(IntentEvent event) {
-        PendingEvent pending =
-                new PendingEvent(event, mClock.nanoTime(), mSettings.answerTimeout());
+        PendingEvent pending = new PendingEvent(event, mClock.nanoTime(), mSettings.retention());
         mSerial.execute(() -> enqueue(pending));
-        return pending.result().thenAccept(ignored -> {});
+        CompletableFuture<Void> reply = pending.result().thenAccept(ignored -> {});
+        Timer timer =
+                mClock.schedule(
+                        mSettings.answerTimeout(),
+                        () -> reply.completeExceptionally(pending.unconfirmed()));
+        reply.whenComplete((ignored, failure) -> timer.cancel());
+        return reply;
     }
 
     private void enqueue(PendingEvent pending) {
@@ -267,7 +276,7 @@
         return new PendingEvent(
                 new IntentEvent.Abandonment(intent.key(), intent.attempt()),
                 mClock.nanoTime(),
-                mSettings.answerTimeout());
+                mSettings.retention());
     }
 
     /** Another writer took the number; the events wait for the next one. */
--- a/tanagergap-state/src/test/java/org/tanagergap/state/intent/KeyValueIntentLogTests.java
+++ b/tanagergap-state/src/test/java/org/tanagergap/state/intent/KeyValueIntentLogTests.java
@@ -108,6 +108,23 @@
         assertThat(decision(newLog(), "k", "h", "a2")).isEqualTo(new IntentDecision.Granted());
     }
 
+    // Found by the fuzzer with seed 1: the abandonment was given up during the outage.
+    @Test
+    void aKeyWhoseLateIntentIsAbandonedBecomesFreeAfterALongOutage() {
+        IntentLogModel model = new IntentLogModel();
+        model.begin(1, 0, "h0");
+        model.advance(Duration.ofMillis(24));
+        model.pause(1);
+        model.advance(Duration.ofSeconds(100));
+        model.begin(0, 1, "h0");
+        model.advance(Duration.ofMillis(19));
+        model.resume(1);
+        model.store().outage(true);
+        model.advance(Duration.ofSeconds(100));
+
+        model.checkRecovery();
+    }
+
     // Guards the write rate of the key-value service: one write per shard every 40 ms.
     @Test
     void writesEachShardAtMostEvery40MillisecondsUnderLoad() {
