Bound the answers of plain services

Cause: an answer of any length was held in memory; 17 MiB were accepted. Change: an answer above 16 MiB fails the call as ran. Tests cover the limit, the headers that are not forwarded and a refused connection.

--- a/tanagergap-agent/src/main/java/org/tanagergap/agent/plain/HttpPlainUpstream.java
+++ b/tanagergap-agent/src/main/java/org/tanagergap/agent/plain/HttpPlainUpstream.java
@@ -3,6 +3,8 @@
 import com.google.protobuf.UnsafeByteOperations;
 import io.smallrye.mutiny.Uni;
 import io.smallrye.mutiny.subscription.UniEmitter;
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClient;
@@ -28,6 +30,9 @@
 
     private static final int CONNECT_TIMEOUT_MILLIS = 2_000;
 
+    /** Equal to the limit for bodies of callers; the agent holds each answer in memory. */
+    private static final int MAX_ANSWER_BYTES = 16 * 1024 * 1024;
+
     /** Headers of one connection, and those that this client sets itself. */
     private static final Set<String> NOT_FORWARDED =
             Set.of(
@@ -132,22 +137,13 @@
                 }
             }
             request.send(Buffer.buffer(mCall.body().toByteArray()))
-                    .compose(response -> response.body().map(body -> answer(response, body)))
+                    .compose(response -> readBody(response).map(body -> answer(response, body)))
                     .onSuccess(
                             answer -> {
                                 complete();
                                 mEmitter.complete(answer);
                             })
-                    .onFailure(
-                            failure ->
-                                    mEmitter.fail(
-                                            RequestFailure.of(
-                                                            FailureCode.UPSTREAM_FAILED,
-                                                            Execution.UNKNOWN,
-                                                            "connection to the plain service"
-                                                                    + " failed: "
-                                                                    + failure.getMessage())
-                                                    .withCause(failure)));
+                    .onFailure(failure -> mEmitter.fail(broken(failure)));
         }
 
         private synchronized void close() {
@@ -163,6 +159,36 @@
         }
     }
 
+    private static Throwable broken(Throwable failure) {
+        return failure instanceof RequestFailure
+                ? failure
+                : RequestFailure.of(
+                                FailureCode.UPSTREAM_FAILED,
+                                Execution.UNKNOWN,
+                                "connection to the plain service failed: " + failure.getMessage())
+                        .withCause(failure);
+    }
+
+    private static Future<Buffer> readBody(HttpClientResponse response) {
+        Promise<Buffer> whole = Promise.promise();
+        Buffer body = Buffer.buffer();
+        response.exceptionHandler(whole::tryFail);
+        response.endHandler(ignored -> whole.tryComplete(body));
+        response.handler(
+                part -> {
+                    if (body.length() + part.length() <= MAX_ANSWER_BYTES) {
+                        body.appendBuffer(part);
+                    } else {
+                        whole.tryFail(
+                                RequestFailure.of(
+                                        FailureCode.UPSTREAM_FAILED,
+                                        Execution.RAN,
+                                        "answer exceeds " + MAX_ANSWER_BYTES + " bytes"));
+                    }
+                });
+        return whole.future();
+    }
+
     private static PlainAnswer answer(HttpClientResponse response, Buffer body) {
         List<Header> headers = new ArrayList<>();
         for (Map.Entry<String, String> header : response.headers()) {
--- /dev/null
+++ b/tanagergap-agent/src/test/java/org/tanagergap/agent/plain/HttpPlainUpstreamTests.java
@@ -0,0 +1,95 @@
+package org.tanagergap.agent.plain;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import com.google.protobuf.ByteString;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpServer;
+import java.time.Duration;
+import java.util.List;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.tanagergap.api.failure.Execution;
+import org.tanagergap.api.failure.RequestFailure;
+import org.tanagergap.api.request.AttemptId;
+import org.tanagergap.protocol.v1.Header;
+
+/** Guards the headers that plain services see and the size of their answers. */
+class HttpPlainUpstreamTests {
+
+    private static final Duration TIMEOUT = Duration.ofSeconds(10);
+
+    private final Vertx mVertx = Vertx.vertx();
+
+    @AfterEach
+    void close() {
+        mVertx.close().toCompletionStage().toCompletableFuture().join();
+    }
+
+    @Test
+    void headersOfTheConnectionAreNotForwarded() {
+        HttpServer server =
+                start(
+                        mVertx.createHttpServer()
+                                .requestHandler(
+                                        r ->
+                                                r.response()
+                                                        .putHeader("Keep-Alive", "timeout=9")
+                                                        .putHeader("X-Answer", "yes")
+                                                        .end(
+                                                                r.getHeader("Idempotency-Key")
+                                                                        + r.getHeader("X-Caller")
+                                                                        + r.getHeader("TE"))));
+        PlainAnswer answer = send(server.actualPort());
+        assertThat(answer.body().toStringUtf8()).isEqualTo("key-1yesnull");
+        assertThat(answer.headers().stream().map(Header::getName).toList())
+                .containsExactly("X-Answer");
+    }
+
+    @Test
+    void anAnswerAboveTheLimitIsNotHeldInMemory() {
+        HttpServer server =
+                start(
+                        mVertx.createHttpServer()
+                                .requestHandler(
+                                        r -> r.response().end(Buffer.buffer(new byte[17 << 20]))));
+        RequestFailure failure =
+                assertThrows(RequestFailure.class, () -> send(server.actualPort()));
+        assertThat(failure.execution()).isEqualTo(Execution.RAN);
+    }
+
+    @Test
+    void aRefusedConnectionIsNotRun() {
+        HttpServer server = start(mVertx.createHttpServer().requestHandler(r -> {}));
+        int port = server.actualPort();
+        server.close().toCompletionStage().toCompletableFuture().join();
+        RequestFailure failure = assertThrows(RequestFailure.class, () -> send(port));
+        assertThat(failure.execution()).isEqualTo(Execution.NOT_RUN);
+    }
+
+    private static HttpServer start(HttpServer server) {
+        return server.listen(0, "127.0.0.1").toCompletionStage().toCompletableFuture().join();
+    }
+
+    private PlainAnswer send(int port) {
+        PlainCall call =
+                new PlainCall(
+                        new AttemptId("a.1"),
+                        "POST",
+                        "/orders",
+                        List.of(header("X-Caller", "yes"), header("TE", "trailers")),
+                        ByteString.copyFromUtf8("lids"),
+                        "key-1",
+                        "");
+        return new HttpPlainUpstream(mVertx, "http://127.0.0.1:" + port, 2)
+                .send(call)
+                .await()
+                .atMost(TIMEOUT);
+    }
+
+    private static Header header(String name, String value) {
+        return Header.newBuilder().setName(name).setValue(value).build();
+    }
+}
