--- /dev/null
+++ b/tanagergap-measure/src/main/java/org/tanagergap/measure/capacity/ExchangeCost.java
@@ -0,0 +1,129 @@
+package org.tanagergap.measure.capacity;
+
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpServer;
+import io.vertx.core.net.SocketAddress;
+import io.vertx.grpc.client.GrpcClient;
+import io.vertx.grpc.server.GrpcServer;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.ExecutionException;
+import org.tanagergap.decisions.routing.LoadHint;
+import org.tanagergap.protocol.v1.ExchangeReply;
+import org.tanagergap.protocol.v1.ExchangeRequest;
+import org.tanagergap.protocol.v1.Hint;
+import org.tanagergap.protocol.v1.RankLoad;
+import org.tanagergap.protocol.v1.UpstreamAgentGrpcClient;
+import org.tanagergap.protocol.v1.UpstreamAgentGrpcService;
+import org.tanagergap.runtime.async.Futures;
+
+/** Bytes and processor time of the periodic exchange between an entry and an agent. */
+final class ExchangeCost {
+
+    private static final String HOST = "127.0.0.1";
+    private static final int BATCH = 35;
+    private static final List<Integer> ROUNDS = List.of(100, 200, 400);
+
+    private ExchangeCost() {}
+
+    static List<Slope> measure() throws ExecutionException, InterruptedException {
+        Vertx vertx = Vertx.vertx();
+        try {
+            HttpServer server =
+                    Futures.toCompletable(
+                                    vertx.createHttpServer()
+                                            .requestHandler(agent(vertx))
+                                            .listen(0, HOST))
+                            .get();
+            CountingRelay relay = new CountingRelay(vertx, server.actualPort());
+            int relayPort = relay.start();
+            GrpcClient client = GrpcClient.client(vertx);
+            exchange(client, server.actualPort(), ROUNDS.get(0));
+            exchange(client, relayPort, 1);
+            return List.of(bytes(client, relayPort, relay), time(client, server.actualPort()));
+        } finally {
+            Futures.toCompletable(vertx.close()).get();
+        }
+    }
+
+    private static Slope bytes(GrpcClient client, int port, CountingRelay relay) {
+        Slope bytes = new Slope("one exchange on the wire, both directions", "bytes");
+        for (int rounds : ROUNDS) {
+            long before = relay.bytes();
+            exchange(client, port, rounds);
+            bytes.add((double) rounds * BATCH, relay.bytes() - before);
+        }
+        return bytes;
+    }
+
+    private static Slope time(GrpcClient client, int port) {
+        Slope time = new Slope("one exchange, processor time of entry and agent together", "ns");
+        for (int rounds : ROUNDS) {
+            time.add(
+                    (double) rounds * BATCH,
+                    ResourceMeter.cpuNanos(() -> exchange(client, port, rounds)));
+        }
+        return time;
+    }
+
+    /** Calls in rounds, as an entry calls the agents of its subset. */
+    private static void exchange(GrpcClient client, int port, int rounds) {
+        UpstreamAgentGrpcClient agent =
+                UpstreamAgentGrpcClient.create(client, SocketAddress.inetSocketAddress(port, HOST));
+        ExchangeRequest request =
+                ExchangeRequest.newBuilder()
+                        .setEntryId("entry-001")
+                        .setConfigurationVersion(65_000)
+                        .build();
+        for (int round = 0; round < rounds; round++) {
+            List<Future<ExchangeReply>> replies = new ArrayList<>();
+            for (int i = 0; i < BATCH; i++) {
+                replies.add(agent.exchange(request));
+            }
+            Futures.toCompletable(Future.all(replies)).join();
+        }
+    }
+
+    private static GrpcServer agent(Vertx vertx) {
+        ExchangeReply reply =
+                ExchangeReply.newBuilder()
+                        .setAgentId("engine-00001")
+                        .setConfigurationVersion(65_000)
+                        .setHint(hint(SampleHints.busy()))
+                        .build();
+        GrpcServer server = GrpcServer.server(vertx);
+        server.addService(
+                UpstreamAgentGrpcService.of(
+                        new org.tanagergap.protocol.v1.UpstreamAgentService() {
+                            @Override
+                            public Future<ExchangeReply> exchange(ExchangeRequest request) {
+                                return Future.succeededFuture(reply);
+                            }
+                        }));
+        return server;
+    }
+
+    private static Hint hint(LoadHint hint) {
+        Hint.Builder builder =
+                Hint.newBuilder()
+                        .setMemoryTokensTotal(hint.memoryTokensTotal())
+                        .setMemoryTokensFree(hint.memoryTokensFree())
+                        .setPrefillTokensQueued(hint.prefillTokensQueued())
+                        .setPrefillTokensPerSecond(hint.prefillTokensPerSecond())
+                        .setConfigurationVersion(hint.configurationVersion())
+                        .setUpstreamReady(hint.upstreamReady())
+                        .setLoadReportAgeMs(hint.loadReportAge().toMillis())
+                        .setBytesPerToken(4.2)
+                        .addAllPrefixHashes(hint.prefixHashes());
+        hint.ranks()
+                .forEach(
+                        (rank, load) ->
+                                builder.addRanks(
+                                        RankLoad.newBuilder()
+                                                .setRank(rank)
+                                                .setQueued(load.queued())
+                                                .setQueuedTokens(load.queuedTokens())));
+        return builder.build();
+    }
+}
--- /dev/null
+++ b/tanagergap-measure/src/main/java/org/tanagergap/measure/capacity/ResourceMeter.java
@@ -0,0 +1,50 @@
+package org.tanagergap.measure.capacity;
+
+import java.lang.management.ManagementFactory;
+import java.lang.ref.Reference;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Supplier;
+
+/** Measures heap and processor time of the running process. */
+final class ResourceMeter {
+
+    private static final int COLLECTIONS = 3;
+    private static final int COPIES = 10;
+
+    private ResourceMeter() {}
+
+    /** Heap that one built object retains, in bytes; the mean of several copies. */
+    static double retainedBytes(Supplier<?> builder) {
+        // The first build loads classes and fills caches, which are not part of the object.
+        builder.get();
+        List<Object> copies = new ArrayList<>(COPIES);
+        long before = usedHeapBytes();
+        for (int i = 0; i < COPIES; i++) {
+            copies.add(builder.get());
+        }
+        long after = usedHeapBytes();
+        Reference.reachabilityFence(copies);
+        return (after - before) / (double) COPIES;
+    }
+
+    /** Processor time that the process spends on the task, in nanoseconds. */
+    static long cpuNanos(Runnable task) {
+        long before = processCpuNanos();
+        task.run();
+        return processCpuNanos() - before;
+    }
+
+    private static long usedHeapBytes() {
+        for (int i = 0; i < COLLECTIONS; i++) {
+            System.gc();
+        }
+        Runtime runtime = Runtime.getRuntime();
+        return runtime.totalMemory() - runtime.freeMemory();
+    }
+
+    private static long processCpuNanos() {
+        return ManagementFactory.getPlatformMXBean(com.sun.management.OperatingSystemMXBean.class)
+                .getProcessCpuTime();
+    }
+}
--- /dev/null
+++ b/tanagergap-measure/src/test/java/org/tanagergap/measure/capacity/SlopeTests.java
@@ -0,0 +1,27 @@
+package org.tanagergap.measure.capacity;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import org.junit.jupiter.api.Test;
+
+class SlopeTests {
+
+    private final Slope mSlope = new Slope("heap per key", "bytes");
+
+    @Test
+    void leavesOutTheFixedPartOfTheCost() {
+        mSlope.add(10, 1_030);
+        mSlope.add(20, 1_060);
+        mSlope.add(40, 1_120);
+
+        assertThat(mSlope.perUnit()).isWithin(1e-9).of(3);
+    }
+
+    @Test
+    void refusesToDrawALineThroughOneSize() {
+        mSlope.add(10, 1_030);
+
+        assertThrows(IllegalStateException.class, mSlope::perUnit);
+    }
+}
--- a/tanagergap-standins/src/main/java/org/tanagergap/standins/engine/EngineModel.java
+++ b/tanagergap-standins/src/main/java/org/tanagergap/standins/engine/EngineModel.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.TreeSet;
 import java.util.function.Consumer;
 import org.tanagergap.api.time.RuntimeClock;
@@ -60,11 +61,11 @@
         return SubmitOutcome.ACCEPTED;
     }
 
-    /** Cancels a run and frees its memory; returns whether it existed. */
+    /** Cancels a run or releases the segment it left; returns whether one existed. */
     public boolean cancel(String requestId) {
         ActiveRun run = mRuns.get(requestId);
         if (run == null) {
-            return false;
+            return handleOf(requestId).map(this::releaseSegment).orElse(false);
         }
         remove(run);
         run.observer().onCancelled();
@@ -119,6 +120,13 @@
         return true;
     }
 
+    private Optional<String> handleOf(String requestId) {
+        return mSegments.values().stream()
+                .filter(segment -> segment.requestId().equals(requestId))
+                .findFirst()
+                .flatMap(EngineRequest::handle);
+    }
+
     private void scheduleStep() {
         if (mStepScheduled) {
             return;
--- a/tanagergap-standins/src/test/java/org/tanagergap/standins/engine/EngineModelTests.java
+++ b/tanagergap-standins/src/test/java/org/tanagergap/standins/engine/EngineModelTests.java
@@ -114,6 +114,18 @@
             assertThat(mEngine.releaseSegment("h-s1")).isFalse();
             assertThat(mEngine.load().memoryTokensUsed()).isEqualTo(0);
         }
+
+        /** A replaced agent knows the request from the list of runs, not the handle. */
+        @Test
+        void areReleasedByCancellingTheirRequest() {
+            mEngine.submit(segment("s1", 4_000), new Recorder());
+            mClock.advance(Duration.ofSeconds(1));
+
+            assertThat(mEngine.cancel("s1")).isTrue();
+            assertThat(mEngine.cancel("s1")).isFalse();
+
+            assertThat(mEngine.load().memoryTokensUsed()).isEqualTo(0);
+        }
     }
 
     private static EngineRequest request(
