Keep the last log lines of a graceful shutdown

Cause: the log manager removes its handlers in a shutdown hook of its own, which runs beside the hook that stops the program. A log manager that ignores that hook keeps them; the last line of a stopping program is now checked.

--- a/tanagergap-endtoend/src/test/java/org/tanagergap/endtoend/WholePathTests.java
+++ b/tanagergap-endtoend/src/test/java/org/tanagergap/endtoend/WholePathTests.java
@@ -119,6 +119,8 @@
         }
         for (String name : List.of("agent-a", "entry-1")) {
             assertWithMessage(name).that(sSystem.process(name).waitFor(30)).hasValue(0);
+            // The last lines were lost when the log manager removed its handlers at shutdown.
+            assertWithMessage(name).that(sSystem.process(name).log()).contains("\"stopped\"");
         }
     }
 
--- a/tanagergap-measure/src/main/java/org/tanagergap/measure/capacity/CapacityMain.java
+++ b/tanagergap-measure/src/main/java/org/tanagergap/measure/capacity/CapacityMain.java
@@ -20,6 +20,7 @@
         slopes.addAll(ConfigurationSlopes.measure());
         slopes.addAll(RouterSlopes.measure());
         slopes.addAll(SchedulerSlopes.measure());
+        slopes.addAll(IntentSlopes.measure());
         slopes.addAll(ExchangeCost.measure());
         StringBuilder text =
                 new StringBuilder(
--- a/tanagergap-measure/src/main/java/org/tanagergap/measure/capacity/ConfigurationSlopes.java
+++ b/tanagergap-measure/src/main/java/org/tanagergap/measure/capacity/ConfigurationSlopes.java
@@ -17,6 +17,7 @@
         Slope upstreamBytes = new Slope("document per upstream", "bytes");
         Slope parseTime = new Slope("parsing per workspace, processor time", "ns");
         Slope heap = new Slope("heap of the configuration per workspace", "bytes");
+        Slope upstreamHeap = new Slope("heap of the configuration per upstream", "bytes");
         for (int size : SIZES) {
             String workspaces = ConfigurationDocument.write(SampleConfigurations.of(size, 7));
             String upstreams = ConfigurationDocument.write(SampleConfigurations.of(1, size));
@@ -30,8 +31,11 @@
             heap.add(
                     size,
                     ResourceMeter.retainedBytes(() -> ConfigurationDocument.parse(workspaces, 1)));
+            upstreamHeap.add(
+                    size,
+                    ResourceMeter.retainedBytes(() -> ConfigurationDocument.parse(upstreams, 1)));
         }
-        return List.of(workspaceBytes, upstreamBytes, parseTime, heap);
+        return List.of(workspaceBytes, upstreamBytes, parseTime, heap, upstreamHeap);
     }
 
     private static void parseRepeatedly(String document) {
--- a/tanagergap-measure/src/main/java/org/tanagergap/measure/capacity/RouterSlopes.java
+++ b/tanagergap-measure/src/main/java/org/tanagergap/measure/capacity/RouterSlopes.java
@@ -17,7 +17,7 @@
 /** Heap and processor time of an entry's router by agents in its subset. */
 final class RouterSlopes {
 
-    private static final List<Integer> SIZES = List.of(35, 70, 140, 280);
+    private static final List<Integer> SIZES = List.of(140, 280, 560, 1_120);
     private static final int CHOICES = 200_000;
     private static final String SERVICE = "service-0";
 
--- a/tanagergap-runtime/src/main/java/org/tanagergap/runtime/program/ProgramRunner.java
+++ b/tanagergap-runtime/src/main/java/org/tanagergap/runtime/program/ProgramRunner.java
@@ -15,6 +15,12 @@
 /** Runs a long-running program from its command line until the process is told to end. */
 public final class ProgramRunner {
 
+    static {
+        // By name, since loading the class would start the default log manager.
+        System.setProperty(
+                "java.util.logging.manager", "org.tanagergap.runtime.log.ShutdownSafeLogManager");
+    }
+
     private static final FluentLogger sLogger = FluentLogger.forEnclosingClass();
     private static final long STOP_TIMEOUT_MINUTES = 30;
 
@@ -74,6 +80,7 @@
         try {
             service.stop().get(STOP_TIMEOUT_MINUTES, TimeUnit.MINUTES);
             context.tracing().close();
+            sLogger.atInfo().log("stopped");
         } catch (ExecutionException | InterruptedException | TimeoutException e) {
             sLogger.atSevere().withCause(e).log("shutdown failed");
             status = ExitStatus.FAILED;
