Let all attempts reach the agent's queue and survive many cancelled calls

Cause: an HTTP/2 server allows 100 streams per connection by default and an entry opens one connection, so the 101st attempt waited in the entry, where no rank orders it; and 200 resets in 30 s close the connection with all other streams on it, which callers who leave can cause. Change: 4,096 streams and 100,000 resets per window at the agent, no limit of its own at the entry. Membership is merged and applied under one lock, so that an older configuration cannot replace a newer one.

--- a/tanagergap-agent/src/main/java/org/tanagergap/agent/server/GrpcEndpoint.java
+++ b/tanagergap-agent/src/main/java/org/tanagergap/agent/server/GrpcEndpoint.java
@@ -2,6 +2,7 @@
 
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
+import io.vertx.core.http.Http2Settings;
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.http.HttpServerRequest;
@@ -26,6 +27,18 @@
     public static final int MAX_MESSAGE_BYTES = 32 * 1024 * 1024;
 
     /** Time for the last events to reach their callers at shutdown. */
+    /**
+     * Streams of one connection. Above the queue's bound of 1,024 and the runs of an engine, so
+     * that work waits in the agent's queue, by rank, and not in the entry for a free stream.
+     */
+    private static final long MAX_STREAMS = 4_096;
+
+    /**
+     * Resets of one connection in 30 s. Entries reset the stream of each caller who leaves; the
+     * default of 200 closed the connection with all other streams on it.
+     */
+    private static final int MAX_RESETS_PER_WINDOW = 100_000;
+
     private static final long SHUTDOWN_SECONDS = 1;
 
     private final Vertx mVertx;
@@ -61,7 +74,7 @@
                 .bind(grpc);
         grpc.callHandler(UpstreamAgentGrpcService.Run, this::run);
         mServer =
-                mVertx.createHttpServer(new HttpServerOptions())
+                mVertx.createHttpServer(serverOptions())
                         .requestHandler(request -> open(request, grpc));
         return Futures.toCompletable(mServer.listen(mAddress.port(), mAddress.host()).mapEmpty());
     }
@@ -80,6 +93,13 @@
         return mServer.actualPort();
     }
 
+    private static HttpServerOptions serverOptions() {
+        Http2Settings settings = new Http2Settings().setMaxConcurrentStreams(MAX_STREAMS);
+        return new HttpServerOptions()
+                .setInitialSettings(settings)
+                .setHttp2RstFloodMaxRstFramePerWindow(MAX_RESETS_PER_WINDOW);
+    }
+
     /**
      * Passes a request to the gRPC server. Its handlers do not report a stream that the caller
      * resets after sending its request, so the response below them is watched instead.
--- /dev/null
+++ b/tanagergap-agent/src/test/java/org/tanagergap/agent/ManyCallsTests.java
@@ -0,0 +1,99 @@
+package org.tanagergap.agent;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.vertx.core.Promise;
+import io.vertx.core.net.SocketAddress;
+import io.vertx.grpc.client.GrpcClientRequest;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.tanagergap.protocol.v1.RunEvent;
+import org.tanagergap.protocol.v1.RunRequest;
+import org.tanagergap.protocol.v1.UpstreamAgentGrpcClient;
+import org.tanagergap.standins.engine.EngineServer;
+import org.tanagergap.standins.engine.EngineServerSettings;
+import org.tanagergap.standins.engine.EngineSettings;
+
+/** Guards against the limits that HTTP/2 servers set by default on streams of one connection. */
+class ManyCallsTests {
+
+    private static final int CALLS = 300;
+
+    private final NetworkFixture mFixture = new NetworkFixture();
+    private EngineServer mEngine;
+
+    @BeforeEach
+    void startAgent() {
+        mEngine =
+                new EngineServer(
+                        mFixture.mVertx,
+                        mFixture.mClock,
+                        NetworkFixture.ANY_PORT,
+                        EngineSettings.of("m1", 4_000_000).withPrefillTokensPerSecond(10_000_000),
+                        new EngineServerSettings(
+                                "m1", Duration.ofMillis(50), Duration.ofMillis(10), 0, false));
+        mFixture.start(mEngine);
+        mFixture.startAgent(UpstreamKind.MODEL, mEngine.port(), Optional.empty());
+    }
+
+    @AfterEach
+    void close() {
+        mFixture.close();
+    }
+
+    /**
+     * Work that waits for a free stream would wait in the entry, where no rank orders it. Many
+     * cancelled calls must not be taken for an attack that closes the connection of all others.
+     */
+    @Test
+    void reachTheAgentTogetherAndMayBeCancelledTogether() {
+        RecordingSink survivor = new RecordingSink();
+        Promise<Void> ended = Promise.promise();
+        mFixture.mCalls
+                .run(completion("survivor.1", 60))
+                .onSuccess(
+                        stream -> {
+                            stream.handler(survivor::send);
+                            stream.exceptionHandler(ended::tryFail);
+                            stream.endHandler(ignored -> ended.tryComplete());
+                        });
+        List<GrpcClientRequest<RunRequest, RunEvent>> calls = new ArrayList<>();
+        for (int i = 0; i < CALLS; i++) {
+            GrpcClientRequest<RunRequest, RunEvent> call =
+                    NetworkFixture.await(
+                            mFixture.mGrpc.request(
+                                    SocketAddress.inetSocketAddress(
+                                            mFixture.mAgent.port(), "127.0.0.1"),
+                                    UpstreamAgentGrpcClient.Run));
+            call.send(completion("c" + i + ".1", 1_000));
+            calls.add(call);
+        }
+        mFixture.awaitTrue(() -> known() >= CALLS);
+
+        calls.forEach(GrpcClientRequest::cancel);
+
+        NetworkFixture.await(ended.future());
+        assertThat(survivor.tokens()).hasSize(60);
+        mFixture.awaitTrue(() -> mFixture.status().getReservedTokens() == 0);
+    }
+
+    private int known() {
+        int queued =
+                mFixture.status().getHint().getRanksList().stream()
+                        .mapToInt(rank -> rank.getQueued())
+                        .sum();
+        return mFixture.status().getRunning() + queued;
+    }
+
+    private static RunRequest completion(String attempt, int outputTokens) {
+        RunRequest.Builder request = AgentFixture.completion(attempt);
+        request.setDeadlineLeftMs(60_000);
+        request.getCompletionBuilder().getCostBuilder().setMaxOutputTokens(outputTokens);
+        return request.build();
+    }
+}
--- a/tanagergap-entry/src/main/java/org/tanagergap/entry/agent/AgentClients.java
+++ b/tanagergap-entry/src/main/java/org/tanagergap/entry/agent/AgentClients.java
@@ -22,8 +22,6 @@
     public static final long MAX_MESSAGE_BYTES = 32L * 1024 * 1024;
 
     private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
-    // One completion is one HTTP/2 stream; peers usually allow 100 to 256 on a connection.
-    private static final int STREAMS_PER_CONNECTION = 100;
     private static final int STREAM_WINDOW_BYTES = 256 * 1024;
 
     private final GrpcClient mClient;
@@ -36,7 +34,6 @@
                         new GrpcClientOptions().setMaxMessageSize(MAX_MESSAGE_BYTES),
                         new HttpClientOptions()
                                 .setConnectTimeout(CONNECT_TIMEOUT_MILLIS)
-                                .setHttp2MultiplexingLimit(STREAMS_PER_CONNECTION)
                                 .setInitialSettings(
                                         new Http2Settings()
                                                 .setInitialWindowSize(STREAM_WINDOW_BYTES)));
--- a/tanagergap-entry/src/main/java/org/tanagergap/entry/membership/AgentMembership.java
+++ b/tanagergap-entry/src/main/java/org/tanagergap/entry/membership/AgentMembership.java
@@ -109,11 +109,14 @@
         }
     }
 
+    /** Reads and applies under one lock, so that an older configuration never replaces a newer. */
     private void apply() {
-        ConfigurationSnapshot configuration = mView.current();
-        List<AgentEndpoint> agents = mLock.call(() -> merge(configuration));
-        mRouter.replaceAgents(agents);
-        mActivity.retain(agents.stream().map(AgentEndpoint::name).toList());
+        mLock.run(
+                () -> {
+                    List<AgentEndpoint> agents = merge(mView.current());
+                    mRouter.replaceAgents(agents);
+                    mActivity.retain(agents.stream().map(AgentEndpoint::name).toList());
+                });
     }
 
     private List<AgentEndpoint> merge(ConfigurationSnapshot configuration) {
