--- a/tanagergap-agent/src/main/java/org/tanagergap/agent/server/GrpcEndpoint.java
+++ b/tanagergap-agent/src/main/java/org/tanagergap/agent/server/GrpcEndpoint.java
@@ -2,9 +2,7 @@
 
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
-import io.vertx.core.http.Http2Settings;
 import io.vertx.core.http.HttpServer;
-import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.grpc.server.GrpcServer;
 import io.vertx.grpc.server.GrpcServerOptions;
@@ -18,6 +16,7 @@
 import org.tanagergap.protocol.v1.RunRequest;
 import org.tanagergap.protocol.v1.UpstreamAgentGrpcService;
 import org.tanagergap.runtime.async.Futures;
+import org.tanagergap.runtime.http.ServerLimits;
 import org.tanagergap.runtime.settings.HostPort;
 
 /** Serves the agent's calls by gRPC. */
@@ -27,18 +26,6 @@
     public static final int MAX_MESSAGE_BYTES = 32 * 1024 * 1024;
 
     /** Time for the last events to reach their callers at shutdown. */
-    /**
-     * Streams of one connection. Above the queue's bound of 1,024 and the runs of an engine, so
-     * that work waits in the agent's queue, by rank, and not in the entry for a free stream.
-     */
-    private static final long MAX_STREAMS = 4_096;
-
-    /**
-     * Resets of one connection in 30 s. Entries reset the stream of each caller who leaves; the
-     * default of 200 closed the connection with all other streams on it.
-     */
-    private static final int MAX_RESETS_PER_WINDOW = 100_000;
-
     private static final long SHUTDOWN_SECONDS = 1;
 
     private final Vertx mVertx;
@@ -74,7 +61,7 @@
                 .bind(grpc);
         grpc.callHandler(UpstreamAgentGrpcService.Run, this::run);
         mServer =
-                mVertx.createHttpServer(serverOptions())
+                mVertx.createHttpServer(ServerLimits.options())
                         .requestHandler(request -> open(request, grpc));
         return Futures.toCompletable(mServer.listen(mAddress.port(), mAddress.host()).mapEmpty());
     }
@@ -93,13 +80,6 @@
         return mServer.actualPort();
     }
 
-    private static HttpServerOptions serverOptions() {
-        Http2Settings settings = new Http2Settings().setMaxConcurrentStreams(MAX_STREAMS);
-        return new HttpServerOptions()
-                .setInitialSettings(settings)
-                .setHttp2RstFloodMaxRstFramePerWindow(MAX_RESETS_PER_WINDOW);
-    }
-
     /**
      * Passes a request to the gRPC server. Its handlers do not report a stream that the caller
      * resets after sending its request, so the response below them is watched instead.
--- a/tanagergap-entry/src/main/java/org/tanagergap/entry/caller/CallerServer.java
+++ b/tanagergap-entry/src/main/java/org/tanagergap/entry/caller/CallerServer.java
@@ -5,7 +5,6 @@
 import io.opentelemetry.api.trace.SpanKind;
 import io.vertx.core.Future;
 import io.vertx.core.http.HttpServer;
-import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.http.HttpVersion;
 import io.vertx.core.json.JsonArray;
 import io.vertx.core.json.JsonObject;
@@ -20,6 +19,7 @@
 import org.tanagergap.api.lifecycle.Service;
 import org.tanagergap.entry.configuration.ConfigurationView;
 import org.tanagergap.runtime.async.Futures;
+import org.tanagergap.runtime.http.ServerLimits;
 
 /** Serves the caller API. */
 public final class CallerServer implements Service {
@@ -51,7 +51,7 @@
         router.get("/v1/models").handler(context -> handle(context, CallerServer::models));
         router.route(PlainHandler.PREFIX + "*").handler(c -> handle(c, mPlain::handle));
         router.route().handler(context -> handle(context, CallerServer::unknownPath));
-        mServer = mShared.vertx().createHttpServer(new HttpServerOptions()).requestHandler(router);
+        mServer = mShared.vertx().createHttpServer(ServerLimits.options()).requestHandler(router);
         var address = mShared.settings().listen();
         return Futures.toCompletable(mServer.listen(address.port(), address.host()).mapEmpty());
     }
