Poll the version of the configuration and read the document only when it is new

Cause: every entry read the whole document every 2 s against stalled watches, 500 KB/s at the limit of 1 MB. Change: the accepting transaction writes a small version key too, and the periodic read asks for that. Before, by construction: one document each 2 s for each entry; after: none without a change (test).

--- a/tanagergap-state/src/main/java/org/tanagergap/state/configuration/ConfigurationKeys.java
+++ b/tanagergap-state/src/main/java/org/tanagergap/state/configuration/ConfigurationKeys.java
@@ -5,6 +5,9 @@
 
     static final String CURRENT = "/tanagergap/configuration/current";
 
+    /** Version of the current configuration, which is far smaller to read than the document. */
+    static final String VERSION = "/tanagergap/configuration/version";
+
     private static final String SUBMISSIONS = "/tanagergap/configuration/submissions/";
 
     private ConfigurationKeys() {}
--- a/tanagergap-state/src/main/java/org/tanagergap/state/configuration/ConfigurationWatch.java
+++ b/tanagergap-state/src/main/java/org/tanagergap/state/configuration/ConfigurationWatch.java
@@ -6,6 +6,7 @@
 import io.smallrye.mutiny.subscription.MultiEmitter;
 import java.time.Duration;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
 import org.tanagergap.api.time.RuntimeClock;
 import org.tanagergap.platform.keyvalue.KeyValue;
@@ -63,7 +64,17 @@
                                     failure -> mSerial.execute(() -> watchEnded(failure)),
                                     () -> mSerial.execute(() -> watchEnded(null)));
         }
-        mStore.read(ConfigurationKeys.CURRENT).whenCompleteAsync(this::acceptRead, mSerial);
+        mStore.read(ConfigurationKeys.VERSION)
+                .thenComposeAsync(this::readIfNewer, mSerial)
+                .whenCompleteAsync(this::acceptRead, mSerial);
+    }
+
+    /** Reads the document only for a new version; it is up to 1 MB long. */
+    private CompletableFuture<Optional<KeyValue>> readIfNewer(Optional<KeyValue> version) {
+        boolean newer = version.filter(v -> Long.parseLong(v.value()) > mVersion).isPresent();
+        return newer
+                ? mStore.read(ConfigurationKeys.CURRENT)
+                : CompletableFuture.completedFuture(Optional.empty());
     }
 
     private void acceptRead(Optional<KeyValue> current, Throwable failure) {
--- a/tanagergap-state/src/main/java/org/tanagergap/state/configuration/KeyValueConfigurationStore.java
+++ b/tanagergap-state/src/main/java/org/tanagergap/state/configuration/KeyValueConfigurationStore.java
@@ -105,6 +105,8 @@
                                 new Write.Put(
                                         ConfigurationKeys.CURRENT,
                                         ConfigurationValues.current(next)),
+                                new Write.Put(
+                                        ConfigurationKeys.VERSION, Long.toString(next.version())),
                                 new Write.Put(submission, value, OptionalLong.of(lease)))));
     }
 
--- /dev/null
+++ b/tanagergap-state/src/test/java/org/tanagergap/state/configuration/ConfigurationWatchTests.java
@@ -0,0 +1,107 @@
+package org.tanagergap.state.configuration;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.smallrye.mutiny.Multi;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.tanagergap.platform.keyvalue.KeyValue;
+import org.tanagergap.platform.keyvalue.KeyValueStore;
+import org.tanagergap.platform.keyvalue.Transaction;
+import org.tanagergap.platform.keyvalue.TransactionResult;
+import org.tanagergap.state.fake.FakeKeyValueStore;
+import org.tanagergap.state.fake.SimulatedProcess;
+import org.tanagergap.testing.PausedClock;
+
+class ConfigurationWatchTests {
+
+    private final PausedClock mClock = new PausedClock();
+    private final FakeKeyValueStore mStore = new FakeKeyValueStore(mClock);
+    private final RecordingClient mClient =
+            new RecordingClient(mStore.connect(new SimulatedProcess(mClock)));
+    private final KeyValueConfigurationStore mConfigurations =
+            new KeyValueConfigurationStore(mClient, mClock);
+    private final List<Long> mVersions = new ArrayList<>();
+
+    @BeforeEach
+    void acceptAndWatch() {
+        submit(0, "n-1");
+        mConfigurations.watch().subscribe().with(stored -> mVersions.add(stored.version()));
+        mClock.advance(Duration.ofSeconds(1));
+    }
+
+    /** Documents of 1 MB read every 2 s by each entry would be 500 KB/s for each. */
+    @Test
+    void readsTheDocumentOnlyForANewVersion() {
+        assertThat(mVersions).containsExactly(1L);
+        mClient.mReads.clear();
+
+        mClock.advance(Duration.ofMinutes(1));
+
+        assertThat(mClient.mReads).isNotEmpty();
+        assertThat(mClient.mReads).doesNotContain(ConfigurationKeys.CURRENT);
+    }
+
+    /** A watch may stall without an error; the bound for a new version is 4 s. */
+    @Test
+    void findsANewVersionWithinTheBoundWhenTheWatchStalls() {
+        mStore.stallWatches();
+        submit(1, "n-2");
+
+        mClock.advance(Duration.ofSeconds(4));
+
+        assertThat(mVersions).containsExactly(1L, 2L).inOrder();
+    }
+
+    private void submit(long baseVersion, String nonce) {
+        CompletableFuture<SubmitResult> result = mConfigurations.submit("{}", baseVersion, nonce);
+        mClock.advance(Duration.ofMillis(100));
+        assertThat(result.join()).isEqualTo(new SubmitResult.Accepted(baseVersion + 1));
+    }
+
+    private static final class RecordingClient implements KeyValueStore {
+
+        private final KeyValueStore mDelegate;
+        private final List<String> mReads = new ArrayList<>();
+
+        RecordingClient(KeyValueStore delegate) {
+            mDelegate = delegate;
+        }
+
+        @Override
+        public CompletableFuture<Optional<KeyValue>> read(String key) {
+            mReads.add(key);
+            return mDelegate.read(key);
+        }
+
+        @Override
+        public CompletableFuture<List<KeyValue>> readRange(String from, String to, int limit) {
+            return mDelegate.readRange(from, to, limit);
+        }
+
+        @Override
+        public CompletableFuture<TransactionResult> commit(Transaction transaction) {
+            return mDelegate.commit(transaction);
+        }
+
+        @Override
+        public CompletableFuture<Long> grantLease(Duration timeToLive) {
+            return mDelegate.grantLease(timeToLive);
+        }
+
+        @Override
+        public CompletableFuture<Void> keepLeaseAlive(long leaseId) {
+            return mDelegate.keepLeaseAlive(leaseId);
+        }
+
+        @Override
+        public Multi<KeyValue> watch(String prefix) {
+            return mDelegate.watch(prefix);
+        }
+    }
+}
