Allow more time for output; adapt the capacity samples to hints by band

Cause: with a margin of 1.1 on the time of output, requests that started while steps became slower missed their deadline. Change: margin 1.25.

--- a/tanagergap-decisions/src/main/java/org/tanagergap/decisions/scheduling/AdmissionControl.java
+++ b/tanagergap-decisions/src/main/java/org/tanagergap/decisions/scheduling/AdmissionControl.java
@@ -13,8 +13,8 @@
     /** Allowance for a share of the engine that falls while the prompt is prefilled. */
     private static final double PREFILL_MARGIN = 1.5;
 
-    /** Allowance for steps that become slower; the learnt time is close to the recent maximum. */
-    private static final double OUTPUT_MARGIN = 1.1;
+    /** Allowance for slower steps; with 1.1, 2 to 11 requests of a flood missed their deadlines. */
+    private static final double OUTPUT_MARGIN = 1.25;
 
     private final RankShares mRanks;
     private final RunningTable mRunning;
--- a/tanagergap-measure/src/main/java/org/tanagergap/measure/benchmark/BenchmarkMain.java
+++ b/tanagergap-measure/src/main/java/org/tanagergap/measure/benchmark/BenchmarkMain.java
@@ -15,6 +15,17 @@
 /** Runs the microbenchmarks and writes a table. */
 public final class BenchmarkMain {
 
+    private static final String INTRODUCTION =
+            """
+            # Cost of decisions
+
+            Written by `bin/benchmark` (JMH, sample mode, one fork, one thread). `submitAndDispatch`
+            is `submit` plus `dispatchable` of the scheduler with an item of each workspace;
+            `choose` is the choice of an agent among those of an entry. Target: p99 at most 20 µs at
+            12,000 workspaces and 35 agents, and growth no worse than logarithmic.
+
+            """;
+
     private BenchmarkMain() {}
 
     public static void main(String[] args) throws RunnerException, IOException {
@@ -23,17 +34,8 @@
         OptionsBuilder options = new OptionsBuilder();
         options.include("org.tanagergap.measure.benchmark.");
         Collection<RunResult> results = new Runner(options.build()).run();
-        StringBuilder text = new StringBuilder();
-        text.append("# Cost of decisions\n\n")
-                .append("Written by `bin/benchmark` (JMH, sample mode, one fork, one thread). ")
-                .append(
-                        "`submitAndDispatch` is `submit` plus `dispatchable` of the scheduler with ")
-                .append("one queued item for each workspace; `choose` is the choice of an ")
-                .append("agent among those of an entry. Target: p99 at most 20 µs at 12,000 ")
-                .append("workspaces and 35 agents.\n\n")
-                .append(
-                        "Machine: load %s before and %s after the run.%n%n"
-                                .formatted(before, load()))
+        StringBuilder text = new StringBuilder(INTRODUCTION);
+        text.append("Machine: load %s before and %s after.%n%n".formatted(before, load()))
                 .append("| call | size | p50, µs | p99, µs | p99.9, µs | mean, µs | calls |\n")
                 .append("|---|---|---|---|---|---|---|\n");
         for (RunResult result : results) {
--- a/tanagergap-measure/src/main/java/org/tanagergap/measure/capacity/SampleHints.java
+++ b/tanagergap-measure/src/main/java/org/tanagergap/measure/capacity/SampleHints.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Set;
 import org.tanagergap.decisions.routing.LoadHint;
+import org.tanagergap.decisions.scheduling.PrefillBacklog;
 import org.tanagergap.decisions.scheduling.RankLoad;
 
 /** Hints of agents under load, with as much in them as a real one has. */
@@ -18,7 +19,7 @@
         return new LoadHint(
                 400_000,
                 120_000,
-                9_000,
+                new PrefillBacklog(9_000, 60_000, 900_000),
                 15_200,
                 Map.of(
                         "urgent", new RankLoad(3, 9_000),
