Add TLS between entries and agents, towards callers and for the console

Cause: all ports were clear text, although the failure domains and the links between them are not fully trusted.

With them the caller port and the console's port use TLS, and the peer port, the agent's port and the entry's gRPC client use mutual TLS. The IP number of the other side must be a subject alternative name, in both directions. A gRPC client cannot be given new keys, so the entry makes a new one and keeps the earlier one for its calls. Without flags everything stays clear text.

Tests use committed keys with a validity of 20 years.

--- a/tanagergap-agent/src/main/java/org/tanagergap/agent/AgentMain.java
+++ b/tanagergap-agent/src/main/java/org/tanagergap/agent/AgentMain.java
@@ -1,5 +1,6 @@
 package org.tanagergap.agent;
 
+import com.github.rvesse.airline.annotations.AirlineModule;
 import com.github.rvesse.airline.annotations.Command;
 import com.github.rvesse.airline.annotations.Option;
 import java.net.URI;
@@ -11,6 +12,7 @@
 import org.tanagergap.runtime.program.ProgramRunner;
 import org.tanagergap.runtime.settings.HostPort;
 import org.tanagergap.runtime.settings.SettingsReader;
+import org.tanagergap.runtime.tls.TlsFlags;
 
 /** Decides which work runs on the upstream beside it, and runs it. */
 @Command(name = AgentMain.PROGRAM, description = "Runs work on the upstream beside it")
@@ -78,6 +80,8 @@
             description = "Most time for running work at shutdown")
     String mDrain;
 
+    @AirlineModule TlsFlags mTls = new TlsFlags();
+
     private AgentSettings mSettings;
 
     public static void main(String[] args) {
@@ -121,6 +125,7 @@
                         (int) concurrency,
                         keyValue,
                         loadInterval,
+                        mTls.readMutual(reader),
                         drain);
     }
 
--- a/tanagergap-agent/src/main/java/org/tanagergap/agent/AgentService.java
+++ b/tanagergap-agent/src/main/java/org/tanagergap/agent/AgentService.java
@@ -18,6 +18,7 @@
 import org.tanagergap.runtime.admin.AdminServer;
 import org.tanagergap.runtime.metrics.MetricsText;
 import org.tanagergap.runtime.program.ProgramContext;
+import org.tanagergap.runtime.tls.TlsReloader;
 
 /** Agent with its network interfaces. */
 public final class AgentService implements Service {
@@ -25,6 +26,7 @@
     private final Vertx mVertx;
     private final Context mContext;
     private final AgentCore mCore;
+    private final TlsReloader mTls;
     private final GrpcEndpoint mGrpc;
     private final AdminServer mAdmin;
 
@@ -55,7 +57,8 @@
                                 new HttpPlainUpstream(
                                         mVertx, settings.upstreamUrl(), settings.concurrency()),
                                 IntentLogs.of(settings, program));
-        mGrpc = new GrpcEndpoint(mVertx, settings.listen(), mCore.calls());
+        mTls = new TlsReloader(mVertx, program.clock(), settings.tls());
+        mGrpc = new GrpcEndpoint(mVertx, settings.listen(), mCore.calls(), mTls);
         mAdmin =
                 new AdminServer(
                         mVertx,
@@ -73,6 +76,7 @@
                         mCore.start()
                                 .thenCompose(v -> mGrpc.start())
                                 .thenCompose(v -> mAdmin.start())
+                                .thenCompose(v -> mTls.start())
                                 .whenComplete((v, failure) -> complete(started, failure)));
         return started;
     }
@@ -83,6 +87,7 @@
         mContext.runOnContext(
                 ignored ->
                         mCore.stop()
+                                .thenCompose(v -> mTls.stop())
                                 .thenCompose(v -> mGrpc.stop())
                                 .thenCompose(v -> mAdmin.stop())
                                 .whenComplete((v, failure) -> complete(stopped, failure)));
--- a/tanagergap-agent/src/main/java/org/tanagergap/agent/AgentSettings.java
+++ b/tanagergap-agent/src/main/java/org/tanagergap/agent/AgentSettings.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.Optional;
 import org.tanagergap.runtime.settings.HostPort;
+import org.tanagergap.runtime.tls.TlsSettings;
 
 /**
  * Settings of an agent.
@@ -17,6 +18,7 @@
  * @param concurrency most calls in flight on a plain service
  * @param keyValue address of the key-value service; present for plain services
  * @param loadInterval time between two polls of the engine's load
+ * @param tls keys towards entries; absent for clear text
  * @param drain most time for running work at shutdown
  */
 public record AgentSettings(
@@ -30,4 +32,5 @@
         int concurrency,
         Optional<HostPort> keyValue,
         Duration loadInterval,
+        Optional<TlsSettings> tls,
         Duration drain) {}
--- a/tanagergap-agent/src/main/java/org/tanagergap/agent/server/GrpcEndpoint.java
+++ b/tanagergap-agent/src/main/java/org/tanagergap/agent/server/GrpcEndpoint.java
@@ -18,6 +18,7 @@
 import org.tanagergap.protocol.v1.UpstreamAgentGrpcService;
 import org.tanagergap.runtime.async.Futures;
 import org.tanagergap.runtime.settings.HostPort;
+import org.tanagergap.runtime.tls.TlsReloader;
 
 /** Serves the agent's calls by gRPC. */
 public final class GrpcEndpoint implements Service {
@@ -31,6 +32,7 @@
     private final Vertx mVertx;
     private final HostPort mAddress;
     private final UpstreamAgentCalls mCalls;
+    private final TlsReloader mTls;
     private HttpServer mServer;
 
     /**
@@ -39,10 +41,11 @@
      */
     private AtomicReference<Runnable> mOpening;
 
-    public GrpcEndpoint(Vertx vertx, HostPort address, UpstreamAgentCalls calls) {
+    public GrpcEndpoint(Vertx vertx, HostPort address, UpstreamAgentCalls calls, TlsReloader tls) {
         mVertx = Objects.requireNonNull(vertx, "vertx must not be null");
         mAddress = Objects.requireNonNull(address, "address must not be null");
         mCalls = Objects.requireNonNull(calls, "calls must not be null");
+        mTls = Objects.requireNonNull(tls, "tls must not be null");
     }
 
     @Override
@@ -60,9 +63,7 @@
                 .build()
                 .bind(grpc);
         grpc.callHandler(UpstreamAgentGrpcService.Run, this::run);
-        mServer =
-                mVertx.createHttpServer(new HttpServerOptions())
-                        .requestHandler(request -> open(request, grpc));
+        mServer = mTls.mutualServer(new HttpServerOptions(), request -> open(request, grpc));
         return Futures.toCompletable(mServer.listen(mAddress.port(), mAddress.host()).mapEmpty());
     }
 
--- a/tanagergap-agent/src/test/java/org/tanagergap/agent/AgentFixture.java
+++ b/tanagergap-agent/src/test/java/org/tanagergap/agent/AgentFixture.java
@@ -48,6 +48,7 @@
                         2,
                         Optional.empty(),
                         Duration.ofMillis(250),
+                        Optional.empty(),
                         Duration.ofSeconds(30));
         mAgent =
                 engine != null
--- a/tanagergap-agent/src/test/java/org/tanagergap/agent/NetworkFixture.java
+++ b/tanagergap-agent/src/test/java/org/tanagergap/agent/NetworkFixture.java
@@ -5,6 +5,7 @@
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClientOptions;
 import io.vertx.core.json.JsonObject;
 import io.vertx.core.net.SocketAddress;
 import io.vertx.ext.web.client.HttpResponse;
@@ -27,6 +28,8 @@
 import org.tanagergap.runtime.program.ProgramContext;
 import org.tanagergap.runtime.settings.HostPort;
 import org.tanagergap.runtime.time.VertxRuntimeClock;
+import org.tanagergap.runtime.tls.TlsReloader;
+import org.tanagergap.runtime.tls.TlsSettings;
 import org.tanagergap.runtime.trace.TraceOutput;
 import org.tanagergap.runtime.trace.Tracing;
 
@@ -38,6 +41,7 @@
 
     final Vertx mVertx = Vertx.vertx();
     final VertxRuntimeClock mClock = new VertxRuntimeClock(mVertx);
+    Optional<TlsSettings> mTls = Optional.empty();
     AgentService mAgent;
     GrpcClient mGrpc;
     UpstreamAgentGrpcClient mCalls;
@@ -62,13 +66,16 @@
                         2,
                         keyValue,
                         Duration.ofMillis(50),
+                        mTls,
                         Duration.ofSeconds(5));
         mAgent = new AgentService(settings, program);
         start(mAgent);
         mGrpc =
                 GrpcClient.client(
                         mVertx,
-                        new GrpcClientOptions().setMaxMessageSize(GrpcEndpoint.MAX_MESSAGE_BYTES));
+                        new GrpcClientOptions().setMaxMessageSize(GrpcEndpoint.MAX_MESSAGE_BYTES),
+                        new TlsReloader(mVertx, mClock, mTls)
+                                .mutualClient(new HttpClientOptions()));
         mCalls =
                 UpstreamAgentGrpcClient.create(
                         mGrpc, SocketAddress.inetSocketAddress(mAgent.port(), "127.0.0.1"));
--- a/tanagergap-console/src/main/java/org/tanagergap/console/ConsoleCommand.java
+++ b/tanagergap-console/src/main/java/org/tanagergap/console/ConsoleCommand.java
@@ -1,15 +1,19 @@
 package org.tanagergap.console;
 
+import com.github.rvesse.airline.annotations.AirlineModule;
 import com.github.rvesse.airline.annotations.Command;
 import com.github.rvesse.airline.annotations.Option;
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 import org.tanagergap.api.lifecycle.Service;
 import org.tanagergap.platform.keyvalue.HttpKeyValueStore;
 import org.tanagergap.runtime.program.ProgramCommand;
 import org.tanagergap.runtime.program.ProgramContext;
 import org.tanagergap.runtime.settings.HostPort;
 import org.tanagergap.runtime.settings.SettingsReader;
+import org.tanagergap.runtime.tls.TlsFlags;
+import org.tanagergap.runtime.tls.TlsSettings;
 import org.tanagergap.state.configuration.KeyValueConfigurationStore;
 
 /** Settings of the console and how its service is made. */
@@ -50,9 +54,13 @@
     @Option(
             name = "--secure-cookie",
             title = "yes|no",
-            description = "Whether browsers send the session cookie over TLS only (default no)")
+            description =
+                    "Whether browsers send the session cookie over TLS only (default no; always yes"
+                            + " with --tls-certificate)")
     String mSecureCookie;
 
+    @AirlineModule TlsFlags mTls = new TlsFlags();
+
     private HostPort mKeyValueAddress;
     private ConsoleSettings mSettings;
 
@@ -74,7 +82,9 @@
         List<HostPort> processes = reader.addresses("--processes", mProcesses);
         Choice secure = reader.choice("--secure-cookie", mSecureCookie, "no", Choice.class);
         OperatorKeys keys = OperatorKeys.read(reader, mOperatorKey);
-        mSettings = new ConsoleSettings(name, listen, processes, secure == Choice.YES, keys);
+        Optional<TlsSettings> tls = mTls.readServer(reader);
+        boolean secureCookie = secure == Choice.YES || tls.isPresent();
+        mSettings = new ConsoleSettings(name, listen, processes, tls, secureCookie, keys);
     }
 
     @Override
--- a/tanagergap-console/src/main/java/org/tanagergap/console/ConsoleService.java
+++ b/tanagergap-console/src/main/java/org/tanagergap/console/ConsoleService.java
@@ -2,6 +2,7 @@
 
 import io.vertx.core.Future;
 import io.vertx.core.http.HttpServer;
+import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.json.JsonObject;
 import java.util.Objects;
 import java.util.concurrent.CompletableFuture;
@@ -10,6 +11,7 @@
 import org.tanagergap.runtime.async.Futures;
 import org.tanagergap.runtime.metrics.MetricsText;
 import org.tanagergap.runtime.program.ProgramContext;
+import org.tanagergap.runtime.tls.TlsReloader;
 import org.tanagergap.state.configuration.ConfigurationStore;
 
 /** Serves the console to browsers, and its own state to operators. */
@@ -19,6 +21,7 @@
     private final ConsoleSettings mSettings;
     private final ConfigurationStore mStore;
     private final AdminServer mAdmin;
+    private final TlsReloader mTls;
     private HttpServer mServer;
     private volatile boolean mReady;
 
@@ -26,6 +29,7 @@
         mContext = Objects.requireNonNull(context, "context must not be null");
         mSettings = Objects.requireNonNull(settings, "settings must not be null");
         mStore = Objects.requireNonNull(store, "store must not be null");
+        mTls = new TlsReloader(context.vertx(), context.clock(), settings.tls());
         mAdmin =
                 new AdminServer(
                         context.vertx(),
@@ -38,12 +42,13 @@
     @Override
     public CompletableFuture<Void> start() {
         mServer =
-                mContext.vertx()
-                        .createHttpServer()
-                        .requestHandler(ConsoleRouter.create(mContext.vertx(), mSettings, mStore));
+                mTls.server(
+                        new HttpServerOptions(),
+                        ConsoleRouter.create(mContext.vertx(), mSettings, mStore));
         return Futures.toCompletable(
                         mServer.listen(mSettings.listen().port(), mSettings.listen().host()))
                 .thenCompose(ignored -> mAdmin.start())
+                .thenCompose(ignored -> mTls.start())
                 .thenRun(() -> mReady = true);
     }
 
@@ -51,7 +56,9 @@
     public CompletableFuture<Void> stop() {
         mReady = false;
         Future<Void> closed = mServer == null ? Future.succeededFuture() : mServer.close();
-        return Futures.toCompletable(closed).thenCompose(ignored -> mAdmin.stop());
+        return mTls.stop()
+                .thenCompose(ignored -> Futures.toCompletable(closed))
+                .thenCompose(ignored -> mAdmin.stop());
     }
 
     /** Port that browsers connect to. */
--- a/tanagergap-console/src/test/java/org/tanagergap/console/ConsoleServiceTests.java
+++ b/tanagergap-console/src/test/java/org/tanagergap/console/ConsoleServiceTests.java
@@ -72,6 +72,7 @@
                         "console",
                         ANY_PORT,
                         List.of(new HostPort("127.0.0.1", mKeyValue.port())),
+                        Optional.empty(),
                         false,
                         new OperatorKeys(List.of(mOperator.definition())));
         mConsole =
--- a/tanagergap-entry/src/main/java/org/tanagergap/entry/EntryMain.java
+++ b/tanagergap-entry/src/main/java/org/tanagergap/entry/EntryMain.java
@@ -1,5 +1,6 @@
 package org.tanagergap.entry;
 
+import com.github.rvesse.airline.annotations.AirlineModule;
 import com.github.rvesse.airline.annotations.Command;
 import com.github.rvesse.airline.annotations.Option;
 import java.security.SecureRandom;
@@ -21,6 +22,7 @@
 import org.tanagergap.runtime.program.ProgramRunner;
 import org.tanagergap.runtime.settings.HostPort;
 import org.tanagergap.runtime.settings.SettingsReader;
+import org.tanagergap.runtime.tls.TlsFlags;
 import org.tanagergap.state.configuration.KeyValueConfigurationStore;
 
 /** Program that accepts requests from callers and routes them to agents. */
@@ -94,6 +96,8 @@
                             + " shutdown; requests in flight are always finished")
     String mDrainMs;
 
+    @AirlineModule TlsFlags mTls = new TlsFlags();
+
     private EntrySettings mSettings;
 
     /** Runs the program. */
@@ -120,6 +124,7 @@
                         reader.addresses("--peers", mPeers),
                         keyValue,
                         instances(reader),
+                        mTls.readMutual(reader),
                         reader.millis("--drain-ms", mDrainMs, "1000", 0, MAX_MILLIS));
     }
 
--- a/tanagergap-entry/src/main/java/org/tanagergap/entry/EntryService.java
+++ b/tanagergap-entry/src/main/java/org/tanagergap/entry/EntryService.java
@@ -28,6 +28,7 @@
 import org.tanagergap.runtime.async.Futures;
 import org.tanagergap.runtime.metrics.MetricsText;
 import org.tanagergap.runtime.program.ProgramContext;
+import org.tanagergap.runtime.tls.TlsReloader;
 
 /** Wires the parts of an entry and starts and stops them in order. */
 public final class EntryService implements Service {
@@ -38,6 +39,7 @@
     private final EntrySettings mSettings;
     private final ConfigurationView mView;
     private final RequestsInFlight mRequests = new RequestsInFlight();
+    private final TlsReloader mTls;
     private final AgentClients mClients;
     private final CallerServer mCallerServer;
     private final PeerServer mPeerServer;
@@ -49,7 +51,8 @@
         mContext = Objects.requireNonNull(context, "context must not be null");
         mSettings = Objects.requireNonNull(settings, "settings must not be null");
         mView = new ConfigurationView(parts.documents());
-        mClients = new AgentClients(context.vertx());
+        mTls = new TlsReloader(context.vertx(), context.clock(), settings.tls());
+        mClients = new AgentClients(context.vertx(), mTls);
         AgentActivity activity = new AgentActivity(context.clock());
         ConfigurationFeed feed =
                 new ConfigurationFeed(
@@ -78,7 +81,7 @@
                         context.clock());
         mFeeds = List.of(membership, exchange, feed);
         mCallerServer = callerServer(parts, activity);
-        mPeerServer = new PeerServer(context.vertx(), settings.peerListen(), mView);
+        mPeerServer = new PeerServer(context.vertx(), settings.peerListen(), mView, mTls);
         EntryStatus status = new EntryStatus(settings, mView, parts.router(), mRequests);
         mAdminServer =
                 new AdminServer(
@@ -95,7 +98,8 @@
                 mAdminServer
                         .start()
                         .thenCompose(ignored -> mPeerServer.start())
-                        .thenCompose(ignored -> mCallerServer.start());
+                        .thenCompose(ignored -> mCallerServer.start())
+                        .thenCompose(ignored -> mTls.start());
         for (Service feed : mFeeds) {
             started = started.thenCompose(ignored -> feed.start());
         }
@@ -117,7 +121,8 @@
         for (Service feed : mFeeds) {
             stopped = stopped.thenCompose(ignored -> feed.stop());
         }
-        return stopped.thenCompose(ignored -> mPeerServer.stop())
+        return stopped.thenCompose(ignored -> mTls.stop())
+                .thenCompose(ignored -> mPeerServer.stop())
                 .thenCompose(ignored -> Futures.toCompletable(mClients.close()))
                 .thenCompose(ignored -> mAdminServer.stop());
     }
@@ -172,6 +177,7 @@
                         mContext.tracing(),
                         bytes,
                         mRequests),
+                mTls,
                 mView,
                 new RequestIds(mSettings.id(), new SecureRandom()));
     }
--- a/tanagergap-entry/src/main/java/org/tanagergap/entry/EntrySettings.java
+++ b/tanagergap-entry/src/main/java/org/tanagergap/entry/EntrySettings.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import org.tanagergap.entry.caller.CallerSettings;
 import org.tanagergap.runtime.settings.HostPort;
+import org.tanagergap.runtime.tls.TlsSettings;
 
 /**
  * Settings of an entry.
@@ -16,6 +17,7 @@
  * @param peers addresses of other entries
  * @param keyValue address of the key-value service
  * @param instances address of the instance list
+ * @param tls keys towards callers, peers and agents; absent for clear text
  * @param drain time between the change of readiness and the refusal of new requests
  */
 public record EntrySettings(
@@ -26,6 +28,7 @@
         List<HostPort> peers,
         HostPort keyValue,
         Optional<HostPort> instances,
+        Optional<TlsSettings> tls,
         Duration drain) {
     public EntrySettings {
         peers = List.copyOf(peers);
--- a/tanagergap-entry/src/main/java/org/tanagergap/entry/agent/AgentClients.java
+++ b/tanagergap-entry/src/main/java/org/tanagergap/entry/agent/AgentClients.java
@@ -8,12 +8,16 @@
 import io.vertx.grpc.client.GrpcClient;
 import io.vertx.grpc.client.GrpcClientOptions;
 import io.vertx.grpc.client.GrpcClientRequest;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Objects;
+import java.util.concurrent.CopyOnWriteArrayList;
 import org.tanagergap.protocol.v1.EntryPeerGrpcClient;
 import org.tanagergap.protocol.v1.RunEvent;
 import org.tanagergap.protocol.v1.RunRequest;
 import org.tanagergap.protocol.v1.UpstreamAgentGrpcClient;
 import org.tanagergap.runtime.settings.HostPort;
+import org.tanagergap.runtime.tls.TlsReloader;
 
 /** gRPC connections to agents and to other entries. */
 public final class AgentClients {
@@ -26,20 +30,19 @@
     private static final int STREAMS_PER_CONNECTION = 100;
     private static final int STREAM_WINDOW_BYTES = 256 * 1024;
 
-    private final GrpcClient mClient;
+    private final Vertx mVertx;
+    private final TlsReloader mTls;
 
-    public AgentClients(Vertx vertx) {
-        Objects.requireNonNull(vertx, "vertx must not be null");
-        mClient =
-                GrpcClient.client(
-                        vertx,
-                        new GrpcClientOptions().setMaxMessageSize(MAX_MESSAGE_BYTES),
-                        new HttpClientOptions()
-                                .setConnectTimeout(CONNECT_TIMEOUT_MILLIS)
-                                .setHttp2MultiplexingLimit(STREAMS_PER_CONNECTION)
-                                .setInitialSettings(
-                                        new Http2Settings()
-                                                .setInitialWindowSize(STREAM_WINDOW_BYTES)));
+    /** Clients with earlier keys; their calls continue and their idle connections close. */
+    private final List<GrpcClient> mRetired = new CopyOnWriteArrayList<>();
+
+    private volatile GrpcClient mClient;
+
+    public AgentClients(Vertx vertx, TlsReloader tls) {
+        mVertx = Objects.requireNonNull(vertx, "vertx must not be null");
+        mTls = Objects.requireNonNull(tls, "tls must not be null");
+        mClient = createClient();
+        tls.onChange(this::replaceClient);
     }
 
     /** Connects to an agent for one attempt; nothing has been sent when the future fails. */
@@ -61,7 +64,29 @@
 
     /** Closes all connections. */
     public Future<Void> close() {
-        return mClient.close();
+        List<Future<Void>> closed = new ArrayList<>();
+        mRetired.forEach(client -> closed.add(client.close()));
+        closed.add(mClient.close());
+        return Future.join(closed).mapEmpty();
+    }
+
+    /** A gRPC client cannot be given new keys, and closing the earlier one would cut its calls. */
+    private void replaceClient() {
+        mRetired.add(mClient);
+        mClient = createClient();
+    }
+
+    private GrpcClient createClient() {
+        HttpClientOptions options =
+                new HttpClientOptions()
+                        .setConnectTimeout(CONNECT_TIMEOUT_MILLIS)
+                        .setHttp2MultiplexingLimit(STREAMS_PER_CONNECTION)
+                        .setInitialSettings(
+                                new Http2Settings().setInitialWindowSize(STREAM_WINDOW_BYTES));
+        return GrpcClient.client(
+                mVertx,
+                new GrpcClientOptions().setMaxMessageSize(MAX_MESSAGE_BYTES),
+                mTls.mutualClient(options));
     }
 
     private static Future<SocketAddress> socketAddress(String address) {
--- a/tanagergap-entry/src/main/java/org/tanagergap/entry/caller/CallerServer.java
+++ b/tanagergap-entry/src/main/java/org/tanagergap/entry/caller/CallerServer.java
@@ -20,6 +20,7 @@
 import org.tanagergap.api.lifecycle.Service;
 import org.tanagergap.entry.configuration.ConfigurationView;
 import org.tanagergap.runtime.async.Futures;
+import org.tanagergap.runtime.tls.TlsReloader;
 
 /** Serves the caller API. */
 public final class CallerServer implements Service {
@@ -27,14 +28,17 @@
     private static final FluentLogger sLogger = FluentLogger.forEnclosingClass();
 
     private final CallerShared mShared;
+    private final TlsReloader mTls;
     private final RequestIds mIds;
     private final PolicyReader mPolicies;
     private final CompletionHandler mCompletions;
     private final PlainHandler mPlain;
     private HttpServer mServer;
 
-    public CallerServer(CallerShared shared, ConfigurationView view, RequestIds ids) {
+    public CallerServer(
+            CallerShared shared, TlsReloader tls, ConfigurationView view, RequestIds ids) {
         mShared = Objects.requireNonNull(shared, "shared must not be null");
+        mTls = Objects.requireNonNull(tls, "tls must not be null");
         mIds = Objects.requireNonNull(ids, "ids must not be null");
         mPolicies = new PolicyReader(view, shared.clock());
         mCompletions = new CompletionHandler(shared);
@@ -51,7 +55,7 @@
         router.get("/v1/models").handler(context -> handle(context, CallerServer::models));
         router.route(PlainHandler.PREFIX + "*").handler(c -> handle(c, mPlain::handle));
         router.route().handler(context -> handle(context, CallerServer::unknownPath));
-        mServer = mShared.vertx().createHttpServer(new HttpServerOptions()).requestHandler(router);
+        mServer = mTls.server(new HttpServerOptions(), router);
         var address = mShared.settings().listen();
         return Futures.toCompletable(mServer.listen(address.port(), address.host()).mapEmpty());
     }
--- a/tanagergap-entry/src/main/java/org/tanagergap/entry/configuration/PeerServer.java
+++ b/tanagergap-entry/src/main/java/org/tanagergap/entry/configuration/PeerServer.java
@@ -3,6 +3,7 @@
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpServer;
+import io.vertx.core.http.HttpServerOptions;
 import io.vertx.grpc.server.GrpcServer;
 import io.vertx.grpc.server.GrpcServerOptions;
 import java.util.Objects;
@@ -15,6 +16,7 @@
 import org.tanagergap.protocol.v1.EntryPeerService;
 import org.tanagergap.runtime.async.Futures;
 import org.tanagergap.runtime.settings.HostPort;
+import org.tanagergap.runtime.tls.TlsReloader;
 
 /** Serves the configuration in effect to other entries and to operators. */
 public final class PeerServer implements Service {
@@ -22,12 +24,14 @@
     private final Vertx mVertx;
     private final HostPort mAddress;
     private final ConfigurationView mView;
+    private final TlsReloader mTls;
     private HttpServer mServer;
 
-    public PeerServer(Vertx vertx, HostPort address, ConfigurationView view) {
+    public PeerServer(Vertx vertx, HostPort address, ConfigurationView view, TlsReloader tls) {
         mVertx = Objects.requireNonNull(vertx, "vertx must not be null");
         mAddress = Objects.requireNonNull(address, "address must not be null");
         mView = Objects.requireNonNull(view, "view must not be null");
+        mTls = Objects.requireNonNull(tls, "tls must not be null");
     }
 
     @Override
@@ -37,7 +41,7 @@
                         mVertx,
                         new GrpcServerOptions().setMaxMessageSize(AgentClients.MAX_MESSAGE_BYTES));
         grpc.addService(EntryPeerGrpcService.of(new Handler()));
-        mServer = mVertx.createHttpServer().requestHandler(grpc);
+        mServer = mTls.mutualServer(new HttpServerOptions(), grpc);
         return Futures.toCompletable(mServer.listen(mAddress.port(), mAddress.host()).mapEmpty());
     }
 
--- a/tanagergap-entry/src/test/java/org/tanagergap/entry/EntryHarness.java
+++ b/tanagergap-entry/src/test/java/org/tanagergap/entry/EntryHarness.java
@@ -38,6 +38,8 @@
 import org.tanagergap.runtime.program.ProgramContext;
 import org.tanagergap.runtime.settings.HostPort;
 import org.tanagergap.runtime.time.VertxRuntimeClock;
+import org.tanagergap.runtime.tls.TlsReloader;
+import org.tanagergap.runtime.tls.TlsSettings;
 import org.tanagergap.runtime.trace.TraceOutput;
 import org.tanagergap.runtime.trace.Tracing;
 import org.tanagergap.state.configuration.ConfigurationStore;
@@ -63,11 +65,17 @@
     Duration mBodyTimeout = Duration.ofMillis(300);
     long mMemoryTokens = 100_000;
     List<HostPort> mPeers = List.of();
+    Optional<TlsSettings> mTls = Optional.empty();
     boolean mStoreAnswers = true;
     EntryService mEntry;
 
     FakeAgent agent(String name) {
-        FakeAgent agent = new FakeAgent(name, mCalls).start(mVertx);
+        return agent(
+                name, new TlsReloader(mVertx, new VertxRuntimeClock(mVertx), Optional.empty()));
+    }
+
+    FakeAgent agent(String name, TlsReloader tls) {
+        FakeAgent agent = new FakeAgent(name, mCalls).start(mVertx, tls);
         mAgents.put(name, agent);
         return agent;
     }
@@ -89,6 +97,7 @@
                         mPeers,
                         ANY_PORT,
                         Optional.empty(),
+                        mTls,
                         Duration.ZERO);
         mEntry = new EntryService(context, settings, parts(context));
         mEntry.start().join();
--- a/tanagergap-entry/src/test/java/org/tanagergap/entry/FakeAgent.java
+++ b/tanagergap-entry/src/test/java/org/tanagergap/entry/FakeAgent.java
@@ -3,6 +3,7 @@
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpServer;
+import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.streams.WriteStream;
 import io.vertx.grpc.server.GrpcServer;
 import io.vertx.grpc.server.GrpcServerOptions;
@@ -31,6 +32,7 @@
 import org.tanagergap.protocol.v1.Token;
 import org.tanagergap.protocol.v1.UpstreamAgentGrpcService;
 import org.tanagergap.protocol.v1.UpstreamAgentService;
+import org.tanagergap.runtime.tls.TlsReloader;
 
 /** Agent served over gRPC in the same process, whose answers a test scripts. */
 final class FakeAgent extends UpstreamAgentService {
@@ -52,7 +54,7 @@
         mCalls = calls;
     }
 
-    FakeAgent start(Vertx vertx) {
+    FakeAgent start(Vertx vertx, TlsReloader tls) {
         GrpcServer grpc =
                 GrpcServer.server(
                         vertx, new GrpcServerOptions().setMaxMessageSize(32L * 1024 * 1024));
@@ -74,7 +76,8 @@
                     call.response().exceptionHandler(ignored -> mCancelled.add("reset"));
                     call.handler(request -> run(request, call.response()));
                 });
-        mServer = vertx.createHttpServer().requestHandler(grpc).listen(0, "127.0.0.1").await();
+        mServer = tls.mutualServer(new HttpServerOptions(), grpc);
+        mServer.listen(0, "127.0.0.1").await();
         return this;
     }
 
--- /dev/null
+++ b/tanagergap-runtime/src/main/java/org/tanagergap/runtime/tls/PeerIdentity.java
@@ -0,0 +1,60 @@
+package org.tanagergap.runtime.tls;
+
+import com.google.common.flogger.FluentLogger;
+import io.vertx.core.http.HttpServerRequest;
+import io.vertx.core.net.SocketAddress;
+import java.net.InetAddress;
+import java.net.UnknownHostException;
+import java.security.cert.CertificateParsingException;
+import java.security.cert.X509Certificate;
+import java.util.Collection;
+import java.util.List;
+import javax.net.ssl.SSLPeerUnverifiedException;
+
+/** Checks that the certificate of a client contains the IP number from which it calls. */
+final class PeerIdentity {
+
+    private static final FluentLogger sLogger = FluentLogger.forEnclosingClass();
+
+    /** Type of an IP number among subject alternative names (RFC 5280, section 4.2.1.6). */
+    private static final int IP_ADDRESS = 7;
+
+    private PeerIdentity() {}
+
+    /** Whether the client may call; logs the reason when it may not. */
+    static boolean check(HttpServerRequest request) {
+        SocketAddress remote = request.remoteAddress();
+        try {
+            X509Certificate certificate =
+                    (X509Certificate) request.sslSession().getPeerCertificates()[0];
+            if (names(certificate, remote.hostAddress())) {
+                return true;
+            }
+            sLogger.atWarning().log(
+                    "TLS client %s refused: its certificate %s does not have this IP number as a"
+                            + " subject alternative name",
+                    remote, certificate.getSubjectX500Principal());
+        } catch (SSLPeerUnverifiedException | CertificateParsingException e) {
+            sLogger.atWarning().withCause(e).log("TLS client %s refused", remote);
+        }
+        return false;
+    }
+
+    static boolean names(X509Certificate certificate, String address)
+            throws CertificateParsingException {
+        Collection<List<?>> names = certificate.getSubjectAlternativeNames();
+        return names != null
+                && names.stream()
+                        .filter(name -> name.get(0).equals(IP_ADDRESS))
+                        .anyMatch(name -> sameAddress(name.get(1).toString(), address));
+    }
+
+    /** Compares IP numbers, because IPv6 has several spellings of one number. */
+    private static boolean sameAddress(String first, String second) {
+        try {
+            return InetAddress.getByName(first).equals(InetAddress.getByName(second));
+        } catch (UnknownHostException e) {
+            return false;
+        }
+    }
+}
--- /dev/null
+++ b/tanagergap-testing/src/main/java/org/tanagergap/testing/TestKeys.java
@@ -0,0 +1,46 @@
+package org.tanagergap.testing;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+
+/**
+ * Keys for tests of TLS, valid until 2046. {@code process} and {@code renewed} have 127.0.0.1 as
+ * subject alternative name, {@code elsewhere} has 127.0.0.2; all three are of the authority {@code
+ * first}. {@code stranger} has 127.0.0.1 and is of the authority {@code second}.
+ *
+ * @param directory directory into which the files are copied
+ */
+public record TestKeys(Path directory) {
+
+    /** Copies the keys of an identity and the authority that it trusts. */
+    public TestKeys use(String identity, String authority) {
+        copy(identity + ".pem", certificate());
+        copy(identity + "-key.pem", key());
+        copy(authority + "-authority.pem", trust());
+        return this;
+    }
+
+    public Path certificate() {
+        return directory.resolve("certificate.pem");
+    }
+
+    public Path key() {
+        return directory.resolve("key.pem");
+    }
+
+    public Path trust() {
+        return directory.resolve("trust.pem");
+    }
+
+    private static void copy(String resource, Path target) {
+        try (InputStream stream = TestKeys.class.getResourceAsStream("tls/" + resource)) {
+            Files.copy(stream, target, StandardCopyOption.REPLACE_EXISTING);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+}
