Read the engine only as fast as the entry takes its tokens

Cause: the agent wrote each token to the gRPC call without looking at the write queue, so a slow entry made it buffer the whole answer.

Change: the engine's stream is read with bounded demand. While the call's write queue is full, no further events are requested and the engine's connection is paused; it is resumed when the queue drains. The time that an engine may be silent does not run while it is paused; the deadline of the request bounds a caller that takes nothing.

--- a/tanagergap-agent/src/main/java/org/tanagergap/agent/attempt/Attempt.java
+++ b/tanagergap-agent/src/main/java/org/tanagergap/agent/attempt/Attempt.java
@@ -154,6 +154,11 @@
         return mPhase != Phase.ENDED;
     }
 
+    /** Receiver of the attempt's events. */
+    protected final EventSink sink() {
+        return mSink;
+    }
+
     /** Span of the attempt. */
     protected final Span span() {
         return mSpan;
--- a/tanagergap-agent/src/main/java/org/tanagergap/agent/attempt/ModelAttempt.java
+++ b/tanagergap-agent/src/main/java/org/tanagergap/agent/attempt/ModelAttempt.java
@@ -2,7 +2,6 @@
 
 import io.opentelemetry.api.trace.Span;
 import io.opentelemetry.api.trace.SpanKind;
-import io.smallrye.mutiny.subscription.Cancellable;
 import java.time.Duration;
 import java.util.function.LongSupplier;
 import org.tanagergap.agent.engine.EngineCompletion;
@@ -36,7 +35,7 @@
     private final int mPriority;
     private final String mTraceparent;
     private final CompletionWork mWork;
-    private Cancellable mStream = () -> {};
+    private PacedEvents mEvents;
     private Timer mStallTimer = () -> {};
     private Span mUpstreamSpan = Span.getInvalid();
     private long mStallNanos;
@@ -71,13 +70,15 @@
                         + STALL_TIMEOUT.toNanos()
                         + Duration.ofMillis(mPredictedPrefillMillis.getAsLong()).toNanos();
         watchForStall();
-        mStream =
-                mEngine.complete(completion())
-                        .subscribe()
-                        .with(
-                                event -> mContext.loop().execute(() -> eventReceived(event)),
-                                failure -> mContext.loop().execute(() -> streamFailed(failure)),
-                                () -> mContext.loop().execute(this::streamEnded));
+        mEvents =
+                new PacedEvents(
+                        mContext.loop(),
+                        sink(),
+                        this::eventReceived,
+                        this::streamFailed,
+                        this::streamEnded,
+                        this::restartStallTime);
+        mEngine.complete(completion()).subscribe().withSubscriber(mEvents);
     }
 
     @Override
@@ -88,7 +89,7 @@
             return;
         }
         mStreamEnded = true;
-        mStream.cancel();
+        mEvents.cancel();
         // The memory stays reserved until the engine confirms, so that the next run finds it free.
         Timer timeout =
                 mContext.clock()
@@ -167,7 +168,7 @@
             mFeedback.firstToken(id(), mWork);
         }
         mNextIndex++;
-        mStallNanos = mContext.clock().nanoTime() + STALL_TIMEOUT.toNanos();
+        restartStallTime();
         send(
                 RunEvent.newBuilder()
                         .setToken(
@@ -227,9 +228,18 @@
     }
 
     private void checkForStall() {
-        if (isOpen()) {
-            watchForStall();
+        if (!isOpen()) {
+            return;
+        }
+        // An engine that is not read cannot send; the deadline bounds a caller that takes nothing.
+        if (mEvents.isPaused()) {
+            restartStallTime();
         }
+        watchForStall();
+    }
+
+    private void restartStallTime() {
+        mStallNanos = mContext.clock().nanoTime() + STALL_TIMEOUT.toNanos();
     }
 
     private void stopWatching() {
--- a/tanagergap-agent/src/main/java/org/tanagergap/agent/engine/EngineExchange.java
+++ b/tanagergap-agent/src/main/java/org/tanagergap/agent/engine/EngineExchange.java
@@ -6,6 +6,7 @@
 import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.RequestOptions;
 import io.vertx.core.parsetools.RecordParser;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.tanagergap.api.failure.Execution;
 import org.tanagergap.api.failure.FailureCode;
@@ -25,6 +26,8 @@
     private final RequestOptions mOptions;
     private final Buffer mBody;
     private HttpClientRequest mRequest;
+    private HttpClientResponse mResponse;
+    private boolean mPaused;
     private boolean mClosed;
     private boolean mComplete;
     private boolean mFailed;
@@ -64,6 +67,22 @@
         }
     }
 
+    /** Stops reading the answer, so that the engine's connection fills, if the condition holds. */
+    synchronized void pauseWhile(BooleanSupplier condition) {
+        if (mResponse != null && !mPaused && condition.getAsBoolean()) {
+            mPaused = true;
+            mResponse.pause();
+        }
+    }
+
+    /** Reads the answer again. */
+    synchronized void resume() {
+        if (mPaused) {
+            mPaused = false;
+            mResponse.resume();
+        }
+    }
+
     /** Keeps the connection for other exchanges. */
     private synchronized void complete() {
         mComplete = true;
@@ -120,6 +139,9 @@
             Consumer<String> data,
             Runnable end,
             Consumer<Throwable> failed) {
+        synchronized (this) {
+            mResponse = response;
+        }
         RecordParser lines = RecordParser.newDelimited("\n").maxRecordSize(MAX_LINE_BYTES);
         lines.exceptionHandler(failure -> failed.accept(broken(failure)));
         lines.handler(line -> guard(() -> parseLine(line.toString(), data), failed));
--- a/tanagergap-agent/src/main/java/org/tanagergap/agent/engine/HttpModelEngine.java
+++ b/tanagergap-agent/src/main/java/org/tanagergap/agent/engine/HttpModelEngine.java
@@ -133,11 +133,16 @@
                         emitter -> {
                             EngineExchange exchange = new EngineExchange(mStreams, options, body);
                             emitter.onTermination(exchange::close);
+                            emitter.onRequest(ignored -> exchange.resume());
                             exchange.readEvents(
-                                    data -> emitter.emit(parser.apply(data)),
+                                    data -> {
+                                        emitter.emit(parser.apply(data));
+                                        exchange.pauseWhile(() -> emitter.requested() == 0);
+                                    },
                                     emitter::complete,
                                     emitter::fail);
                         },
+                        // Holds at most the rest of the chunk in which the connection was paused.
                         BackPressureStrategy.BUFFER);
     }
 
--- a/tanagergap-agent/src/main/java/org/tanagergap/agent/server/ResponseSink.java
+++ b/tanagergap-agent/src/main/java/org/tanagergap/agent/server/ResponseSink.java
@@ -26,6 +26,20 @@
         write(() -> mResponse.write(event));
     }
 
+    @Override
+    public boolean isFull() {
+        return !mClosed && mResponse.writeQueueFull();
+    }
+
+    @Override
+    public void onDrain(Runnable action) {
+        mResponse.drainHandler(
+                ignored -> {
+                    mResponse.drainHandler(null);
+                    action.run();
+                });
+    }
+
     @Override
     public void end() {
         write(mResponse::end);
--- a/tanagergap-agent/src/test/java/org/tanagergap/agent/RecordingSink.java
+++ b/tanagergap-agent/src/test/java/org/tanagergap/agent/RecordingSink.java
@@ -11,12 +11,24 @@
 
     final List<RunEvent> mEvents = new ArrayList<>();
     int mEnds;
+    boolean mFull;
+    Runnable mOnDrain = () -> {};
 
     @Override
     public void send(RunEvent event) {
         mEvents.add(event);
     }
 
+    @Override
+    public boolean isFull() {
+        return mFull;
+    }
+
+    @Override
+    public void onDrain(Runnable action) {
+        mOnDrain = action;
+    }
+
     @Override
     public void end() {
         mEnds++;
