Send prefix hashes only when the entry does not have them

Cause: an exchange took 786 bytes on the wire in both directions, mostly for 32 prefix hashes that rarely change. 69 agents every 2 s took 27 KB/s per entry; the budget is 4 KB/s.

Change: the agent numbers its prefix hashes with a revision, which starts at a random number so that a restarted agent does not continue an earlier one. Exchange and Run state the revision that the entry keeps, and hints leave out the hashes of that revision. The last event of a run leaves them out when its first event carried them. The entry keeps the hashes of each agent; a list that arrives empty is always asked for again.

--- a/tanagergap-agent/src/main/java/org/tanagergap/agent/AgentCore.java
+++ b/tanagergap-agent/src/main/java/org/tanagergap/agent/AgentCore.java
@@ -76,7 +76,7 @@
                         settings.failureDomain(),
                         loop,
                         clock,
-                        hints,
+                        hints::since,
                         metrics,
                         tracing);
         ModelEngine holder = engine.orElseGet(AbsentEngine::new);
--- a/tanagergap-agent/src/main/java/org/tanagergap/agent/attempt/Attempt.java
+++ b/tanagergap-agent/src/main/java/org/tanagergap/agent/attempt/Attempt.java
@@ -17,6 +17,7 @@
 import org.tanagergap.api.time.Deadline;
 import org.tanagergap.api.time.Timer;
 import org.tanagergap.protocol.v1.Admitted;
+import org.tanagergap.protocol.v1.Hint;
 import org.tanagergap.protocol.v1.RunEvent;
 import org.tanagergap.protocol.v1.RunRequest;
 import org.tanagergap.runtime.log.LogKeys;
@@ -48,6 +49,7 @@
     private Reservation mReservation = tokens -> {};
     private Timer mDeadlineTimer = () -> {};
     private boolean mHintSent;
+    private long mKnownPrefixRevision;
     private boolean mReleased;
 
     protected Attempt(AttemptContext context, RunRequest request, EventSink sink) {
@@ -55,6 +57,7 @@
         mRequest = Objects.requireNonNull(request, "request must not be null");
         mSink = Objects.requireNonNull(sink, "sink must not be null");
         mId = new AttemptId(request.getAttemptId());
+        mKnownPrefixRevision = request.getKnownPrefixRevision();
         mArrivedNanos = context.clock().nanoTime();
         mDeadline = Deadline.after(context.clock(), Duration.ofMillis(request.getDeadlineLeftMs()));
         mSpan =
@@ -245,6 +248,8 @@
 
     private RunEvent withHint(RunEvent.Builder event) {
         mHintSent = true;
-        return event.setAttemptId(mId.value()).setHint(mContext.hints().get()).build();
+        Hint hint = mContext.hints().apply(mKnownPrefixRevision);
+        mKnownPrefixRevision = hint.getPrefixRevision();
+        return event.setAttemptId(mId.value()).setHint(hint).build();
     }
 }
--- a/tanagergap-agent/src/main/java/org/tanagergap/agent/attempt/AttemptContext.java
+++ b/tanagergap-agent/src/main/java/org/tanagergap/agent/attempt/AttemptContext.java
@@ -2,7 +2,7 @@
 
 import com.codahale.metrics.MetricRegistry;
 import java.util.concurrent.Executor;
-import java.util.function.Supplier;
+import java.util.function.LongFunction;
 import org.tanagergap.api.time.RuntimeClock;
 import org.tanagergap.protocol.v1.Hint;
 import org.tanagergap.runtime.trace.Tracing;
@@ -14,7 +14,7 @@
  * @param failureDomain failure domain of the upstream
  * @param loop runs tasks one after another; all state of attempts changes on it
  * @param clock source of time
- * @param hints present load hint
+ * @param hints present load hint for an entry that keeps a revision of the prefix hashes
  * @param metrics registry of the process
  * @param tracing creates spans
  */
@@ -23,6 +23,6 @@
         String failureDomain,
         Executor loop,
         RuntimeClock clock,
-        Supplier<Hint> hints,
+        LongFunction<Hint> hints,
         MetricRegistry metrics,
         Tracing tracing) {}
--- a/tanagergap-agent/src/main/java/org/tanagergap/agent/attempt/AttemptTable.java
+++ b/tanagergap-agent/src/main/java/org/tanagergap/agent/attempt/AttemptTable.java
@@ -255,7 +255,7 @@
                 RunEvent.newBuilder()
                         .setAttemptId(request.getAttemptId())
                         .setFailed(Messages.failed(refusal))
-                        .setHint(mContext.hints().get())
+                        .setHint(mContext.hints().apply(request.getKnownPrefixRevision()))
                         .build());
         sink.end();
     }
--- a/tanagergap-agent/src/main/java/org/tanagergap/agent/load/HintSource.java
+++ b/tanagergap-agent/src/main/java/org/tanagergap/agent/load/HintSource.java
@@ -34,6 +34,12 @@
 
     @Override
     public Hint get() {
+        return since(0);
+    }
+
+    /** Hint for an entry that keeps the prefix hashes of the given revision; 0 for none. */
+    public Hint since(long knownPrefixRevision) {
+        PrefixSnapshot prefixes = mPrefixes.current();
         long free = mScheduler.freeTokens();
         Hint.Builder hint =
                 Hint.newBuilder()
@@ -44,7 +50,7 @@
                         .setDraining(mState.draining())
                         .setConfigurationVersion(mPolicies.version())
                         .setLoadReportAgeMs(mReports.age().toMillis())
-                        .addAllPrefixHashes(mPrefixes.hashes())
+                        .setPrefixRevision(prefixes.revision())
                         .setBytesPerToken(mRatio.bytesPerToken())
                         .setUpstreamReady(mState.upstreamReady());
         for (Map.Entry<String, RankLoad> rank : mScheduler.queuedByRank().entrySet()) {
@@ -54,6 +60,9 @@
                             .setQueued(rank.getValue().queued())
                             .setQueuedTokens(rank.getValue().queuedTokens()));
         }
+        if (prefixes.revision() != knownPrefixRevision) {
+            hint.addAllPrefixHashes(prefixes.hashes());
+        }
         return hint.build();
     }
 }
--- /dev/null
+++ b/tanagergap-agent/src/main/java/org/tanagergap/agent/load/PrefixSnapshot.java
@@ -0,0 +1,16 @@
+package org.tanagergap.agent.load;
+
+import java.util.List;
+
+/**
+ * Prefixes that the engine holds.
+ *
+ * @param revision changes with each change of the hashes; never 0
+ * @param hashes at most 32 hashes
+ */
+record PrefixSnapshot(long revision, List<String> hashes) {
+
+    PrefixSnapshot {
+        hashes = List.copyOf(hashes);
+    }
+}
--- a/tanagergap-agent/src/main/java/org/tanagergap/agent/load/PrefixTable.java
+++ b/tanagergap-agent/src/main/java/org/tanagergap/agent/load/PrefixTable.java
@@ -1,8 +1,11 @@
 package org.tanagergap.agent.load;
 
 import com.codahale.metrics.MetricRegistry;
+import java.security.SecureRandom;
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Set;
+import java.util.stream.Collectors;
 import org.tanagergap.agent.engine.CacheEvent;
 
 /**
@@ -14,10 +17,18 @@
 
     private static final int MAX_PREFIXES = 32;
 
+    /**
+     * A restarted agent must not continue with a revision that entries keep. Numbers below 2^27
+     * take at most four bytes on the wire.
+     */
+    private static final int FIRST_REVISION_BOUND = 1 << 27;
+
     private final LinkedHashSet<String> mFromRequests = new LinkedHashSet<>();
     private final LinkedHashSet<String> mFromEvents = new LinkedHashSet<>();
     private final MetricRegistry mMetrics;
     private long mLastSequence = -1;
+    private Set<String> mHashes = Set.of();
+    private long mRevision = 1 + new SecureRandom().nextInt(FIRST_REVISION_BOUND);
 
     public PrefixTable(MetricRegistry metrics) {
         mMetrics = metrics;
@@ -38,6 +49,7 @@
             mFromEvents.remove(event.prefixHash());
             mFromRequests.remove(event.prefixHash());
         }
+        updateRevision();
     }
 
     /** Forgets everything, because the engine may have restarted. */
@@ -45,20 +57,31 @@
         mLastSequence = -1;
         mFromEvents.clear();
         mFromRequests.clear();
+        updateRevision();
     }
 
     /** Records the prefix of a request that the engine has just prefilled. */
     public synchronized void prefilled(String prefixHash) {
         if (!prefixHash.isEmpty()) {
             add(mFromRequests, prefixHash);
+            updateRevision();
         }
     }
 
-    /** At most 32 hashes. */
-    public synchronized List<String> hashes() {
-        LinkedHashSet<String> hashes = new LinkedHashSet<>(mFromRequests);
-        hashes.addAll(mFromEvents);
-        return hashes.stream().limit(MAX_PREFIXES).toList();
+    /** Hashes with their revision. */
+    synchronized PrefixSnapshot current() {
+        return new PrefixSnapshot(mRevision, List.copyOf(mHashes));
+    }
+
+    /** Another order of the same hashes is not a change. */
+    private void updateRevision() {
+        LinkedHashSet<String> all = new LinkedHashSet<>(mFromRequests);
+        all.addAll(mFromEvents);
+        Set<String> hashes = all.stream().limit(MAX_PREFIXES).collect(Collectors.toSet());
+        if (!hashes.equals(mHashes)) {
+            mHashes = hashes;
+            mRevision++;
+        }
     }
 
     private static void add(LinkedHashSet<String> hashes, String hash) {
--- a/tanagergap-agent/src/main/java/org/tanagergap/agent/server/UpstreamAgentCalls.java
+++ b/tanagergap-agent/src/main/java/org/tanagergap/agent/server/UpstreamAgentCalls.java
@@ -15,6 +15,7 @@
 import org.tanagergap.agent.hold.HoldTable;
 import org.tanagergap.agent.load.AgentState;
 import org.tanagergap.agent.load.CapacityControl;
+import org.tanagergap.agent.load.HintSource;
 import org.tanagergap.agent.message.Messages;
 import org.tanagergap.agent.policy.PolicyTable;
 import org.tanagergap.api.failure.Execution;
@@ -26,7 +27,6 @@
 import org.tanagergap.protocol.v1.CancelRequest;
 import org.tanagergap.protocol.v1.ExchangeReply;
 import org.tanagergap.protocol.v1.ExchangeRequest;
-import org.tanagergap.protocol.v1.Hint;
 import org.tanagergap.protocol.v1.HoldReply;
 import org.tanagergap.protocol.v1.HoldRequest;
 import org.tanagergap.protocol.v1.PrefillSegmentReply;
@@ -51,7 +51,7 @@
     private final PolicyTable mPolicies;
     private final AgentState mState;
     private final CapacityControl mCapacity;
-    private final Supplier<Hint> mHints;
+    private final HintSource mHints;
 
     public UpstreamAgentCalls(
             AgentSettings settings,
@@ -62,7 +62,7 @@
             PolicyTable policies,
             AgentState state,
             CapacityControl capacity,
-            Supplier<Hint> hints) {
+            HintSource hints) {
         mSettings = settings;
         mLoop = loop;
         mAttempts = attempts;
@@ -159,7 +159,7 @@
                     return ExchangeReply.newBuilder()
                             .setAgentId(mSettings.name())
                             .setConfigurationVersion(mPolicies.version())
-                            .setHint(mHints.get())
+                            .setHint(mHints.since(request.getKnownPrefixRevision()))
                             .build();
                 });
     }
--- a/tanagergap-agent/src/test/java/org/tanagergap/agent/ExchangeTests.java
+++ b/tanagergap-agent/src/test/java/org/tanagergap/agent/ExchangeTests.java
@@ -6,6 +6,7 @@
 import org.tanagergap.agent.engine.CacheEvent;
 import org.tanagergap.protocol.v1.ExchangeReply;
 import org.tanagergap.protocol.v1.ExchangeRequest;
+import org.tanagergap.protocol.v1.Hint;
 import org.tanagergap.protocol.v1.PolicyStamp;
 import org.tanagergap.protocol.v1.RankPolicy;
 import org.tanagergap.protocol.v1.RunRequest;
@@ -71,6 +72,53 @@
         assertThat(exchange(1, 100).getHint().getPrefixHashesList()).hasSize(32);
     }
 
+    /** Guards against 32 hashes in each exchange, and against entries that miss a change. */
+    @Test
+    void prefixesAreSentOnlyWhenTheEntryKeepsAnotherRevision() {
+        mEngine.mCache.emit(new CacheEvent(1, true, "p1"));
+        Hint first = exchangeKnowing(0);
+        assertThat(first.getPrefixHashesList()).containsExactly("p1");
+        long revision = first.getPrefixRevision();
+        Hint second = exchangeKnowing(revision);
+        assertThat(second.getPrefixHashesList()).isEmpty();
+        assertThat(second.getPrefixRevision()).isEqualTo(revision);
+        mEngine.mCache.emit(new CacheEvent(2, true, "p1"));
+        assertThat(exchangeKnowing(revision).getPrefixRevision()).isEqualTo(revision);
+        mEngine.mCache.emit(new CacheEvent(3, true, "p2"));
+        assertThat(exchangeKnowing(revision).getPrefixHashesList()).containsExactly("p1", "p2");
+        mEngine.mCache.emit(new CacheEvent(4, false, "p2"));
+        assertThat(exchangeKnowing(revision).getPrefixHashesList()).containsExactly("p1");
+    }
+
+    /** Guards against 32 hashes in two events of each request. */
+    @Test
+    void theEventsOfAnAttemptLeaveOutKnownPrefixes() {
+        mEngine.mCache.emit(new CacheEvent(1, true, "p1"));
+        RunRequest.Builder request = AgentFixture.completion("a.1");
+        request.getCompletionBuilder().clearPrefixHash();
+        RecordingSink first = new RecordingSink();
+        mFixture.mAgent.calls().run(request.build(), first);
+        mEngine.finish("a.1", 0);
+        Hint hint = first.mEvents.get(0).getHint();
+        assertThat(hint.getPrefixHashesList()).containsExactly("p1");
+        assertThat(first.last().getHint().getPrefixHashesList()).isEmpty();
+        request.setAttemptId("a.2").setKnownPrefixRevision(hint.getPrefixRevision());
+        RecordingSink second = new RecordingSink();
+        mFixture.mAgent.calls().run(request.build(), second);
+        assertThat(second.mEvents.get(0).getHint().getPrefixHashesList()).isEmpty();
+        mEngine.mCache.emit(new CacheEvent(2, true, "p2"));
+        mEngine.finish("a.2", 0);
+        assertThat(second.last().getHint().getPrefixHashesList()).containsExactly("p1", "p2");
+    }
+
+    private Hint exchangeKnowing(long revision) {
+        return mFixture.mAgent
+                .calls()
+                .exchange(ExchangeRequest.newBuilder().setKnownPrefixRevision(revision).build())
+                .result()
+                .getHint();
+    }
+
     private ExchangeReply exchange(long version, long memoryTokens) {
         ExchangeRequest request =
                 ExchangeRequest.newBuilder()
--- a/tanagergap-entry/src/main/java/org/tanagergap/entry/EntryService.java
+++ b/tanagergap-entry/src/main/java/org/tanagergap/entry/EntryService.java
@@ -11,6 +11,7 @@
 import org.tanagergap.decisions.retry.RetryPolicy;
 import org.tanagergap.entry.agent.AgentActivity;
 import org.tanagergap.entry.agent.AgentClients;
+import org.tanagergap.entry.agent.HintReader;
 import org.tanagergap.entry.caller.BytesInFlight;
 import org.tanagergap.entry.caller.CallerServer;
 import org.tanagergap.entry.caller.CallerShared;
@@ -41,6 +42,7 @@
     private final RequestsInFlight mRequests = new RequestsInFlight();
     private final TlsReloader mTls;
     private final AgentClients mClients;
+    private final HintReader mHints = new HintReader();
     private final CallerServer mCallerServer;
     private final PeerServer mPeerServer;
     private final AdminServer mAdminServer;
@@ -69,6 +71,7 @@
                         parts.instances(),
                         parts.router(),
                         activity,
+                        mHints,
                         context.clock());
         AgentExchange exchange =
                 new AgentExchange(
@@ -78,6 +81,7 @@
                         parts.router(),
                         mClients,
                         activity,
+                        mHints,
                         context.clock());
         mFeeds = List.of(membership, exchange, feed);
         mCallerServer = callerServer(parts, activity);
@@ -157,6 +161,7 @@
                                 parts.router(),
                                 mClients,
                                 activity,
+                                mHints,
                                 new RetryPolicy(mContext.clock(), parts.retryBudget()),
                                 parts.retryBudget(),
                                 metrics,
--- a/tanagergap-entry/src/main/java/org/tanagergap/entry/agent/HintReader.java
+++ b/tanagergap-entry/src/main/java/org/tanagergap/entry/agent/HintReader.java
@@ -1,14 +1,20 @@
 package org.tanagergap.entry.agent;
 
 import java.time.Duration;
+import java.util.Collection;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.stream.Collectors;
 import org.tanagergap.decisions.routing.LoadHint;
 import org.tanagergap.decisions.scheduling.RankLoad;
 import org.tanagergap.protocol.v1.Hint;
 
-/** Reads load hints from messages. */
+/**
+ * Reads load hints from messages, and keeps the prefix hashes of each agent, which agents leave out
+ * of their replies while they do not change.
+ */
 public final class HintReader {
 
     /** Section 5 of the design page; a faulty agent must not grow the entry's tables. */
@@ -16,10 +22,21 @@
 
     private static final int MAX_RANKS = 64;
 
-    private HintReader() {}
+    private final Map<String, KeptPrefixes> mKept = new ConcurrentHashMap<>();
 
-    /** Hint of a message. */
-    public static LoadHint read(Hint hint) {
+    /** Revision of the prefix hashes kept for the agent; 0 for none. */
+    public long knownPrefixRevision(String agent) {
+        KeptPrefixes kept = mKept.get(agent);
+        return kept == null ? 0 : kept.revision();
+    }
+
+    /** Forgets all other agents, so that the table stays as large as the subset. */
+    public void retain(Collection<String> agents) {
+        mKept.keySet().retainAll(agents);
+    }
+
+    /** Hint of a message of the agent. */
+    public LoadHint read(String agent, Hint hint) {
         Map<String, RankLoad> ranks = new HashMap<>();
         hint.getRanksList().stream()
                 .limit(MAX_RANKS)
@@ -37,8 +54,26 @@
                 hint.getDraining(),
                 hint.getUpstreamReady(),
                 Duration.ofMillis(Math.max(0, hint.getLoadReportAgeMs())),
-                new HashSet<>(
-                        hint.getPrefixHashesList().stream().limit(MAX_PREFIX_HASHES).toList()),
+                prefixes(agent, hint),
                 hint.getConfigurationVersion());
     }
+
+    private Set<String> prefixes(String agent, Hint hint) {
+        KeptPrefixes kept = mKept.get(agent);
+        long revision = hint.getPrefixRevision();
+        if (kept != null && revision != 0 && kept.revision() == revision) {
+            return kept.hashes();
+        }
+        Set<String> hashes =
+                hint.getPrefixHashesList().stream()
+                        .limit(MAX_PREFIX_HASHES)
+                        .collect(Collectors.toUnmodifiableSet());
+        // An empty list costs nothing to send again. A late reply, which left out the hashes of a
+        // revision that is no longer kept, must not pass for an agent without prefixes.
+        long known = hashes.isEmpty() ? 0 : revision;
+        mKept.put(agent, new KeptPrefixes(known, hashes));
+        return hashes;
+    }
+
+    private record KeptPrefixes(long revision, Set<String> hashes) {}
 }
--- a/tanagergap-entry/src/main/java/org/tanagergap/entry/execution/Attempt.java
+++ b/tanagergap-entry/src/main/java/org/tanagergap/entry/execution/Attempt.java
@@ -15,7 +15,7 @@
 import org.tanagergap.api.request.AttemptId;
 import org.tanagergap.api.time.Timer;
 import org.tanagergap.decisions.routing.AgentEndpoint;
-import org.tanagergap.entry.agent.HintReader;
+import org.tanagergap.decisions.routing.LoadHint;
 import org.tanagergap.protocol.v1.RunEvent;
 import org.tanagergap.protocol.v1.RunRequest;
 import org.tanagergap.runtime.log.LogKeys;
@@ -143,6 +143,7 @@
                                 resumption,
                                 reservation,
                                 leftMillis,
+                                mShared.hints().knownPrefixRevision(mAgent.name()),
                                 mShared.tracing().traceparent(mSpan)))
                 .onFailure(this::broken);
     }
@@ -179,7 +180,8 @@
             return;
         }
         if (event.hasHint()) {
-            mShared.router().hintReceived(mAgent.name(), HintReader.read(event.getHint()));
+            LoadHint hint = mShared.hints().read(mAgent.name(), event.getHint());
+            mShared.router().hintReceived(mAgent.name(), hint);
         }
         accept(event);
     }
--- a/tanagergap-entry/src/main/java/org/tanagergap/entry/execution/ExecutorContext.java
+++ b/tanagergap-entry/src/main/java/org/tanagergap/entry/execution/ExecutorContext.java
@@ -7,6 +7,7 @@
 import org.tanagergap.decisions.routing.RequestRouter;
 import org.tanagergap.entry.agent.AgentActivity;
 import org.tanagergap.entry.agent.AgentClients;
+import org.tanagergap.entry.agent.HintReader;
 import org.tanagergap.entry.metrics.EntryMetrics;
 import org.tanagergap.runtime.trace.Tracing;
 
@@ -18,6 +19,7 @@
  * @param router chooses agents
  * @param clients connections to agents
  * @param activity when agents were last heard
+ * @param hints reads load hints
  * @param retryPolicy decides about further attempts
  * @param retryBudget limits further attempts
  * @param metrics metrics of the entry
@@ -29,6 +31,7 @@
         RequestRouter router,
         AgentClients clients,
         AgentActivity activity,
+        HintReader hints,
         RetryPolicy retryPolicy,
         RetryBudget retryBudget,
         EntryMetrics metrics,
--- a/tanagergap-entry/src/main/java/org/tanagergap/entry/execution/RunRequestWriter.java
+++ b/tanagergap-entry/src/main/java/org/tanagergap/entry/execution/RunRequestWriter.java
@@ -20,6 +20,7 @@
             Resumption resumption,
             SpanReservation reservation,
             long leftMillis,
+            long knownPrefixRevision,
             String traceparent) {
         RunRequest.Builder message =
                 RunRequest.newBuilder()
@@ -28,6 +29,7 @@
                         .setService(request.service())
                         .setPolicy(policy(request.policy()))
                         .setDeadlineLeftMs(leftMillis)
+                        .setKnownPrefixRevision(knownPrefixRevision)
                         .setTraceparent(traceparent);
         if (request.work() instanceof Work.Completion completion) {
             message.setCompletion(
--- a/tanagergap-entry/src/main/java/org/tanagergap/entry/membership/AgentExchange.java
+++ b/tanagergap-entry/src/main/java/org/tanagergap/entry/membership/AgentExchange.java
@@ -39,6 +39,7 @@
     private final RequestRouter mRouter;
     private final AgentClients mClients;
     private final AgentActivity mActivity;
+    private final HintReader mHints;
     private final PeriodicTask mTask;
     private final Set<String> mInFlight = ConcurrentHashMap.newKeySet();
 
@@ -49,6 +50,7 @@
             RequestRouter router,
             AgentClients clients,
             AgentActivity activity,
+            HintReader hints,
             RuntimeClock clock) {
         mEntryId = Objects.requireNonNull(entryId, "entryId must not be null");
         mVertx = Objects.requireNonNull(vertx, "vertx must not be null");
@@ -56,6 +58,7 @@
         mRouter = Objects.requireNonNull(router, "router must not be null");
         mClients = Objects.requireNonNull(clients, "clients must not be null");
         mActivity = Objects.requireNonNull(activity, "activity must not be null");
+        mHints = Objects.requireNonNull(hints, "hints must not be null");
         mTask = new PeriodicTask(clock, CHECK_INTERVAL, this::exchangeDue);
         view.addListener(ignored -> mVertx.runOnContext(nothing -> exchangeDue()));
     }
@@ -93,7 +96,7 @@
         mInFlight.remove(agent.name());
         mActivity.heard(agent.name());
         mRouter.connectionSucceeded(agent.name());
-        mRouter.hintReceived(agent.name(), HintReader.read(reply.getHint()));
+        mRouter.hintReceived(agent.name(), mHints.read(agent.name(), reply.getHint()));
     }
 
     private void failed(AgentEndpoint agent) {
@@ -105,7 +108,8 @@
         ExchangeRequest.Builder request =
                 ExchangeRequest.newBuilder()
                         .setEntryId(mEntryId)
-                        .setConfigurationVersion(configuration.version());
+                        .setConfigurationVersion(configuration.version())
+                        .setKnownPrefixRevision(mHints.knownPrefixRevision(agent.name()));
         Optional<LoadHint> hint = mRouter.hint(agent.name());
         long known = hint.map(LoadHint::configurationVersion).orElse(0L);
         if (known < configuration.version()) {
--- a/tanagergap-entry/src/main/java/org/tanagergap/entry/membership/AgentMembership.java
+++ b/tanagergap-entry/src/main/java/org/tanagergap/entry/membership/AgentMembership.java
@@ -20,6 +20,7 @@
 import org.tanagergap.decisions.routing.AgentEndpoint;
 import org.tanagergap.decisions.routing.RequestRouter;
 import org.tanagergap.entry.agent.AgentActivity;
+import org.tanagergap.entry.agent.HintReader;
 import org.tanagergap.entry.configuration.ConfigurationSnapshot;
 import org.tanagergap.entry.configuration.ConfigurationView;
 import org.tanagergap.platform.instances.Instance;
@@ -42,6 +43,7 @@
     private final Optional<InstanceList> mInstances;
     private final RequestRouter mRouter;
     private final AgentActivity mActivity;
+    private final HintReader mHints;
     private final PeriodicTask mPoll;
     private final OrderedLock mLock = new OrderedLock(LockRank.MEMBERSHIP_TABLE);
     private List<Instance> mAgents = List.of();
@@ -53,12 +55,14 @@
             Optional<InstanceList> instances,
             RequestRouter router,
             AgentActivity activity,
+            HintReader hints,
             RuntimeClock clock) {
         mEntryId = Objects.requireNonNull(entryId, "entryId must not be null");
         mView = Objects.requireNonNull(view, "view must not be null");
         mInstances = Objects.requireNonNull(instances, "instances must not be null");
         mRouter = Objects.requireNonNull(router, "router must not be null");
         mActivity = Objects.requireNonNull(activity, "activity must not be null");
+        mHints = Objects.requireNonNull(hints, "hints must not be null");
         mPoll = new PeriodicTask(clock, POLL_INTERVAL, this::poll);
         view.addListener(ignored -> apply());
     }
@@ -113,7 +117,9 @@
         ConfigurationSnapshot configuration = mView.current();
         List<AgentEndpoint> agents = mLock.call(() -> merge(configuration));
         mRouter.replaceAgents(agents);
-        mActivity.retain(agents.stream().map(AgentEndpoint::name).toList());
+        List<String> names = agents.stream().map(AgentEndpoint::name).toList();
+        mActivity.retain(names);
+        mHints.retain(names);
     }
 
     private List<AgentEndpoint> merge(ConfigurationSnapshot configuration) {
--- a/tanagergap-measure/src/main/java/org/tanagergap/measure/capacity/ExchangeCost.java
+++ b/tanagergap-measure/src/main/java/org/tanagergap/measure/capacity/ExchangeCost.java
@@ -23,6 +23,10 @@
 
     private static final String HOST = "127.0.0.1";
     private static final int BATCH = 35;
+
+    /** Revisions of agents are below 2^27 at the start and then grow; four bytes on the wire. */
+    private static final long PREFIX_REVISION = 1L << 26;
+
     private static final List<Integer> ROUNDS = List.of(100, 200, 400);
 
     private ExchangeCost() {}
@@ -39,19 +43,25 @@
             CountingRelay relay = new CountingRelay(vertx, server.actualPort());
             int relayPort = relay.start();
             GrpcClient client = GrpcClient.client(vertx);
-            exchange(client, server.actualPort(), ROUNDS.get(0));
-            exchange(client, relayPort, 1);
-            return List.of(bytes(client, relayPort, relay), time(client, server.actualPort()));
+            exchange(client, server.actualPort(), ROUNDS.get(0), PREFIX_REVISION);
+            exchange(client, relayPort, 1, PREFIX_REVISION);
+            return List.of(
+                    bytes(client, relayPort, relay, PREFIX_REVISION),
+                    bytes(client, relayPort, relay, PREFIX_REVISION - 1),
+                    time(client, server.actualPort()));
         } finally {
             Futures.toCompletable(vertx.close()).get();
         }
     }
 
-    private static Slope bytes(GrpcClient client, int port, CountingRelay relay) {
-        Slope bytes = new Slope("one exchange on the wire, both directions", "bytes");
+    private static Slope bytes(GrpcClient client, int port, CountingRelay relay, long known) {
+        String prefixes = known == PREFIX_REVISION ? "unchanged" : "changed";
+        Slope bytes =
+                new Slope(
+                        "one exchange on the wire, both directions, prefixes " + prefixes, "bytes");
         for (int rounds : ROUNDS) {
             long before = relay.bytes();
-            exchange(client, port, rounds);
+            exchange(client, port, rounds, known);
             bytes.add((double) rounds * BATCH, relay.bytes() - before);
         }
         return bytes;
@@ -62,19 +72,20 @@
         for (int rounds : ROUNDS) {
             time.add(
                     (double) rounds * BATCH,
-                    ResourceMeter.cpuNanos(() -> exchange(client, port, rounds)));
+                    ResourceMeter.cpuNanos(() -> exchange(client, port, rounds, PREFIX_REVISION)));
         }
         return time;
     }
 
     /** Calls in rounds, as an entry calls the agents of its subset. */
-    private static void exchange(GrpcClient client, int port, int rounds) {
+    private static void exchange(GrpcClient client, int port, int rounds, long known) {
         UpstreamAgentGrpcClient agent =
                 UpstreamAgentGrpcClient.create(client, SocketAddress.inetSocketAddress(port, HOST));
         ExchangeRequest request =
                 ExchangeRequest.newBuilder()
                         .setEntryId("entry-001")
                         .setConfigurationVersion(65_000)
+                        .setKnownPrefixRevision(known)
                         .build();
         for (int round = 0; round < rounds; round++) {
             List<Future<ExchangeReply>> replies = new ArrayList<>();
@@ -86,19 +97,23 @@
     }
 
     private static GrpcServer agent(Vertx vertx) {
-        ExchangeReply reply =
+        ExchangeReply changed =
                 ExchangeReply.newBuilder()
                         .setAgentId("engine-00001")
                         .setConfigurationVersion(65_000)
                         .setHint(hint(SampleHints.busy()))
                         .build();
+        ExchangeReply.Builder builder = changed.toBuilder();
+        builder.getHintBuilder().clearPrefixHashes();
+        ExchangeReply unchanged = builder.build();
         GrpcServer server = GrpcServer.server(vertx);
         server.addService(
                 UpstreamAgentGrpcService.of(
                         new org.tanagergap.protocol.v1.UpstreamAgentService() {
                             @Override
                             public Future<ExchangeReply> exchange(ExchangeRequest request) {
-                                return Future.succeededFuture(reply);
+                                boolean known = request.getKnownPrefixRevision() == PREFIX_REVISION;
+                                return Future.succeededFuture(known ? unchanged : changed);
                             }
                         }));
         return server;
@@ -115,6 +130,7 @@
                         .setUpstreamReady(hint.upstreamReady())
                         .setLoadReportAgeMs(hint.loadReportAge().toMillis())
                         .setBytesPerToken(4.2)
+                        .setPrefixRevision(PREFIX_REVISION)
                         .addAllPrefixHashes(hint.prefixHashes());
         hint.ranks()
                 .forEach(
