--- a/tanagergap-entry/src/main/java/org/tanagergap/entry/membership/AgentMembership.java
+++ b/tanagergap-entry/src/main/java/org/tanagergap/entry/membership/AgentMembership.java
@@ -113,13 +113,16 @@
         }
     }
 
+    /** Reads and applies under one lock, so that an older configuration never replaces a newer. */
     private void apply() {
-        ConfigurationSnapshot configuration = mView.current();
-        List<AgentEndpoint> agents = mLock.call(() -> merge(configuration));
-        mRouter.replaceAgents(agents);
-        List<String> names = agents.stream().map(AgentEndpoint::name).toList();
-        mActivity.retain(names);
-        mHints.retain(names);
+        mLock.run(
+                () -> {
+                    List<AgentEndpoint> agents = merge(mView.current());
+                    mRouter.replaceAgents(agents);
+                    List<String> names = agents.stream().map(AgentEndpoint::name).toList();
+                    mActivity.retain(names);
+                    mHints.retain(names);
+                });
     }
 
     private List<AgentEndpoint> merge(ConfigurationSnapshot configuration) {
