Say where a request ran, and explain a request from the logs

Callers and operators could not see which upstream answered, and a refusal left several log lines with different fields. The answers of the entry now carry Tanagergap-Upstream and Tanagergap-Failure-Domain from the Admitted event. The entry writes one info line per request with its attempts, the predicted time to the first token, codes, execution and times; the agent writes one per attempt, also for those that finish. tanagergap-ctl explain joins these lines for one request.

--- a/tanagergap-agent/src/main/java/org/tanagergap/agent/attempt/Attempt.java
+++ b/tanagergap-agent/src/main/java/org/tanagergap/agent/attempt/Attempt.java
@@ -1,7 +1,5 @@
 package org.tanagergap.agent.attempt;
 
-import com.codahale.metrics.MetricRegistry;
-import com.google.common.flogger.FluentLogger;
 import io.opentelemetry.api.trace.Span;
 import io.opentelemetry.api.trace.SpanKind;
 import io.opentelemetry.api.trace.StatusCode;
@@ -19,8 +17,6 @@
 import org.tanagergap.protocol.v1.Admitted;
 import org.tanagergap.protocol.v1.RunEvent;
 import org.tanagergap.protocol.v1.RunRequest;
-import org.tanagergap.runtime.log.LogKeys;
-import org.tanagergap.runtime.metrics.MetricName;
 
 /**
  * Attempt from its admission to the release of its reservation. Its caller gets the last event when
@@ -29,8 +25,6 @@
  */
 public abstract class Attempt {
 
-    private static final FluentLogger sLogger = FluentLogger.forEnclosingClass();
-
     private enum Phase {
         QUEUED,
         RUNNING,
@@ -43,17 +37,20 @@
     private final AttemptId mId;
     private final EventSink mSink;
     private final Span mSpan;
+    private final AttemptLog mLog;
     private final long mArrivedNanos;
     private Phase mPhase = Phase.QUEUED;
     private Reservation mReservation = tokens -> {};
     private Timer mDeadlineTimer = () -> {};
     private boolean mHintSent;
     private boolean mReleased;
+    private long mDispatchedNanos;
 
     protected Attempt(AttemptContext context, RunRequest request, EventSink sink) {
         mContext = Objects.requireNonNull(context, "context must not be null");
         mRequest = Objects.requireNonNull(request, "request must not be null");
         mSink = Objects.requireNonNull(sink, "sink must not be null");
+        mLog = new AttemptLog(context, request);
         mId = new AttemptId(request.getAttemptId());
         mArrivedNanos = context.clock().nanoTime();
         mDeadline = Deadline.after(context.clock(), Duration.ofMillis(request.getDeadlineLeftMs()));
@@ -94,6 +91,7 @@
         }
         mPhase = Phase.RUNNING;
         long queuedNanos = mContext.clock().nanoTime() - mArrivedNanos;
+        mDispatchedNanos = mArrivedNanos + queuedNanos;
         mContext.metrics().timer("agent_queue_seconds").update(queuedNanos, TimeUnit.NANOSECONDS);
         sendUpstream();
     }
@@ -104,8 +102,9 @@
             return;
         }
         boolean running = mPhase == Phase.RUNNING;
+        long queuedMillis = queuedMillis();
         end();
-        logFailure(mContext, mRequest, failure);
+        mLog.failed(failure, queuedMillis, elapsedMillis());
         mSpan.setStatus(StatusCode.ERROR, failure.code().wireName());
         RunEvent event = withHint(RunEvent.newBuilder().setFailed(Messages.failed(failure)));
         stopOrRelease(running);
@@ -119,14 +118,14 @@
             return;
         }
         boolean running = mPhase == Phase.RUNNING;
+        long queuedMillis = queuedMillis();
         end();
-        logFailure(
-                mContext,
-                mRequest,
+        RequestFailure cancelled =
                 RequestFailure.of(
                         FailureCode.UPSTREAM_FAILED,
                         running ? knownExecution() : Execution.NOT_RUN,
-                        "caller cancelled the attempt"));
+                        "caller cancelled the attempt");
+        mLog.failed(cancelled, queuedMillis, elapsedMillis());
         mSpan.setStatus(StatusCode.ERROR, "cancelled");
         stopOrRelease(running);
         mSink.end();
@@ -183,8 +182,9 @@
         if (mPhase == Phase.ENDED) {
             return;
         }
+        long queuedMillis = queuedMillis();
         end();
-        countOutcome(mContext.metrics(), "finished");
+        mLog.finished(queuedMillis, elapsedMillis());
         mSink.send(withHint(event));
         mSink.end();
     }
@@ -197,22 +197,13 @@
         }
     }
 
-    /** Writes the log line of a refused or failed attempt and counts it. */
-    static void logFailure(AttemptContext context, RunRequest request, RequestFailure failure) {
-        countOutcome(context.metrics(), failure.code().wireName());
-        sLogger.atInfo()
-                .with(LogKeys.REQUEST_ID, request.getRequestId())
-                .with(LogKeys.ATTEMPT_ID, request.getAttemptId())
-                .with(LogKeys.WORKSPACE, request.getPolicy().getWorkspace())
-                .with(LogKeys.UPSTREAM, context.upstream())
-                .with(LogKeys.CODE, failure.code().wireName())
-                .log(
-                        "attempt failed, %s: %s",
-                        failure.execution().wireName(), failure.getMessage());
+    private long queuedMillis() {
+        long until = mPhase == Phase.QUEUED ? mContext.clock().nanoTime() : mDispatchedNanos;
+        return TimeUnit.NANOSECONDS.toMillis(until - mArrivedNanos);
     }
 
-    private static void countOutcome(MetricRegistry metrics, String outcome) {
-        metrics.counter(MetricName.of("agent_attempts_total", "outcome", outcome)).inc();
+    private long elapsedMillis() {
+        return TimeUnit.NANOSECONDS.toMillis(mContext.clock().nanoTime() - mArrivedNanos);
     }
 
     private void deadlinePassed() {
--- a/tanagergap-agent/src/main/java/org/tanagergap/agent/attempt/AttemptTable.java
+++ b/tanagergap-agent/src/main/java/org/tanagergap/agent/attempt/AttemptTable.java
@@ -250,7 +250,7 @@
     }
 
     private void refuse(RunRequest request, EventSink sink, RequestFailure refusal) {
-        Attempt.logFailure(mContext, request, refusal);
+        new AttemptLog(mContext, request).failed(refusal, 0, 0);
         sink.send(
                 RunEvent.newBuilder()
                         .setAttemptId(request.getAttemptId())
--- a/tanagergap-ctl/src/main/java/org/tanagergap/ctl/CtlProgram.java
+++ b/tanagergap-ctl/src/main/java/org/tanagergap/ctl/CtlProgram.java
@@ -16,6 +16,7 @@
                     .withCommand(ShowCommand.class)
                     .withCommand(DiffCommand.class)
                     .withCommand(StatusCommand.class)
+                    .withCommand(ExplainCommand.class)
                     .withCommand(HashKeyCommand.class)
                     .withCommand(OverviewCommand.class)
                     .build();
--- /dev/null
+++ b/tanagergap-ctl/src/main/java/org/tanagergap/ctl/ExplainCommand.java
@@ -0,0 +1,59 @@
+package org.tanagergap.ctl;
+
+import com.github.rvesse.airline.annotations.Arguments;
+import com.github.rvesse.airline.annotations.Command;
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.InvalidPathException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+
+/** Tells from logs where a request went and why. */
+@Command(
+        name = "explain",
+        description =
+                "Tells from the logs of entries and agents where a request went and why it ended as"
+                        + " it did")
+public final class ExplainCommand extends CtlCommand {
+
+    @Arguments(
+            title = {"REQUEST_ID", "FILE"},
+            description = "Identifier of the request, then log files; - or none for standard input")
+    List<String> mArguments = new ArrayList<>();
+
+    @Override
+    int execute() {
+        if (mArguments.isEmpty()) {
+            throw invalidArgument("REQUEST_ID", "is required; expected a request identifier");
+        }
+        RequestStory story = new RequestStory(mArguments.get(0));
+        List<String> files = mArguments.subList(1, mArguments.size());
+        for (String file : files.isEmpty() ? List.of("-") : files) {
+            read(file, story);
+        }
+        if (story.isEmpty()) {
+            return fail("the logs have no line about request " + mArguments.get(0));
+        }
+        print(story.toJson(), story.toText());
+        return CtlStatus.DONE;
+    }
+
+    private static void read(String file, RequestStory story) {
+        // Logs may hold other bytes than UTF-8; a reader that replaces them goes on.
+        try (BufferedReader reader =
+                new BufferedReader(
+                        new InputStreamReader(
+                                file.equals("-") ? System.in : Files.newInputStream(Path.of(file)),
+                                StandardCharsets.UTF_8))) {
+            for (String line = reader.readLine(); line != null; line = reader.readLine()) {
+                story.add(line);
+            }
+        } catch (IOException | InvalidPathException e) {
+            throw new CallFailedException(file + " could not be read: " + e.getMessage(), e);
+        }
+    }
+}
--- /dev/null
+++ b/tanagergap-ctl/src/main/java/org/tanagergap/ctl/RequestStory.java
@@ -0,0 +1,202 @@
+package org.tanagergap.ctl;
+
+import io.vertx.core.json.DecodeException;
+import io.vertx.core.json.JsonArray;
+import io.vertx.core.json.JsonObject;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/** Log lines about one request, joined in the order of its attempts. */
+final class RequestStory {
+
+    private static final String REQUEST_ID = "request_id";
+    private static final String ATTEMPT_ID = "attempt_id";
+    private static final List<String> REQUEST_FIELDS =
+            List.of(REQUEST_ID, "entry", "workspace", "rank", "service", "tokens");
+    private static final List<String> OUTCOME_FIELDS =
+            List.of(
+                    "time",
+                    "code",
+                    "execution",
+                    "field",
+                    "message",
+                    "attempts",
+                    "first_token_ms",
+                    "duration_ms");
+
+    private final String mId;
+    private final Map<String, JsonObject> mAgentLines = new LinkedHashMap<>();
+    private Optional<JsonObject> mEntryLine = Optional.empty();
+
+    RequestStory(String id) {
+        mId = id;
+    }
+
+    /** Adds a log line; lines about other things and other text are ignored. */
+    void add(String line) {
+        // Most lines concern other requests and need no parsing.
+        if (!line.contains(mId)) {
+            return;
+        }
+        JsonObject json;
+        try {
+            json = new JsonObject(line);
+        } catch (DecodeException e) {
+            return;
+        }
+        if (!mId.equals(json.getValue(REQUEST_ID))) {
+            return;
+        }
+        if (json.getValue("tried") instanceof JsonArray) {
+            mEntryLine = Optional.of(json);
+        } else if (json.containsKey("outcome") && json.containsKey(ATTEMPT_ID)) {
+            mAgentLines.put(text(json, ATTEMPT_ID), json);
+        }
+    }
+
+    boolean isEmpty() {
+        return mEntryLine.isEmpty() && mAgentLines.isEmpty();
+    }
+
+    JsonObject toJson() {
+        JsonObject json = new JsonObject().put(REQUEST_ID, mId);
+        mEntryLine.ifPresent(line -> json.mergeIn(select(line, REQUEST_FIELDS)));
+        json.put("attempts", new JsonArray(attempts()));
+        mEntryLine.ifPresent(line -> json.put("outcome", select(line, OUTCOME_FIELDS)));
+        return json;
+    }
+
+    String toText() {
+        List<String> lines = new ArrayList<>();
+        lines.add("request " + mId);
+        mEntryLine.ifPresentOrElse(
+                line -> lines.add("  " + requestText(line)),
+                () -> lines.add("  the logs have no line of the entry"));
+        List<JsonObject> attempts = attempts();
+        for (int i = 0; i < attempts.size(); i++) {
+            lines.addAll(attemptText(i + 1, attempts.get(i)));
+        }
+        if (attempts.isEmpty()) {
+            lines.add("  no attempt: the entry answered by itself");
+        }
+        mEntryLine.ifPresent(line -> lines.add("  outcome: " + outcomeText(line)));
+        return String.join(System.lineSeparator(), lines);
+    }
+
+    /** Attempts of the entry's line with the agents' lines; those of agents alone come last. */
+    private List<JsonObject> attempts() {
+        List<JsonObject> attempts = new ArrayList<>();
+        Map<String, JsonObject> agents = new LinkedHashMap<>(mAgentLines);
+        mEntryLine.ifPresent(
+                line -> {
+                    for (Object item : line.getJsonArray("tried")) {
+                        if (item instanceof JsonObject attempt) {
+                            JsonObject agent = agents.remove(text(attempt, ATTEMPT_ID));
+                            attempts.add(
+                                    agent == null ? attempt : attempt.copy().put("agent", agent));
+                        }
+                    }
+                });
+        agents.values().stream()
+                .sorted(Comparator.comparing(line -> text(line, "time")))
+                .forEach(
+                        line ->
+                                attempts.add(
+                                        select(
+                                                        line,
+                                                        List.of(
+                                                                ATTEMPT_ID,
+                                                                "upstream",
+                                                                "failure_domain"))
+                                                .put("agent", line)));
+        return attempts;
+    }
+
+    private static String requestText(JsonObject line) {
+        if (text(line, "workspace").isEmpty()) {
+            return "entry " + text(line, "entry") + ", caller not identified";
+        }
+        return "entry "
+                + text(line, "entry")
+                + ", workspace "
+                + text(line, "workspace")
+                + ", rank "
+                + text(line, "rank")
+                + (line.containsKey("service") ? ", service " + text(line, "service") : "")
+                + (line.containsKey("tokens") ? ", about " + text(line, "tokens") + " tokens" : "");
+    }
+
+    private static List<String> attemptText(int number, JsonObject attempt) {
+        List<String> lines = new ArrayList<>();
+        String domain = text(attempt, "failure_domain");
+        lines.add(
+                "  attempt "
+                        + number
+                        + " at "
+                        + text(attempt, "upstream")
+                        + (domain.isEmpty() ? "" : " in " + domain)
+                        + (attempt.containsKey("predicted_ms")
+                                ? ", first token predicted after " + millis(attempt, "predicted_ms")
+                                : ""));
+        if (attempt.containsKey("code")) {
+            lines.add("    entry: " + resultText(attempt, "code", "reason"));
+        }
+        JsonObject agent = attempt.getJsonObject("agent");
+        lines.add(
+                agent == null
+                        ? "    agent: no line in the logs"
+                        : "    agent: " + resultText(agent, "outcome", "message"));
+        return lines;
+    }
+
+    private static String resultText(JsonObject line, String code, String reason) {
+        StringBuilder text = new StringBuilder(text(line, code));
+        if (line.containsKey("execution")) {
+            text.append(", ").append(text(line, "execution"));
+        }
+        if (line.containsKey("queued_ms")) {
+            text.append(", queued ").append(millis(line, "queued_ms"));
+        }
+        if (line.containsKey("duration_ms")) {
+            text.append(", ended after ").append(millis(line, "duration_ms"));
+        }
+        boolean failed = !text(line, code).equals("finished");
+        return failed && line.containsKey(reason)
+                ? text.append(": ").append(text(line, reason)).toString()
+                : text.toString();
+    }
+
+    private static String outcomeText(JsonObject line) {
+        return text(line, "code")
+                + ", "
+                + text(line, "execution")
+                + (line.containsKey("first_token_ms")
+                        ? ", first token after " + millis(line, "first_token_ms")
+                        : "")
+                + ", ended after "
+                + millis(line, "duration_ms")
+                + (line.containsKey("field") ? ", field " + text(line, "field") : "")
+                + (text(line, "code").equals("ok") ? "" : ": " + text(line, "message"));
+    }
+
+    private static String millis(JsonObject json, String name) {
+        return text(json, name) + " ms";
+    }
+
+    private static String text(JsonObject json, String name) {
+        Object value = json.getValue(name);
+        return value == null ? "" : value.toString();
+    }
+
+    private static JsonObject select(JsonObject line, List<String> names) {
+        JsonObject selected = new JsonObject();
+        names.stream()
+                .filter(line::containsKey)
+                .forEach(name -> selected.put(name, line.getValue(name)));
+        return selected;
+    }
+}
--- a/tanagergap-decisions/src/main/java/org/tanagergap/decisions/routing/RequestRouter.java
+++ b/tanagergap-decisions/src/main/java/org/tanagergap/decisions/routing/RequestRouter.java
@@ -3,6 +3,7 @@
 import java.util.Collection;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import org.tanagergap.api.request.AttemptId;
 
 /**
@@ -16,6 +17,14 @@
      */
     void replaceAgents(Collection<AgentEndpoint> agents);
 
+    /**
+     * Time to the first token that was predicted when the agent of an attempt was chosen; absent
+     * after {@link #attemptEnded} and for choices that are not made by prediction.
+     */
+    default OptionalDouble predictedSeconds(AttemptId attempt) {
+        return OptionalDouble.empty();
+    }
+
     /** Agents of the subset that are in use or probed. */
     List<AgentEndpoint> agents();
 
--- /dev/null
+++ b/tanagergap-decisions/src/main/java/org/tanagergap/decisions/routing/SentAttempt.java
@@ -0,0 +1,11 @@
+package org.tanagergap.decisions.routing;
+
+import java.util.OptionalDouble;
+
+/**
+ * Attempt that was sent to an agent and has not ended.
+ *
+ * @param agent agent that was chosen
+ * @param predictedSeconds predicted time to the first token, without the attempt's own load
+ */
+record SentAttempt(AgentState agent, OptionalDouble predictedSeconds) {}
--- a/tanagergap-decisions/src/main/java/org/tanagergap/decisions/routing/SubsetRequestRouter.java
+++ b/tanagergap-decisions/src/main/java/org/tanagergap/decisions/routing/SubsetRequestRouter.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Consumer;
@@ -29,7 +30,7 @@
     private final AgentPool mPool;
     private final FirstTokenPrediction mPrediction;
     private final PrefixAffinity mAffinity = new PrefixAffinity();
-    private final Map<AttemptId, AgentState> mAttempts = new HashMap<>();
+    private final Map<AttemptId, SentAttempt> mAttempts = new HashMap<>();
 
     public SubsetRequestRouter(
             RuntimeClock clock, RouterSettings settings, RandomGenerator random) {
@@ -93,13 +94,22 @@
         update(agent, AgentState::connectionSucceeded);
     }
 
+    @Override
+    public OptionalDouble predictedSeconds(AttemptId attempt) {
+        return mLock.call(
+                () -> {
+                    SentAttempt sent = mAttempts.get(attempt);
+                    return sent == null ? OptionalDouble.empty() : sent.predictedSeconds();
+                });
+    }
+
     @Override
     public void attemptEnded(AttemptId attempt) {
         mLock.run(
                 () -> {
-                    AgentState agent = mAttempts.remove(attempt);
-                    if (agent != null) {
-                        agent.attemptEnded(attempt);
+                    SentAttempt sent = mAttempts.remove(attempt);
+                    if (sent != null) {
+                        sent.agent().attemptEnded(attempt);
                     }
                 });
     }
@@ -199,11 +209,7 @@
             if (!isAllowed(agent, request) || !isLargeEnough(agent, request)) {
                 continue;
             }
-            boolean holdsPrefix =
-                    request.prefixHash()
-                            .map(hash -> mAffinity.holds(agent.name(), hash, now))
-                            .orElse(false);
-            double seconds = mPrediction.seconds(agent, request, holdsPrefix, now);
+            double seconds = predict(agent, request, now);
             if (seconds < lowest) {
                 lowest = seconds;
                 best = agent;
@@ -212,6 +218,14 @@
         return Optional.ofNullable(best);
     }
 
+    private double predict(AgentState agent, RoutingRequest request, long now) {
+        boolean holdsPrefix =
+                request.prefixHash()
+                        .map(hash -> mAffinity.holds(agent.name(), hash, now))
+                        .orElse(false);
+        return mPrediction.seconds(agent, request, holdsPrefix, now);
+    }
+
     private Optional<AgentState> byAffinityKey(RoutingRequest request, String key) {
         return mPool.usable(request.service()).stream()
                 .filter(agent -> isAllowed(agent, request))
@@ -233,9 +247,13 @@
     }
 
     private void count(RoutingRequest request, AgentState agent, long now) {
-        AgentState before = mAttempts.put(request.attemptId(), agent);
+        OptionalDouble predicted =
+                request.affinityKey().isPresent()
+                        ? OptionalDouble.empty()
+                        : OptionalDouble.of(predict(agent, request, now));
+        SentAttempt before = mAttempts.put(request.attemptId(), new SentAttempt(agent, predicted));
         if (before != null) {
-            before.attemptEnded(request.attemptId());
+            before.agent().attemptEnded(request.attemptId());
         }
         agent.attemptSent(request.attemptId(), request.cost(), now);
         request.prefixHash().ifPresent(hash -> mAffinity.chosen(hash, agent.name(), now));
--- a/tanagergap-entry/src/main/java/org/tanagergap/entry/EntryStatus.java
+++ b/tanagergap-entry/src/main/java/org/tanagergap/entry/EntryStatus.java
@@ -33,6 +33,7 @@
         return new JsonObject()
                 .put("program", "tanagergap-entry")
                 .put("id", mSettings.id())
+                .put("name", mSettings.id())
                 .put("failure_domain", mSettings.failureDomain())
                 .put("ready", ready)
                 .put("configuration_version", mView.current().version())
--- a/tanagergap-entry/src/main/java/org/tanagergap/entry/caller/CallerCall.java
+++ b/tanagergap-entry/src/main/java/org/tanagergap/entry/caller/CallerCall.java
@@ -1,23 +1,22 @@
 package org.tanagergap.entry.caller;
 
-import com.google.common.flogger.FluentLogger;
 import io.opentelemetry.api.trace.Span;
 import io.opentelemetry.api.trace.StatusCode;
 import io.vertx.core.http.HttpServerResponse;
 import io.vertx.ext.web.RoutingContext;
 import java.time.Duration;
+import java.util.concurrent.TimeUnit;
 import org.tanagergap.api.failure.RequestFailure;
 import org.tanagergap.api.request.LengthBand;
 import org.tanagergap.api.request.RequestId;
+import org.tanagergap.entry.execution.AttemptTrace;
 import org.tanagergap.entry.execution.CallerRequest;
 import org.tanagergap.entry.execution.Work;
-import org.tanagergap.runtime.log.LogKeys;
+import org.tanagergap.protocol.v1.Admitted;
 
 /** One call on the caller port, from its head to its end. Confined to one event loop. */
 final class CallerCall {
 
-    private static final FluentLogger sLogger = FluentLogger.forEnclosingClass();
-
     private static final String NO_RANK = "none";
     private static final long MILLIS_PER_SECOND = 1_000;
 
@@ -26,18 +25,20 @@
     private final RequestId mId;
     private final Span mSpan;
     private final long mStartNanos;
+    private final RequestLog mLog;
     private CallerPolicy mPolicy;
     private long mReservedBytes;
     private Runnable mDisconnectTask = () -> {};
     private boolean mDisconnected;
     private boolean mEnded;
 
-    CallerCall(CallerShared shared, RoutingContext context, RequestId id, Span span) {
+    CallerCall(CallerShared shared, RoutingContext context, RequestId id, String entry, Span span) {
         mShared = shared;
         mContext = context;
         mId = id;
         mSpan = span;
         mStartNanos = shared.clock().nanoTime();
+        mLog = new RequestLog(id, entry);
         mSpan.setAttribute("request_id", id.value());
         response().putHeader(CallerHeaders.REQUEST_ID, id.value());
         response().closeHandler(ignored -> connectionClosed());
@@ -70,13 +71,17 @@
 
     void selectPolicy(CallerPolicy policy) {
         mPolicy = policy;
+        mLog.policy(policy);
         mSpan.setAttribute("workspace", policy.workspace().name());
         mSpan.setAttribute("rank", policy.rank().name());
     }
 
     /** Request for the executor. */
     CallerRequest request(String service, Work work) {
-        return new CallerRequest(mId, service, mPolicy.stamp(), mPolicy.deadline(), work, mSpan);
+        CallerRequest request =
+                new CallerRequest(mId, service, mPolicy.stamp(), mPolicy.deadline(), work, mSpan);
+        mLog.request(request);
+        return request;
     }
 
     /** Counts bytes of the body as in flight until the call ends; false over the bound. */
@@ -96,14 +101,31 @@
         }
     }
 
+    void attemptStarted(AttemptTrace trace) {
+        mLog.attempt(trace);
+    }
+
+    /** Names the upstream in the answer's headers, unless they have been sent. */
+    void admitted(Admitted admitted) {
+        if (mEnded || mDisconnected || response().headWritten()) {
+            return;
+        }
+        setHeader(CallerHeaders.UPSTREAM, admitted.getUpstream());
+        setHeader(CallerHeaders.FAILURE_DOMAIN, admitted.getFailureDomain());
+    }
+
     void firstToken(LengthBand band) {
         Duration time = Duration.ofNanos(mShared.clock().nanoTime() - mStartNanos);
         mShared.metrics().firstToken(rank(), band, time);
+        mLog.firstToken(time.toMillis());
         mSpan.addEvent("first_token");
     }
 
     /** Ends the call after a complete answer. */
     void succeeded() {
+        if (!mEnded) {
+            mLog.succeeded("ok", elapsedMillis());
+        }
         end("ok", StatusCode.OK);
     }
 
@@ -129,21 +151,15 @@
         if (mEnded) {
             return;
         }
-        sLogger.atInfo()
-                .with(LogKeys.REQUEST_ID, mId.value())
-                .with(LogKeys.WORKSPACE, mPolicy == null ? "" : mPolicy.workspace().name())
-                .with(LogKeys.CODE, failure.code().wireName())
-                .withCause(failure.getCause())
-                .log(
-                        "request failed: %s; execution %s; field %s",
-                        failure.getMessage(),
-                        failure.execution().wireName(),
-                        failure.field().orElse("none"));
+        mLog.failed(failure, elapsedMillis());
         end(failure.code().wireName(), StatusCode.ERROR);
     }
 
     /** Ends the call of a caller that has disconnected. */
     void abandoned() {
+        if (!mEnded) {
+            mLog.abandoned("caller_disconnected", elapsedMillis());
+        }
         end("caller_disconnected", StatusCode.ERROR);
     }
 
@@ -167,6 +183,17 @@
         mShared.requestsInFlight().end();
     }
 
+    private long elapsedMillis() {
+        return TimeUnit.NANOSECONDS.toMillis(mShared.clock().nanoTime() - mStartNanos);
+    }
+
+    private void setHeader(String name, String value) {
+        // Agents of a version without these fields leave them empty.
+        if (!value.isEmpty()) {
+            response().putHeader(name, value);
+        }
+    }
+
     private String rank() {
         return mPolicy == null ? NO_RANK : mPolicy.rank().name();
     }
--- a/tanagergap-entry/src/main/java/org/tanagergap/entry/caller/CallerServer.java
+++ b/tanagergap-entry/src/main/java/org/tanagergap/entry/caller/CallerServer.java
@@ -86,7 +86,7 @@
             refuseDuringShutdown(context, span);
             return;
         }
-        CallerCall call = new CallerCall(mShared, context, mIds.next(), span);
+        CallerCall call = new CallerCall(mShared, context, mIds.next(), mIds.entryId(), span);
         call.onDisconnect(call::abandoned);
         try {
             call.selectPolicy(mPolicies.read(context.request()));
@@ -107,7 +107,7 @@
                 RequestFailure.notRun(FailureCode.UNAVAILABLE, "the entry is shutting down");
         mShared.metrics().requestEnded("none", failure.code().wireName());
         var id = mIds.next();
-        sLogger.atInfo().log("request %s refused: %s", id, failure.getMessage());
+        new RequestLog(id, mIds.entryId()).failed(failure, 0);
         span.end();
         // HTTP/2 has no such header; its connections are told by the server's shutdown.
         if (context.request().version() != HttpVersion.HTTP_2) {
--- a/tanagergap-entry/src/main/java/org/tanagergap/entry/caller/CompletionAnswer.java
+++ b/tanagergap-entry/src/main/java/org/tanagergap/entry/caller/CompletionAnswer.java
@@ -5,6 +5,8 @@
 import org.tanagergap.api.failure.RequestFailure;
 import org.tanagergap.api.request.LengthBand;
 import org.tanagergap.entry.execution.AnswerSink;
+import org.tanagergap.entry.execution.AttemptTrace;
+import org.tanagergap.protocol.v1.Admitted;
 import org.tanagergap.protocol.v1.Finished;
 
 /** Sends a completion to its caller, as a stream of events or as one JSON document. */
@@ -36,6 +38,16 @@
         mPromptTokens = promptTokens;
     }
 
+    @Override
+    public void attemptStarted(AttemptTrace trace) {
+        mCall.attemptStarted(trace);
+    }
+
+    @Override
+    public void admitted(Admitted admitted) {
+        mCall.admitted(admitted);
+    }
+
     @Override
     public void token(String text) {
         if (!mStarted) {
--- a/tanagergap-entry/src/main/java/org/tanagergap/entry/caller/PlainAnswer.java
+++ b/tanagergap-entry/src/main/java/org/tanagergap/entry/caller/PlainAnswer.java
@@ -4,6 +4,8 @@
 import io.vertx.core.http.HttpServerResponse;
 import org.tanagergap.api.failure.RequestFailure;
 import org.tanagergap.entry.execution.AnswerSink;
+import org.tanagergap.entry.execution.AttemptTrace;
+import org.tanagergap.protocol.v1.Admitted;
 import org.tanagergap.protocol.v1.Finished;
 import org.tanagergap.protocol.v1.ResponseHead;
 
@@ -22,6 +24,16 @@
         mCall = call;
     }
 
+    @Override
+    public void attemptStarted(AttemptTrace trace) {
+        mCall.attemptStarted(trace);
+    }
+
+    @Override
+    public void admitted(Admitted admitted) {
+        mCall.admitted(admitted);
+    }
+
     @Override
     public void head(ResponseHead head) {
         if (mStarted || mCall.isDisconnected()) {
--- a/tanagergap-entry/src/main/java/org/tanagergap/entry/execution/AnswerSink.java
+++ b/tanagergap-entry/src/main/java/org/tanagergap/entry/execution/AnswerSink.java
@@ -2,12 +2,19 @@
 
 import io.vertx.core.buffer.Buffer;
 import org.tanagergap.api.failure.RequestFailure;
+import org.tanagergap.protocol.v1.Admitted;
 import org.tanagergap.protocol.v1.Finished;
 import org.tanagergap.protocol.v1.ResponseHead;
 
 /** Receives the answer to one request, on the request's event loop. */
 public interface AnswerSink {
 
+    /** Receives the record of an attempt when it starts; the attempt keeps it up to date. */
+    default void attemptStarted(AttemptTrace trace) {}
+
+    /** An upstream admitted the request; called again when another attempt is admitted. */
+    default void admitted(Admitted admitted) {}
+
     /** Receives the next token of a completion. */
     default void token(String text) {}
 
--- a/tanagergap-entry/src/main/java/org/tanagergap/entry/execution/Attempt.java
+++ b/tanagergap-entry/src/main/java/org/tanagergap/entry/execution/Attempt.java
@@ -9,6 +9,7 @@
 import io.vertx.grpc.client.GrpcClientResponse;
 import io.vertx.grpc.common.GrpcStatus;
 import java.time.Duration;
+import java.util.concurrent.TimeUnit;
 import org.tanagergap.api.failure.Execution;
 import org.tanagergap.api.failure.FailureCode;
 import org.tanagergap.api.failure.RequestFailure;
@@ -39,6 +40,8 @@
     private final AttemptListener mListener;
     private final EventChecker mChecker;
     private final Span mSpan;
+    private final AttemptTrace mTrace;
+    private final long mStartNanos;
 
     private GrpcClientRequest<RunRequest, RunEvent> mCall;
     private GrpcClientResponse<RunRequest, RunEvent> mStream;
@@ -56,12 +59,15 @@
             AttemptId id,
             AgentEndpoint agent,
             long firstIndex,
+            AttemptTrace trace,
             AttemptListener listener) {
         mShared = shared;
         mEventLoop = eventLoop;
         mRequest = request;
         mId = id;
         mAgent = agent;
+        mTrace = trace;
+        mStartNanos = shared.clock().nanoTime();
         mListener = listener;
         mChecker = new EventChecker(id, firstIndex);
         mSpan = shared.tracing().startChild("attempt", SpanKind.CLIENT, request.span());
@@ -197,11 +203,13 @@
             }
             case FINISHED -> {
                 mExecution = Execution.RAN;
+                mTrace.finished(elapsedMillis());
                 awaitStreamEnd();
                 end(StatusCode.OK);
                 mListener.event(this, event);
             }
             case ADMITTED -> {
+                mTrace.admitted(event.getAdmitted());
                 armStallTimer();
                 mListener.event(this, event);
             }
@@ -279,6 +287,7 @@
 
     private void fail(RequestFailure failure) {
         mExecution = failure.execution();
+        mTrace.failed(failure, elapsedMillis());
         end(StatusCode.ERROR);
         sLogger.atFine()
                 .with(LogKeys.REQUEST_ID, mRequest.id().value())
@@ -290,6 +299,10 @@
         mListener.failed(this, failure);
     }
 
+    private long elapsedMillis() {
+        return TimeUnit.NANOSECONDS.toMillis(mShared.clock().nanoTime() - mStartNanos);
+    }
+
     private void end(StatusCode status) {
         mEnded = true;
         mStallTimer.cancel();
--- /dev/null
+++ b/tanagergap-entry/src/main/java/org/tanagergap/entry/execution/AttemptTrace.java
@@ -0,0 +1,54 @@
+package org.tanagergap.entry.execution;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.OptionalDouble;
+import org.tanagergap.api.failure.Execution;
+import org.tanagergap.api.failure.RequestFailure;
+import org.tanagergap.api.request.AttemptId;
+import org.tanagergap.protocol.v1.Admitted;
+
+/**
+ * What happened to one attempt, for the log line of its request. Confined to the request's event
+ * loop.
+ */
+public final class AttemptTrace {
+
+    private static final double MILLIS_PER_SECOND = 1_000;
+
+    /** Code of an attempt that had not ended when its request did. */
+    private static final String CANCELLED = "cancelled";
+
+    private final Map<String, Object> mFields = new LinkedHashMap<>();
+
+    AttemptTrace(AttemptId id, String upstream, String failureDomain, OptionalDouble predicted) {
+        mFields.put("attempt_id", id.value());
+        mFields.put("upstream", upstream);
+        mFields.put("failure_domain", failureDomain);
+        predicted.ifPresent(
+                seconds -> mFields.put("predicted_ms", Math.round(seconds * MILLIS_PER_SECOND)));
+        mFields.put("code", CANCELLED);
+    }
+
+    /** Fields of the attempt as they are now. */
+    public Map<String, Object> fields() {
+        return new LinkedHashMap<>(mFields);
+    }
+
+    void admitted(Admitted admitted) {
+        mFields.put("queued_ms", admitted.getQueuedMs());
+    }
+
+    void finished(long durationMillis) {
+        mFields.put("code", "finished");
+        mFields.put("execution", Execution.RAN.wireName());
+        mFields.put("duration_ms", durationMillis);
+    }
+
+    void failed(RequestFailure failure, long durationMillis) {
+        mFields.put("code", failure.code().wireName());
+        mFields.put("execution", failure.execution().wireName());
+        mFields.put("reason", failure.getMessage());
+        mFields.put("duration_ms", durationMillis);
+    }
+}
--- a/tanagergap-entry/src/main/java/org/tanagergap/entry/execution/RequestRun.java
+++ b/tanagergap-entry/src/main/java/org/tanagergap/entry/execution/RequestRun.java
@@ -5,6 +5,7 @@
 import java.time.Duration;
 import java.util.HashSet;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.Set;
 import org.tanagergap.api.failure.Execution;
 import org.tanagergap.api.failure.FailureCode;
@@ -22,6 +23,9 @@
     /** Time after which a request that found no agent may be repeated. */
     private static final Duration NO_AGENT_RETRY_AFTER = Duration.ofMillis(500);
 
+    /** Stands for the upstream of an attempt that failed while several were being reserved. */
+    private static final String SPAN_UPSTREAM = "several";
+
     private final ExecutorContext mShared;
     private final CallerRequest mRequest;
     private final AnswerSink mSink;
@@ -70,6 +74,7 @@
             return;
         }
         switch (event.getEventCase()) {
+            case ADMITTED -> mSink.admitted(event.getAdmitted());
             case TOKEN -> token(event.getToken().getText());
             case HEAD -> {
                 mHeadSent = true;
@@ -110,6 +115,10 @@
     @Override
     public void spanFailed(RequestFailure failure) {
         if (!mEnded) {
+            AttemptTrace trace =
+                    new AttemptTrace(mAttemptId, SPAN_UPSTREAM, "", OptionalDouble.empty());
+            mSink.attemptStarted(trace);
+            trace.failed(failure, mSpan == null ? 0 : mSpan.elapsedMillis());
             attemptFailed(failure);
         }
     }
@@ -160,7 +169,16 @@
 
     private void startAttempt(
             AgentEndpoint agent, CallerRequest request, SpanReservation reservation) {
-        mCurrent = new Attempt(mShared, mEventLoop, request, mAttemptId, agent, mNextIndex, this);
+        AttemptTrace trace =
+                new AttemptTrace(
+                        mAttemptId,
+                        agent.name(),
+                        agent.failureDomain(),
+                        mShared.router().predictedSeconds(mAttemptId));
+        mSink.attemptStarted(trace);
+        mCurrent =
+                new Attempt(
+                        mShared, mEventLoop, request, mAttemptId, agent, mNextIndex, trace, this);
         mCurrent.start(new Resumption(mNextIndex, mText.toString()), reservation);
         if (mWaitingForDrain) {
             mCurrent.pause();
--- a/tanagergap-entry/src/main/java/org/tanagergap/entry/execution/SpanSession.java
+++ b/tanagergap-entry/src/main/java/org/tanagergap/entry/execution/SpanSession.java
@@ -55,6 +55,7 @@
     private final SpanPlanner mPlanner = new SpanPlanner();
     private final Map<String, HoldReply> mHolds = new HashMap<>();
     private final List<SegmentHandle> mHandles = new ArrayList<>();
+    private final long mStartNanos;
 
     private List<SpanSegment> mSegments = List.of();
     private Map<String, AgentEndpoint> mAgents = Map.of();
@@ -72,6 +73,7 @@
             AttemptId attempt,
             SpanListener listener) {
         mShared = shared;
+        mStartNanos = shared.clock().nanoTime();
         mEventLoop = eventLoop;
         mRequest = request;
         mWork = work;
@@ -160,6 +162,11 @@
                 .timeout(HOLD_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
     }
 
+    /** Time since the session was created. */
+    long elapsedMillis() {
+        return TimeUnit.NANOSECONDS.toMillis(mShared.clock().nanoTime() - mStartNanos);
+    }
+
     private void holdAnswered(int index, HoldReply reply) {
         if (mClosed) {
             // The hold may have arrived after its release.
--- a/tanagergap-runtime/src/main/java/org/tanagergap/runtime/log/JsonLogFormatter.java
+++ b/tanagergap-runtime/src/main/java/org/tanagergap/runtime/log/JsonLogFormatter.java
@@ -53,11 +53,18 @@
         for (int i = 0; i < metadata.size(); i++) {
             String label = metadata.getKey(i).getLabel();
             if (!label.equals("cause")) {
-                fields.put(label, metadata.getValue(i).toString());
+                fields.put(label, jsonValue(metadata.getValue(i)));
             }
         }
     }
 
+    private static Object jsonValue(Object value) {
+        if (value instanceof LogItems list) {
+            return list.items();
+        }
+        return value instanceof Number ? value : value.toString();
+    }
+
     private static String stackTrace(Throwable thrown) {
         StringWriter text = new StringWriter();
         thrown.printStackTrace(new PrintWriter(text));
--- a/tanagergap-runtime/src/main/java/org/tanagergap/runtime/log/LogKeys.java
+++ b/tanagergap-runtime/src/main/java/org/tanagergap/runtime/log/LogKeys.java
@@ -21,5 +21,44 @@
     /** Failure code of a refused or failed request. */
     public static final MetadataKey<String> CODE = MetadataKey.single("code", String.class);
 
+    public static final MetadataKey<String> FAILURE_DOMAIN =
+            MetadataKey.single("failure_domain", String.class);
+
+    /** Identifier of the entry that accepted the request. */
+    public static final MetadataKey<String> ENTRY = MetadataKey.single("entry", String.class);
+
+    public static final MetadataKey<String> RANK = MetadataKey.single("rank", String.class);
+
+    public static final MetadataKey<String> SERVICE = MetadataKey.single("service", String.class);
+
+    /** Estimated tokens of the prompt. */
+    public static final MetadataKey<Long> TOKENS = MetadataKey.single("tokens", Long.class);
+
+    /** Number of attempts of a finished request. */
+    public static final MetadataKey<Integer> ATTEMPTS =
+            MetadataKey.single("attempts", Integer.class);
+
+    /** Upstreams that a request was sent to, in order, with the result of each. */
+    public static final MetadataKey<LogItems> TRIED = MetadataKey.single("tried", LogItems.class);
+
+    public static final MetadataKey<Long> FIRST_TOKEN_MS =
+            MetadataKey.single("first_token_ms", Long.class);
+
+    /** Time that an attempt waited in the agent's queue. */
+    public static final MetadataKey<Long> QUEUED_MS = MetadataKey.single("queued_ms", Long.class);
+
+    public static final MetadataKey<Long> DURATION_MS =
+            MetadataKey.single("duration_ms", Long.class);
+
+    /** Result of an attempt: {@code finished} or a failure code. */
+    public static final MetadataKey<String> OUTCOME = MetadataKey.single("outcome", String.class);
+
+    /** What is known about execution: {@code not_run}, {@code ran} or {@code unknown}. */
+    public static final MetadataKey<String> EXECUTION =
+            MetadataKey.single("execution", String.class);
+
+    /** Header or JSON pointer that a refusal is about. */
+    public static final MetadataKey<String> FIELD = MetadataKey.single("field", String.class);
+
     private LogKeys() {}
 }
