--- a/tanagergap-console/src/main/resources/org/tanagergap/console/web/console.js
+++ b/tanagergap-console/src/main/resources/org/tanagergap/console/web/console.js
@@ -82,6 +82,7 @@
   byId('sign-in').hidden = true;
   byId('editor').hidden = false;
   byId('sign-out').hidden = false;
+  refreshStatus().catch(report);
 }
 
 async function validate() {
--- a/tanagergap-console/src/main/resources/org/tanagergap/console/web/forms.js
+++ b/tanagergap-console/src/main/resources/org/tanagergap/console/web/forms.js
@@ -141,6 +141,8 @@
       value: item[spec.name] === undefined ? '' : String(item[spec.name]),
     });
     input.addEventListener('input', () => {
+      // The finding was about the text before this edit.
+      input.removeAttribute('aria-invalid');
       const text = input.value.trim();
       // Text that is not a number is kept, so that validation reports it at this field.
       item[spec.name] = number && /^-?\d+$/.test(text) ? Number(text) : text;
--- a/tanagergap-ctl/src/main/java/org/tanagergap/ctl/RequestStory.java
+++ b/tanagergap-ctl/src/main/java/org/tanagergap/ctl/RequestStory.java
@@ -127,7 +127,9 @@
                 + ", rank "
                 + text(line, "rank")
                 + (line.containsKey("service") ? ", service " + text(line, "service") : "")
-                + (line.containsKey("tokens") ? ", about " + text(line, "tokens") + " tokens" : "");
+                + (line.getLong("tokens", 0L) > 0
+                        ? ", about " + text(line, "tokens") + " tokens"
+                        : "");
     }
 
     private static List<String> attemptText(int number, JsonObject attempt) {
--- a/tanagergap-entry/src/main/java/org/tanagergap/entry/configuration/ConfigurationView.java
+++ b/tanagergap-entry/src/main/java/org/tanagergap/entry/configuration/ConfigurationView.java
@@ -19,6 +19,7 @@
     private final OrderedLock mLock = new OrderedLock(LockRank.CONFIGURATION_VIEW);
     private final List<Consumer<ConfigurationSnapshot>> mListeners = new CopyOnWriteArrayList<>();
     private volatile ConfigurationSnapshot mSnapshot = ConfigurationSnapshot.EMPTY;
+    private volatile boolean mPresent;
 
     public ConfigurationView(DocumentReader reader) {
         mReader = Objects.requireNonNull(reader, "reader must not be null");
@@ -29,9 +30,12 @@
         return mSnapshot;
     }
 
-    /** Whether any configuration has arrived. */
+    /**
+     * Whether a configuration has arrived and its listeners have seen it; before that, no agent is
+     * known and every request would be refused.
+     */
     public boolean isPresent() {
-        return mSnapshot.version() > 0;
+        return mPresent;
     }
 
     /** Adds a listener that is called after each change, without the view's lock. */
@@ -66,6 +70,7 @@
         if (applied) {
             sLogger.atInfo().log("configuration version %d is in effect", next.version());
             mListeners.forEach(listener -> listener.accept(next));
+            mPresent = true;
         }
     }
 }
--- a/tanagergap-runtime/src/main/java/org/tanagergap/runtime/status/ProcessStatus.java
+++ b/tanagergap-runtime/src/main/java/org/tanagergap/runtime/status/ProcessStatus.java
@@ -9,8 +9,8 @@
  * Answer of one process, or why there is none.
  *
  * @param address address of the admin server
- * @param name name of the process; empty without an answer
- * @param program name of the program; empty without an answer
+ * @param name name of the process; empty when it never answered
+ * @param program name of the program; empty when it never answered
  * @param version configuration version in effect; present exactly when there is no failure
  * @param failure why there is no version
  * @param detail explanation of the failure
@@ -31,6 +31,12 @@
         return new ProcessStatus(address, "", "", OptionalLong.empty(), Optional.of(state), detail);
     }
 
+    /** Copy with the name and program of an earlier answer. */
+    ProcessStatus withNameOf(ProcessStatus earlier) {
+        return new ProcessStatus(
+                address, earlier.name(), earlier.program(), version, failure, detail);
+    }
+
     /** State of the process when the given version should be in effect. */
     public ProcessState state(long target) {
         return failure.orElseGet(
--- a/tanagergap-runtime/src/main/java/org/tanagergap/runtime/status/ProcessStatusClient.java
+++ b/tanagergap-runtime/src/main/java/org/tanagergap/runtime/status/ProcessStatusClient.java
@@ -11,10 +11,12 @@
 import java.net.ConnectException;
 import java.time.Duration;
 import java.util.List;
+import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import org.tanagergap.runtime.async.Futures;
@@ -28,6 +30,9 @@
     private final WebClient mClient;
     private final Duration mTimeout;
 
+    /** Last answer of each process, which names it while it does not answer. */
+    private final Map<HostPort, ProcessStatus> mLastAnswers = new ConcurrentHashMap<>();
+
     /**
      * Creates a client.
      *
@@ -53,7 +58,8 @@
                 .send()
                 .timeout(mTimeout.toMillis(), TimeUnit.MILLISECONDS)
                 .map(response -> status(address, response))
-                .otherwise(failure -> failed(address, failure));
+                .otherwise(failure -> failed(address, failure))
+                .map(this::named);
     }
 
     private ProcessStatus failed(HostPort address, Throwable failure) {
@@ -67,6 +73,15 @@
                 address, ProcessState.UNREACHABLE, String.valueOf(failure.getMessage()));
     }
 
+    private ProcessStatus named(ProcessStatus status) {
+        if (status.version().isPresent()) {
+            mLastAnswers.put(status.address(), status);
+            return status;
+        }
+        ProcessStatus last = mLastAnswers.get(status.address());
+        return last == null ? status : status.withNameOf(last);
+    }
+
     private static ProcessStatus status(HostPort address, HttpResponse<Buffer> response) {
         if (response.statusCode() != HTTP_OK) {
             return invalid(address, "HTTP status " + response.statusCode());
--- /dev/null
+++ b/tanagergap-runtime/src/test/java/org/tanagergap/runtime/status/ProcessStatusClientTests.java
@@ -0,0 +1,48 @@
+package org.tanagergap.runtime.status;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpServer;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.tanagergap.runtime.settings.HostPort;
+
+class ProcessStatusClientTests {
+
+    private final Vertx mVertx = Vertx.vertx();
+
+    @AfterEach
+    void closeVertx() {
+        mVertx.close().await();
+    }
+
+    /** An operator must see which process is frozen, and not only its address. */
+    @Test
+    void aFrozenProcessKeepsTheNameOfItsLastAnswer() {
+        AtomicBoolean frozen = new AtomicBoolean();
+        HttpServer server =
+                mVertx.createHttpServer()
+                        .requestHandler(
+                                request -> {
+                                    if (!frozen.get()) {
+                                        request.response()
+                                                .end(
+                                                        "{\"name\":\"entry-2\",\"program\":\"p\","
+                                                                + "\"configuration_version\":3}");
+                                    }
+                                })
+                        .listen(0, "127.0.0.1")
+                        .await();
+        List<HostPort> address = List.of(new HostPort("127.0.0.1", server.actualPort()));
+        ProcessStatusClient client = new ProcessStatusClient(mVertx, Duration.ofMillis(500));
+        assertThat(client.read(address).join().get(0).state(3)).isEqualTo(ProcessState.IN_EFFECT);
+        frozen.set(true);
+        ProcessStatus status = client.read(address).join().get(0);
+        assertThat(status.state(3)).isEqualTo(ProcessState.FROZEN);
+        assertThat(status.name()).isEqualTo("entry-2");
+    }
+}
