--- a/tanagergap-ctl/src/main/java/org/tanagergap/ctl/CtlProgram.java
+++ b/tanagergap-ctl/src/main/java/org/tanagergap/ctl/CtlProgram.java
@@ -17,6 +17,7 @@
                     .withCommand(DiffCommand.class)
                     .withCommand(StatusCommand.class)
                     .withCommand(ExplainCommand.class)
+                    .withCommand(CompletionCommand.class)
                     .withCommand(HashKeyCommand.class)
                     .withCommand(OverviewCommand.class)
                     .build();
--- a/tanagergap-ctl/src/main/java/org/tanagergap/ctl/DiffCommand.java
+++ b/tanagergap-ctl/src/main/java/org/tanagergap/ctl/DiffCommand.java
@@ -2,6 +2,8 @@
 
 import com.github.rvesse.airline.annotations.Arguments;
 import com.github.rvesse.airline.annotations.Command;
+import com.github.rvesse.airline.annotations.help.bash.BashCompletion;
+import com.github.rvesse.airline.help.cli.bash.CompletionBehaviour;
 import io.vertx.core.json.JsonObject;
 import java.util.List;
 import java.util.Optional;
@@ -15,6 +17,7 @@
 @Command(name = "diff", description = "Lists what a document changes in the accepted one")
 public final class DiffCommand extends CtlCommand {
 
+    @BashCompletion(behaviour = CompletionBehaviour.FILENAMES)
     @Arguments(title = "FILE", description = "Document to compare, or - for standard input")
     String mFile;
 
--- a/tanagergap-ctl/src/main/java/org/tanagergap/ctl/ExplainCommand.java
+++ b/tanagergap-ctl/src/main/java/org/tanagergap/ctl/ExplainCommand.java
@@ -2,6 +2,8 @@
 
 import com.github.rvesse.airline.annotations.Arguments;
 import com.github.rvesse.airline.annotations.Command;
+import com.github.rvesse.airline.annotations.help.bash.BashCompletion;
+import com.github.rvesse.airline.help.cli.bash.CompletionBehaviour;
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.InputStreamReader;
@@ -20,6 +22,7 @@
                         + " it did")
 public final class ExplainCommand extends CtlCommand {
 
+    @BashCompletion(behaviour = CompletionBehaviour.FILENAMES)
     @Arguments(
             title = {"REQUEST_ID", "FILE"},
             description = "Identifier of the request, then log files; - or none for standard input")
--- a/tanagergap-ctl/src/main/java/org/tanagergap/ctl/SubmitCommand.java
+++ b/tanagergap-ctl/src/main/java/org/tanagergap/ctl/SubmitCommand.java
@@ -3,6 +3,8 @@
 import com.github.rvesse.airline.annotations.Arguments;
 import com.github.rvesse.airline.annotations.Command;
 import com.github.rvesse.airline.annotations.Option;
+import com.github.rvesse.airline.annotations.help.bash.BashCompletion;
+import com.github.rvesse.airline.help.cli.bash.CompletionBehaviour;
 import java.util.Optional;
 import java.util.UUID;
 import org.tanagergap.document.ConfigurationDocument;
@@ -14,6 +16,7 @@
 @Command(name = "submit", description = "Submits a document")
 public final class SubmitCommand extends CtlCommand {
 
+    @BashCompletion(behaviour = CompletionBehaviour.FILENAMES)
     @Arguments(title = "FILE", description = "Document to submit, or - for standard input")
     String mFile;
 
--- a/tanagergap-ctl/src/main/java/org/tanagergap/ctl/ValidateCommand.java
+++ b/tanagergap-ctl/src/main/java/org/tanagergap/ctl/ValidateCommand.java
@@ -2,6 +2,8 @@
 
 import com.github.rvesse.airline.annotations.Arguments;
 import com.github.rvesse.airline.annotations.Command;
+import com.github.rvesse.airline.annotations.help.bash.BashCompletion;
+import com.github.rvesse.airline.help.cli.bash.CompletionBehaviour;
 import io.vertx.core.json.JsonObject;
 import org.tanagergap.api.configuration.Configuration;
 import org.tanagergap.document.ConfigurationDocument;
@@ -10,6 +12,7 @@
 @Command(name = "validate", description = "Checks a document and lists every finding")
 public final class ValidateCommand extends CtlCommand {
 
+    @BashCompletion(behaviour = CompletionBehaviour.FILENAMES)
     @Arguments(title = "FILE", description = "Document to check, or - for standard input")
     String mFile;
 
--- a/tanagergap-ctl/src/test/java/org/tanagergap/ctl/CtlProgramTests.java
+++ b/tanagergap-ctl/src/test/java/org/tanagergap/ctl/CtlProgramTests.java
@@ -223,4 +223,14 @@
             assertThat(out()).contains("unreachable");
         }
     }
+
+    /** A command that is added must be completed, too. */
+    @Test
+    void theCompletionScriptNamesAllCommands() {
+        assertThat(run("completion")).isEqualTo(0);
+        for (String command : new String[] {"validate", "submit", "status", "explain"}) {
+            assertThat(out()).contains(command);
+        }
+        assertThat(out()).contains("--key-value");
+    }
 }
