Copy the list of calls before a part of it is compared

Cause: agents add to the list while the test reads a view of it, and the view then throws ConcurrentModificationException (seen once on a busy machine). Change: compare a part of a copy; the expected calls are the same.

--- a/tanagergap-entry/src/test/java/org/tanagergap/entry/SpanningPromptTests.java
+++ b/tanagergap-entry/src/test/java/org/tanagergap/entry/SpanningPromptTests.java
@@ -4,6 +4,7 @@
 
 import java.net.http.HttpRequest.BodyPublishers;
 import java.net.http.HttpResponse;
+import java.util.List;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -68,7 +69,7 @@
         int prefilled = Integer.parseInt(mHarness.mCalls.get(2).split("prefill ")[1]);
         // Together the segments are the prompt, without a missing or doubled character.
         assertThat(prefilled + run.getCompletion().getPrompt().length()).isEqualTo(6_000);
-        assertThat(mHarness.mCalls.subList(3, 5))
+        assertThat(List.copyOf(mHarness.mCalls).subList(3, 5))
                 .containsExactly("runner-1 release", "runner-2 release");
         assertThat(mFirst.mRuns).isEmpty();
     }
@@ -88,7 +89,7 @@
         mSecond.mHint = hint(0);
         mHarness.mVertx.setTimer(600, ignored -> mSecond.mHint = hint(1_000));
         assertThat(send(1_500).body()).contains("t0 t1 t2");
-        assertThat(mHarness.mCalls.subList(2, 4))
+        assertThat(List.copyOf(mHarness.mCalls).subList(2, 4))
                 .containsExactly("runner-1 release", "runner-2 release");
     }
 }
