--- a/tanagergap-decisions/src/main/java/org/tanagergap/decisions/scheduling/FairQueue.java
+++ b/tanagergap-decisions/src/main/java/org/tanagergap/decisions/scheduling/FairQueue.java
@@ -86,7 +86,8 @@
         forget(work);
         RankQueue rank = mRanks.rank(work.rank());
         rank.shares().dispatch(work);
-        rank.served().add(nowNanos, work.memoryTokens());
+        // The prompt is charged to the rank while the engine prefills it.
+        rank.served().add(nowNanos, work.memoryTokens() - work.promptTokens());
     }
 
     /** Gives back the part of a charge that was not used. */
@@ -128,8 +129,15 @@
         return load;
     }
 
-    long promptTokens() {
-        return mRanks.all().stream().mapToLong(r -> r.shares().backlog().promptTokens()).sum();
+    /** Adds the prompt tokens of queued items. */
+    PrefillBacklog addPromptTokens(PrefillBacklog running) {
+        PrefillBacklog sum = running;
+        for (RankQueue rank : mRanks.all()) {
+            for (LengthBand band : LengthBand.values()) {
+                sum = sum.plus(band, rank.shares().backlog().promptTokens(band));
+            }
+        }
+        return sum;
     }
 
     /** Items larger than the memory, which can never start. */
--- a/tanagergap-decisions/src/main/java/org/tanagergap/decisions/scheduling/PrefillSlots.java
+++ b/tanagergap-decisions/src/main/java/org/tanagergap/decisions/scheduling/PrefillSlots.java
@@ -44,15 +44,16 @@
         change(band, -promptTokens, -1);
     }
 
-    /** Whether a long prompt other than one of this band itself is being prefilled. */
-    boolean hasOtherLong(LengthBand band) {
-        return mLongPrefills > (band == LengthBand.LONG ? 1 : 0);
+    /** Tokens of the band and shorter ones in prefill. */
+    long tokensUpTo(LengthBand band) {
+        return backlog().upTo(band);
     }
 
-    /** Tokens in prefill that the engine computes before new work of the band. */
-    long tokensBefore(boolean isLong) {
-        long shorter = mTokens.get(LengthBand.SHORT) + mTokens.get(LengthBand.MEDIUM);
-        return isLong ? shorter + mTokens.get(LengthBand.LONG) : shorter;
+    PrefillBacklog backlog() {
+        return new PrefillBacklog(
+                mTokens.get(LengthBand.SHORT),
+                mTokens.get(LengthBand.MEDIUM),
+                mTokens.get(LengthBand.LONG));
     }
 
     private void change(LengthBand band, long tokens, int count) {
