--- a/tanagergap-agent/src/main/java/org/tanagergap/agent/attempt/Attempt.java
+++ b/tanagergap-agent/src/main/java/org/tanagergap/agent/attempt/Attempt.java
@@ -1,7 +1,5 @@
 package org.tanagergap.agent.attempt;
 
-import com.codahale.metrics.MetricRegistry;
-import com.google.common.flogger.FluentLogger;
 import io.opentelemetry.api.trace.Span;
 import io.opentelemetry.api.trace.SpanKind;
 import io.opentelemetry.api.trace.StatusCode;
@@ -20,8 +18,6 @@
 import org.tanagergap.protocol.v1.Hint;
 import org.tanagergap.protocol.v1.RunEvent;
 import org.tanagergap.protocol.v1.RunRequest;
-import org.tanagergap.runtime.log.LogKeys;
-import org.tanagergap.runtime.metrics.MetricName;
 
 /**
  * Attempt from its admission to the release of its reservation. Its caller gets the last event when
@@ -30,8 +26,6 @@
  */
 public abstract class Attempt {
 
-    private static final FluentLogger sLogger = FluentLogger.forEnclosingClass();
-
     private enum Phase {
         QUEUED,
         RUNNING,
@@ -44,6 +38,7 @@
     private final AttemptId mId;
     private final EventSink mSink;
     private final Span mSpan;
+    private final AttemptLog mLog;
     private final long mArrivedNanos;
     private Phase mPhase = Phase.QUEUED;
     private Reservation mReservation = tokens -> {};
@@ -51,11 +46,13 @@
     private boolean mHintSent;
     private long mKnownPrefixRevision;
     private boolean mReleased;
+    private long mDispatchedNanos;
 
     protected Attempt(AttemptContext context, RunRequest request, EventSink sink) {
         mContext = Objects.requireNonNull(context, "context must not be null");
         mRequest = Objects.requireNonNull(request, "request must not be null");
         mSink = Objects.requireNonNull(sink, "sink must not be null");
+        mLog = new AttemptLog(context, request);
         mId = new AttemptId(request.getAttemptId());
         mKnownPrefixRevision = request.getKnownPrefixRevision();
         mArrivedNanos = context.clock().nanoTime();
@@ -97,6 +94,7 @@
         }
         mPhase = Phase.RUNNING;
         long queuedNanos = mContext.clock().nanoTime() - mArrivedNanos;
+        mDispatchedNanos = mArrivedNanos + queuedNanos;
         mContext.metrics().timer("agent_queue_seconds").update(queuedNanos, TimeUnit.NANOSECONDS);
         sendUpstream();
     }
@@ -107,8 +105,9 @@
             return;
         }
         boolean running = mPhase == Phase.RUNNING;
+        long queuedMillis = queuedMillis();
         end();
-        logFailure(mContext, mRequest, failure);
+        mLog.failed(failure, queuedMillis, elapsedMillis());
         mSpan.setStatus(StatusCode.ERROR, failure.code().wireName());
         RunEvent event = withHint(RunEvent.newBuilder().setFailed(Messages.failed(failure)));
         stopOrRelease(running);
@@ -122,14 +121,14 @@
             return;
         }
         boolean running = mPhase == Phase.RUNNING;
+        long queuedMillis = queuedMillis();
         end();
-        logFailure(
-                mContext,
-                mRequest,
+        RequestFailure cancelled =
                 RequestFailure.of(
                         FailureCode.UPSTREAM_FAILED,
                         running ? knownExecution() : Execution.NOT_RUN,
-                        "caller cancelled the attempt"));
+                        "caller cancelled the attempt");
+        mLog.failed(cancelled, queuedMillis, elapsedMillis());
         mSpan.setStatus(StatusCode.ERROR, "cancelled");
         stopOrRelease(running);
         mSink.end();
@@ -191,8 +190,9 @@
         if (mPhase == Phase.ENDED) {
             return;
         }
+        long queuedMillis = queuedMillis();
         end();
-        countOutcome(mContext.metrics(), "finished");
+        mLog.finished(queuedMillis, elapsedMillis());
         mSink.send(withHint(event));
         mSink.end();
     }
@@ -205,22 +205,13 @@
         }
     }
 
-    /** Writes the log line of a refused or failed attempt and counts it. */
-    static void logFailure(AttemptContext context, RunRequest request, RequestFailure failure) {
-        countOutcome(context.metrics(), failure.code().wireName());
-        sLogger.atInfo()
-                .with(LogKeys.REQUEST_ID, request.getRequestId())
-                .with(LogKeys.ATTEMPT_ID, request.getAttemptId())
-                .with(LogKeys.WORKSPACE, request.getPolicy().getWorkspace())
-                .with(LogKeys.UPSTREAM, context.upstream())
-                .with(LogKeys.CODE, failure.code().wireName())
-                .log(
-                        "attempt failed, %s: %s",
-                        failure.execution().wireName(), failure.getMessage());
+    private long queuedMillis() {
+        long until = mPhase == Phase.QUEUED ? mContext.clock().nanoTime() : mDispatchedNanos;
+        return TimeUnit.NANOSECONDS.toMillis(until - mArrivedNanos);
     }
 
-    private static void countOutcome(MetricRegistry metrics, String outcome) {
-        metrics.counter(MetricName.of("agent_attempts_total", "outcome", outcome)).inc();
+    private long elapsedMillis() {
+        return TimeUnit.NANOSECONDS.toMillis(mContext.clock().nanoTime() - mArrivedNanos);
     }
 
     private void deadlinePassed() {
--- a/tanagergap-ctl/src/main/java/org/tanagergap/ctl/CtlProgram.java
+++ b/tanagergap-ctl/src/main/java/org/tanagergap/ctl/CtlProgram.java
@@ -16,6 +16,8 @@
                     .withCommand(ShowCommand.class)
                     .withCommand(DiffCommand.class)
                     .withCommand(StatusCommand.class)
+                    .withCommand(ExplainCommand.class)
+                    .withCommand(CompletionCommand.class)
                     .withCommand(HashKeyCommand.class)
                     .withCommand(OverviewCommand.class)
                     .build();
