--- /dev/null
+++ b/tanagergap-endtoend/src/test/java/org/tanagergap/endtoend/ConfigurationFailureTests.java
@@ -0,0 +1,154 @@
+package org.tanagergap.endtoend;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import io.vertx.core.json.JsonObject;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.extension.ExtendWith;
+
+/** Submission and spread of configurations under concurrency, lost replies and outages. */
+@ExtendWith(SharedSystem.class)
+@Timeout(60)
+class ConfigurationFailureTests {
+
+    private static final List<String> PROCESSES =
+            List.of("entry-1", "entry-2", "agent-a", "agent-b", "agent-c", "agent-orders");
+
+    /** Invariant 8 of the design page. */
+    private static final Duration IN_EFFECT = Duration.ofSeconds(4);
+
+    private static final int CONFLICT = 3;
+
+    private final RunningSystem mSystem;
+
+    /** Highest version that each process has shown; a lower one later is a failure. */
+    private final Map<String, Long> mHighest = new HashMap<>();
+
+    ConfigurationFailureTests(RunningSystem system) {
+        mSystem = system;
+    }
+
+    @Test
+    void oneOfSeveralRacingSubmissionsIsAcceptedAndIsInEffectEverywhere() throws Exception {
+        for (int round = 0; round < 2; round++) {
+            long base = highestVersion();
+            List<ProgramProcess> submissions = new ArrayList<>();
+            for (int i = 0; i < 3; i++) {
+                submissions.add(submit(base, 2 + 3 * round + i));
+            }
+            int accepted = 0;
+            int conflicts = 0;
+            for (ProgramProcess submission : submissions) {
+                int status = submission.waitFor(30).orElseThrow();
+                accepted += status == 0 ? 1 : 0;
+                conflicts += status == CONFLICT ? 1 : 0;
+            }
+            assertThat(accepted).isEqualTo(1);
+            assertThat(conflicts).isEqualTo(2);
+            awaitInEffect("a new version is in effect in every process", base + 1);
+        }
+    }
+
+    @Test
+    void aSubmissionWhoseReplyIsLostIsAcceptedOnce() throws Exception {
+        long base = highestVersion();
+        JsonObject before = mSystem.json("key-value", "/counts");
+        mSystem.setFaults("key-value", "{\"lose_replies\":1}");
+
+        int status = submit(base, 17).waitFor(30).orElseThrow();
+
+        assertThat(status).isEqualTo(0);
+        awaitInEffect("a submission with a lost reply is in effect", base + 1);
+        JsonObject after = mSystem.json("key-value", "/counts");
+        System.out.printf("measured: submission: %s before, %s after%n", before, after);
+        // The submission, its settlement and nothing for each process.
+        assertThat(after.getLong("writes") - before.getLong("writes")).isAtMost(3);
+    }
+
+    @Test
+    void anEntryThatStartsDuringAnOutageTakesTheVersionOfItsPeer() throws Exception {
+        long version = highestVersion();
+        mSystem.setFaults("key-value", "{\"outage\":true}");
+        mSystem.process("entry-1").kill();
+        mHighest.remove("entry-1");
+        mSystem.restart("entry-1");
+
+        mSystem.await("entry-1-admin", "/readyz");
+
+        awaitInEffect("an entry started in an outage has the version", version);
+        assertThat(mSystem.send(mSystem.completion(1, "outage", 3)).statusCode()).isEqualTo(200);
+    }
+
+    @Test
+    void statusNamesAFrozenEntryAndVersionsNeverFall() throws Exception {
+        long base = highestVersion();
+        mSystem.process("entry-2").freeze();
+        try {
+            assertThat(submit(base, 23).waitFor(30)).hasValue(0);
+            ProgramProcess status =
+                    mSystem.ctl(
+                            "status",
+                            "--key-value",
+                            mSystem.address("key-value"),
+                            "--processes",
+                            mSystem.processAddresses());
+
+            assertThat(status.waitFor(30)).hasValue(1);
+            String report = status.log();
+            assertThat(report).containsMatch("frozen +" + mSystem.address("entry-2-admin"));
+            assertThat(report)
+                    .containsMatch("in_effect +" + mSystem.address("entry-1-admin") + " entry-1 ");
+        } finally {
+            mSystem.process("entry-2").resume();
+        }
+        awaitInEffect("a resumed entry has the version that it missed", base + 1);
+    }
+
+    private ProgramProcess submit(long base, int weight) throws Exception {
+        Path file = Files.createTempFile("configuration", ".json");
+        file.toFile().deleteOnExit();
+        Files.writeString(
+                file,
+                mSystem.document().replaceFirst("\"weight\": 1,", "\"weight\": " + weight + ","));
+        return mSystem.ctl(
+                "submit",
+                "--key-value",
+                mSystem.address("key-value"),
+                "--base-version",
+                Long.toString(base),
+                file.toString());
+    }
+
+    private void awaitInEffect(String what, long version) throws Exception {
+        Waiting.until(
+                what,
+                IN_EFFECT,
+                () -> PROCESSES.stream().allMatch(process -> version(process) >= version));
+    }
+
+    private long highestVersion() {
+        return PROCESSES.stream().mapToLong(this::version).max().orElseThrow();
+    }
+
+    private long version(String process) {
+        try {
+            long version =
+                    mSystem.json(process + "-admin", "/status").getLong("configuration_version");
+            long earlier = mHighest.getOrDefault(process, 0L);
+            assertWithMessage("version of " + process).that(version).isAtLeast(earlier);
+            mHighest.put(process, version);
+            return version;
+        } catch (Exception e) {
+            throw new IllegalStateException("no status of " + process, e);
+        }
+    }
+}
--- /dev/null
+++ b/tanagergap-endtoend/src/test/java/org/tanagergap/endtoend/OrderFailureTests.java
@@ -0,0 +1,157 @@
+package org.tanagergap.endtoend;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import io.vertx.core.json.JsonObject;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.extension.ExtendWith;
+
+/** Orders, which must run at most once, under faults of each process that they pass. */
+@ExtendWith(SharedSystem.class)
+@Timeout(60)
+class OrderFailureTests {
+
+    private static final String BODY = "{\"lids\":4}";
+
+    private final RunningSystem mSystem;
+
+    OrderFailureTests(RunningSystem system) {
+        mSystem = system;
+    }
+
+    @Test
+    void anOrderIsRefusedAsNotRunDuringAnOutageAndRunsOnceAfterIt() throws Exception {
+        awaitOrders();
+        mSystem.setFaults("key-value", "{\"outage\":true}");
+
+        HttpResponse<String> refused = mSystem.send(mSystem.order(1, "outage", BODY));
+
+        assertThat(refused.statusCode()).isEqualTo(503);
+        assertThat(refused.body()).contains("\"execution\":\"not_run\"");
+        assertThat(placed("outage")).isEqualTo(0);
+        mSystem.setFaults("key-value", "{\"outage\":false}");
+        Waiting.until(
+                "an order runs after an outage of the key-value service",
+                Duration.ofSeconds(10),
+                () -> mSystem.send(mSystem.order(2, "outage", BODY)).statusCode() == 201);
+        assertThat(placed("outage")).isEqualTo(1);
+    }
+
+    @Test
+    void lostRepliesOfTheKeyValueServiceRepeatNoOrder() throws Exception {
+        awaitOrders();
+        for (int lost = 1; lost <= 3; lost++) {
+            String key = "lost-" + lost;
+            mSystem.setFaults("key-value", "{\"lose_replies\":" + lost + "}");
+
+            List<CompletableFuture<HttpResponse<String>>> answers = new ArrayList<>();
+            for (int i = 0; i < 4; i++) {
+                answers.add(mSystem.sendAsync(mSystem.order(1 + i % 2, key, BODY)));
+            }
+            int created = 0;
+            for (CompletableFuture<HttpResponse<String>> answer : answers) {
+                created += answer.get(30, TimeUnit.SECONDS).statusCode() == 201 ? 1 : 0;
+            }
+            assertWithMessage("%s lost replies: placed", lost).that(placed(key)).isAtMost(1);
+            assertWithMessage("%s lost replies", lost)
+                    .that(created > 0 && placed(key) == 0)
+                    .isFalse();
+        }
+    }
+
+    @Test
+    void anOrderWhoseConnectionIsCutIsUnknownAndNeverRepeated() throws Exception {
+        awaitOrders();
+        for (String fault : List.of("cut_before", "cut_after")) {
+            mSystem.setFaults("orders", "{\"" + fault + "\":true}");
+            HttpResponse<String> first = mSystem.send(mSystem.order(1, fault, BODY));
+            mSystem.setFaults("orders", "{}");
+            int placed = placed(fault);
+
+            HttpResponse<String> repeat = mSystem.send(mSystem.order(2, fault, BODY));
+
+            assertThat(first.body()).contains("\"execution\":\"unknown\"");
+            assertThat(repeat.statusCode()).isEqualTo(409);
+            assertThat(repeat.body()).contains("\"execution\":\"unknown\"");
+            assertThat(placed).isEqualTo(fault.equals("cut_after") ? 1 : 0);
+            assertThat(placed(fault)).isEqualTo(placed);
+        }
+    }
+
+    @Test
+    void anOrderIsNotRepeatedWhenItsAgentIsKilledBetweenRecordAndAnswer() throws Exception {
+        awaitOrders();
+        mSystem.setFaults("orders", "{\"delay_ms\":4000}");
+        CompletableFuture<HttpResponse<String>> first =
+                mSystem.sendAsync(mSystem.order(1, "killed", BODY));
+        Waiting.until("the order is placed", Duration.ofSeconds(5), () -> placed("killed") == 1);
+
+        mSystem.process("agent-orders").kill();
+
+        HttpResponse<String> answer = first.get(30, TimeUnit.SECONDS);
+        assertThat(answer.body()).contains("\"execution\":\"unknown\"");
+        mSystem.setFaults("orders", "{}");
+        mSystem.restart("agent-orders");
+        awaitOrders();
+        for (int entry : List.of(2, 1)) {
+            HttpResponse<String> repeat = mSystem.send(mSystem.order(entry, "killed", BODY));
+            assertThat(repeat.statusCode()).isEqualTo(409);
+            assertThat(repeat.body()).contains("\"execution\":\"unknown\"");
+        }
+        assertThat(placed("killed")).isEqualTo(1);
+    }
+
+    /** Guards the budget of the key-value service: orders that arrive together share a record. */
+    @Test
+    void ordersThatArriveTogetherShareWritesToTheKeyValueService() throws Exception {
+        awaitOrders();
+        int orders = 100;
+        JsonObject before = mSystem.json("key-value", "/counts");
+        long start = System.nanoTime();
+        List<CompletableFuture<HttpResponse<String>>> answers = new ArrayList<>();
+        for (int i = 0; i < orders; i++) {
+            answers.add(mSystem.sendAsync(mSystem.order(1 + i % 2, "burst-" + i, BODY)));
+        }
+        for (CompletableFuture<HttpResponse<String>> answer : answers) {
+            assertThat(answer.get(30, TimeUnit.SECONDS).statusCode()).isEqualTo(201);
+        }
+        long millis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - start);
+        JsonObject after = mSystem.json("key-value", "/counts");
+        long writes = difference(before, after, "writes");
+        System.out.printf(
+                "measured: %d orders in %d ms: %d writes, %d reads%n",
+                orders, millis, writes, difference(before, after, "reads"));
+        // An intent and an outcome for each order without batches would be 200 writes.
+        assertThat(writes).isLessThan(2L * orders);
+        assertThat(difference(before, after, "refused")).isEqualTo(0);
+        for (int i = 0; i < orders; i++) {
+            assertThat(placed("burst-" + i)).isEqualTo(1);
+        }
+    }
+
+    /** A replaced agent is used again once both entries have probed it. */
+    private void awaitOrders() throws Exception {
+        for (int entry : List.of(1, 2)) {
+            Waiting.until(
+                    "entry " + entry + " reaches the order agent",
+                    Duration.ofSeconds(15),
+                    () -> mSystem.send(mSystem.stock(entry)).statusCode() == 200);
+        }
+    }
+
+    private int placed(String key) throws Exception {
+        return mSystem.json("orders", "/counts").getInteger(key, 0);
+    }
+
+    private static long difference(JsonObject before, JsonObject after, String kind) {
+        return after.getLong(kind, 0L) - before.getLong(kind, 0L);
+    }
+}
--- a/tanagergap-endtoend/src/test/java/org/tanagergap/endtoend/RunningSystem.java
+++ b/tanagergap-endtoend/src/test/java/org/tanagergap/endtoend/RunningSystem.java
@@ -1,5 +1,7 @@
 package org.tanagergap.endtoend;
 
+import io.vertx.core.json.JsonArray;
+import io.vertx.core.json.JsonObject;
 import java.io.IOException;
 import java.net.URI;
 import java.net.http.HttpClient;
@@ -36,9 +38,23 @@
     private final Map<String, ProgramProcess> mProcesses = new LinkedHashMap<>();
     private final Map<String, Integer> mPorts = new LinkedHashMap<>();
 
+    private final Map<String, List<String>> mCommands = new LinkedHashMap<>();
+    private final long mMemoryTokens;
+    private final long mPrefillRate;
+
+    private RunningSystem(long memoryTokens, long prefillRate) {
+        mMemoryTokens = memoryTokens;
+        mPrefillRate = prefillRate;
+    }
+
     /** Starts everything and waits until the configuration is in force. */
     static RunningSystem start() throws Exception {
-        RunningSystem system = new RunningSystem();
+        return start(400_000, 20_000);
+    }
+
+    /** Starts everything with engines of the given memory and prefill speed. */
+    static RunningSystem start(long memoryTokens, long prefillRate) throws Exception {
+        RunningSystem system = new RunningSystem(memoryTokens, prefillRate);
         try {
             system.startPlatform();
             for (String domain : DOMAINS) {
@@ -79,60 +95,45 @@
     }
 
     void startAgent(String domain) {
-        String name = "agent-" + domain;
-        run(
-                name,
-                "org.tanagergap.agent.AgentMain",
-                "--listen",
-                address(name),
-                "--admin-listen",
-                address(name + "-admin"),
-                "--name",
-                "engine-" + domain,
-                "--failure-domain",
-                "fd-" + domain,
-                "--upstream",
-                "http://" + address("engine-" + domain),
-                "--upstream-kind",
-                "model",
-                "--service",
-                "assistant",
-                "--trace-output",
-                "log");
+        startAgent(
+                "agent-" + domain,
+                "--name engine-%s --failure-domain fd-%s --upstream http://%s --upstream-kind model"
+                        + " --service assistant --memory-tokens %d",
+                domain,
+                domain,
+                address("engine-" + domain),
+                mMemoryTokens);
     }
 
     void startEngine(String domain) {
         String name = "engine-" + domain;
-        run(name, "org.tanagergap.standins.engine.EngineMain", "--listen", address(name));
+        run(
+                name,
+                "org.tanagergap.standins.engine.EngineMain",
+                "--listen %s --memory-tokens %d --prefill-tokens-per-second %d",
+                address(name),
+                mMemoryTokens,
+                mPrefillRate);
     }
 
-    void startOrders() {
-        run("orders", "org.tanagergap.standins.orders.OrderMain", "--listen", address("orders"));
-        startOrderAgent();
+    private void startOrders() {
+        run("orders", "org.tanagergap.standins.orders.OrderMain", "--listen %s", address("orders"));
+        startAgent(
+                "agent-orders",
+                "--name orders-a --failure-domain fd-a --upstream http://%s --upstream-kind plain"
+                        + " --service orders --key-value %s",
+                address("orders"),
+                address("key-value"));
     }
 
-    void startOrderAgent() {
+    private void startAgent(String name, String settings, Object... values) {
         run(
-                "agent-orders",
+                name,
                 "org.tanagergap.agent.AgentMain",
-                "--listen",
-                address("agent-orders"),
-                "--admin-listen",
-                address("agent-orders-admin"),
-                "--name",
-                "orders-a",
-                "--failure-domain",
-                "fd-a",
-                "--upstream",
-                "http://" + address("orders"),
-                "--upstream-kind",
-                "plain",
-                "--service",
-                "orders",
-                "--key-value",
-                address("key-value"),
-                "--trace-output",
-                "log");
+                "--listen %s --admin-listen %s --trace-output log %s",
+                address(name),
+                address(name + "-admin"),
+                settings.formatted(values));
     }
 
     void startEntry(int number) {
@@ -140,29 +141,20 @@
         run(
                 name,
                 "org.tanagergap.entry.EntryMain",
-                "--listen",
+                "--listen %s --admin-listen %s --peer-listen %s --peers %s --id %s"
+                        + " --failure-domain fd-%s --key-value %s --trace-output log",
                 address(name),
-                "--admin-listen",
                 address(name + "-admin"),
-                "--peer-listen",
                 address(name + "-peer"),
-                "--peers",
                 address("entry-" + (3 - number) + "-peer"),
-                "--id",
                 name,
-                "--failure-domain",
-                "fd-" + DOMAINS.get(number - 1),
-                "--key-value",
-                address("key-value"),
-                "--trace-output",
-                "log");
+                DOMAINS.get(number - 1),
+                address("key-value"));
     }
 
     /** Runs the operator's command line and returns its process. */
     ProgramProcess ctl(String... arguments) {
-        List<String> all = new ArrayList<>(List.of(arguments));
-        return ProgramProcess.start(
-                "ctl", "org.tanagergap.ctl.CtlMain", all.toArray(String[]::new));
+        return ProgramProcess.start("ctl", "org.tanagergap.ctl.CtlMain", arguments);
     }
 
     /** Submits a document through the command line and returns its exit status. */
@@ -183,7 +175,11 @@
         return document.replace("127.0.0.1:7101", address("agent-a"))
                 .replace("127.0.0.1:7102", address("agent-b"))
                 .replace("127.0.0.1:7103", address("agent-c"))
-                .replace("127.0.0.1:7104", address("agent-orders"));
+                .replace("127.0.0.1:7104", address("agent-orders"))
+                .replace("\"memory_tokens\": 400000", "\"memory_tokens\": " + mMemoryTokens)
+                .replace(
+                        "\"max_prompt_tokens\": 1000000",
+                        "\"max_prompt_tokens\": " + mMemoryTokens * 5 / 2);
     }
 
     /** Request for a streamed completion. */
@@ -209,6 +205,11 @@
                 .build();
     }
 
+    /** Request for a stock check, an idempotent call. */
+    HttpRequest stock(int entry) {
+        return request(entry, "/services/orders/stock").GET().build();
+    }
+
     HttpResponse<String> send(HttpRequest request) throws Exception {
         return mClient.send(request, BodyHandlers.ofString());
     }
@@ -227,13 +228,58 @@
     void setFaults(String program, String json) throws Exception {
         URI uri = URI.create("http://" + address(program) + "/faults");
         HttpRequest request =
-                HttpRequest.newBuilder(uri)
-                        .header("Content-Type", "application/json")
-                        .PUT(BodyPublishers.ofString(json))
-                        .build();
+                HttpRequest.newBuilder(uri).PUT(BodyPublishers.ofString(json)).build();
         mClient.send(request, BodyHandlers.discarding());
     }
 
+    /** Starts a program again with the arguments of its last start. */
+    void restart(String name) {
+        List<String> command = mCommands.get(name);
+        String[] arguments = command.subList(1, command.size()).toArray(String[]::new);
+        mProcesses.put(name, ProgramProcess.start(name, command.get(0), arguments));
+    }
+
+    /** Switches all faults off, starts what has ended and waits until everything accepts work. */
+    void restore() throws Exception {
+        for (String name : List.copyOf(mProcesses.keySet())) {
+            if (!process(name).isAlive()) {
+                restart(name);
+            }
+        }
+        for (String domain : DOMAINS) {
+            await("engine-" + domain, "/health");
+            setFaults("engine-" + domain, "{}");
+        }
+        setFaults("key-value", "{\"outage\":false,\"delay_ms\":0,\"lose_replies\":0}");
+        setFaults("orders", "{}");
+        awaitReady();
+    }
+
+    /** Memory that the engines' own lists of runs and held segments show. */
+    long engineMemory(String... domains) throws Exception {
+        long tokens = 0;
+        for (String domain : domains) {
+            JsonArray runs = json("engine-" + domain, "/v1/runs").getJsonArray("runs");
+            for (int i = 0; i < runs.size(); i++) {
+                tokens += runs.getJsonObject(i).getLong("memory_tokens");
+            }
+        }
+        return tokens;
+    }
+
+    /** Requests that the engines have accepted since their start. */
+    long submitted(String... domains) throws Exception {
+        long submitted = 0;
+        for (String domain : domains) {
+            submitted += json("engine-" + domain, "/counts").getLong("submitted");
+        }
+        return submitted;
+    }
+
+    JsonObject json(String program, String path) throws Exception {
+        return new JsonObject(read(program, path));
+    }
+
     /** Waits until entries and agents say that they accept work. */
     void awaitReady() throws Exception {
         for (String name : List.copyOf(mPorts.keySet())) {
@@ -277,13 +323,16 @@
         run(
                 "key-value",
                 "org.tanagergap.standins.keyvalue.KeyValueServiceMain",
-                "--listen",
+                "--listen %s",
                 address("key-value"));
         await("key-value", "/counts");
     }
 
-    private void run(String name, String mainClass, String... arguments) {
-        mProcesses.put(name, ProgramProcess.start(name, mainClass, arguments));
+    private void run(String name, String mainClass, String arguments, Object... values) {
+        List<String> command = new ArrayList<>(List.of(mainClass));
+        command.addAll(List.of(arguments.formatted(values).split(" ")));
+        mCommands.put(name, command);
+        restart(name);
     }
 
     private HttpRequest.Builder request(int entry, String path, String... headers) {
--- /dev/null
+++ b/tanagergap-endtoend/src/test/java/org/tanagergap/endtoend/SharedSystem.java
@@ -0,0 +1,61 @@
+package org.tanagergap.endtoend;
+
+import org.junit.jupiter.api.extension.BeforeEachCallback;
+import org.junit.jupiter.api.extension.ExtensionContext;
+import org.junit.jupiter.api.extension.ExtensionContext.Namespace;
+import org.junit.jupiter.api.extension.ParameterContext;
+import org.junit.jupiter.api.extension.ParameterResolver;
+
+/**
+ * Gives the failure tests one running system, because its start takes most of a test's time. Before
+ * each test all faults are off and all programs run.
+ */
+final class SharedSystem implements ParameterResolver, BeforeEachCallback {
+
+    /** Small, so that a prompt of twice the memory of an engine takes about two seconds. */
+    static final long MEMORY_TOKENS = 20_000;
+
+    private static final long PREFILL_TOKENS_PER_SECOND = 60_000;
+
+    @Override
+    public void beforeEach(ExtensionContext context) throws Exception {
+        system(context).restore();
+    }
+
+    @Override
+    public boolean supportsParameter(ParameterContext parameter, ExtensionContext context) {
+        return parameter.getParameter().getType() == RunningSystem.class;
+    }
+
+    @Override
+    public Object resolveParameter(ParameterContext parameter, ExtensionContext context) {
+        return system(context);
+    }
+
+    private static RunningSystem system(ExtensionContext context) {
+        return context.getRoot()
+                .getStore(Namespace.GLOBAL)
+                .getOrComputeIfAbsent(SharedSystem.class, ignored -> new Closing(), Closing.class)
+                .mSystem;
+    }
+
+    /** Ends the system with the test run. */
+    private static final class Closing
+            implements ExtensionContext.Store.CloseableResource, AutoCloseable {
+
+        private final RunningSystem mSystem;
+
+        Closing() {
+            try {
+                mSystem = RunningSystem.start(MEMORY_TOKENS, PREFILL_TOKENS_PER_SECOND);
+            } catch (Exception e) {
+                throw new IllegalStateException("the system did not start", e);
+            }
+        }
+
+        @Override
+        public void close() throws InterruptedException {
+            mSystem.close();
+        }
+    }
+}
