--- a/tanagergap-agent/src/main/java/org/tanagergap/agent/server/GrpcEndpoint.java
+++ b/tanagergap-agent/src/main/java/org/tanagergap/agent/server/GrpcEndpoint.java
@@ -3,7 +3,6 @@
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpServer;
-import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.grpc.server.GrpcServer;
 import io.vertx.grpc.server.GrpcServerOptions;
@@ -17,6 +16,7 @@
 import org.tanagergap.protocol.v1.RunRequest;
 import org.tanagergap.protocol.v1.UpstreamAgentGrpcService;
 import org.tanagergap.runtime.async.Futures;
+import org.tanagergap.runtime.http.ServerLimits;
 import org.tanagergap.runtime.settings.HostPort;
 
 /** Serves the agent's calls by gRPC. */
@@ -61,7 +61,7 @@
                 .bind(grpc);
         grpc.callHandler(UpstreamAgentGrpcService.Run, this::run);
         mServer =
-                mVertx.createHttpServer(new HttpServerOptions())
+                mVertx.createHttpServer(ServerLimits.options())
                         .requestHandler(request -> open(request, grpc));
         return Futures.toCompletable(mServer.listen(mAddress.port(), mAddress.host()).mapEmpty());
     }
