Name entries and agents in their status

Cause: tanagergap-ctl status reads "name" and "program"; entries showed "id" and agents "agent_id". Ruled out: the command, whose test uses a stand-in that sends "name". Before: ConfigurationFailureTests.statusNamesAFrozenEntryAndVersionsNeverFall saw lines without a name. After: the line of an entry has its name. Conclusion: operators see which process a line belongs to.

--- a/tanagergap-agent/src/main/java/org/tanagergap/agent/AgentService.java
+++ b/tanagergap-agent/src/main/java/org/tanagergap/agent/AgentService.java
@@ -112,6 +112,8 @@
                                                 .put("queued", r.getQueued())
                                                 .put("queued_tokens", r.getQueuedTokens())));
         return new JsonObject()
+                .put("program", "tanagergap-agent")
+                .put("name", status.getAgentId())
                 .put("agent_id", status.getAgentId())
                 .put("upstream", status.getUpstream())
                 .put("failure_domain", status.getFailureDomain())
--- a/tanagergap-entry/src/main/java/org/tanagergap/entry/EntryStatus.java
+++ b/tanagergap-entry/src/main/java/org/tanagergap/entry/EntryStatus.java
@@ -32,6 +32,7 @@
         mRouter.agents().forEach(agent -> agents.add(agent(agent)));
         return new JsonObject()
                 .put("program", "tanagergap-entry")
+                .put("name", mSettings.id())
                 .put("id", mSettings.id())
                 .put("failure_domain", mSettings.failureDomain())
                 .put("ready", ready)
