Wait for agents out of reach before a long prompt is refused as too large

Cause: the planner sees only agents that can be used at this moment, so while one restarts or is out of reach a prompt that the fleet can hold was refused at once as body_too_large. Ruled out: the limit of the service and the configured memory, both of which admitted the prompt. Before: SpanningFailureTests got 413 ("needs 47402 tokens; the engines have 40000") when one of three engines of 20,000 tokens was out of reach, both at the start and after a failure in between. After: the request waits until its deadline for the missing agent; both tests pass and the answers are whole. Conclusion: body_too_large is said only when all agents of the service are known.

--- a/tanagergap-entry/src/main/java/org/tanagergap/entry/execution/SpanSession.java
+++ b/tanagergap-entry/src/main/java/org/tanagergap/entry/execution/SpanSession.java
@@ -93,7 +93,7 @@
         if (plan instanceof SpanPlan.Placed placed) {
             mSegments = placed.segments();
             hold(0);
-        } else if (plan instanceof SpanPlan.Impossible impossible) {
+        } else if (plan instanceof SpanPlan.Impossible impossible && allAgentsKnown()) {
             fail(
                     RequestFailure.notRun(
                                     FailureCode.BODY_TOO_LARGE,
@@ -117,6 +117,15 @@
         releaseAll();
     }
 
+    /**
+     * An agent that restarts or is out of reach for a moment still counts as the fleet's memory.
+     */
+    private boolean allAgentsKnown() {
+        return mShared.router().agents().stream()
+                .filter(agent -> agent.service().equals(mRequest.service()))
+                .allMatch(agent -> mAgents.containsKey(agent.name()));
+    }
+
     private List<SpanCandidate> candidates() {
         mAgents = new HashMap<>();
         List<SpanCandidate> candidates = new ArrayList<>();
