--- /dev/null
+++ b/tanagergap-endtoend/src/test/java/org/tanagergap/endtoend/ShutdownTests.java
@@ -0,0 +1,115 @@
+package org.tanagergap.endtoend;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.extension.ExtendWith;
+
+/** Programs that are told to stop while requests run. */
+@ExtendWith(SharedSystem.class)
+@Timeout(60)
+class ShutdownTests {
+
+    private static final int TOKENS = 350;
+    private static final String PROMPT = "shutdown under load ".repeat(20);
+
+    private final RunningSystem mSystem;
+
+    ShutdownTests(RunningSystem system) {
+        mSystem = system;
+    }
+
+    @Test
+    void aLeavingAgentFinishesItsStreamsAndGetsNoNewWorkAfterThreeSeconds() throws Exception {
+        List<CompletableFuture<HttpResponse<String>>> streams = startStreams(2, 8);
+        Waiting.until("engine-b runs", Duration.ofSeconds(10), () -> mSystem.engineMemory("b") > 0);
+        Map<Long, Integer> statuses = new ConcurrentHashMap<>();
+
+        mSystem.process("agent-b").requestTermination();
+
+        long start = System.nanoTime();
+        long after3Seconds = -1;
+        long request = 0;
+        while (System.nanoTime() - start < Duration.ofSeconds(5).toNanos()) {
+            if (after3Seconds < 0 && System.nanoTime() - start > Duration.ofSeconds(3).toNanos()) {
+                after3Seconds = mSystem.submitted("b");
+            }
+            long number = request++;
+            mSystem.sendAsync(mSystem.completion(2, PROMPT + number, 1))
+                    .thenAccept(answer -> statuses.put(number, answer.statusCode()));
+            TimeUnit.MILLISECONDS.sleep(20);
+        }
+
+        assertThat(mSystem.submitted("b")).isEqualTo(after3Seconds);
+        assertWhole(streams);
+        assertThat(mSystem.process("agent-b").waitFor(20)).hasValue(0);
+        long sent = request;
+        Waiting.until("all ended", Duration.ofSeconds(10), () -> statuses.size() == sent);
+        assertThat(statuses.values()).doesNotContain(502);
+        assertThat(statuses.values().stream().filter(s -> s != 200).toList()).isEmpty();
+    }
+
+    @Test
+    void aLeavingEntryFinishesItsStreams() throws Exception {
+        List<CompletableFuture<HttpResponse<String>>> streams = startStreams(1, 8);
+        TimeUnit.MILLISECONDS.sleep(500);
+
+        mSystem.process("entry-1").requestTermination();
+
+        assertWhole(streams);
+        assertThat(mSystem.process("entry-1").waitFor(20)).hasValue(0);
+    }
+
+    @Test
+    void aLeavingOrderAgentAnswersTheOrdersItHasSent() throws Exception {
+        Waiting.until(
+                "the order agent is reached",
+                Duration.ofSeconds(15),
+                () -> mSystem.send(mSystem.stock(1)).statusCode() == 200);
+        mSystem.setFaults("orders", "{\"delay_ms\":1500}");
+        List<CompletableFuture<HttpResponse<String>>> orders = new ArrayList<>();
+        for (int i = 0; i < 6; i++) {
+            orders.add(mSystem.sendAsync(mSystem.order(1, "leaving-" + i, "{\"lids\":4}")));
+        }
+        Waiting.until(
+                "the orders are placed",
+                Duration.ofSeconds(5),
+                () -> mSystem.read("orders", "/counts").split("leaving-").length == 7);
+
+        mSystem.process("agent-orders").requestTermination();
+
+        for (CompletableFuture<HttpResponse<String>> order : orders) {
+            assertThat(order.get(20, TimeUnit.SECONDS).statusCode()).isEqualTo(201);
+        }
+        assertThat(mSystem.process("agent-orders").waitFor(20)).hasValue(0);
+    }
+
+    private List<CompletableFuture<HttpResponse<String>>> startStreams(int entry, int count) {
+        List<CompletableFuture<HttpResponse<String>>> streams = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            streams.add(mSystem.sendAsync(mSystem.completion(entry, PROMPT, TOKENS)));
+        }
+        return streams;
+    }
+
+    private static void assertWhole(List<CompletableFuture<HttpResponse<String>>> streams)
+            throws Exception {
+        for (CompletableFuture<HttpResponse<String>> stream : streams) {
+            HttpResponse<String> response = stream.get(40, TimeUnit.SECONDS);
+            assertWithMessage(response.body())
+                    .that(Answers.text(response.body()))
+                    .isEqualTo(Answers.expected(PROMPT, TOKENS));
+            assertThat(response.body()).endsWith("data: [DONE]\n\n");
+        }
+    }
+}
