--- a/tanagergap-decisions/src/main/java/org/tanagergap/decisions/scheduling/WorkspaceShares.java
+++ b/tanagergap-decisions/src/main/java/org/tanagergap/decisions/scheduling/WorkspaceShares.java
@@ -116,8 +116,10 @@
         }
         mActiveWeight -= flow.weight();
         mByExcess.remove(flow);
-        for (TreeSet<WorkspaceFlow> ready : mReady.values()) {
-            ready.remove(flow);
+        for (Map.Entry<LengthBand, TreeSet<WorkspaceFlow>> ready : mReady.entrySet()) {
+            if (flow.hasBand(ready.getKey())) {
+                ready.getValue().remove(flow);
+            }
         }
     }
 
