--- a/tanagergap-agent/src/main/java/org/tanagergap/agent/attempt/Attempt.java
+++ b/tanagergap-agent/src/main/java/org/tanagergap/agent/attempt/Attempt.java
@@ -15,6 +15,7 @@
 import org.tanagergap.api.time.Deadline;
 import org.tanagergap.api.time.Timer;
 import org.tanagergap.protocol.v1.Admitted;
+import org.tanagergap.protocol.v1.Hint;
 import org.tanagergap.protocol.v1.RunEvent;
 import org.tanagergap.protocol.v1.RunRequest;
 
@@ -43,6 +44,7 @@
     private Reservation mReservation = tokens -> {};
     private Timer mDeadlineTimer = () -> {};
     private boolean mHintSent;
+    private long mKnownPrefixRevision;
     private boolean mReleased;
     private long mDispatchedNanos;
 
@@ -52,6 +54,7 @@
         mSink = Objects.requireNonNull(sink, "sink must not be null");
         mLog = new AttemptLog(context, request);
         mId = new AttemptId(request.getAttemptId());
+        mKnownPrefixRevision = request.getKnownPrefixRevision();
         mArrivedNanos = context.clock().nanoTime();
         mDeadline = Deadline.after(context.clock(), Duration.ofMillis(request.getDeadlineLeftMs()));
         mSpan =
@@ -153,6 +156,11 @@
         return mPhase != Phase.ENDED;
     }
 
+    /** Receiver of the attempt's events. */
+    protected final EventSink sink() {
+        return mSink;
+    }
+
     /** Span of the attempt. */
     protected final Span span() {
         return mSpan;
@@ -231,6 +239,8 @@
 
     private RunEvent withHint(RunEvent.Builder event) {
         mHintSent = true;
-        return event.setAttemptId(mId.value()).setHint(mContext.hints().get()).build();
+        Hint hint = mContext.hints().apply(mKnownPrefixRevision);
+        mKnownPrefixRevision = hint.getPrefixRevision();
+        return event.setAttemptId(mId.value()).setHint(hint).build();
     }
 }
