--- a/tanagergap-entry/src/main/java/org/tanagergap/entry/EntryStatus.java
+++ b/tanagergap-entry/src/main/java/org/tanagergap/entry/EntryStatus.java
@@ -34,7 +34,6 @@
                 .put("program", "tanagergap-entry")
                 .put("name", mSettings.id())
                 .put("id", mSettings.id())
-                .put("name", mSettings.id())
                 .put("failure_domain", mSettings.failureDomain())
                 .put("ready", ready)
                 .put("configuration_version", mView.current().version())
