Keep waiting for a live agent also before the head of its reply

The entry now asks only that the call was opened and that the agent answers other calls. Ruled out: keeping the early head; it adds a frame for each call that is cancelled at once. Conclusion: an agent that is reached but never answers this one call is bounded by the deadline.

--- a/tanagergap-agent/src/main/java/org/tanagergap/agent/server/GrpcEndpoint.java
+++ b/tanagergap-agent/src/main/java/org/tanagergap/agent/server/GrpcEndpoint.java
@@ -100,9 +100,6 @@
         ResponseSink sink = new ResponseSink(call.response());
         call.handler(
                 request -> {
-                    // Tells the entry that the attempt waits here, so that it is not taken for
-                    // lost.
-                    call.response().writeHead();
                     Runnable cancel = mCalls.run(request, sink);
                     closed.set(
                             () -> {
--- a/tanagergap-entry/src/main/java/org/tanagergap/entry/execution/Attempt.java
+++ b/tanagergap-entry/src/main/java/org/tanagergap/entry/execution/Attempt.java
@@ -258,9 +258,10 @@
         if (mEnded || mPaused) {
             return;
         }
-        // An agent that answers other calls is alive; the attempt waits in its queue.
+        // An agent that answers other calls is alive; the attempt waits in its queue. The head of
+        // the reply comes with the first event, so an attempt that waits has no stream yet.
         if (!mAnswered
-                && mStream != null
+                && mCall != null
                 && mShared.activity().heardWithin(mAgent.name(), ACTIVITY_WINDOW)) {
             armStallTimer();
             return;
