--- a/tanagergap-endtoend/src/test/java/org/tanagergap/endtoend/ConfigurationFailureTests.java
+++ b/tanagergap-endtoend/src/test/java/org/tanagergap/endtoend/ConfigurationFailureTests.java
@@ -46,6 +46,11 @@
             for (int i = 0; i < 3; i++) {
                 submissions.add(submit(base, 2 + 3 * round + i));
             }
+            Waiting.until(
+                    "a process shows a submitted version, with the start of the submission",
+                    Duration.ofSeconds(30),
+                    () -> highestVersion() > base);
+            awaitInEffect("the version is in effect in every process", base + 1);
             int accepted = 0;
             int conflicts = 0;
             for (ProgramProcess submission : submissions) {
@@ -55,7 +60,7 @@
             }
             assertThat(accepted).isEqualTo(1);
             assertThat(conflicts).isEqualTo(2);
-            awaitInEffect("a new version is in effect in every process", base + 1);
+            assertThat(highestVersion()).isEqualTo(base + 1);
         }
     }
 
