--- a/tanagergap-entry/src/main/java/org/tanagergap/entry/agent/HintReader.java
+++ b/tanagergap-entry/src/main/java/org/tanagergap/entry/agent/HintReader.java
@@ -7,7 +7,9 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.stream.Collectors;
+import org.tanagergap.api.request.LengthBand;
 import org.tanagergap.decisions.routing.LoadHint;
+import org.tanagergap.decisions.scheduling.PrefillBacklog;
 import org.tanagergap.decisions.scheduling.RankLoad;
 import org.tanagergap.protocol.v1.Hint;
 
@@ -48,7 +50,7 @@
         return new LoadHint(
                 hint.getMemoryTokensTotal(),
                 hint.getMemoryTokensFree(),
-                hint.getPrefillTokensQueued(),
+                backlog(hint),
                 hint.getPrefillTokensPerSecond(),
                 ranks,
                 hint.getDraining(),
@@ -76,4 +78,14 @@
     }
 
     private record KeptPrefixes(long revision, Set<String> hashes) {}
+
+    /** Agents that do not tell lengths apart count as if all work were in front of new work. */
+    private static PrefillBacklog backlog(Hint hint) {
+        return hint.getPrefillTokensByBandCount() == LengthBand.values().length
+                ? new PrefillBacklog(
+                        hint.getPrefillTokensByBand(LengthBand.SHORT.ordinal()),
+                        hint.getPrefillTokensByBand(LengthBand.MEDIUM.ordinal()),
+                        hint.getPrefillTokensByBand(LengthBand.LONG.ordinal()))
+                : new PrefillBacklog(hint.getPrefillTokensQueued(), 0, 0);
+    }
 }
