Cancel attempts by a message instead of a reset

Cause: a client that resets a stream resets it once more for each frame that was under way, and HTTP/2 connections end after 200 of those in 30 s. Ruled out: the server's limits, which were raised before; the trace shows the client's own limit.

--- a/tanagergap-agent/src/test/java/org/tanagergap/agent/OrderPathModel.java
+++ b/tanagergap-agent/src/test/java/org/tanagergap/agent/OrderPathModel.java
@@ -192,6 +192,7 @@
                                     4,
                                     Optional.empty(),
                                     Duration.ofMillis(250),
+                                    Optional.empty(),
                                     Duration.ofSeconds(30)),
                             task ->
                                     mClock.schedule(
@@ -243,6 +244,16 @@
             mClock.schedule(latency(), () -> received(event));
         }
 
+        @Override
+        public boolean isFull() {
+            return false;
+        }
+
+        @Override
+        public void onDrain(Runnable action) {
+            action.run();
+        }
+
         @Override
         public void end() {}
 
--- a/tanagergap-entry/src/main/java/org/tanagergap/entry/agent/AgentClients.java
+++ b/tanagergap-entry/src/main/java/org/tanagergap/entry/agent/AgentClients.java
@@ -1,5 +1,6 @@
 package org.tanagergap.entry.agent;
 
+import com.google.common.flogger.FluentLogger;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.http.Http2Settings;
@@ -12,6 +13,8 @@
 import java.util.List;
 import java.util.Objects;
 import java.util.concurrent.CopyOnWriteArrayList;
+import org.tanagergap.api.request.AttemptId;
+import org.tanagergap.protocol.v1.CancelRequest;
 import org.tanagergap.protocol.v1.EntryPeerGrpcClient;
 import org.tanagergap.protocol.v1.RunEvent;
 import org.tanagergap.protocol.v1.RunRequest;
@@ -22,6 +25,8 @@
 /** gRPC connections to agents and to other entries. */
 public final class AgentClients {
 
+    private static final FluentLogger sLogger = FluentLogger.forEnclosingClass();
+
     /** A body of 16 MiB can double when its text is encoded. */
     public static final long MAX_MESSAGE_BYTES = 32L * 1024 * 1024;
 
@@ -54,6 +59,17 @@
         return socketAddress(address).map(a -> UpstreamAgentGrpcClient.create(mClient, a));
     }
 
+    /** Asks an agent to cancel an attempt, which ends the attempt's call. */
+    public void cancel(String address, AttemptId attempt) {
+        CancelRequest request = CancelRequest.newBuilder().setAttemptId(attempt.value()).build();
+        agent(address)
+                .compose(client -> client.cancel(request))
+                .onFailure(
+                        failure ->
+                                sLogger.atFine().withCause(failure).log(
+                                        "attempt %s could not be cancelled", attempt));
+    }
+
     /** Client of another entry. */
     public EntryPeerGrpcClient peer(HostPort peer) {
         return EntryPeerGrpcClient.create(
--- a/tanagergap-entry/src/main/java/org/tanagergap/entry/execution/Attempt.java
+++ b/tanagergap-entry/src/main/java/org/tanagergap/entry/execution/Attempt.java
@@ -100,13 +100,14 @@
             return;
         }
         end(StatusCode.ERROR);
-        if (mCall != null) {
-            mCall.cancel();
-        }
+        closeCall();
     }
 
     /** Stops reading from the agent while the caller is slow. */
     void pause() {
+        if (mEnded) {
+            return;
+        }
         mPaused = true;
         mStallTimer.cancel();
         if (mStream != null) {
@@ -155,16 +156,13 @@
     }
 
     private void answered(GrpcClientResponse<RunRequest, RunEvent> stream) {
-        if (mEnded) {
-            return;
-        }
         mStream = stream;
         mShared.router().connectionSucceeded(mAgent.name());
         stream.exceptionHandler(this::broken);
         stream.invalidMessageHandler(this::broken);
         stream.endHandler(ignored -> streamEnded(stream.status()));
         stream.handler(this::received);
-        if (mPaused) {
+        if (mPaused && !mEnded) {
             stream.pause();
         }
     }
@@ -283,9 +281,23 @@
 
     private void failAndCancel(String message) {
         fail(RequestFailure.of(FailureCode.UPSTREAM_FAILED, mExecution, message));
-        if (mCall != null) {
-            mCall.cancel();
+        closeCall();
+    }
+
+    /**
+     * Asks the agent to end the call and resets it only when that takes too long. An HTTP/2
+     * connection ends, with all its streams, after 200 resets of streams that still get frames
+     * within 30 s, which callers who leave together would cause.
+     */
+    private void closeCall() {
+        if (mCall == null) {
+            return;
+        }
+        mShared.clients().cancel(mAgent.address(), mId);
+        if (mStream != null) {
+            mStream.resume();
         }
+        awaitStreamEnd();
     }
 
     private void fail(RequestFailure failure) {
