Write the status of a process in one place

The console and ctl built the same JSON object from a ProcessStatus, and ctl had its own name of the state. Both now call ProcessStatus.json and stateName. The answers keep their fields; the console's field order changes. Tests of runtime, ctl and console pass (62).

--- a/tanagergap-console/src/main/java/org/tanagergap/console/StatusRoutes.java
+++ b/tanagergap-console/src/main/java/org/tanagergap/console/StatusRoutes.java
@@ -7,7 +7,6 @@
 import io.vertx.ext.web.Router;
 import java.time.Duration;
 import java.util.List;
-import java.util.Locale;
 import org.tanagergap.runtime.async.Futures;
 import org.tanagergap.runtime.settings.HostPort;
 import org.tanagergap.runtime.status.ProcessState;
@@ -46,15 +45,7 @@
     private static JsonObject json(long version, List<ProcessStatus> statuses) {
         JsonArray processes = new JsonArray();
         for (ProcessStatus status : statuses) {
-            JsonObject process =
-                    new JsonObject()
-                            .put("address", status.address().toString())
-                            .put("name", status.name())
-                            .put("program", status.program())
-                            .put("detail", status.detail())
-                            .put("state", status.state(version).name().toLowerCase(Locale.ROOT));
-            status.version().ifPresent(v -> process.put("configuration_version", v));
-            processes.add(process);
+            processes.add(status.json(version).put("detail", status.detail()));
         }
         return new JsonObject()
                 .put("version", version)
--- a/tanagergap-ctl/src/main/java/org/tanagergap/ctl/StatusCommand.java
+++ b/tanagergap-ctl/src/main/java/org/tanagergap/ctl/StatusCommand.java
@@ -6,7 +6,6 @@
 import io.vertx.core.json.JsonObject;
 import java.time.Duration;
 import java.util.List;
-import java.util.Locale;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.stream.Collectors;
@@ -103,13 +102,7 @@
     private static JsonObject json(long target, List<ProcessStatus> statuses) {
         JsonArray processes = new JsonArray();
         for (ProcessStatus status : statuses) {
-            JsonObject process =
-                    new JsonObject()
-                            .put("address", status.address().toString())
-                            .put("name", status.name())
-                            .put("program", status.program())
-                            .put("state", stateName(target, status));
-            status.version().ifPresent(v -> process.put("configuration_version", v));
+            JsonObject process = status.json(target);
             if (!status.detail().isEmpty()) {
                 process.put("detail", status.detail());
             }
@@ -142,10 +135,6 @@
                         : status.detail();
         return String.format(
                 "%-12s %s %s %s",
-                stateName(target, status), status.address(), status.name(), version);
-    }
-
-    private static String stateName(long target, ProcessStatus status) {
-        return status.state(target).name().toLowerCase(Locale.ROOT);
+                status.stateName(target), status.address(), status.name(), version);
     }
 }
--- a/tanagergap-runtime/src/main/java/org/tanagergap/runtime/status/ProcessStatus.java
+++ b/tanagergap-runtime/src/main/java/org/tanagergap/runtime/status/ProcessStatus.java
@@ -1,5 +1,7 @@
 package org.tanagergap.runtime.status;
 
+import io.vertx.core.json.JsonObject;
+import java.util.Locale;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -42,4 +44,21 @@
         return failure.orElseGet(
                 () -> version.orElse(0) >= target ? ProcessState.IN_EFFECT : ProcessState.BEHIND);
     }
+
+    /** Name of the state, as people and programs read it. */
+    public String stateName(long target) {
+        return state(target).name().toLowerCase(Locale.ROOT);
+    }
+
+    /** JSON form without the detail, which readers treat differently. */
+    public JsonObject json(long target) {
+        JsonObject json =
+                new JsonObject()
+                        .put("address", address.toString())
+                        .put("name", name)
+                        .put("program", program)
+                        .put("state", stateName(target));
+        version.ifPresent(v -> json.put("configuration_version", v));
+        return json;
+    }
 }
