Keep short and long reads on opposite ends of a common order

Change: placement minimizes the expected loss: pauses that a read causes to the streams of an engine, its own lateness, and the cost of crowding. Short prompts gather at one end of an order that all instances share, long reads at the other, and a long read is spread over several engines when that shortens the pauses.

--- a/tanagergap-decisions/src/main/java/org/tanagergap/decisions/fleet/FleetLoad.java
+++ b/tanagergap-decisions/src/main/java/org/tanagergap/decisions/fleet/FleetLoad.java
@@ -5,7 +5,6 @@
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
-import org.tanagergap.api.request.RequestCost;
 
 /**
  * Load of every upstream: the work of this instance, exact, and that of its peers as they last
@@ -22,9 +21,8 @@
     private record PeerReport(long receivedNanos, Map<String, UpstreamLoad> loads) {}
 
     /** Records that a request is sent to an upstream. */
-    public RunningWork begin(
-            String upstream, RequestCost cost, double readMillis, boolean longRead, long nowNanos) {
-        RunningWork work = new RunningWork(upstream, cost, readMillis, longRead, nowNanos);
+    public RunningWork begin(String upstream, RunningWork.Share share, long nowNanos) {
+        RunningWork work = new RunningWork(upstream, share, nowNanos);
         mOwn.computeIfAbsent(upstream, ignored -> new HashSet<>()).add(work);
         return work;
     }
--- a/tanagergap-decisions/src/main/java/org/tanagergap/decisions/fleet/LeastBusyPlacement.java
+++ b/tanagergap-decisions/src/main/java/org/tanagergap/decisions/fleet/LeastBusyPlacement.java
@@ -4,7 +4,6 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.random.RandomGenerator;
-import org.tanagergap.api.request.RequestCost;
 
 /** Chooses the plain service instance with the fewest requests for its slots, nearer ones first. */
 public final class LeastBusyPlacement implements PlacementPolicy {
@@ -18,7 +17,8 @@
     }
 
     @Override
-    public Optional<Placement> choose(RequestCost cost, List<UpstreamCandidate> candidates) {
+    public Optional<Placement> choose(
+            PlacementRequest request, List<UpstreamCandidate> candidates) {
         return candidates.stream()
                 .filter(c -> c.load().running() < c.slots())
                 .map(c -> new Scored(c, score(c)))
--- a/tanagergap-decisions/src/main/java/org/tanagergap/decisions/fleet/LengthAwarePlacement.java
+++ b/tanagergap-decisions/src/main/java/org/tanagergap/decisions/fleet/LengthAwarePlacement.java
@@ -5,37 +5,51 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.random.RandomGenerator;
-import org.tanagergap.api.request.RequestCost;
 
 /**
- * Keeps short prompts away from upstreams that read long ones, and long reads together on as few
- * upstreams as finish them in time. Answers floods of long prompts, in which a first-come placement
- * puts a long read beside every short prompt.
+ * Places prompts on model engines so that as little work as possible becomes late. An engine reads
+ * between the tokens that it writes, so a long read stops every stream beside it: short prompts
+ * gather on the engines at one end of a common order, long reads on those at the other end, and a
+ * long read is spread over several engines when that shortens the pauses that it causes. Answers
+ * floods of long prompts, in which a first-come placement puts a long read beside every short
+ * stream.
  */
 public final class LengthAwarePlacement implements PlacementPolicy {
 
-    /** Reads from this length on are kept apart from short prompts, in ms of an idle engine. */
-    public static final double LONG_READ_MILLIS = 150;
+    private static final int[] PARTS = {1, 2, 3, 4, 6, 8, 12, 16};
 
-    /** A long read is spread over so many engines that each reads for about this long, in ms. */
-    private static final double READ_MILLIS_PER_ENGINE = 2_500;
-
-    private static final int MAX_HELPERS = 15;
+    /** Reads below this time are not spread, in ms of an idle engine. */
+    private static final double SPREAD_FROM_MILLIS = 150;
 
     /** Part of an engine's memory that is planned; growth of writers takes the rest. */
     private static final double PLANNED_MEMORY = 0.95;
 
-    /** Cost to a short prompt of a long read beside it, in ms. */
-    private static final double LONG_READ_PENALTY_MILLIS = 120;
+    /** Pauses that make delicate and other streams late, in ms. */
+    private static final double DELICATE_GAP_MILLIS = 250;
+
+    private static final double OTHER_GAP_MILLIS = 600;
+
+    /** Loss when a stream becomes late; other streams are longer and worth more. */
+    private static final double DELICATE_LOSS = 1.6;
+
+    private static final double OTHER_LOSS = 2.5;
+
+    /** A pause of this part of the limit begins to be a risk. */
+    private static final double RISK_FROM = 0.7;
+
+    /** Cost of one position further from the own end of the order. */
+    private static final double POSITION_COST = 0.004;
 
-    /** Cost to the writers of an upstream of a long read put beside them, in ms a writer. */
-    private static final double WRITER_PENALTY_MILLIS = 60;
+    /** Cost of a full engine to a short prompt; grows with the cube of its use. */
+    private static final double CROWD_COST = 0.3;
 
-    /** Preference of long reads for upstreams early in the order, in ms a position. */
-    private static final double ORDER_MILLIS = 12;
+    /** Cost of each further engine that reads a part. */
+    private static final double PART_COST = 0.02;
 
-    /** Candidates this close to the best are equal, so that instances do not herd, in ms. */
-    private static final double EQUAL_MILLIS = 4;
+    private static final double FAR_COST_PER_MILLI = 0.002;
+
+    /** Placements this close to the best are equal, so that instances do not herd. */
+    private static final double EQUAL_COST = 0.003;
 
     private final RandomGenerator mRandom;
 
@@ -43,124 +57,155 @@
         mRandom = random;
     }
 
-    private record Scored(UpstreamCandidate candidate, double score, double firstTokenMillis) {}
+    /** Cost of putting a read on a candidate. */
+    private record Scored(UpstreamCandidate candidate, double cost, double firstMillis) {}
+
+    /** A choice for the whole prompt. */
+    private record Plan(Placement placement, double cost) {}
 
     @Override
-    public Optional<Placement> choose(RequestCost cost, List<UpstreamCandidate> candidates) {
+    public Optional<Placement> choose(
+            PlacementRequest request, List<UpstreamCandidate> candidates) {
         List<UpstreamCandidate> engines =
                 candidates.stream()
                         .filter(c -> c.engine().isPresent())
-                        .filter(c -> c.load().running() < c.slots())
                         .sorted(Comparator.comparingInt(c -> c.id().hashCode()))
                         .toList();
         if (engines.isEmpty()) {
             return Optional.empty();
         }
         EngineProfile engine = engines.get(0).engine().orElseThrow();
-        double readMillis = engine.readMillis(cost.promptTokens());
-        if (readMillis < LONG_READ_MILLIS) {
-            return chooseShort(cost, readMillis, engines);
+        double readMillis = engine.readMillis(request.cost().promptTokens());
+        if (readMillis < SPREAD_FROM_MILLIS) {
+            return chooseWhole(request, readMillis, engines);
         }
-        int parts = parts(cost, readMillis, engine);
-        return parts == 1
-                ? chooseLong(cost, readMillis, engines)
-                : chooseSpread(cost, readMillis, parts, engines);
+        return chooseParts(request, readMillis, engines);
     }
 
-    private Optional<Placement> chooseShort(
-            RequestCost cost, double readMillis, List<UpstreamCandidate> engines) {
+    private Optional<Placement> chooseWhole(
+            PlacementRequest request, double readMillis, List<UpstreamCandidate> engines) {
         List<Scored> scored = new ArrayList<>();
-        for (UpstreamCandidate candidate : engines) {
-            if (!fits(cost.memoryTokens(), candidate)) {
-                continue;
+        for (int i = 0; i < engines.size(); i++) {
+            UpstreamCandidate candidate = engines.get(i);
+            if (hasSlot(candidate) && fits(request.cost().memoryTokens(), candidate)) {
+                scored.add(scoreShort(request, readMillis, i, candidate));
             }
-            double first = firstTokenMillis(readMillis, candidate);
-            double score =
-                    first
-                            + candidate.load().longReads() * LONG_READ_PENALTY_MILLIS
-                            + candidate.load().writing() * 2;
-            scored.add(new Scored(candidate, score, first));
         }
-        return best(scored).map(s -> whole(s));
+        return best(scored)
+                .map(s -> new Placement(s.candidate().id(), List.of(), 0, s.firstMillis()));
     }
 
-    private Optional<Placement> chooseLong(
-            RequestCost cost, double readMillis, List<UpstreamCandidate> engines) {
-        List<Scored> scored = new ArrayList<>();
-        for (int i = 0; i < engines.size(); i++) {
-            UpstreamCandidate candidate = engines.get(i);
-            if (fits(cost.memoryTokens(), candidate)) {
-                scored.add(scoreLong(readMillis, i, candidate));
+    private Optional<Scored> best(List<Scored> scored) {
+        Optional<Scored> best = scored.stream().min(Comparator.comparingDouble(Scored::cost));
+        if (best.isEmpty()) {
+            return best;
+        }
+        double limit = best.get().cost() + EQUAL_COST;
+        List<Scored> equal = scored.stream().filter(s -> s.cost() <= limit).toList();
+        return Optional.of(equal.get(mRandom.nextInt(equal.size())));
+    }
+
+    private Optional<Placement> chooseParts(
+            PlacementRequest request, double readMillis, List<UpstreamCandidate> engines) {
+        Optional<Plan> best = Optional.empty();
+        for (int parts : PARTS) {
+            Optional<Plan> plan = plan(request, readMillis, parts, engines);
+            if (plan.isPresent() && (best.isEmpty() || plan.get().cost() < best.get().cost())) {
+                best = plan;
             }
         }
-        return best(scored).map(s -> whole(s));
+        return best.map(Plan::placement);
     }
 
-    /** Spreads a prompt over the upstreams that suit long reads best; none when too few fit. */
-    private Optional<Placement> chooseSpread(
-            RequestCost cost, double readMillis, int parts, List<UpstreamCandidate> engines) {
+    /** Plan with the given number of parts; empty when too few engines have memory for them. */
+    private Optional<Plan> plan(
+            PlacementRequest request,
+            double readMillis,
+            int parts,
+            List<UpstreamCandidate> engines) {
         EngineProfile engine = engines.get(0).engine().orElseThrow();
-        boolean reserved = cost.memoryTokens() > PLANNED_MEMORY * engine.memoryTokens();
-        long share = reserved ? (cost.promptTokens() + parts - 1) / parts : 0;
-        long firstTokens = cost.memoryTokens() - share * (parts - 1);
+        long memory = request.cost().memoryTokens();
+        boolean reserved = memory > PLANNED_MEMORY * engine.memoryTokens();
+        long share = reserved ? (request.cost().promptTokens() + parts - 1) / parts : 0;
+        long firstShare = memory - share * (parts - 1);
         List<Scored> scored = new ArrayList<>();
         for (int i = 0; i < engines.size(); i++) {
             UpstreamCandidate candidate = engines.get(i);
-            if (fits(Math.max(share, 1), candidate)) {
-                scored.add(scoreLong(readMillis / parts, i, candidate));
+            if (fits(share, candidate)) {
+                int position = engines.size() - 1 - i;
+                scored.add(scoreLong(readMillis / parts, position, candidate));
             }
         }
-        scored.sort(Comparator.comparingDouble(Scored::score));
+        scored.sort(Comparator.comparingDouble(Scored::cost));
         Optional<Scored> first =
-                scored.stream().filter(s -> fits(firstTokens, s.candidate())).findFirst();
+                scored.stream()
+                        .filter(s -> hasSlot(s.candidate()) && fits(firstShare, s.candidate()))
+                        .findFirst();
         if (first.isEmpty() || scored.size() < parts) {
             return Optional.empty();
         }
-        List<String> helpers =
-                scored.stream()
-                        .filter(s -> s != first.get())
-                        .limit(parts - 1L)
-                        .map(s -> s.candidate().id())
-                        .sorted()
-                        .toList();
-        return Optional.of(
-                new Placement(
-                        first.get().candidate().id(),
-                        helpers,
-                        share,
-                        first.get().firstTokenMillis()));
+        List<Scored> helpers =
+                scored.stream().filter(s -> s != first.get()).limit(parts - 1L).toList();
+        return Optional.of(plan(request, first.get(), helpers, share));
     }
 
-    private static Scored scoreLong(double readMillis, int position, UpstreamCandidate candidate) {
+    private static Plan plan(
+            PlacementRequest request, Scored first, List<Scored> helpers, long share) {
+        double firstMillis =
+                Math.max(
+                        first.firstMillis(),
+                        helpers.stream().mapToDouble(Scored::firstMillis).max().orElse(0));
+        double cost =
+                first.cost()
+                        + helpers.stream().mapToDouble(Scored::cost).sum()
+                        + helpers.size() * PART_COST
+                        + OTHER_LOSS * risk(firstMillis, request.aimLeftMillis());
+        List<String> ids = helpers.stream().map(s -> s.candidate().id()).sorted().toList();
+        return new Plan(new Placement(first.candidate().id(), ids, share, firstMillis), cost);
+    }
+
+    private static Scored scoreShort(
+            PlacementRequest request,
+            double readMillis,
+            int position,
+            UpstreamCandidate candidate) {
         double first = firstTokenMillis(readMillis, candidate);
-        double score =
-                first
-                        + candidate.load().writing() * WRITER_PENALTY_MILLIS
-                        + position * ORDER_MILLIS;
-        return new Scored(candidate, score, first);
+        double used = (double) candidate.load().running() / candidate.slots();
+        double cost =
+                harm(readMillis, candidate)
+                        + DELICATE_LOSS * risk(first, request.aimLeftMillis())
+                        + CROWD_COST * used * used * used
+                        + POSITION_COST * position
+                        + FAR_COST_PER_MILLI * candidate.delayMillis();
+        return new Scored(candidate, cost, first);
     }
 
-    private Optional<Scored> best(List<Scored> scored) {
-        Optional<Scored> best = scored.stream().min(Comparator.comparingDouble(Scored::score));
-        if (best.isEmpty()) {
-            return best;
-        }
-        List<Scored> equal =
-                scored.stream()
-                        .filter(s -> s.score() <= best.get().score() + EQUAL_MILLIS)
-                        .toList();
-        return Optional.of(equal.get(mRandom.nextInt(equal.size())));
+    private static Scored scoreLong(double readMillis, int position, UpstreamCandidate candidate) {
+        double cost = harm(readMillis, candidate) + POSITION_COST * position;
+        return new Scored(candidate, cost, firstTokenMillis(readMillis, candidate));
+    }
+
+    /** Expected loss of the streams that run at the candidate. */
+    private static double harm(double readMillis, UpstreamCandidate candidate) {
+        UpstreamLoad load = candidate.load();
+        double pause = passMillis(candidate) + load.readMillis() + readMillis;
+        double slowPause = pause * candidate.slowness();
+        int others = load.running() - load.delicate();
+        return load.delicate() * DELICATE_LOSS * risk(slowPause, DELICATE_GAP_MILLIS)
+                + others * OTHER_LOSS * risk(slowPause, OTHER_GAP_MILLIS);
     }
 
-    private static Placement whole(Scored scored) {
-        return new Placement(scored.candidate().id(), List.of(), 0, scored.firstTokenMillis());
+    /** Risk that something of the given duration exceeds its limit, from 0 to 1. */
+    private static double risk(double millis, double limitMillis) {
+        if (limitMillis <= 0) {
+            return 1;
+        }
+        double from = RISK_FROM * limitMillis;
+        return Math.max(0, Math.min(1, (millis - from) / (limitMillis - from)));
     }
 
-    private static int parts(RequestCost cost, double readMillis, EngineProfile engine) {
-        double memory = PLANNED_MEMORY * engine.memoryTokens();
-        int byMemory = (int) Math.ceil(cost.memoryTokens() / memory);
-        int byTime = (int) Math.ceil(readMillis / READ_MILLIS_PER_ENGINE);
-        return Math.min(1 + MAX_HELPERS, Math.max(1, Math.max(byMemory, byTime)));
+    private static boolean hasSlot(UpstreamCandidate candidate) {
+        return candidate.load().running() < candidate.slots();
     }
 
     private static boolean fits(long tokens, UpstreamCandidate candidate) {
@@ -168,13 +213,23 @@
         return candidate.load().memoryTokens() + tokens <= memory;
     }
 
-    /** Predicted time to the first token: half a pass, the reads ahead and the own read. */
+    /** Duration of a pass of the writers that the candidate has. */
+    private static double passMillis(UpstreamCandidate candidate) {
+        UpstreamLoad load = candidate.load();
+        return load.running() == 0
+                ? 0
+                : candidate.engine().orElseThrow().passMillis(load.running(), load.memoryTokens());
+    }
+
+    /**
+     * Predicted time to the first token: half of the pass under way, the reads ahead, the own read
+     * and the first own pass.
+     */
     private static double firstTokenMillis(double readMillis, UpstreamCandidate candidate) {
         UpstreamLoad load = candidate.load();
-        EngineProfile engine = candidate.engine().orElseThrow();
-        double pass =
-                load.writing() == 0 ? 0 : engine.passMillis(load.writing(), load.memoryTokens());
-        double engineMillis = pass / 2 + load.readMillis() + readMillis;
+        double pass = passMillis(candidate);
+        double ownPass = candidate.engine().orElseThrow().passMillis(1, 0);
+        double engineMillis = pass / 2 + load.readMillis() + readMillis + Math.max(pass, ownPass);
         return engineMillis * candidate.slowness() + 2 * candidate.delayMillis();
     }
 }
--- a/tanagergap-decisions/src/main/java/org/tanagergap/decisions/fleet/RunningWork.java
+++ b/tanagergap-decisions/src/main/java/org/tanagergap/decisions/fleet/RunningWork.java
@@ -1,5 +1,6 @@
 package org.tanagergap.decisions.fleet;
 
+import java.util.Objects;
 import org.tanagergap.api.request.RequestCost;
 
 /** One request at one upstream, from its sending to its end. Confined to the event loop. */
@@ -9,27 +10,33 @@
     private static final double LEAST_READ_LEFT = 0.2;
 
     /** Share of an engine's time that a read gets beside other work. */
-    private static final double READ_PROGRESS = 0.6;
+    private static final double READ_PROGRESS = 0.8;
 
     private static final double NANOS_PER_MILLI = 1e6;
 
     private final String mUpstream;
-    private final RequestCost mCost;
-    private final double mReadMillis;
-    private final boolean mLongRead;
+    private final Share mShare;
     private final long mStartNanos;
     private boolean mWriting;
 
-    RunningWork(
-            String upstream,
-            RequestCost cost,
-            double readMillis,
-            boolean longRead,
-            long startNanos) {
+    /**
+     * What the request needs of the upstream.
+     *
+     * @param cost tokens that it holds there
+     * @param readMillis time to read its part of the prompt on an idle engine, in ms
+     * @param writes whether it writes there; a helper only reads
+     * @param delicate whether a long read beside it would make it late
+     */
+    public record Share(RequestCost cost, double readMillis, boolean writes, boolean delicate) {
+
+        public Share {
+            Objects.requireNonNull(cost, "cost must not be null");
+        }
+    }
+
+    RunningWork(String upstream, Share share, long startNanos) {
         mUpstream = upstream;
-        mCost = cost;
-        mReadMillis = readMillis;
-        mLongRead = longRead;
+        mShare = share;
         mStartNanos = startNanos;
     }
 
@@ -38,23 +45,21 @@
         return mUpstream;
     }
 
-    /** Time to read the prompt on an idle engine, in ms. */
-    public double readMillis() {
-        return mReadMillis;
-    }
-
-    /** Records that the first token has arrived. */
+    /** Records that the first token has arrived, so that nothing is left to read. */
     public void firstToken() {
         mWriting = true;
     }
 
     UpstreamLoad load(long nowNanos) {
+        int running = mShare.writes() ? 1 : 0;
+        int delicate = mShare.writes() && mShare.delicate() ? 1 : 0;
+        long memory = mShare.cost().memoryTokens();
         if (mWriting) {
-            return new UpstreamLoad(1, 1, 0, 0, mCost.memoryTokens());
+            return new UpstreamLoad(running, delicate, running, 0, memory);
         }
+        double read = mShare.readMillis();
         double elapsed = (nowNanos - mStartNanos) / NANOS_PER_MILLI;
-        double left =
-                Math.max(LEAST_READ_LEFT * mReadMillis, mReadMillis - READ_PROGRESS * elapsed);
-        return new UpstreamLoad(1, 0, left, mLongRead ? 1 : 0, mCost.memoryTokens());
+        double left = Math.max(LEAST_READ_LEFT * read, read - READ_PROGRESS * elapsed);
+        return new UpstreamLoad(running, delicate, 0, left, memory);
     }
 }
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/Attempt.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/Attempt.java
@@ -9,7 +9,6 @@
 import java.util.OptionalLong;
 import org.tanagergap.api.time.Timer;
 import org.tanagergap.decisions.fleet.EngineProfile;
-import org.tanagergap.decisions.fleet.LengthAwarePlacement;
 import org.tanagergap.decisions.fleet.Placement;
 import org.tanagergap.decisions.fleet.RunningWork;
 import org.tanagergap.gateway.caller.CallerRequest;
@@ -30,6 +29,9 @@
     private static final Duration REFUSED_SUSPENSION = Duration.ofMillis(60);
     private static final Duration REPLACED_SUSPENSION = Duration.ofSeconds(3);
 
+    /** Peers should know at once of reads that take longer, in ms. */
+    private static final double ANNOUNCED_READ_MILLIS = 100;
+
     private static final long NANOS_PER_MILLI = 1_000_000;
 
     private final ForwardingParts mParts;
@@ -188,31 +190,24 @@
     private void beginWork() {
         Optional<EngineProfile> engine = mRequest.service().engine();
         double read = engine.map(e -> e.readMillis(mRequest.cost().promptTokens())).orElse(0.0);
-        boolean isLong = read >= LengthAwarePlacement.LONG_READ_MILLIS;
-        int parts = 1 + mPlacement.helpers().size();
-        mWorks.add(
-                mParts.load()
-                        .begin(
-                                mPlacement.upstream(),
-                                mPlacement.costAt(mPlacement.upstream(), mRequest.cost()),
-                                read / parts,
-                                isLong,
-                                mStartNanos));
-        for (String helper : mPlacement.helpers()) {
-            mWorks.add(
-                    mParts.load()
-                            .begin(
-                                    helper,
-                                    mPlacement.costAt(helper, mRequest.cost()),
-                                    read / parts,
-                                    isLong,
-                                    mStartNanos));
-        }
-        if (isLong) {
+        double part = read / (1 + mPlacement.helpers().size());
+        beginWork(mPlacement.upstream(), part, true);
+        mPlacement.helpers().forEach(helper -> beginWork(helper, part, false));
+        if (part >= ANNOUNCED_READ_MILLIS) {
             mParts.announce().run();
         }
     }
 
+    private void beginWork(String upstream, double readMillis, boolean writes) {
+        RunningWork.Share share =
+                new RunningWork.Share(
+                        mPlacement.costAt(upstream, mRequest.cost()),
+                        readMillis,
+                        writes,
+                        mFlow.placementRequest().delicate());
+        mWorks.add(mParts.load().begin(upstream, share, mStartNanos));
+    }
+
     private List<Upstream> helpers() {
         return mPlacement.helpers().stream()
                 .flatMap(id -> mParts.view().upstream(id).stream())
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/Dispatcher.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/Dispatcher.java
@@ -84,11 +84,11 @@
     private Optional<Placement> choose(RequestFlow flow, Set<String> excluded) {
         CallerRequest request = flow.request();
         List<UpstreamCandidate> candidates = mCandidates.candidates(request.service(), excluded);
-        Optional<Placement> placement = mPolicy.choose(request.cost(), candidates);
+        Optional<Placement> placement = mPolicy.choose(flow.placementRequest(), candidates);
         if (placement.isEmpty() && !excluded.isEmpty()) {
             // Any other upstream is preferred, but the one that failed is better than none.
             return mPolicy.choose(
-                    request.cost(), mCandidates.candidates(request.service(), Set.of()));
+                    flow.placementRequest(), mCandidates.candidates(request.service(), Set.of()));
         }
         return placement;
     }
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/RequestFlow.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/RequestFlow.java
@@ -12,6 +12,7 @@
 import org.tanagergap.api.failure.RequestFailure;
 import org.tanagergap.api.time.Timer;
 import org.tanagergap.decisions.fleet.Placement;
+import org.tanagergap.decisions.fleet.PlacementRequest;
 import org.tanagergap.decisions.fleet.RepeatRules;
 import org.tanagergap.gateway.caller.CallerExchange;
 import org.tanagergap.gateway.caller.CallerRequest;
@@ -27,6 +28,9 @@
     /** Answers from this status on say that the upstream itself has failed. */
     private static final int SERVER_ERROR = 500;
 
+    private static final long NO_GAP_LIMIT_MILLIS = 60_000;
+    private static final double NANOS_PER_MILLI = 1e6;
+
     private final ForwardingParts mParts;
     private final Dispatcher mDispatcher;
     private final CallerExchange mExchange;
@@ -64,6 +68,13 @@
         return mRequest;
     }
 
+    /** What a placement needs to know now. */
+    PlacementRequest placementRequest() {
+        double aimLeft = (mRequest.aimNanos() - now()) / NANOS_PER_MILLI;
+        double gap = mRequest.route().gapAim().map(Duration::toMillis).orElse(NO_GAP_LIMIT_MILLIS);
+        return new PlacementRequest(mRequest.cost(), aimLeft, gap);
+    }
+
     CallerExchange exchange() {
         return mExchange;
     }
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/peer/PeerReport.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/peer/PeerReport.java
@@ -37,9 +37,9 @@
                                 upstream,
                                 new JsonArray()
                                         .add(load.running())
+                                        .add(load.delicate())
                                         .add(load.writing())
                                         .add(Math.round(load.readMillis()))
-                                        .add(load.longReads())
                                         .add(load.memoryTokens())));
         JsonObject suspended = new JsonObject();
         suspendedMillis.forEach(suspended::put);
@@ -78,8 +78,8 @@
         return new UpstreamLoad(
                 values.getInteger(0),
                 values.getInteger(1),
-                values.getLong(2),
-                values.getInteger(3),
+                values.getInteger(2),
+                values.getLong(3),
                 values.getLong(4));
     }
 }
