--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/Attempt.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/Attempt.java
@@ -177,12 +177,12 @@
         String upstream = mPlacement.upstream();
         long now = now();
         switch (failure.kind()) {
-            case NOT_CONNECTED, SILENT -> mParts.trust().unreachable(upstream, now);
+            case NOT_CONNECTED -> mParts.trust().unreachable(upstream, now);
             case BROKEN -> mParts.trust().failed(upstream, now);
             case REFUSED -> mParts.trust().suspend(upstream, REFUSED_SUSPENSION, now);
             case OTHER_UPSTREAM -> mParts.trust().suspend(upstream, REPLACED_SUSPENSION, now);
-            case NOT_RESERVED -> {
-                // Says nothing of the upstream that was to run the request.
+            case SILENT, NOT_RESERVED -> {
+                // Silence was noted when it was found; a refused reservation is another's.
             }
         }
     }
@@ -283,12 +283,15 @@
         long silentNanos = mPaused ? 0 : now() - mLastEventNanos;
         long leftNanos = limit.toNanos() - silentNanos;
         if (leftNanos <= 0) {
-            mCall.ifPresent(UpstreamCall::cancel);
-            failed(
-                    new CallFailure(
-                            CallFailure.Kind.SILENT,
-                            "nothing arrived for " + limit.toMillis() + " ms"));
-            return;
+            mParts.trust().unreachable(mPlacement.upstream(), now());
+            if (mListener.maySendElsewhere()) {
+                String reason = "nothing arrived for " + limit.toMillis() + " ms";
+                mCall.ifPresent(UpstreamCall::cancel);
+                failed(new CallFailure(CallFailure.Kind.SILENT, reason));
+                return;
+            }
+            // Silence alone is no reason to end an answer that nobody else can go on with.
+            leftNanos = limit.toNanos();
         }
         mSilenceTimer = mParts.clock().schedule(Duration.ofNanos(leftNanos), this::watchSilence);
     }
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/AttemptListener.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/AttemptListener.java
@@ -18,4 +18,10 @@
 
     /** The attempt has failed at the upstream. */
     void failed(String upstream, CallFailure failure);
+
+    /**
+     * Whether the request may go on at another upstream when this attempt, which is silent, is
+     * ended; a positive answer spends the retry.
+     */
+    boolean maySendElsewhere();
 }
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/RequestFlow.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/RequestFlow.java
@@ -46,6 +46,7 @@
     private int mNotRun;
     private boolean mStreaming;
     private boolean mEnded;
+    private boolean mRetryPaid;
     private Timer mDeadline = () -> {};
 
     private record WholeAnswer(int status, MultiMap headers, Buffer body) {}
@@ -198,14 +199,28 @@
         }
     }
 
+    @Override
+    public boolean maySendElsewhere() {
+        mRetryPaid =
+                mRules.maySendAgain(Execution.UNKNOWN, mPossibleRuns + 1, mNotRun)
+                        && resumable()
+                        && trySpend();
+        return mRetryPaid;
+    }
+
+    private boolean resumable() {
+        return !mStreaming || mLastEventId.isPresent();
+    }
+
     private void attemptFailed(String reason, Execution execution) {
         attemptFailed(reason, execution, false);
     }
 
     private void attemptFailed(String reason, Execution execution, boolean free) {
         boolean rulesAllow = mRules.maySendAgain(execution, mPossibleRuns, mNotRun);
-        boolean resumable = !mStreaming || mLastEventId.isPresent();
-        if (rulesAllow && resumable && (free || trySpend())) {
+        boolean paid = free || mRetryPaid;
+        mRetryPaid = false;
+        if (rulesAllow && resumable() && (paid || trySpend())) {
             mDispatcher.submit(this, mFailedUpstreams);
         } else if (mStreaming) {
             end("broken_off", Execution.RAN, reason);
