--- /dev/null
+++ b/tanagergap-runtime/src/main/java/org/tanagergap/runtime/log/BoundedLogHandler.java
@@ -0,0 +1,156 @@
+package org.tanagergap.runtime.log;
+
+import java.io.IOException;
+import java.io.OutputStream;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.Objects;
+import java.util.logging.ErrorManager;
+import java.util.logging.Handler;
+import java.util.logging.Level;
+import java.util.logging.LogRecord;
+
+/**
+ * Writes log lines on a thread of its own, so that a reader who stops reading blocks nobody. Lines
+ * beyond the bounds are dropped, and a line says how many were.
+ */
+final class BoundedLogHandler extends Handler {
+
+    /** Lines that wait for the writer. */
+    private static final int MAX_WAITING_LINES = 4096;
+
+    /** Lines accepted in one second; a request has one line, a change of the fleet one as well. */
+    private static final int MAX_LINES_PER_SECOND = 1000;
+
+    /** Lines are collected for this time, since each write costs a wake-up. */
+    private static final Duration BATCH_TIME = Duration.ofMillis(100);
+
+    private static final Duration CLOSE_TIMEOUT = Duration.ofMillis(300);
+
+    private final OutputStream mOutput;
+    private final Thread mWriter;
+    private final Object mLock = new Object();
+    private final Deque<String> mLines = new ArrayDeque<>();
+    private long mSecond;
+    private int mLinesInSecond;
+    private long mDropped;
+    private boolean mWriting;
+    private boolean mClosed;
+
+    BoundedLogHandler(OutputStream output) {
+        mOutput = Objects.requireNonNull(output, "output must not be null");
+        mWriter = new Thread(this::writeLoop, "log-writer");
+        mWriter.setDaemon(true);
+        mWriter.start();
+    }
+
+    @Override
+    public void publish(LogRecord logRecord) {
+        if (!isLoggable(logRecord)) {
+            return;
+        }
+        String line = getFormatter().format(logRecord);
+        synchronized (mLock) {
+            if (mClosed || !withinBounds(logRecord)) {
+                mDropped++;
+                return;
+            }
+            mLines.addLast(line);
+            mLock.notifyAll();
+        }
+    }
+
+    /** Waits until the waiting lines are written, for a short time at most. */
+    @Override
+    public void flush() {
+        long end = System.nanoTime() + CLOSE_TIMEOUT.toNanos();
+        synchronized (mLock) {
+            while ((mWriting || !mLines.isEmpty()) && System.nanoTime() < end) {
+                await(BATCH_TIME);
+            }
+        }
+    }
+
+    @Override
+    public void close() {
+        flush();
+        synchronized (mLock) {
+            mClosed = true;
+            mLock.notifyAll();
+        }
+    }
+
+    private boolean withinBounds(LogRecord logRecord) {
+        long second = logRecord.getMillis() / 1000;
+        if (second != mSecond) {
+            mSecond = second;
+            mLinesInSecond = 0;
+        }
+        mLinesInSecond++;
+        return mLinesInSecond <= MAX_LINES_PER_SECOND && mLines.size() < MAX_WAITING_LINES;
+    }
+
+    private void writeLoop() {
+        List<String> batch = new ArrayList<>();
+        while (nextBatch(batch)) {
+            try {
+                mOutput.write(String.join("", batch).getBytes(StandardCharsets.UTF_8));
+                mOutput.flush();
+            } catch (IOException e) {
+                reportError("log lines could not be written", e, ErrorManager.WRITE_FAILURE);
+            }
+            batch.clear();
+            synchronized (mLock) {
+                mWriting = false;
+                mLock.notifyAll();
+            }
+            pause();
+        }
+    }
+
+    private void pause() {
+        try {
+            Thread.sleep(BATCH_TIME.toMillis());
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private boolean nextBatch(List<String> batch) {
+        synchronized (mLock) {
+            while (mLines.isEmpty() && mDropped == 0) {
+                if (mClosed) {
+                    return false;
+                }
+                await(Duration.ZERO);
+            }
+            mWriting = true;
+            batch.addAll(mLines);
+            mLines.clear();
+            if (mDropped > 0) {
+                batch.add(droppedLine(mDropped));
+                mDropped = 0;
+            }
+            return true;
+        }
+    }
+
+    private String droppedLine(long dropped) {
+        LogRecord note = new LogRecord(Level.WARNING, dropped + " log lines were dropped");
+        note.setLoggerName(BoundedLogHandler.class.getName());
+        return getFormatter().format(note);
+    }
+
+    /** Waits on the lock; without a limit when the duration is zero. */
+    private void await(Duration duration) {
+        try {
+            mLock.wait(duration.toMillis());
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
--- a/tanagergap-runtime/src/main/java/org/tanagergap/runtime/log/JsonLogFormatter.java
+++ b/tanagergap-runtime/src/main/java/org/tanagergap/runtime/log/JsonLogFormatter.java
@@ -1,11 +1,10 @@
 package org.tanagergap.runtime.log;
 
-import com.fasterxml.jackson.core.JsonProcessingException;
-import com.fasterxml.jackson.databind.ObjectMapper;
 import com.google.common.flogger.backend.BaseMessageFormatter;
 import com.google.common.flogger.backend.LogData;
 import com.google.common.flogger.backend.Metadata;
 import com.google.common.flogger.backend.system.AbstractLogRecord;
+import io.vertx.core.json.JsonObject;
 import java.io.PrintWriter;
 import java.io.StringWriter;
 import java.util.LinkedHashMap;
@@ -16,7 +15,6 @@
 /** Writes each log record as one line of JSON, with Flogger metadata as fields. */
 public final class JsonLogFormatter extends Formatter {
 
-    private final ObjectMapper mMapper = new ObjectMapper();
     private final String mProgram;
 
     public JsonLogFormatter(String program) {
@@ -38,11 +36,7 @@
         if (logRecord.getThrown() != null) {
             fields.put("cause", stackTrace(logRecord.getThrown()));
         }
-        try {
-            return mMapper.writeValueAsString(fields) + System.lineSeparator();
-        } catch (JsonProcessingException e) {
-            return "{\"level\":\"SEVERE\",\"message\":\"log record could not be written\"}\n";
-        }
+        return new JsonObject(fields).encode() + System.lineSeparator();
     }
 
     private static void addFloggerFields(LogData data, Map<String, Object> fields) {
--- a/tanagergap-runtime/src/main/java/org/tanagergap/runtime/log/StructuredLogging.java
+++ b/tanagergap-runtime/src/main/java/org/tanagergap/runtime/log/StructuredLogging.java
@@ -1,12 +1,13 @@
 package org.tanagergap.runtime.log;
 
-import java.util.logging.ConsoleHandler;
+import java.io.FileDescriptor;
+import java.io.FileOutputStream;
 import java.util.logging.Handler;
 import java.util.logging.Level;
 import java.util.logging.LogManager;
 import java.util.logging.Logger;
 
-/** Sends all logs of the process to standard error as lines of JSON. */
+/** Sends all logs of the process to standard output as lines of JSON. */
 public final class StructuredLogging {
 
     private StructuredLogging() {}
@@ -14,11 +15,18 @@
     /** Replaces the handlers of the root logger. */
     public static void install(String program, Level level) {
         LogManager.getLogManager().reset();
-        Handler handler = new ConsoleHandler();
+        Handler handler = new BoundedLogHandler(new FileOutputStream(FileDescriptor.out));
         handler.setFormatter(new JsonLogFormatter(program));
         handler.setLevel(level);
         Logger root = Logger.getLogger("");
         root.setLevel(level);
         root.addHandler(handler);
     }
+
+    /** Writes the lines that wait, before the process ends. */
+    public static void flush() {
+        for (Handler handler : Logger.getLogger("").getHandlers()) {
+            handler.flush();
+        }
+    }
 }
--- a/tanagergap-runtime/src/main/java/org/tanagergap/runtime/program/ProgramRunner.java
+++ b/tanagergap-runtime/src/main/java/org/tanagergap/runtime/program/ProgramRunner.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.TimeoutException;
 import org.tanagergap.api.finding.InvalidInputException;
 import org.tanagergap.api.lifecycle.Service;
+import org.tanagergap.runtime.log.StructuredLogging;
 
 /** Runs a long-running program from its command line until the process is told to end. */
 public final class ProgramRunner {
@@ -29,9 +30,8 @@
      * Parses the arguments, starts the program's service and stops it at the end of the process.
      */
     public static <C extends ProgramCommand> void run(Class<C> type, String[] args) {
-        SingleCommand<C> parser = SingleCommand.singleCommand(type);
-        C command = parse(parser, args);
-        if (command.mHelp.showHelpIfRequested()) {
+        C command = args.length == 0 ? withoutFlags(type) : parse(type, args);
+        if (command.mHelp != null && command.mHelp.showHelpIfRequested()) {
             return;
         }
         if (command.mVersion) {
@@ -48,15 +48,25 @@
             service.start().get();
         } catch (ExecutionException | InterruptedException e) {
             sLogger.atSevere().withCause(e).log("%s could not start", command.programName());
+            StructuredLogging.flush();
             System.exit(ExitStatus.FAILED);
         }
         Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(service, context), "shutdown"));
         sLogger.atInfo().log("%s started", command.programName());
     }
 
-    private static <C> C parse(SingleCommand<C> parser, String[] args) {
+    /** Command of a process that has all settings from elsewhere; the parser is slow to load. */
+    private static <C extends ProgramCommand> C withoutFlags(Class<C> type) {
         try {
-            return parser.parse(args);
+            return type.getDeclaredConstructor().newInstance();
+        } catch (ReflectiveOperationException e) {
+            throw new IllegalArgumentException(type + " has no constructor without arguments", e);
+        }
+    }
+
+    private static <C> C parse(Class<C> type, String[] args) {
+        try {
+            return SingleCommand.singleCommand(type).parse(args);
         } catch (ParseException e) {
             System.err.println(e.getMessage());
             System.exit(ExitStatus.INVALID_SETTINGS);
@@ -84,6 +94,7 @@
             sLogger.atSevere().withCause(e).log("shutdown failed");
             status = ExitStatus.FAILED;
         }
+        StructuredLogging.flush();
         // A process that ends by a signal would otherwise report the signal as its exit status.
         Runtime.getRuntime().halt(status);
     }
--- a/tanagergap-runtime/src/main/java/org/tanagergap/runtime/trace/Tracing.java
+++ b/tanagergap-runtime/src/main/java/org/tanagergap/runtime/trace/Tracing.java
@@ -1,19 +1,19 @@
 package org.tanagergap.runtime.trace;
 
 import io.opentelemetry.api.common.AttributeKey;
+import io.opentelemetry.api.common.Attributes;
 import io.opentelemetry.api.trace.Span;
 import io.opentelemetry.api.trace.SpanKind;
 import io.opentelemetry.api.trace.Tracer;
+import io.opentelemetry.api.trace.TracerProvider;
 import io.opentelemetry.api.trace.propagation.W3CTraceContextPropagator;
 import io.opentelemetry.context.Context;
 import io.opentelemetry.context.propagation.TextMapGetter;
 import io.opentelemetry.exporter.otlp.http.trace.OtlpHttpSpanExporter;
 import io.opentelemetry.sdk.resources.Resource;
 import io.opentelemetry.sdk.trace.SdkTracerProvider;
-import io.opentelemetry.sdk.trace.SdkTracerProviderBuilder;
 import io.opentelemetry.sdk.trace.export.BatchSpanProcessor;
 import io.opentelemetry.sdk.trace.export.SpanExporter;
-import io.opentelemetry.sdk.trace.samplers.Sampler;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -23,11 +23,14 @@
 /** Creates spans and passes their context between processes as W3C trace context. */
 public final class Tracing implements AutoCloseable {
 
+    private static final String INSTRUMENTATION = "org.tanagergap";
     private static final String TRACEPARENT = "traceparent";
     private static final long FLUSH_SECONDS = 2;
     private static final TextMapGetter<Map<String, String>> sGetter = new MapGetter();
 
-    private final SdkTracerProvider mProvider;
+    /** Empty when no spans are recorded; the SDK is then not loaded. */
+    private final Optional<SdkTracerProvider> mProvider;
+
     private final Tracer mTracer;
     private final W3CTraceContextPropagator mPropagator = W3CTraceContextPropagator.getInstance();
 
@@ -39,20 +42,22 @@
      * @param endpoint URL of the collector, for {@link TraceOutput#OTLP}
      */
     public Tracing(String program, TraceOutput output, Optional<String> endpoint) {
-        SdkTracerProviderBuilder builder =
-                SdkTracerProvider.builder()
-                        .setResource(
-                                Resource.create(
-                                        io.opentelemetry.api.common.Attributes.of(
-                                                AttributeKey.stringKey("service.name"), program)));
-        if (output == TraceOutput.NONE) {
-            builder.setSampler(Sampler.alwaysOff());
-        } else {
-            builder.addSpanProcessor(
-                    BatchSpanProcessor.builder(exporter(output, endpoint)).build());
-        }
-        mProvider = builder.build();
-        mTracer = mProvider.get("org.tanagergap");
+        mProvider =
+                output == TraceOutput.NONE
+                        ? Optional.empty()
+                        : Optional.of(provider(program, exporter(output, endpoint)));
+        mTracer =
+                mProvider
+                        .map(p -> p.get(INSTRUMENTATION))
+                        .orElseGet(() -> TracerProvider.noop().get(INSTRUMENTATION));
+    }
+
+    private static SdkTracerProvider provider(String program, SpanExporter exporter) {
+        Attributes attributes = Attributes.of(AttributeKey.stringKey("service.name"), program);
+        return SdkTracerProvider.builder()
+                .setResource(Resource.create(attributes))
+                .addSpanProcessor(BatchSpanProcessor.builder(exporter).build())
+                .build();
     }
 
     /** Starts a span under the given remote parent, or a new trace when there is none. */
@@ -83,7 +88,7 @@
     /** Exports the remaining spans. */
     @Override
     public void close() {
-        mProvider.shutdown().join(FLUSH_SECONDS, TimeUnit.SECONDS);
+        mProvider.ifPresent(p -> p.shutdown().join(FLUSH_SECONDS, TimeUnit.SECONDS));
     }
 
     private Context extract(String traceparent) {
