--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/GatewayService.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/GatewayService.java
@@ -101,7 +101,6 @@
                                 exchange::announce),
                         mSettings.failureDomain(),
                         random);
-        mView.addListener(new ViewListener(forwarder, trust));
         mCallers =
                 new CallerServer(
                         vertx,
@@ -111,6 +110,7 @@
                         platform.wire(),
                         new RequestResolver(random),
                         forwarder);
+        mView.addListener(new ViewListener(forwarder, trust, mCallers));
         mServices =
                 List.of(
                         new ReadinessServer(vertx, mSettings.readyListen(), this::ready),
@@ -211,7 +211,7 @@
     }
 
     /** Passes changes of the fleet on to the parts that depend on them. */
-    private record ViewListener(Forwarder forwarder, UpstreamTrust trust)
+    private record ViewListener(Forwarder forwarder, UpstreamTrust trust, CallerServer callers)
             implements FleetView.Listener {
 
         @Override
@@ -227,6 +227,7 @@
 
         @Override
         public void configured(GatewayConfiguration configuration) {
+            callers.configured();
             forwarder.fleetChanged();
         }
     }
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/caller/CallerServer.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/caller/CallerServer.java
@@ -9,6 +9,9 @@
 import io.vertx.core.http.HttpServerRequest;
 import java.time.Duration;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicLong;
@@ -41,6 +44,9 @@
     /** Connections that are idle this long during a shutdown are closed. */
     private static final Duration IDLE_AT_SHUTDOWN = Duration.ofMillis(150);
 
+    /** An instance that has just started knows its configuration within a fraction of this time. */
+    private static final Duration CONFIGURATION_WAIT = Duration.ofMillis(800);
+
     private static final FluentLogger sLogger = FluentLogger.forEnclosingClass();
 
     private final Vertx mVertx;
@@ -54,6 +60,7 @@
     private final PeriodicTask mIdleCheck;
     private final AtomicLong mSequence = new AtomicLong();
     private final Set<CallerExchange> mExchanges = new HashSet<>();
+    private final Map<CallerExchange, Runnable> mUnconfigured = new LinkedHashMap<>();
     private final CompletableFuture<Void> mDrained = new CompletableFuture<>();
     private boolean mDraining;
     private boolean mStopping;
@@ -139,11 +146,15 @@
         if (mDraining) {
             exchange.closeAfterwards();
         }
-        readBody(request, exchange, body -> serve(exchange, headers, body, arrival));
+        readBody(
+                request,
+                exchange,
+                body -> serveConfigured(exchange, () -> serve(exchange, headers, body, arrival)));
     }
 
     private void ended(CallerExchange exchange, HttpServerRequest request) {
         mExchanges.remove(exchange);
+        mUnconfigured.remove(exchange);
         mConnections.requestEnded(request.connection());
         completeWhenDrained();
     }
@@ -201,6 +212,28 @@
         exchange.refuse(RequestFailure.notRun(code, message).withField("body"));
     }
 
+    /** Serves the request, once a configuration is known when this instance has just started. */
+    private void serveConfigured(CallerExchange exchange, Runnable serve) {
+        if (mView.configuration().isPresent()) {
+            serve.run();
+            return;
+        }
+        mUnconfigured.put(exchange, serve);
+        mClock.schedule(CONFIGURATION_WAIT, () -> serveWaiting(exchange));
+    }
+
+    private void serveWaiting(CallerExchange exchange) {
+        Runnable serve = mUnconfigured.remove(exchange);
+        if (serve != null) {
+            serve.run();
+        }
+    }
+
+    /** Serves the requests that have waited for a configuration. */
+    public void configured() {
+        List.copyOf(mUnconfigured.keySet()).forEach(this::serveWaiting);
+    }
+
     private void serve(CallerExchange exchange, CallerHeaders headers, Buffer body, long arrival) {
         CallerRequest resolved;
         try {
