End the event loops before the process ends

Threads were still in native calls while the process ended.

Change: the event loops and the writer of the log end before the process does.

--- a/tanagergap-runtime/src/main/java/org/tanagergap/runtime/log/BoundedLogHandler.java
+++ b/tanagergap-runtime/src/main/java/org/tanagergap/runtime/log/BoundedLogHandler.java
@@ -75,6 +75,7 @@
         }
     }
 
+    /** Writes the waiting lines and ends the writer, for a short time at most. */
     @Override
     public void close() {
         flush();
@@ -82,6 +83,11 @@
             mClosed = true;
             mLock.notifyAll();
         }
+        try {
+            mWriter.join(CLOSE_TIMEOUT.toMillis());
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
     }
 
     private boolean withinBounds(LogRecord logRecord) {
--- a/tanagergap-runtime/src/main/java/org/tanagergap/runtime/log/StructuredLogging.java
+++ b/tanagergap-runtime/src/main/java/org/tanagergap/runtime/log/StructuredLogging.java
@@ -23,10 +23,10 @@
         root.addHandler(handler);
     }
 
-    /** Writes the lines that wait, before the process ends. */
-    public static void flush() {
+    /** Writes the lines that wait and ends the writer, before the process ends. */
+    public static void close() {
         for (Handler handler : Logger.getLogger("").getHandlers()) {
-            handler.flush();
+            handler.close();
         }
     }
 }
--- a/tanagergap-runtime/src/main/java/org/tanagergap/runtime/program/ProgramRunner.java
+++ b/tanagergap-runtime/src/main/java/org/tanagergap/runtime/program/ProgramRunner.java
@@ -23,6 +23,7 @@
 
     private static final FluentLogger sLogger = FluentLogger.forEnclosingClass();
     private static final long STOP_TIMEOUT_MINUTES = 30;
+    private static final long CLOSE_TIMEOUT_MILLIS = 300;
 
     private ProgramRunner() {}
 
@@ -48,7 +49,7 @@
             service.start().get();
         } catch (ExecutionException | InterruptedException e) {
             sLogger.atSevere().withCause(e).log("%s could not start", command.programName());
-            StructuredLogging.flush();
+            StructuredLogging.close();
             System.exit(ExitStatus.FAILED);
         }
         Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(service, context), "shutdown"));
@@ -84,6 +85,19 @@
         }
     }
 
+    /** Ends the threads that call into native code, which could fail while the process ends. */
+    private static void closeEventLoops(ProgramContext context) {
+        try {
+            context.vertx()
+                    .close()
+                    .toCompletionStage()
+                    .toCompletableFuture()
+                    .get(CLOSE_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+        } catch (ExecutionException | InterruptedException | TimeoutException e) {
+            sLogger.atInfo().log("event loops did not end: %s", e);
+        }
+    }
+
     private static void stop(Service service, ProgramContext context) {
         int status = ExitStatus.OK;
         try {
@@ -94,7 +108,8 @@
             sLogger.atSevere().withCause(e).log("shutdown failed");
             status = ExitStatus.FAILED;
         }
-        StructuredLogging.flush();
+        closeEventLoops(context);
+        StructuredLogging.close();
         // A process that ends by a signal would otherwise report the signal as its exit status.
         Runtime.getRuntime().halt(status);
     }
