Take removals for lapses only after an outage for all instances

An entry removed 0.1 s after the store served them again was taken for one that had lapsed in the outage, and its upstream was used for another 2.8 s.

Change: when peers have received changes for over 1.2 s while this instance did not, the outage was its own and removals hold. The grace of lapsed entries counts from the return of the store.

--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/membership/FleetView.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/membership/FleetView.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.tanagergap.api.time.RuntimeClock;
 import org.tanagergap.gateway.configuration.GatewayConfiguration;
 import org.tanagergap.runtime.log.LogKeys;
@@ -27,6 +28,7 @@
     private final Map<String, Upstream> mUpstreams = new HashMap<>();
     private final Map<String, Long> mLapsedAtNanos = new HashMap<>();
     private final List<Listener> mListeners = new ArrayList<>();
+    private OptionalLong mStoreReturnedNanos = OptionalLong.empty();
     private Optional<GatewayConfiguration> mConfiguration = Optional.empty();
 
     /** Is told of changes of the view. */
@@ -103,6 +105,7 @@
     /** Restarts the grace of lapsed entries, which counts from the return of the store. */
     public void storeReturned() {
         long now = mClock.nanoTime();
+        mStoreReturnedNanos = OptionalLong.of(now);
         mLapsedAtNanos.replaceAll((id, since) -> now);
     }
 
@@ -128,12 +131,19 @@
         if (member.upstream().isPresent()) {
             put(member.upstream().get());
         } else if (lapsing && member.damaged().isEmpty() && mUpstreams.containsKey(member.id())) {
-            mLapsedAtNanos.putIfAbsent(member.id(), mClock.nanoTime());
+            mLapsedAtNanos.putIfAbsent(member.id(), graceStartNanos());
         } else {
             remove(member.id(), "its entry was removed");
         }
     }
 
+    /** The grace counts from the return of the store also for removals that are seen later. */
+    private long graceStartNanos() {
+        long now = mClock.nanoTime();
+        long returned = mStoreReturnedNanos.orElse(now);
+        return now - returned < LAPSE_GRACE.toNanos() ? returned : now;
+    }
+
     private void put(Upstream upstream) {
         mLapsedAtNanos.remove(upstream.id());
         Upstream known = mUpstreams.put(upstream.id(), upstream);
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/membership/StoreSync.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/membership/StoreSync.java
@@ -34,6 +34,9 @@
     /** Removals this soon after an outage may only mean that leases ran out meanwhile. */
     private static final Duration LAPSE_WINDOW = Duration.ofMillis(2200);
 
+    /** Peers that are ahead for longer are served by a store that turns this instance away. */
+    private static final Duration PEERS_AHEAD = Duration.ofMillis(1200);
+
     private static final FluentLogger sLogger = FluentLogger.forEnclosingClass();
 
     private final RuntimeClock mClock;
@@ -47,6 +50,7 @@
     private boolean mNeedsFullRead = true;
     private Optional<Long> mFailingSinceNanos = Optional.empty();
     private Optional<Long> mReturnedNanos = Optional.empty();
+    private Optional<Long> mPeersAheadNanos = Optional.empty();
     private long mAnsweredNanos;
     private Timer mTimer = () -> {};
 
@@ -102,11 +106,23 @@
         return CompletableFuture.completedFuture(null);
     }
 
+    /** Whether a removal may only mean that leases ran out while the store was away. */
     private boolean lapsing() {
-        return mFailingSinceNanos.isPresent()
-                || mReturnedNanos
-                        .filter(t -> mClock.nanoTime() - t < LAPSE_WINDOW.toNanos())
-                        .isPresent();
+        boolean returnedLately =
+                mReturnedNanos.filter(t -> since(t) < LAPSE_WINDOW.toNanos()).isPresent();
+        return (mFailingSinceNanos.isPresent() || returnedLately) && !storeServedOthers();
+    }
+
+    /**
+     * Whether peers received changes from the store while this instance did not. After an outage
+     * for all, a peer may be a moment ahead, which does not count.
+     */
+    private boolean storeServedOthers() {
+        return mPeersAheadNanos.filter(t -> since(t) > PEERS_AHEAD.toNanos()).isPresent();
+    }
+
+    private long since(long nanos) {
+        return mClock.nanoTime() - nanos;
     }
 
     private void ask() {
@@ -190,6 +206,7 @@
         }
         if (mFailingSinceNanos.isEmpty()) {
             mFailingSinceNanos = Optional.of(mClock.nanoTime());
+            mPeersAheadNanos = Optional.empty();
             sLogger.atWarning().log("the store does not answer: %s", root.getMessage());
         }
         mPeers.changesAfter(mMirror.revision())
@@ -205,6 +222,7 @@
         }
         if (changes.revision() > mMirror.revision()) {
             mAnsweredNanos = mClock.nanoTime();
+            mPeersAheadNanos = mPeersAheadNanos.or(() -> Optional.of(mAnsweredNanos));
             mMirror.apply(changes);
             mLoaded.complete(null);
         }
