Release reserved memory when its first engine dies or an order is lost

A release without an answer was not repeated, nor was one after a reservation that may be carried out late.

A release is repeated until it is answered and no reservation without an answer can take effect any more.

--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/Attempt.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/Attempt.java
@@ -16,6 +16,7 @@
 import org.tanagergap.gateway.wire.AnswerHead;
 import org.tanagergap.gateway.wire.AttemptHeaders;
 import org.tanagergap.gateway.wire.HelperAddress;
+import org.tanagergap.runtime.settings.HostPort;
 
 /**
  * One attempt of a request: reserves memory where the prompt needs several engines, calls the
@@ -32,6 +33,9 @@
     /** Peers should know at once of reads that take longer, in ms. */
     private static final double ANNOUNCED_READ_MILLIS = 100;
 
+    /** Reads with a longer prediction are watched for the death of their engine, in ms. */
+    private static final double WATCHED_READ_MILLIS = 1_000;
+
     private static final long NANOS_PER_MILLI = 1_000_000;
 
     private final ForwardingParts mParts;
@@ -43,6 +47,7 @@
     private final SilenceLimit mSilence;
     private Optional<SpanReservation> mReservation = Optional.empty();
     private Optional<UpstreamCall> mCall = Optional.empty();
+    private Optional<LivenessCheck> mLiveness = Optional.empty();
     private OptionalLong mExpectedEventId = OptionalLong.empty();
     private long mStartNanos;
     private long mLastEventNanos;
@@ -160,6 +165,9 @@
         if (mFirstEvent) {
             mFirstEvent = false;
             mWorks.forEach(RunningWork::firstToken);
+            if (mReservation.isEmpty()) {
+                mLiveness.ifPresent(LivenessCheck::stop);
+            }
             noteFirstEvent((now - mStartNanos) / (double) NANOS_PER_MILLI);
         } else {
             mFlow.journal().gap((now - mLastEventNanos) / NANOS_PER_MILLI);
@@ -267,6 +275,7 @@
         mCall = Optional.of(call);
         mLastEventNanos = now();
         watchSilence();
+        watchLiveness(upstream.get().address());
         call.start(
                 upstream.get().address(),
                 mRequest.method(),
@@ -275,6 +284,22 @@
                 mRequest.body());
     }
 
+    /** Long reads are watched, and so is a run for which memory is reserved elsewhere. */
+    private void watchLiveness(HostPort address) {
+        boolean reserved = mReservation.isPresent();
+        if (reserved || mPlacement.firstTokenMillis() > WATCHED_READ_MILLIS) {
+            LivenessCheck check = new LivenessCheck(mParts, address, this::foundDead);
+            mLiveness = Optional.of(check);
+            check.start();
+        }
+    }
+
+    private void foundDead() {
+        mParts.trust().unreachable(mPlacement.upstream(), now());
+        mCall.ifPresent(UpstreamCall::cancel);
+        failed(new CallFailure(CallFailure.Kind.BROKEN, "the engine no longer answers"));
+    }
+
     private void watchSilence() {
         if (!mRequest.route().repeatable()) {
             return;
@@ -302,6 +327,7 @@
         }
         mEnded = true;
         mSilenceTimer.cancel();
+        mLiveness.ifPresent(LivenessCheck::stop);
         mFlow.journal().attemptEnded(result);
         mWorks.forEach(mParts.load()::end);
         mReservation.ifPresent(SpanReservation::release);
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/SpanReservation.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/SpanReservation.java
@@ -7,8 +7,10 @@
 import io.vertx.core.http.RequestOptions;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.tanagergap.api.time.Timer;
@@ -27,6 +29,11 @@
     private static final Duration HOLD = Duration.ofMillis(3500);
     private static final Duration EXTENSION_INTERVAL = Duration.ofMillis(1200);
     private static final Duration ORDER_TIMEOUT = Duration.ofMillis(500);
+
+    /** Orders without an answer are carried out at most this much later. */
+    private static final Duration LATE_ORDERS = Duration.ofSeconds(13);
+
+    private static final Duration RELEASE_INTERVAL = Duration.ofMillis(500);
     private static final int HTTP_OK = 200;
 
     private static final FluentLogger sLogger = FluentLogger.forEnclosingClass();
@@ -36,6 +43,8 @@
     private final List<Upstream> mHelpers;
     private final long mTokens;
     private final List<Upstream> mOrdered = new ArrayList<>();
+    private final Set<String> mUnanswered = new HashSet<>();
+    private long mReleasedNanos;
     private boolean mReleased;
     private Timer mTimer = () -> {};
 
@@ -63,17 +72,39 @@
             return;
         }
         mReleased = true;
+        mReleasedNanos = mParts.clock().nanoTime();
         mTimer.cancel();
-        for (Upstream helper : mOrdered) {
-            order(helper, mParts.wire().release(mId))
-                    .onFailure(
-                            failure ->
-                                    sLogger.atInfo().log(
-                                            "memory %s at %s was not released and lapses: %s",
-                                            mId, helper.id(), failure));
+        mOrdered.forEach(this::release);
+    }
+
+    private void release(Upstream helper) {
+        order(helper, mParts.wire().release(mId))
+                .onComplete(
+                        ignored -> {
+                            if (mUnanswered.contains(helper.id())) {
+                                releaseAgain(helper);
+                            }
+                        },
+                        failure -> releaseAgain(helper));
+    }
+
+    /**
+     * An order that got no answer may be carried out seconds later and reserve the memory anew, so
+     * the release is repeated until that is over.
+     */
+    private void releaseAgain(Upstream helper) {
+        if (mParts.clock().nanoTime() - mReleasedNanos < LATE_ORDERS.toNanos()) {
+            mParts.clock().schedule(RELEASE_INTERVAL, () -> release(helper));
         }
     }
 
+    private void noteUnanswered(Upstream helper, String what, Throwable failure) {
+        sLogger.atInfo().log(
+                "%s of %d tokens for %s at %s got no answer: %s",
+                what, mTokens, mId, helper.id(), failure.getMessage());
+        mUnanswered.add(helper.id());
+    }
+
     private void acquireNext(int index, Consumer<Optional<List<HelperAddress>>> outcome) {
         if (mReleased) {
             outcome.accept(Optional.empty());
@@ -96,7 +127,10 @@
                                 refused(helper, "status " + status, outcome);
                             }
                         },
-                        failure -> refused(helper, failure.toString(), outcome));
+                        failure -> {
+                            noteUnanswered(helper, "reservation", failure);
+                            refused(helper, "no answer", outcome);
+                        });
     }
 
     private void refused(
@@ -113,11 +147,8 @@
         }
         for (Upstream helper : mOrdered) {
             order(helper, mParts.wire().reserve(mId, mTokens, HOLD))
-                    .onFailure(
-                            failure ->
-                                    sLogger.atInfo().log(
-                                            "memory %s at %s was not extended: %s",
-                                            mId, helper.id(), failure));
+                    .onComplete(
+                            ignored -> {}, failure -> noteUnanswered(helper, "extension", failure));
         }
         mTimer = mParts.clock().schedule(EXTENSION_INTERVAL, this::extend);
     }
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/wire/WireFormat.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/wire/WireFormat.java
@@ -20,4 +20,7 @@
 
     /** Order that releases reserved engine memory. */
     MemoryOrder release(String reservation);
+
+    /** Path that an engine answers at once while it is alive, whatever it is doing. */
+    String livenessPath();
 }
