Refuse requests that would not end before a shutdown

Change: from the signal on, a request is taken only when it will probably end before the process is killed, and refused as not run otherwise.

--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/GatewayService.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/GatewayService.java
@@ -157,11 +157,11 @@
         return onEventLoop(
                 () -> {
                     mDraining = true;
-                    mCallers.beginDrain();
+                    Duration limit = mSettings.grace().minus(EXIT_RESERVE);
+                    mCallers.beginDrain(limit);
                     sLogger.atInfo().log(
                             "draining: %d requests in flight", mCallers.requestsInFlight());
                     CompletableFuture<Void> stopped = new CompletableFuture<>();
-                    Duration limit = mSettings.grace().minus(EXIT_RESERVE);
                     mClock.schedule(limit, () -> giveUp(stopped));
                     mClock.schedule(
                             mSettings.drain(),
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/caller/CallerServer.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/caller/CallerServer.java
@@ -22,6 +22,7 @@
 import org.tanagergap.api.request.RequestId;
 import org.tanagergap.api.time.RuntimeClock;
 import org.tanagergap.api.time.Timer;
+import org.tanagergap.decisions.fleet.DurationEstimate;
 import org.tanagergap.gateway.configuration.CallerLimits;
 import org.tanagergap.gateway.configuration.GatewayConfiguration;
 import org.tanagergap.gateway.membership.FleetView;
@@ -47,6 +48,11 @@
     /** An instance that has just started knows its configuration within a fraction of this time. */
     private static final Duration CONFIGURATION_WAIT = Duration.ofMillis(800);
 
+    /** Another instance takes the request at once. */
+    private static final RequestFailure SHUTTING_DOWN =
+            RequestFailure.notRun(FailureCode.UNAVAILABLE, "this instance is shutting down")
+                    .withRetryAfter(Duration.ofMillis(50));
+
     private static final FluentLogger sLogger = FluentLogger.forEnclosingClass();
 
     private final Vertx mVertx;
@@ -63,6 +69,7 @@
     private final Map<CallerExchange, Runnable> mUnconfigured = new LinkedHashMap<>();
     private final CompletableFuture<Void> mDrained = new CompletableFuture<>();
     private boolean mDraining;
+    private long mEndNanos;
     private boolean mStopping;
     private HttpServer mServer;
 
@@ -103,16 +110,24 @@
                 .thenCompose(ignored -> mIdleCheck.start());
     }
 
-    /** Asks callers to use other connections; requests are still served. */
-    public void beginDrain() {
+    /**
+     * Asks callers to use other connections. Requests are still served when they will probably end
+     * in time.
+     *
+     * @param grace time until the process is killed
+     */
+    public void beginDrain(Duration grace) {
         mDraining = true;
+        mEndNanos = mClock.nanoTime() + grace.toNanos();
         mExchanges.forEach(CallerExchange::closeAfterwards);
     }
 
     /** Closes idle connections; completes when the last request has ended. */
     @Override
     public CompletableFuture<Void> stop() {
-        beginDrain();
+        if (!mDraining) {
+            beginDrain(Duration.ZERO);
+        }
         mStopping = true;
         mConnections.closeIdle(IDLE_AT_SHUTDOWN);
         completeWhenDrained();
@@ -241,17 +256,37 @@
                     mResolver.resolve(
                             mView.configuration(), exchange.request(), headers, body, arrival);
         } catch (RequestFailure failure) {
-            sLogger.atInfo()
-                    .with(LogKeys.REQUEST_ID, exchange.id().value())
-                    .with(LogKeys.CODE, failure.code().wireName())
-                    .with(LogKeys.EXECUTION, failure.execution().wireName())
-                    .log(
-                            "request refused under configuration %d: %s",
-                            mView.configuration().map(GatewayConfiguration::version).orElse(-1L),
-                            failure.getMessage());
+            log(exchange, failure);
             exchange.refuse(failure);
             return;
         }
+        if (mDraining && !mayFinish(resolved)) {
+            log(exchange, SHUTTING_DOWN);
+            exchange.refuse(SHUTTING_DOWN);
+            return;
+        }
         mHandler.serve(exchange, resolved);
     }
+
+    /** Whether the request will probably have ended before the process is killed. */
+    private boolean mayFinish(CallerRequest request) {
+        Duration left = Duration.ofNanos(mEndNanos - mClock.nanoTime());
+        Duration needed =
+                request.service()
+                        .engine()
+                        .map(engine -> DurationEstimate.ofCompletion(request.cost(), engine))
+                        .orElseGet(() -> DurationEstimate.ofPlainCall(request.route().aim()));
+        return needed.compareTo(left) < 0;
+    }
+
+    private void log(CallerExchange exchange, RequestFailure failure) {
+        sLogger.atInfo()
+                .with(LogKeys.REQUEST_ID, exchange.id().value())
+                .with(LogKeys.CODE, failure.code().wireName())
+                .with(LogKeys.EXECUTION, failure.execution().wireName())
+                .log(
+                        "request refused under configuration %d: %s",
+                        mView.configuration().map(GatewayConfiguration::version).orElse(-1L),
+                        failure.getMessage());
+    }
 }
