Let long prompts wait where they would harm; serve who can be on time first

Waiting requests were ordered by their aim without the time of service, so that each was sent just too late, and some waited until their callers gave up.

Change: a long prompt waits while the least harmful placement costs others more than its own lateness would; before the last moment it is placed anyway. Requests that can still be on time, their service included, come first. A stream waits no longer than callers wait for its first event.

--- a/tanagergap-decisions/src/main/java/org/tanagergap/decisions/fleet/DurationEstimate.java
+++ b/tanagergap-decisions/src/main/java/org/tanagergap/decisions/fleet/DurationEstimate.java
@@ -3,7 +3,7 @@
 import java.time.Duration;
 import org.tanagergap.api.request.RequestCost;
 
-/** Longest time that a request usually takes, for an instance that is about to end. */
+/** Estimates how long requests take, from the cost model of their engine. */
 public final class DurationEstimate {
 
     /** Reads and token steps take this much longer beside the work of others. */
@@ -14,14 +14,20 @@
 
     private DurationEstimate() {}
 
-    /** Estimate for a completion whose output has its full length. */
+    /** Longest time that a completion usually takes: its output has its full length. */
     public static Duration ofCompletion(RequestCost cost, EngineProfile engine) {
         double read = engine.readMillis(cost.promptTokens());
         double write = cost.maxOutputTokens() * engine.stepMillis();
         return OVERHEAD.plusMillis((long) (BESIDE_OTHERS * (read + write)));
     }
 
-    /** Estimate for a plain call, from the time within which its answer is on time. */
+    /** Time to the first token on an engine that is busy, but not too busy to begin at once. */
+    public static Duration toFirstToken(RequestCost cost, EngineProfile engine) {
+        double passes = 2 * engine.passMillis(engine.slots() / 2, 0);
+        return Duration.ofMillis((long) (engine.readMillis(cost.promptTokens()) + passes));
+    }
+
+    /** Longest time that a plain call usually takes. */
     public static Duration ofPlainCall(Duration aim) {
         return aim.plus(OVERHEAD);
     }
--- a/tanagergap-decisions/src/main/java/org/tanagergap/decisions/fleet/LengthAwarePlacement.java
+++ b/tanagergap-decisions/src/main/java/org/tanagergap/decisions/fleet/LengthAwarePlacement.java
@@ -46,6 +46,17 @@
     /** Cost of each further engine that reads a part. */
     private static final double PART_COST = 0.02;
 
+    /**
+     * A long prompt with more time than it needs waits for engines where it harms nobody, in ms.
+     */
+    private static final double PATIENT_SLACK_MILLIS = 1_500;
+
+    /** Harm that such a prompt may do. */
+    private static final double PATIENT_HARM = 0.4;
+
+    /** Time before the last moment at which a long prompt is placed whatever the harm, in ms. */
+    private static final double LAST_WAIT_MILLIS = 1_500;
+
     private static final double FAR_COST_PER_MILLI = 0.002;
 
     /** Placements this close to the best are equal, so that instances do not herd. */
@@ -60,8 +71,8 @@
     /** Cost of putting a read on a candidate. */
     private record Scored(UpstreamCandidate candidate, double cost, double firstMillis) {}
 
-    /** A choice for the whole prompt. */
-    private record Plan(Placement placement, double cost) {}
+    /** A choice for the whole prompt, with its cost to others and its whole cost. */
+    private record Plan(Placement placement, double harm, double cost) {}
 
     @Override
     public Optional<Placement> choose(
@@ -114,7 +125,20 @@
                 best = plan;
             }
         }
-        return best.map(Plan::placement);
+        return best.filter(plan -> plan.harm() <= acceptedHarm(request, plan)).map(Plan::placement);
+    }
+
+    /**
+     * Harm to others above which the prompt waits: little while it has time, no more than its own
+     * loss when it is about to be late, and any when it would otherwise not be served.
+     */
+    private static double acceptedHarm(PlacementRequest request, Plan plan) {
+        double first = plan.placement().firstTokenMillis();
+        if (request.timeLeftMillis() < 2 * first + LAST_WAIT_MILLIS) {
+            return Double.MAX_VALUE;
+        }
+        double slack = request.aimLeftMillis() - first;
+        return slack > PATIENT_SLACK_MILLIS ? PATIENT_HARM : OTHER_LOSS;
     }
 
     /** Plan with the given number of parts; empty when too few engines have memory for them. */
@@ -155,13 +179,13 @@
                 Math.max(
                         first.firstMillis(),
                         helpers.stream().mapToDouble(Scored::firstMillis).max().orElse(0));
+        double harm = first.cost() + helpers.stream().mapToDouble(Scored::cost).sum();
         double cost =
-                first.cost()
-                        + helpers.stream().mapToDouble(Scored::cost).sum()
+                harm
                         + helpers.size() * PART_COST
                         + OTHER_LOSS * risk(firstMillis, request.aimLeftMillis());
         List<String> ids = helpers.stream().map(s -> s.candidate().id()).sorted().toList();
-        return new Plan(new Placement(first.candidate().id(), ids, share, firstMillis), cost);
+        return new Plan(new Placement(first.candidate().id(), ids, share, firstMillis), harm, cost);
     }
 
     private static Scored scoreShort(
@@ -201,7 +225,8 @@
             return 1;
         }
         double from = RISK_FROM * limitMillis;
-        return Math.max(0, Math.min(1, (millis - from) / (limitMillis - from)));
+        double part = Math.max(0, Math.min(1, (millis - from) / (limitMillis - from)));
+        return part * part;
     }
 
     private static boolean hasSlot(UpstreamCandidate candidate) {
--- a/tanagergap-decisions/src/main/java/org/tanagergap/decisions/fleet/PlacementRequest.java
+++ b/tanagergap-decisions/src/main/java/org/tanagergap/decisions/fleet/PlacementRequest.java
@@ -8,9 +8,11 @@
  *
  * @param cost its tokens; zero for a plain call
  * @param aimLeftMillis time left until its first token is late, in ms; negative when it is late
+ * @param timeLeftMillis time left until its answer is useless, in ms
  * @param gapMillis longest pause between its events with which it is on time, in ms
  */
-public record PlacementRequest(RequestCost cost, double aimLeftMillis, double gapMillis) {
+public record PlacementRequest(
+        RequestCost cost, double aimLeftMillis, double timeLeftMillis, double gapMillis) {
 
     /** Streams with a shorter limit on pauses are disturbed by any long read, in ms. */
     private static final double DELICATE_GAP_MILLIS = 400;
--- a/tanagergap-decisions/src/main/java/org/tanagergap/decisions/fleet/WaitingQueue.java
+++ b/tanagergap-decisions/src/main/java/org/tanagergap/decisions/fleet/WaitingQueue.java
@@ -37,9 +37,9 @@
         return (int) mRequests.stream().filter(r -> order.compare(r, request) < 0).count();
     }
 
-    /** Requests whose deadline leaves less than the given time. */
-    public List<WaitingRequest<T>> expiring(long nowNanos, long leastNanos) {
-        return mRequests.stream().filter(r -> r.deadlineNanos() - nowNanos < leastNanos).toList();
+    /** Requests for which it is too late. */
+    public List<WaitingRequest<T>> expired(long nowNanos) {
+        return mRequests.stream().filter(r -> r.usefulUntilNanos() - nowNanos <= 0).toList();
     }
 
     public int size() {
@@ -47,14 +47,14 @@
     }
 
     private static <T> Comparator<WaitingRequest<T>> order(long nowNanos) {
-        return Comparator.comparing((WaitingRequest<T> r) -> r.aimNanos() - nowNanos <= 0)
+        return Comparator.comparing((WaitingRequest<T> r) -> r.onTimeUntilNanos() - nowNanos <= 0)
                 .thenComparingInt(WaitingRequest::rank)
                 .thenComparingLong(r -> dueNanos(r, nowNanos))
                 .thenComparingLong(WaitingRequest::sequence);
     }
 
     private static long dueNanos(WaitingRequest<?> request, long nowNanos) {
-        long aimLeft = request.aimNanos() - nowNanos;
-        return aimLeft > 0 ? aimLeft : request.deadlineNanos() - nowNanos;
+        long aimLeft = request.onTimeUntilNanos() - nowNanos;
+        return aimLeft > 0 ? aimLeft : request.usefulUntilNanos() - nowNanos;
     }
 }
--- a/tanagergap-decisions/src/main/java/org/tanagergap/decisions/fleet/WaitingRequest.java
+++ b/tanagergap-decisions/src/main/java/org/tanagergap/decisions/fleet/WaitingRequest.java
@@ -7,8 +7,8 @@
  * @param item the attached item
  * @param rank rank of the request; 0 is the most urgent
  * @param sequence order of arrival
- * @param aimNanos monotonic time after which the answer is late
- * @param deadlineNanos monotonic time after which the answer is useless
+ * @param onTimeUntilNanos monotonic time until which it must be sent to be answered on time
+ * @param usefulUntilNanos monotonic time until which it must be sent to be answered at all
  */
 public record WaitingRequest<T>(
-        T item, int rank, long sequence, long aimNanos, long deadlineNanos) {}
+        T item, int rank, long sequence, long onTimeUntilNanos, long usefulUntilNanos) {}
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/configuration/Route.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/configuration/Route.java
@@ -15,6 +15,7 @@
  * @param timeout longest time that a request may take
  * @param aim time within which an answer is on time: its first event for streams
  * @param gapAim longest pause between events with which a stream is on time
+ * @param patience time after which callers give up on a stream that has not begun
  * @param rank rank of the requests; 0 is the most urgent
  * @param services services that serve the route, with their shares
  * @param maxAttempts most upstreams that may run one request
@@ -29,6 +30,7 @@
         Duration timeout,
         Duration aim,
         Optional<Duration> gapAim,
+        Optional<Duration> patience,
         int rank,
         List<ServiceShare> services,
         int maxAttempts,
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/Dispatcher.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/Dispatcher.java
@@ -31,9 +31,6 @@
     /** Most waiting requests that are tried in one round after the first that has to wait. */
     private static final int MAX_BLOCKED_PER_ROUND = 8;
 
-    /** A request with less time left cannot be served any more. */
-    private static final Duration LEAST_TIME = Duration.ofMillis(40);
-
     /** Part of the time left that the predicted wait may take. */
     private static final double ACCEPTED_WAIT = 0.6;
 
@@ -101,13 +98,13 @@
                         flow,
                         request.rank(),
                         mSequence++,
-                        request.aimNanos(),
-                        request.deadlineNanos());
+                        request.aimNanos() - flow.leastServiceNanos(),
+                        flow.usefulUntilNanos());
         if (mQueue.size() == 0) {
             mForecast.queueFilled(now);
         }
         Duration wait = mForecast.wait(mQueue.ahead(waiting, now), now);
-        Duration left = Duration.ofNanos(request.deadlineNanos() - now);
+        Duration left = Duration.ofNanos(waiting.usefulUntilNanos() - now);
         if (wait.toNanos() > ACCEPTED_WAIT * left.toNanos()) {
             noteEmpty();
             refuse(flow, wait);
@@ -121,7 +118,7 @@
 
     private void placeWaiting() {
         long now = mParts.clock().nanoTime();
-        for (WaitingRequest<RequestFlow> expired : mQueue.expiring(now, LEAST_TIME.toNanos())) {
+        for (WaitingRequest<RequestFlow> expired : mQueue.expired(now)) {
             withdraw(expired.item());
             refuse(expired.item(), LEAST_RETRY_AFTER);
         }
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/RequestFlow.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/RequestFlow.java
@@ -11,6 +11,7 @@
 import org.tanagergap.api.failure.FailureCode;
 import org.tanagergap.api.failure.RequestFailure;
 import org.tanagergap.api.time.Timer;
+import org.tanagergap.decisions.fleet.DurationEstimate;
 import org.tanagergap.decisions.fleet.Placement;
 import org.tanagergap.decisions.fleet.PlacementRequest;
 import org.tanagergap.decisions.fleet.RepeatRules;
@@ -30,6 +31,7 @@
 
     private static final long NO_GAP_LIMIT_MILLIS = 60_000;
     private static final double NANOS_PER_MILLI = 1e6;
+    private static final Duration LEAST_PLAIN_SERVICE = Duration.ofMillis(40);
 
     private final ForwardingParts mParts;
     private final Dispatcher mDispatcher;
@@ -73,7 +75,28 @@
     PlacementRequest placementRequest() {
         double aimLeft = (mRequest.aimNanos() - now()) / NANOS_PER_MILLI;
         double gap = mRequest.route().gapAim().map(Duration::toMillis).orElse(NO_GAP_LIMIT_MILLIS);
-        return new PlacementRequest(mRequest.cost(), aimLeft, gap);
+        double timeLeft = (usefulUntilNanos() - now()) / NANOS_PER_MILLI;
+        return new PlacementRequest(mRequest.cost(), aimLeft, timeLeft, gap);
+    }
+
+    /** Least time from sending the request to its first event or answer. */
+    long leastServiceNanos() {
+        Duration least =
+                mRequest.service()
+                        .engine()
+                        .map(engine -> DurationEstimate.toFirstToken(mRequest.cost(), engine))
+                        .orElse(LEAST_PLAIN_SERVICE);
+        return least.toNanos();
+    }
+
+    /** Time until which the request must be sent; callers give up on streams that do not begin. */
+    long usefulUntilNanos() {
+        long patience =
+                mRequest.route()
+                        .patience()
+                        .map(p -> mRequest.arrivalNanos() + p.toNanos())
+                        .orElse(mRequest.deadlineNanos());
+        return Math.min(patience, mRequest.deadlineNanos()) - leastServiceNanos();
     }
 
     CallerExchange exchange() {
