Serve status and metrics of the gateway; record spans; test its decisions

The gateway serves /status and /metrics once the fleet is known, creates a span for each request and each attempt, and its request lines carry what tanagergap-ctl explain reads. The placement, the waiting queue, the load of all instances, trust, repeats and the retry budget have tests of their own.

--- a/tanagergap-ctl/src/main/java/org/tanagergap/ctl/RequestStory.java
+++ b/tanagergap-ctl/src/main/java/org/tanagergap/ctl/RequestStory.java
@@ -14,6 +14,7 @@
 final class RequestStory {
 
     private static final String REQUEST_ID = "request_id";
+    private static final String GATEWAY = "tanagergap-gateway";
     private static final String ATTEMPT_ID = "attempt_id";
     private static final List<String> REQUEST_FIELDS =
             List.of(REQUEST_ID, "entry", "workspace", "rank", "service", "tokens");
@@ -78,7 +79,7 @@
                 () -> lines.add("  the logs have no line of the entry"));
         List<JsonObject> attempts = attempts();
         for (int i = 0; i < attempts.size(); i++) {
-            lines.addAll(attemptText(i + 1, attempts.get(i)));
+            lines.addAll(attemptText(i + 1, attempts.get(i), throughAgents()));
         }
         if (attempts.isEmpty()) {
             lines.add("  no attempt: the entry answered by itself");
@@ -132,7 +133,12 @@
                         : "");
     }
 
-    private static List<String> attemptText(int number, JsonObject attempt) {
+    /** Whether attempts go through agents; a gateway calls upstreams itself. */
+    private boolean throughAgents() {
+        return mEntryLine.map(line -> !text(line, "program").equals(GATEWAY)).orElse(true);
+    }
+
+    private static List<String> attemptText(int number, JsonObject attempt, boolean throughAgents) {
         List<String> lines = new ArrayList<>();
         String domain = text(attempt, "failure_domain");
         lines.add(
@@ -147,6 +153,9 @@
         if (attempt.containsKey("code")) {
             lines.add("    entry: " + resultText(attempt, "code", "reason"));
         }
+        if (!throughAgents) {
+            return lines;
+        }
         JsonObject agent = attempt.getJsonObject("agent");
         lines.add(
                 agent == null
--- /dev/null
+++ b/tanagergap-decisions/src/test/java/org/tanagergap/decisions/fleet/LengthAwarePlacementTests.java
@@ -0,0 +1,182 @@
+package org.tanagergap.decisions.fleet;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.tanagergap.api.request.RequestCost;
+
+/** Guards the separation of short streams and long reads. */
+final class LengthAwarePlacementTests {
+
+    private static final EngineProfile ENGINE =
+            new EngineProfile(11, 232_000, 43, 1.02, 0.0033, 0.0043, 206, 0.138, 0.075);
+
+    private final PlacementPolicy mPolicy = new LengthAwarePlacement(new Random(1));
+
+    private static PlacementRequest shortPrompt() {
+        return new PlacementRequest(new RequestCost(5_000, 1_400), 300, 2_000, 250);
+    }
+
+    private static PlacementRequest longPrompt(long tokens) {
+        return new PlacementRequest(new RequestCost(tokens, 700), 5_000, 15_000, 1_000);
+    }
+
+    private static UpstreamCandidate engine(String id, UpstreamLoad load) {
+        return new UpstreamCandidate(id, ENGINE.slots(), Optional.of(ENGINE), load, 0.1, 1);
+    }
+
+    private static List<UpstreamCandidate> engines(int count, UpstreamLoad load) {
+        List<UpstreamCandidate> engines = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            engines.add(engine("e" + i, load));
+        }
+        return engines;
+    }
+
+    private Placement place(PlacementRequest request, List<UpstreamCandidate> candidates) {
+        return mPolicy.choose(request, candidates).orElseThrow();
+    }
+
+    @Nested
+    class ShortPrompts {
+
+        @Test
+        void avoidAnEngineThatReadsALongOne() {
+            UpstreamLoad reading = new UpstreamLoad(1, 0, 0, 1_500, 133_000);
+            List<UpstreamCandidate> candidates =
+                    List.of(engine("a", reading), engine("b", UpstreamLoad.NONE));
+
+            assertThat(place(shortPrompt(), candidates).upstream()).isEqualTo("b");
+        }
+
+        @Test
+        void gatherOnFewEnginesSoThatOthersStayFreeForLongReads() {
+            List<UpstreamCandidate> candidates = engines(20, UpstreamLoad.NONE);
+            String first = place(shortPrompt(), candidates).upstream();
+            UpstreamLoad two = new UpstreamLoad(2, 2, 2, 0, 12_000);
+            List<UpstreamCandidate> later = new ArrayList<>();
+            for (UpstreamCandidate candidate : candidates) {
+                boolean used = candidate.id().equals(first);
+                later.add(used ? engine(first, two) : candidate);
+            }
+
+            assertThat(place(shortPrompt(), later).upstream()).isEqualTo(first);
+        }
+
+        @Test
+        void spreadBeforeAnEngineIsCrowded() {
+            UpstreamLoad full = new UpstreamLoad(10, 10, 10, 0, 60_000);
+            List<UpstreamCandidate> candidates =
+                    List.of(engine("a", full), engine("b", UpstreamLoad.NONE));
+
+            assertThat(place(shortPrompt(), candidates).upstream()).isEqualTo("b");
+        }
+
+        @Test
+        void waitWhenEverySlotIsTaken() {
+            UpstreamLoad full = new UpstreamLoad(11, 11, 11, 0, 60_000);
+
+            assertThat(mPolicy.choose(shortPrompt(), engines(3, full))).isEmpty();
+        }
+
+        @Test
+        void waitWhenNoEngineHasMemory() {
+            UpstreamLoad full = new UpstreamLoad(2, 0, 0, 0, 225_000);
+
+            assertThat(mPolicy.choose(shortPrompt(), engines(3, full))).isEmpty();
+        }
+
+        @Test
+        void avoidASlowEngine() {
+            UpstreamCandidate slow =
+                    new UpstreamCandidate("a", 11, Optional.of(ENGINE), UpstreamLoad.NONE, 0.1, 8);
+
+            Placement placement =
+                    place(shortPrompt(), List.of(slow, engine("b", UpstreamLoad.NONE)));
+
+            assertThat(placement.upstream()).isEqualTo("b");
+        }
+    }
+
+    @Nested
+    class LongPrompts {
+
+        @Test
+        void avoidEnginesWithShortStreams() {
+            UpstreamLoad streams = new UpstreamLoad(3, 3, 3, 0, 18_000);
+            List<UpstreamCandidate> candidates = new ArrayList<>(engines(6, streams));
+            candidates.add(engine("free", UpstreamLoad.NONE));
+
+            Placement placement = place(longPrompt(133_000), candidates);
+
+            assertThat(placement.upstream()).isEqualTo("free");
+            assertThat(placement.helpers()).isEmpty();
+        }
+
+        @Test
+        void waitWhileTheyWouldStopEveryStream() {
+            UpstreamLoad streams = new UpstreamLoad(9, 9, 9, 60, 60_000);
+
+            assertThat(mPolicy.choose(longPrompt(200_000), engines(4, streams))).isEmpty();
+        }
+
+        /** A long prompt that waits for ever would never be served in a flood of short ones. */
+        @Test
+        void arePlacedBeforeTheLastMoment() {
+            UpstreamLoad streams = new UpstreamLoad(9, 9, 9, 60, 20_000);
+            PlacementRequest late =
+                    new PlacementRequest(new RequestCost(100_000, 700), -3_000, 1_800, 1_000);
+
+            assertThat(mPolicy.choose(late, engines(4, streams))).isPresent();
+        }
+
+        @Test
+        void areSpreadWhenOneEngineWouldTakeTooLong() {
+            Placement placement = place(longPrompt(200_000), engines(12, UpstreamLoad.NONE));
+
+            assertThat(placement.helpers()).isNotEmpty();
+            assertThat(placement.helperTokens()).isEqualTo(0);
+        }
+
+        @Test
+        void reserveMemoryWhenTheyExceedOneEngine() {
+            RequestCost cost = new RequestCost(500_000, 700);
+            PlacementRequest request = new PlacementRequest(cost, 5_000, 15_000, 1_000);
+
+            Placement placement = place(request, engines(12, UpstreamLoad.NONE));
+
+            long helpers = placement.helpers().size();
+            assertThat(placement.helpers()).doesNotContain(placement.upstream());
+            assertThat(placement.helpers()).containsNoDuplicates();
+            assertThat(
+                            placement.helperTokens() * helpers
+                                    + placement.costAt(placement.upstream(), cost).memoryTokens())
+                    .isAtLeast(cost.memoryTokens());
+            assertThat(placement.costAt(placement.upstream(), cost).memoryTokens())
+                    .isLessThan(ENGINE.memoryTokens());
+        }
+
+        @Test
+        void thatNoEnginesCanHoldWait() {
+            assertThat(mPolicy.choose(longPrompt(500_000), engines(2, UpstreamLoad.NONE)))
+                    .isEmpty();
+        }
+    }
+
+    /** Instances that order engines differently would mix long reads and short streams. */
+    @Test
+    void theOrderOfCandidatesDoesNotMatter() {
+        List<UpstreamCandidate> candidates = engines(9, UpstreamLoad.NONE);
+        List<UpstreamCandidate> reversed = new ArrayList<>(candidates);
+        Collections.reverse(reversed);
+
+        assertThat(place(longPrompt(50_000), candidates).upstream())
+                .isEqualTo(place(longPrompt(50_000), reversed).upstream());
+    }
+}
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/GatewayService.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/GatewayService.java
@@ -22,6 +22,7 @@
 import org.tanagergap.gateway.configuration.GatewayConfiguration;
 import org.tanagergap.gateway.forward.Forwarder;
 import org.tanagergap.gateway.forward.ForwardingParts;
+import org.tanagergap.gateway.forward.InstanceIdentity;
 import org.tanagergap.gateway.forward.RetryBudgets;
 import org.tanagergap.gateway.membership.FleetView;
 import org.tanagergap.gateway.membership.StoreSync;
@@ -31,7 +32,9 @@
 import org.tanagergap.gateway.peer.PeerDirectory;
 import org.tanagergap.gateway.peer.PeerExchange;
 import org.tanagergap.gateway.peer.PeerRegistration;
+import org.tanagergap.runtime.admin.AdminServer;
 import org.tanagergap.runtime.async.Futures;
+import org.tanagergap.runtime.metrics.MetricsText;
 import org.tanagergap.runtime.program.ProgramContext;
 
 /** The gateway: its parts, and the order in which they start and stop. */
@@ -50,6 +53,7 @@
     private final FleetView mView;
     private final StoreSync mSync;
     private final CallerServer mCallers;
+    private final AdminServer mAdmin;
     private final SettingsWatch mSettingsWatch;
     private final List<Service> mServices;
     private boolean mDraining;
@@ -89,6 +93,7 @@
         Forwarder forwarder =
                 new Forwarder(
                         new ForwardingParts(
+                                new InstanceIdentity(mSettings.id(), mSettings.failureDomain()),
                                 mClock,
                                 client,
                                 platform.wire(),
@@ -98,8 +103,8 @@
                                 new RetryBudgets(
                                         mClock, mSettings.retryBudget(), directory::instances),
                                 context.metrics(),
+                                context.tracing(),
                                 exchange::announce),
-                        mSettings.failureDomain(),
                         random);
         mCallers =
                 new CallerServer(
@@ -111,6 +116,16 @@
                         new RequestResolver(random),
                         forwarder);
         mView.addListener(new ViewListener(forwarder, trust, mCallers));
+        GatewayStatus status =
+                new GatewayStatus(
+                        mSettings, mView, mSync, directory, mCallers, load, trust, mClock);
+        mAdmin =
+                new AdminServer(
+                        vertx,
+                        context.adminListen(),
+                        new MetricsText(context.metrics()),
+                        this::ready,
+                        status::json);
         mServices =
                 List.of(
                         new ReadinessServer(vertx, mSettings.readyListen(), this::ready),
@@ -147,10 +162,23 @@
                     for (Service service : mServices) {
                         started = started.thenCompose(ignored -> service.start());
                     }
+                    // Not before the fleet is known: a restart should serve as soon as it can.
+                    mSync.loaded().thenRun(this::startAdmin);
                     return started;
                 });
     }
 
+    private void startAdmin() {
+        mAdmin.start()
+                .exceptionally(
+                        failure -> {
+                            sLogger.atWarning().log(
+                                    "no metrics and status are served: %s",
+                                    Futures.rootFailure(failure));
+                            return null;
+                        });
+    }
+
     /** Reports unready, serves on until the balancer has noticed, then finishes and stops. */
     @Override
     public CompletableFuture<Void> stop() {
--- /dev/null
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/GatewayStatus.java
@@ -0,0 +1,70 @@
+package org.tanagergap.gateway;
+
+import io.vertx.core.json.JsonArray;
+import io.vertx.core.json.JsonObject;
+import org.tanagergap.api.time.RuntimeClock;
+import org.tanagergap.decisions.fleet.FleetLoad;
+import org.tanagergap.decisions.fleet.UpstreamLoad;
+import org.tanagergap.decisions.fleet.UpstreamTrust;
+import org.tanagergap.gateway.caller.CallerServer;
+import org.tanagergap.gateway.configuration.GatewayConfiguration;
+import org.tanagergap.gateway.membership.FleetView;
+import org.tanagergap.gateway.membership.StoreSync;
+import org.tanagergap.gateway.membership.Upstream;
+import org.tanagergap.gateway.peer.PeerDirectory;
+
+/**
+ * What the status page of a gateway says.
+ *
+ * @param settings settings at the start
+ * @param view fleet as this instance knows it
+ * @param sync its copy of the store
+ * @param directory its peers
+ * @param callers its server
+ * @param load work at each upstream
+ * @param trust suspended upstreams
+ * @param clock source of time
+ */
+record GatewayStatus(
+        GatewaySettings settings,
+        FleetView view,
+        StoreSync sync,
+        PeerDirectory directory,
+        CallerServer callers,
+        FleetLoad load,
+        UpstreamTrust trust,
+        RuntimeClock clock) {
+
+    JsonObject json() {
+        JsonObject json =
+                new JsonObject()
+                        .put("name", settings.id())
+                        .put("program", "tanagergap-gateway")
+                        .put("failure_domain", settings.failureDomain())
+                        .put("requests_in_flight", callers.requestsInFlight())
+                        .put("store_revision", sync.mirror().revision())
+                        .put("store_age_ms", sync.age().toMillis())
+                        .put("instances", directory.instances());
+        view.configuration()
+                .map(GatewayConfiguration::version)
+                .ifPresent(version -> json.put("configuration_version", version));
+        JsonArray upstreams = new JsonArray();
+        view.upstreams().forEach(upstream -> upstreams.add(upstream(upstream)));
+        return json.put("upstreams", upstreams);
+    }
+
+    private JsonObject upstream(Upstream upstream) {
+        long now = clock.nanoTime();
+        UpstreamLoad total = load.total(upstream.id(), now);
+        return new JsonObject()
+                .put("id", upstream.id())
+                .put("service", upstream.service())
+                .put("address", upstream.address().toString())
+                .put("failure_domain", upstream.failureDomain())
+                .put("leaving", upstream.leaving())
+                .put("suspended", !trust.usable(upstream.id(), now))
+                .put("slowness", trust.slowness(upstream.id()))
+                .put("running", total.running())
+                .put("memory_tokens", total.memoryTokens());
+    }
+}
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/Attempt.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/Attempt.java
@@ -1,16 +1,16 @@
 package org.tanagergap.gateway.forward;
 
+import io.opentelemetry.api.trace.Span;
+import io.opentelemetry.api.trace.SpanKind;
 import io.vertx.core.MultiMap;
 import io.vertx.core.buffer.Buffer;
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
-import java.util.OptionalLong;
+import org.tanagergap.api.failure.Execution;
+import org.tanagergap.api.request.AttemptId;
 import org.tanagergap.api.time.Timer;
-import org.tanagergap.decisions.fleet.EngineProfile;
 import org.tanagergap.decisions.fleet.Placement;
-import org.tanagergap.decisions.fleet.RunningWork;
 import org.tanagergap.gateway.caller.CallerRequest;
 import org.tanagergap.gateway.membership.Upstream;
 import org.tanagergap.gateway.wire.AnswerHead;
@@ -30,12 +30,11 @@
     private static final Duration REFUSED_SUSPENSION = Duration.ofMillis(60);
     private static final Duration REPLACED_SUSPENSION = Duration.ofSeconds(3);
 
-    /** Peers should know at once of reads that take longer, in ms. */
-    private static final double ANNOUNCED_READ_MILLIS = 100;
-
     /** Reads with a longer prediction are watched for the death of their engine, in ms. */
     private static final double WATCHED_READ_MILLIS = 1_000;
 
+    static final String TRACE_HEADER = "traceparent";
+
     private static final long NANOS_PER_MILLI = 1_000_000;
 
     private final ForwardingParts mParts;
@@ -43,12 +42,13 @@
     private final CallerRequest mRequest;
     private final Placement mPlacement;
     private final AttemptListener mListener;
-    private final List<RunningWork> mWorks = new ArrayList<>();
+    private final PlacedWork mWork;
+    private final EventOrder mOrder;
     private final SilenceLimit mSilence;
     private Optional<SpanReservation> mReservation = Optional.empty();
     private Optional<UpstreamCall> mCall = Optional.empty();
     private Optional<LivenessCheck> mLiveness = Optional.empty();
-    private OptionalLong mExpectedEventId = OptionalLong.empty();
+    private Span mSpan = Span.getInvalid();
     private long mStartNanos;
     private long mLastEventNanos;
     private boolean mFirstEvent = true;
@@ -67,21 +67,16 @@
         mPlacement = placement;
         mListener = listener;
         mSilence = new SilenceLimit(mRequest.route(), placement.firstTokenMillis());
-        flow.lastEventId().ifPresent(id -> mExpectedEventId = OptionalLong.of(id + 1));
+        mWork = new PlacedWork(parts);
+        mOrder = new EventOrder(flow.lastEventId());
     }
 
     /** Starts the attempt. */
     void start() {
         mStartNanos = now();
-        mFlow.journal()
-                .attempt(
-                        new AttemptRecord(
-                                mPlacement.upstream(),
-                                (mStartNanos - mRequest.arrivalNanos()) / NANOS_PER_MILLI,
-                                mParts.load().total(mPlacement.upstream(), mStartNanos).running(),
-                                Math.round(mPlacement.firstTokenMillis()),
-                                "running"));
-        beginWork();
+        mSpan = mParts.tracing().startChild("attempt", SpanKind.CLIENT, mFlow.span());
+        mFlow.journal().attempt(record());
+        mWork.begin(mPlacement, mFlow.placementRequest(), mRequest.service().engine());
         if (mPlacement.helperTokens() > 0) {
             reserve();
         } else {
@@ -89,9 +84,26 @@
         }
     }
 
+    private AttemptRecord record() {
+        String upstream = mPlacement.upstream();
+        return new AttemptRecord(
+                id(),
+                upstream,
+                mParts.view().upstream(upstream).map(Upstream::failureDomain).orElse(""),
+                mPlacement.helpers().size(),
+                (mStartNanos - mRequest.arrivalNanos()) / NANOS_PER_MILLI,
+                mParts.load().total(upstream, mStartNanos).running(),
+                Math.round(mPlacement.firstTokenMillis()),
+                AttemptRecord.RUNNING);
+    }
+
+    private AttemptId id() {
+        return mFlow.exchange().id().attempt(mFlow.attempts());
+    }
+
     /** Ends the attempt; the upstream sees its connection close. */
     void cancel() {
-        if (end("cancelled")) {
+        if (end("cancelled", Execution.UNKNOWN, "")) {
             mCall.ifPresent(UpstreamCall::cancel);
         }
     }
@@ -111,22 +123,27 @@
 
     @Override
     public void event(AnswerHead head, MultiMap headers, StreamEvent event) {
-        if (mEnded || isRepeated(event)) {
+        if (mEnded) {
             return;
         }
-        if (isGap(event)) {
-            mCall.ifPresent(UpstreamCall::cancel);
-            failed(new CallFailure(CallFailure.Kind.BROKEN, "events are missing"));
-            return;
+        switch (mOrder.check(event)) {
+            case NEXT -> {
+                noteEvent();
+                mListener.event(head, headers, event);
+            }
+            case AFTER_GAP -> {
+                mCall.ifPresent(UpstreamCall::cancel);
+                failed(new CallFailure(CallFailure.Kind.BROKEN, "events are missing"));
+            }
+            case REPEATED -> {
+                // The caller has it from an earlier attempt.
+            }
         }
-        noteEvent();
-        event.id().ifPresent(id -> mExpectedEventId = OptionalLong.of(id + 1));
-        mListener.event(head, headers, event);
     }
 
     @Override
     public void streamEnded(AnswerHead head, MultiMap headers) {
-        if (end("ok")) {
+        if (end("ok", Execution.RAN, "")) {
             mParts.trust().succeeded(mPlacement.upstream());
             mListener.streamEnded(head, headers);
         }
@@ -134,7 +151,7 @@
 
     @Override
     public void answered(AnswerHead head, MultiMap headers, Buffer body) {
-        if (end("status " + head.status())) {
+        if (end("status_" + head.status(), Execution.RAN, "")) {
             mParts.trust().succeeded(mPlacement.upstream());
             mListener.answered(head, headers, body);
         }
@@ -142,29 +159,17 @@
 
     @Override
     public void failed(CallFailure failure) {
-        if (end(failure.kind() + ": " + failure.reason())) {
+        if (end(failure.kind().code(), failure.execution(), failure.reason())) {
             noteFailure(failure);
             mListener.failed(mPlacement.upstream(), failure);
         }
     }
 
-    private boolean isRepeated(StreamEvent event) {
-        return event.id().isPresent()
-                && mExpectedEventId.isPresent()
-                && event.id().getAsLong() < mExpectedEventId.getAsLong();
-    }
-
-    private boolean isGap(StreamEvent event) {
-        return event.id().isPresent()
-                && mExpectedEventId.isPresent()
-                && event.id().getAsLong() > mExpectedEventId.getAsLong();
-    }
-
     private void noteEvent() {
         long now = now();
         if (mFirstEvent) {
             mFirstEvent = false;
-            mWorks.forEach(RunningWork::firstToken);
+            mWork.firstToken();
             if (mReservation.isEmpty()) {
                 mLiveness.ifPresent(LivenessCheck::stop);
             }
@@ -195,27 +200,6 @@
         }
     }
 
-    private void beginWork() {
-        Optional<EngineProfile> engine = mRequest.service().engine();
-        double read = engine.map(e -> e.readMillis(mRequest.cost().promptTokens())).orElse(0.0);
-        double part = read / (1 + mPlacement.helpers().size());
-        beginWork(mPlacement.upstream(), part, true);
-        mPlacement.helpers().forEach(helper -> beginWork(helper, part, false));
-        if (part >= ANNOUNCED_READ_MILLIS) {
-            mParts.announce().run();
-        }
-    }
-
-    private void beginWork(String upstream, double readMillis, boolean writes) {
-        RunningWork.Share share =
-                new RunningWork.Share(
-                        mPlacement.costAt(upstream, mRequest.cost()),
-                        readMillis,
-                        writes,
-                        mFlow.placementRequest().delicate());
-        mWorks.add(mParts.load().begin(upstream, share, mStartNanos));
-    }
-
     private List<Upstream> helpers() {
         return mPlacement.helpers().stream()
                 .flatMap(id -> mParts.view().upstream(id).stream())
@@ -229,9 +213,8 @@
     }
 
     private void reserve() {
-        String id = mFlow.exchange().id().attempt(mFlow.attempts()).value();
         SpanReservation reservation =
-                new SpanReservation(mParts, id, helpers(), mPlacement.helperTokens());
+                new SpanReservation(mParts, id().value(), helpers(), mPlacement.helperTokens());
         mReservation = Optional.of(reservation);
         reservation.acquire(
                 addresses -> {
@@ -280,10 +263,18 @@
                 upstream.get().address(),
                 mRequest.method(),
                 mRequest.uri(),
-                mParts.wire().toUpstream(mRequest.headers(), attempt),
+                headers(attempt),
                 mRequest.body());
     }
 
+    private MultiMap headers(AttemptHeaders attempt) {
+        MultiMap headers = mParts.wire().toUpstream(mRequest.headers(), attempt);
+        if (mSpan.isRecording()) {
+            headers.set(TRACE_HEADER, mParts.tracing().traceparent(mSpan));
+        }
+        return headers;
+    }
+
     /** Long reads are watched, and so is a run for which memory is reserved elsewhere. */
     private void watchLiveness(HostPort address) {
         boolean reserved = mReservation.isPresent();
@@ -321,15 +312,17 @@
         mSilenceTimer = mParts.clock().schedule(Duration.ofNanos(leftNanos), this::watchSilence);
     }
 
-    private boolean end(String result) {
+    private boolean end(String code, Execution execution, String reason) {
         if (mEnded) {
             return false;
         }
         mEnded = true;
         mSilenceTimer.cancel();
         mLiveness.ifPresent(LivenessCheck::stop);
-        mFlow.journal().attemptEnded(result);
-        mWorks.forEach(mParts.load()::end);
+        mFlow.journal().attemptEnded(new AttemptRecord.End(code, execution, reason));
+        mSpan.setAttribute("code", code);
+        mSpan.end();
+        mWork.end();
         mReservation.ifPresent(SpanReservation::release);
         mFlow.capacityChanged();
         return true;
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/CallFailure.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/CallFailure.java
@@ -1,5 +1,6 @@
 package org.tanagergap.gateway.forward;
 
+import java.util.Locale;
 import java.util.Objects;
 import org.tanagergap.api.failure.Execution;
 
@@ -31,6 +32,11 @@
         Kind(Execution execution) {
             mExecution = execution;
         }
+
+        /** Name in log lines. */
+        String code() {
+            return name().toLowerCase(Locale.ROOT);
+        }
     }
 
     CallFailure {
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/CandidateSource.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/CandidateSource.java
@@ -16,11 +16,9 @@
     private static final double SAME_DOMAIN_MILLIS = 0.1;
 
     private final ForwardingParts mParts;
-    private final String mFailureDomain;
 
-    CandidateSource(ForwardingParts parts, String failureDomain) {
+    CandidateSource(ForwardingParts parts) {
         mParts = parts;
-        mFailureDomain = failureDomain;
     }
 
     List<UpstreamCandidate> candidates(ServiceTarget service, Set<String> excluded) {
@@ -36,7 +34,7 @@
     }
 
     private UpstreamCandidate candidate(ServiceTarget service, Upstream upstream, long now) {
-        boolean near = upstream.failureDomain().equals(mFailureDomain);
+        boolean near = upstream.failureDomain().equals(mParts.identity().failureDomain());
         return new UpstreamCandidate(
                 upstream.id(),
                 upstream.slots(),
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/Forwarder.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/Forwarder.java
@@ -20,9 +20,9 @@
     private final PlacementPolicy mPlainPolicy;
     private final Map<String, Dispatcher> mDispatchers = new HashMap<>();
 
-    public Forwarder(ForwardingParts parts, String failureDomain, RandomGenerator random) {
+    public Forwarder(ForwardingParts parts, RandomGenerator random) {
         mParts = parts;
-        mCandidates = new CandidateSource(parts, failureDomain);
+        mCandidates = new CandidateSource(parts);
         mEnginePolicy = new LengthAwarePlacement(random);
         mPlainPolicy = new LeastBusyPlacement(random);
     }
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/ForwardingParts.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/ForwardingParts.java
@@ -7,10 +7,12 @@
 import org.tanagergap.decisions.fleet.UpstreamTrust;
 import org.tanagergap.gateway.membership.FleetView;
 import org.tanagergap.gateway.wire.WireFormat;
+import org.tanagergap.runtime.trace.Tracing;
 
 /**
  * What the forwarding of all requests shares.
  *
+ * @param identity this instance
  * @param clock source of time
  * @param client calls upstreams, on a new connection each
  * @param wire header names and bodies of the platform
@@ -19,9 +21,11 @@
  * @param trust what requests have shown of each upstream
  * @param budget retries that are still allowed
  * @param metrics counters and histograms
+ * @param tracing creates a span for each request and each attempt
  * @param announce tells peers at once of work that they should avoid
  */
 public record ForwardingParts(
+        InstanceIdentity identity,
         RuntimeClock clock,
         HttpClient client,
         WireFormat wire,
@@ -30,4 +34,5 @@
         UpstreamTrust trust,
         RetryBudgets budget,
         MetricRegistry metrics,
+        Tracing tracing,
         Runnable announce) {}
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/RequestFlow.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/RequestFlow.java
@@ -1,5 +1,7 @@
 package org.tanagergap.gateway.forward;
 
+import io.opentelemetry.api.trace.Span;
+import io.opentelemetry.api.trace.SpanKind;
 import io.vertx.core.MultiMap;
 import io.vertx.core.buffer.Buffer;
 import java.time.Duration;
@@ -38,6 +40,7 @@
     private final CallerExchange mExchange;
     private final CallerRequest mRequest;
     private final RequestJournal mJournal;
+    private final Span mSpan;
     private final RepeatRules mRules;
     private final Set<String> mFailedUpstreams = new HashSet<>();
     private Optional<Attempt> mAttempt = Optional.empty();
@@ -62,7 +65,14 @@
         mDispatcher = dispatcher;
         mExchange = exchange;
         mRequest = request;
-        mJournal = new RequestJournal(parts.metrics(), exchange.id(), request);
+        mJournal =
+                new RequestJournal(parts.identity().id(), parts.metrics(), exchange.id(), request);
+        mSpan =
+                parts.tracing()
+                        .start(
+                                "request",
+                                SpanKind.SERVER,
+                                Optional.ofNullable(request.headers().get(Attempt.TRACE_HEADER)));
         mRules = new RepeatRules(request.route().repeatable(), request.route().maxAttempts());
         mLastEventId = request.lastEventId();
     }
@@ -103,6 +113,11 @@
         return mExchange;
     }
 
+    /** Span of the request. */
+    Span span() {
+        return mSpan;
+    }
+
     RequestJournal journal() {
         return mJournal;
     }
@@ -314,6 +329,8 @@
         mEnded = true;
         mDeadline.cancel();
         mJournal.ended(code, execution, message, now());
+        mSpan.setAttribute("code", code);
+        mSpan.end();
     }
 
     private long now() {
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/RequestJournal.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/RequestJournal.java
@@ -20,6 +20,7 @@
     private static final FluentLogger sLogger = FluentLogger.forEnclosingClass();
     private static final long NANOS_PER_MILLI = 1_000_000;
 
+    private final String mEntry;
     private final MetricRegistry mMetrics;
     private final RequestId mId;
     private final CallerRequest mRequest;
@@ -27,7 +28,8 @@
     private OptionalLong mFirstMillis = OptionalLong.empty();
     private long mLongestGapMillis;
 
-    RequestJournal(MetricRegistry metrics, RequestId id, CallerRequest request) {
+    RequestJournal(String entry, MetricRegistry metrics, RequestId id, CallerRequest request) {
+        mEntry = entry;
         mMetrics = metrics;
         mId = id;
         mRequest = request;
@@ -37,10 +39,10 @@
         mAttempts.add(attempt);
     }
 
-    void attemptEnded(String result) {
+    void attemptEnded(AttemptRecord.End end) {
         int last = mAttempts.size() - 1;
         if (last >= 0) {
-            mAttempts.set(last, mAttempts.get(last).withResult(result));
+            mAttempts.set(last, mAttempts.get(last).withEnd(end));
         }
     }
 
@@ -71,6 +73,7 @@
         FluentLogger.Api line =
                 sLogger.atInfo()
                         .with(LogKeys.REQUEST_ID, mId.value())
+                        .with(LogKeys.ENTRY, mEntry)
                         .with(LogKeys.SERVICE, mRequest.service().name())
                         .with(LogKeys.WORKSPACE, mRequest.workspace().orElse(""))
                         .with(LogKeys.RANK, Integer.toString(mRequest.rank()))
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/membership/FleetView.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/membership/FleetView.java
@@ -70,9 +70,9 @@
         return Optional.ofNullable(mUpstreams.get(id));
     }
 
-    /** Number of upstreams known. */
-    public int upstreamCount() {
-        return mUpstreams.size();
+    /** All upstreams known. */
+    public List<Upstream> upstreams() {
+        return List.copyOf(mUpstreams.values());
     }
 
     /**
