End a begun stream that finds no upstream; drop lapses once peers disprove them

An instance that the store turned away kept two removed upstreams for 2.2 s although its peers showed that the store served the others.

Change: such a stream is ended as incomplete; waiting streams that have begun go before others. Connections that callers and upstreams reset no longer log a line without a request. A refusal that names another upstream at fault counts against that one.

The network fixture of the agents' tests set its handlers off the event loop and lost a reply that ended at once (EngineOverNetworkTests timed out once in a whole build); it now sets them on it, with the same assertions.

--- a/tanagergap-agent/src/test/java/org/tanagergap/agent/NetworkFixture.java
+++ b/tanagergap-agent/src/test/java/org/tanagergap/agent/NetworkFixture.java
@@ -93,20 +93,25 @@
     /** Runs an attempt to its end. */
     RecordingSink run(RunRequest request) {
         RecordingSink sink = new RecordingSink();
-        Future<Void> ended =
-                mCalls.run(request)
-                        .compose(
-                                stream -> {
-                                    Promise<Void> end = Promise.promise();
-                                    stream.handler(sink::send);
-                                    stream.exceptionHandler(end::tryFail);
-                                    stream.endHandler(ignored -> end.tryComplete());
-                                    return end.future();
-                                });
-        await(ended);
+        Promise<Void> ended = Promise.promise();
+        // On an event loop, so that the handlers are set before a reply that has ended is lost.
+        mVertx.runOnContext(ignored -> run(request, sink).onComplete(ended));
+        await(ended.future());
         return sink;
     }
 
+    private Future<Void> run(RunRequest request, RecordingSink sink) {
+        return mCalls.run(request)
+                .compose(
+                        stream -> {
+                            Promise<Void> end = Promise.promise();
+                            stream.handler(sink::send);
+                            stream.exceptionHandler(end::tryFail);
+                            stream.endHandler(ignored -> end.tryComplete());
+                            return end.future();
+                        });
+    }
+
     /** Switches faults of a stand-in on. */
     void faults(int port, JsonObject faults) {
         HttpResponse<Buffer> reply =
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/GatewayService.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/GatewayService.java
@@ -5,6 +5,7 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpClientOptions;
+import io.vertx.core.http.HttpConnection;
 import io.vertx.core.http.PoolOptions;
 import java.time.Duration;
 import java.util.List;
@@ -147,11 +148,21 @@
                         .setKeepAlive(false)
                         .setPipelining(false)
                         .setDecompressionSupported(false);
-        return vertx.createHttpClient(
-                options,
+        PoolOptions pool =
                 new PoolOptions()
                         .setHttp1MaxSize(MAX_CONNECTIONS)
-                        .setMaxWaitQueueSize(MAX_CONNECTIONS));
+                        .setMaxWaitQueueSize(MAX_CONNECTIONS);
+        return vertx.httpClientBuilder()
+                .with(options)
+                .with(pool)
+                .withConnectHandler(GatewayService::connected)
+                .build();
+    }
+
+    /** Calls report the failure of their connection themselves. */
+    private static void connected(HttpConnection connection) {
+        connection.exceptionHandler(
+                failure -> sLogger.atFine().log("an upstream's connection failed: %s", failure));
     }
 
     @Override
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/caller/CallerConnections.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/caller/CallerConnections.java
@@ -1,5 +1,6 @@
 package org.tanagergap.gateway.caller;
 
+import com.google.common.flogger.FluentLogger;
 import io.vertx.core.http.HttpConnection;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -11,6 +12,8 @@
 /** Open connections of callers and the requests on them. Confined to the event loop. */
 final class CallerConnections {
 
+    private static final FluentLogger sLogger = FluentLogger.forEnclosingClass();
+
     private final RuntimeClock mClock;
     private final Map<HttpConnection, State> mStates = new HashMap<>();
 
@@ -27,6 +30,9 @@
         State state = new State();
         state.mUsedNanos = mClock.nanoTime();
         mStates.put(connection, state);
+        // Callers reset connections at will; their requests end by their own handlers.
+        connection.exceptionHandler(
+                failure -> sLogger.atFine().log("a caller's connection failed: %s", failure));
         connection.closeHandler(ignored -> mStates.remove(connection));
     }
 
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/Attempt.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/Attempt.java
@@ -76,7 +76,7 @@
         mStartNanos = now();
         mSpan = mParts.tracing().startChild("attempt", SpanKind.CLIENT, mFlow.span());
         mFlow.journal().attempt(record());
-        mWork.begin(mPlacement, mFlow.placementRequest(), mRequest.service().engine());
+        mWork.begin(mPlacement, mFlow.times().placementRequest(), mRequest.service().engine());
         if (mPlacement.helperTokens() > 0) {
             reserve();
         } else {
@@ -187,7 +187,11 @@
     }
 
     private void noteFailure(CallFailure failure) {
-        String upstream = mPlacement.upstream();
+        String upstream =
+                failure.faultyAddress()
+                        .flatMap(mParts.view()::upstreamAt)
+                        .map(Upstream::id)
+                        .orElse(mPlacement.upstream());
         long now = now();
         switch (failure.kind()) {
             case NOT_CONNECTED -> mParts.trust().unreachable(upstream, now);
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/CallFailure.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/CallFailure.java
@@ -2,6 +2,7 @@
 
 import java.util.Locale;
 import java.util.Objects;
+import java.util.Optional;
 import org.tanagergap.api.failure.Execution;
 
 /**
@@ -9,8 +10,9 @@
  *
  * @param kind what went wrong
  * @param reason explanation for logs and the caller
+ * @param faultyAddress address of the upstream at fault, when the answer names another one
  */
-record CallFailure(Kind kind, String reason) {
+record CallFailure(Kind kind, String reason, Optional<String> faultyAddress) {
 
     /** What went wrong. */
     enum Kind {
@@ -39,6 +41,10 @@
         }
     }
 
+    CallFailure(Kind kind, String reason) {
+        this(kind, reason, Optional.empty());
+    }
+
     CallFailure {
         Objects.requireNonNull(kind, "kind must not be null");
         Objects.requireNonNull(reason, "reason must not be null");
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/Dispatcher.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/Dispatcher.java
@@ -81,11 +81,12 @@
     private Optional<Placement> choose(RequestFlow flow, Set<String> excluded) {
         CallerRequest request = flow.request();
         List<UpstreamCandidate> candidates = mCandidates.candidates(request.service(), excluded);
-        Optional<Placement> placement = mPolicy.choose(flow.placementRequest(), candidates);
+        Optional<Placement> placement = mPolicy.choose(flow.times().placementRequest(), candidates);
         if (placement.isEmpty() && !excluded.isEmpty()) {
             // Any other upstream is preferred, but the one that failed is better than none.
             return mPolicy.choose(
-                    flow.placementRequest(), mCandidates.candidates(request.service(), Set.of()));
+                    flow.times().placementRequest(),
+                    mCandidates.candidates(request.service(), Set.of()));
         }
         return placement;
     }
@@ -98,8 +99,8 @@
                         flow,
                         request.rank(),
                         mSequence++,
-                        request.aimNanos() - flow.leastServiceNanos(),
-                        flow.usefulUntilNanos());
+                        flow.times().onTimeUntilNanos(),
+                        flow.times().usefulUntilNanos());
         if (mQueue.size() == 0) {
             mForecast.queueFilled(now);
         }
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/RequestFlow.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/RequestFlow.java
@@ -13,9 +13,7 @@
 import org.tanagergap.api.failure.FailureCode;
 import org.tanagergap.api.failure.RequestFailure;
 import org.tanagergap.api.time.Timer;
-import org.tanagergap.decisions.fleet.DurationEstimate;
 import org.tanagergap.decisions.fleet.Placement;
-import org.tanagergap.decisions.fleet.PlacementRequest;
 import org.tanagergap.decisions.fleet.RepeatRules;
 import org.tanagergap.gateway.caller.CallerExchange;
 import org.tanagergap.gateway.caller.CallerRequest;
@@ -31,16 +29,13 @@
     /** Answers from this status on say that the upstream itself has failed. */
     private static final int SERVER_ERROR = 500;
 
-    private static final long NO_GAP_LIMIT_MILLIS = 60_000;
-    private static final double NANOS_PER_MILLI = 1e6;
-    private static final Duration LEAST_PLAIN_SERVICE = Duration.ofMillis(40);
-
     private final ForwardingParts mParts;
     private final Dispatcher mDispatcher;
     private final CallerExchange mExchange;
     private final CallerRequest mRequest;
     private final RequestJournal mJournal;
     private final Span mSpan;
+    private final RequestTimes mTimes;
     private final RepeatRules mRules;
     private final Set<String> mFailedUpstreams = new HashSet<>();
     private Optional<Attempt> mAttempt = Optional.empty();
@@ -73,6 +68,7 @@
                                 "request",
                                 SpanKind.SERVER,
                                 Optional.ofNullable(request.headers().get(Attempt.TRACE_HEADER)));
+        mTimes = new RequestTimes(parts.clock(), request);
         mRules = new RepeatRules(request.route().repeatable(), request.route().maxAttempts());
         mLastEventId = request.lastEventId();
     }
@@ -81,32 +77,9 @@
         return mRequest;
     }
 
-    /** What a placement needs to know now. */
-    PlacementRequest placementRequest() {
-        double aimLeft = (mRequest.aimNanos() - now()) / NANOS_PER_MILLI;
-        double gap = mRequest.route().gapAim().map(Duration::toMillis).orElse(NO_GAP_LIMIT_MILLIS);
-        double timeLeft = (usefulUntilNanos() - now()) / NANOS_PER_MILLI;
-        return new PlacementRequest(mRequest.cost(), aimLeft, timeLeft, gap);
-    }
-
-    /** Least time from sending the request to its first event or answer. */
-    long leastServiceNanos() {
-        Duration least =
-                mRequest.service()
-                        .engine()
-                        .map(engine -> DurationEstimate.toFirstToken(mRequest.cost(), engine))
-                        .orElse(LEAST_PLAIN_SERVICE);
-        return least.toNanos();
-    }
-
-    /** Time until which the request must be sent; callers give up on streams that do not begin. */
-    long usefulUntilNanos() {
-        long patience =
-                mRequest.route()
-                        .patience()
-                        .map(p -> mRequest.arrivalNanos() + p.toNanos())
-                        .orElse(mRequest.deadlineNanos());
-        return Math.min(patience, mRequest.deadlineNanos()) - leastServiceNanos();
+    /** Times until which it is worth sending the request. */
+    RequestTimes times() {
+        return mTimes;
     }
 
     CallerExchange exchange() {
@@ -158,7 +131,10 @@
 
     /** Refuses the request, which waits for no upstream any more. */
     void refused(RequestFailure failure) {
-        if (mFailureAnswer.isPresent()) {
+        if (mStreaming) {
+            end("broken_off", Execution.RAN, "no upstream goes on: " + failure.getMessage());
+            mExchange.breakOff();
+        } else if (mFailureAnswer.isPresent()) {
             answer(mFailureAnswer.get(), "the upstream's failure is passed on");
         } else if (mPossibleRuns > 0) {
             fail(
@@ -180,6 +156,7 @@
             mStreaming = true;
             mExchange.beginStream(head.status(), headers);
         }
+        mTimes.eventArrived();
         mJournal.firstEvent(now());
         if (event.id().isPresent()) {
             mLastEventId = event.id();
--- /dev/null
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/RequestTimes.java
@@ -0,0 +1,70 @@
+package org.tanagergap.gateway.forward;
+
+import java.time.Duration;
+import java.util.OptionalLong;
+import org.tanagergap.api.time.RuntimeClock;
+import org.tanagergap.decisions.fleet.DurationEstimate;
+import org.tanagergap.decisions.fleet.PlacementRequest;
+import org.tanagergap.gateway.caller.CallerRequest;
+
+/** Times until which it is worth sending a request. Confined to the event loop. */
+final class RequestTimes {
+
+    private static final long NO_GAP_LIMIT_MILLIS = 60_000;
+    private static final double NANOS_PER_MILLI = 1e6;
+    private static final Duration LEAST_PLAIN_SERVICE = Duration.ofMillis(40);
+
+    private final RuntimeClock mClock;
+    private final CallerRequest mRequest;
+    private OptionalLong mLastEventNanos = OptionalLong.empty();
+
+    RequestTimes(RuntimeClock clock, CallerRequest request) {
+        mClock = clock;
+        mRequest = request;
+    }
+
+    /** Records that the caller has received another event. */
+    void eventArrived() {
+        mLastEventNanos = OptionalLong.of(mClock.nanoTime());
+    }
+
+    /** What a placement needs to know now. */
+    PlacementRequest placementRequest() {
+        long now = mClock.nanoTime();
+        double aimLeft = (mRequest.aimNanos() - now) / NANOS_PER_MILLI;
+        double timeLeft = (usefulUntilNanos() - now) / NANOS_PER_MILLI;
+        double gap = mRequest.route().gapAim().map(Duration::toMillis).orElse(NO_GAP_LIMIT_MILLIS);
+        return new PlacementRequest(mRequest.cost(), aimLeft, timeLeft, gap);
+    }
+
+    /**
+     * Time until which the request must be sent to be answered on time. A stream that has begun
+     * goes before others, because its caller has the first part already.
+     */
+    long onTimeUntilNanos() {
+        return mLastEventNanos.isPresent()
+                ? usefulUntilNanos()
+                : mRequest.aimNanos() - leastServiceNanos();
+    }
+
+    /** Time until which the request must be sent; callers give up on streams that stand still. */
+    long usefulUntilNanos() {
+        long since = mLastEventNanos.orElse(mRequest.arrivalNanos());
+        long patience =
+                mRequest.route()
+                        .patience()
+                        .map(p -> since + p.toNanos())
+                        .orElse(mRequest.deadlineNanos());
+        return Math.min(patience, mRequest.deadlineNanos()) - leastServiceNanos();
+    }
+
+    /** Least time from sending the request to its first event or answer. */
+    private long leastServiceNanos() {
+        Duration least =
+                mRequest.service()
+                        .engine()
+                        .map(engine -> DurationEstimate.toFirstToken(mRequest.cost(), engine))
+                        .orElse(LEAST_PLAIN_SERVICE);
+        return least.toNanos();
+    }
+}
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/UpstreamCall.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/UpstreamCall.java
@@ -125,9 +125,8 @@
         mResponse = response;
         AnswerHead head = mWire.readAnswer(response.statusCode(), response.headers(), mRequestId);
         switch (head.verdict()) {
-            case NOT_RUN -> fail(CallFailure.Kind.REFUSED, "refused with status " + head.status());
-            case OTHER_UPSTREAM ->
-                    fail(CallFailure.Kind.OTHER_UPSTREAM, "another upstream has the address");
+            case NOT_RUN -> refused(CallFailure.Kind.REFUSED, head);
+            case OTHER_UPSTREAM -> refused(CallFailure.Kind.OTHER_UPSTREAM, head);
             case UNUSABLE ->
                     fail(CallFailure.Kind.BROKEN, "damaged answer, status " + head.status());
             case GENUINE -> read(response, head);
@@ -187,10 +186,19 @@
         return type != null && type.toLowerCase(Locale.ROOT).startsWith(EVENT_STREAM);
     }
 
+    private void refused(CallFailure.Kind kind, AnswerHead head) {
+        String reason = "refused with status " + head.status();
+        fail(new CallFailure(kind, reason, head.faultyUpstream()));
+    }
+
     private void fail(CallFailure.Kind kind, String reason) {
+        fail(new CallFailure(kind, reason));
+    }
+
+    private void fail(CallFailure failure) {
         if (end()) {
             reset();
-            mListener.failed(new CallFailure(kind, reason));
+            mListener.failed(failure);
         }
     }
 
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/membership/FleetView.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/membership/FleetView.java
@@ -70,6 +70,13 @@
         return Optional.ofNullable(mUpstreams.get(id));
     }
 
+    /** Upstream with the address, in the form {@code host:port}. */
+    public Optional<Upstream> upstreamAt(String address) {
+        return mUpstreams.values().stream()
+                .filter(upstream -> upstream.address().toString().equals(address))
+                .findFirst();
+    }
+
     /** All upstreams known. */
     public List<Upstream> upstreams() {
         return List.copyOf(mUpstreams.values());
@@ -92,11 +99,15 @@
         }
     }
 
-    /** Drops the upstreams whose entries have not returned after an outage. */
-    public void dropLapsed() {
+    /**
+     * Drops the upstreams whose entries have not returned after an outage.
+     *
+     * @param all whether there was no outage for all instances, so that no entry has lapsed
+     */
+    public void dropLapsed(boolean all) {
         long now = mClock.nanoTime();
         for (Map.Entry<String, Long> lapsed : List.copyOf(mLapsedAtNanos.entrySet())) {
-            if (now - lapsed.getValue() >= LAPSE_GRACE.toNanos()) {
+            if (all || now - lapsed.getValue() >= LAPSE_GRACE.toNanos()) {
                 remove(lapsed.getKey(), "its entry has not returned after the outage");
             }
         }
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/membership/StoreSync.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/membership/StoreSync.java
@@ -129,7 +129,7 @@
         if (mStopped) {
             return;
         }
-        mView.dropLapsed();
+        mView.dropLapsed(storeServedOthers());
         CompletableFuture<Void> answer =
                 mNeedsFullRead
                         ? readAll()
