--- /dev/null
+++ b/tanagergap-gateway/src/test/java/org/tanagergap/gateway/forward/EventOrderTests.java
@@ -0,0 +1,38 @@
+package org.tanagergap.gateway.forward;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.vertx.core.buffer.Buffer;
+import java.util.OptionalLong;
+import org.junit.jupiter.api.Test;
+import org.tanagergap.gateway.forward.EventOrder.Verdict;
+
+/** Guards streams against events that are missing or come twice. */
+final class EventOrderTests {
+
+    private static StreamEvent event(long id) {
+        return new StreamEvent(OptionalLong.of(id), Buffer.buffer("x"));
+    }
+
+    @Test
+    void theFirstEventMayHaveAnyNumber() {
+        assertThat(new EventOrder(OptionalLong.empty()).check(event(5))).isEqualTo(Verdict.NEXT);
+    }
+
+    @Test
+    void aResumedStreamGoesOnAfterTheLastEvent() {
+        EventOrder order = new EventOrder(OptionalLong.of(4));
+
+        assertThat(order.check(event(3))).isEqualTo(Verdict.REPEATED);
+        assertThat(order.check(event(4))).isEqualTo(Verdict.REPEATED);
+        assertThat(order.check(event(5))).isEqualTo(Verdict.NEXT);
+        assertThat(order.check(event(7))).isEqualTo(Verdict.AFTER_GAP);
+    }
+
+    @Test
+    void eventsWithoutNumberPass() {
+        StreamEvent plain = new StreamEvent(OptionalLong.empty(), Buffer.buffer("x"));
+
+        assertThat(new EventOrder(OptionalLong.of(1)).check(plain)).isEqualTo(Verdict.NEXT);
+    }
+}
--- /dev/null
+++ b/tanagergap-gateway/src/test/java/org/tanagergap/gateway/membership/StoreMirrorTests.java
@@ -0,0 +1,99 @@
+package org.tanagergap.gateway.membership;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.junit.jupiter.api.Test;
+import org.tanagergap.platform.keyvalue.Changes;
+import org.tanagergap.platform.keyvalue.KeyValue;
+
+/** Guards the copy of the store against old, repeated and missing changes. */
+final class StoreMirrorTests {
+
+    private final Map<String, String> mSeen = new HashMap<>();
+    private final StoreMirror mMirror =
+            new StoreMirror(List.of("a/"), item -> mSeen.put(item.key(), item.value()));
+
+    private static KeyValue item(String key, String value, long revision) {
+        return new KeyValue(key, value, revision, 1);
+    }
+
+    private static Changes changes(long revision, KeyValue... items) {
+        return new Changes(List.of(items), revision, true);
+    }
+
+    @Test
+    void anOlderChangeIsIgnored() {
+        mMirror.apply(changes(9, item("a/1", "new", 9)));
+        mMirror.apply(changes(5, item("a/1", "old", 5)));
+
+        assertThat(mSeen).containsExactly("a/1", "new");
+        assertThat(mMirror.revision()).isEqualTo(9);
+    }
+
+    @Test
+    void otherKeysAreIgnored() {
+        mMirror.apply(changes(9, item("b/1", "x", 9)));
+
+        assertThat(mSeen).isEmpty();
+    }
+
+    @Test
+    void aFullCopyDeletesWhatItLacks() {
+        mMirror.apply(changes(9, item("a/1", "x", 8), item("a/2", "y", 9)));
+        mMirror.replace(List.of(item("a/2", "y", 9)), 12);
+
+        assertThat(mSeen).containsExactly("a/1", "", "a/2", "y");
+    }
+
+    /** A full copy is read page by page, and a change may be newer than its first page. */
+    @Test
+    void aFullCopyDoesNotDeleteWhatIsNewer() {
+        mMirror.apply(changes(20, item("a/1", "x", 20)));
+        mMirror.replace(List.of(), 12);
+
+        assertThat(mSeen).containsExactly("a/1", "x");
+    }
+
+    @Test
+    void whatHasChangedSinceARevisionIsFound() {
+        mMirror.apply(changes(9, item("a/1", "x", 8), item("a/2", "", 9)));
+
+        assertThat(mMirror.itemsAfter(8)).containsExactly(item("a/2", "", 9));
+    }
+
+    /** Changes of the store and of peers arrive in any order and more than once. */
+    @Property(tries = 300)
+    void theNewestValuesWinInAnyOrder(
+            @ForAll @IntRange(min = 1, max = 60) int count, @ForAll long seed) {
+        Random random = new Random(seed);
+        List<KeyValue> history = new ArrayList<>();
+        Map<String, String> expected = new HashMap<>();
+        for (int revision = 1; revision <= count; revision++) {
+            String value = random.nextInt(4) == 0 ? "" : "v" + revision;
+            KeyValue item = item("a/" + random.nextInt(6), value, revision);
+            history.add(item);
+            expected.put(item.key(), value);
+        }
+        List<KeyValue> delivered = new ArrayList<>(history);
+        delivered.addAll(history.subList(0, history.size() / 2));
+        Collections.shuffle(delivered, random);
+        Map<String, String> seen = new HashMap<>();
+        StoreMirror mirror =
+                new StoreMirror(List.of("a/"), item -> seen.put(item.key(), item.value()));
+
+        for (KeyValue item : delivered) {
+            mirror.apply(changes(item.modRevision(), item));
+        }
+
+        assertThat(seen).isEqualTo(expected);
+    }
+}
