--- a/tanagergap-decisions/src/main/java/org/tanagergap/decisions/fleet/FleetLoad.java
+++ b/tanagergap-decisions/src/main/java/org/tanagergap/decisions/fleet/FleetLoad.java
@@ -59,11 +59,6 @@
         return load;
     }
 
-    /** Peers whose reports are recent. */
-    public int freshPeers(long nowNanos) {
-        return (int) mPeers.values().stream().filter(r -> isFresh(r, nowNanos)).count();
-    }
-
     private UpstreamLoad own(String upstream, long nowNanos) {
         UpstreamLoad load = UpstreamLoad.NONE;
         for (RunningWork work : mOwn.getOrDefault(upstream, Set.of())) {
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/caller/CallerExchange.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/caller/CallerExchange.java
@@ -52,11 +52,6 @@
         }
     }
 
-    /** Whether the answer has begun. */
-    public boolean begun() {
-        return mResponse.headWritten();
-    }
-
     /** Closes the connection after the answer, because this instance shuts down. */
     public void closeAfterwards() {
         mCloseAfterwards = true;
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/configuration/ServiceTarget.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/configuration/ServiceTarget.java
@@ -8,10 +8,9 @@
  * Service that requests are forwarded to.
  *
  * @param name name of the service
- * @param healthPath path of the upstreams' health answer
  * @param engine cost model when the service consists of model engines
  */
-public record ServiceTarget(String name, String healthPath, Optional<EngineProfile> engine) {
+public record ServiceTarget(String name, Optional<EngineProfile> engine) {
 
     public ServiceTarget {
         Objects.requireNonNull(name, "name must not be null");
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/UpstreamCall.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/UpstreamCall.java
@@ -38,7 +38,6 @@
     private HttpClientRequest mRequest;
     private HttpClientResponse mResponse;
     private boolean mEnded;
-    private boolean mSent;
 
     UpstreamCall(
             HttpClient client,
@@ -72,11 +71,6 @@
                                         "no connection to " + address + ": " + failure));
     }
 
-    /** Whether the request may have reached the upstream. */
-    boolean sent() {
-        return mSent;
-    }
-
     /** Ends the call; the upstream sees its connection close. */
     void cancel() {
         mEnded = true;
@@ -103,7 +97,6 @@
             reset();
             return;
         }
-        mSent = true;
         request.response()
                 .onSuccess(this::headArrived)
                 .onFailure(failure -> fail(CallFailure.Kind.BROKEN, "no answer: " + failure));
