End a silent stream only when another engine can take it now

A stream beside them was ended as silent, found every other engine full, and was given up 0.7 s later, although the first engine still wrote.

Change: a silent attempt is ended only when another upstream can take the request at once. A stream that has begun and waits is kept until its deadline, whatever the predicted wait.

--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/Attempt.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/Attempt.java
@@ -304,7 +304,7 @@
         long leftNanos = limit.toNanos() - silentNanos;
         if (leftNanos <= 0) {
             mParts.trust().unreachable(mPlacement.upstream(), now());
-            if (mListener.maySendElsewhere()) {
+            if (mListener.maySendElsewhere(mPlacement.upstream())) {
                 String reason = "nothing arrived for " + limit.toMillis() + " ms";
                 mCall.ifPresent(UpstreamCall::cancel);
                 failed(new CallFailure(CallFailure.Kind.SILENT, reason));
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/AttemptListener.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/AttemptListener.java
@@ -20,8 +20,8 @@
     void failed(String upstream, CallFailure failure);
 
     /**
-     * Whether the request may go on at another upstream when this attempt, which is silent, is
-     * ended; a positive answer spends the retry.
+     * Whether the request may and can go on at another upstream when the attempt at the silent one
+     * is ended; a positive answer spends the retry.
      */
-    boolean maySendElsewhere();
+    boolean maySendElsewhere(String silentUpstream);
 }
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/Dispatcher.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/Dispatcher.java
@@ -63,6 +63,13 @@
         choose(flow, excluded).ifPresentOrElse(flow::placed, () -> enqueue(flow, excluded));
     }
 
+    /** Whether an upstream other than the excluded ones could take the request now. */
+    boolean canPlaceElsewhere(RequestFlow flow, Set<String> excluded) {
+        List<UpstreamCandidate> candidates =
+                mCandidates.candidates(flow.request().service(), excluded);
+        return mPolicy.choose(flow.times().placementRequest(), candidates).isPresent();
+    }
+
     /** Forgets a request that waits. */
     void withdraw(RequestFlow flow) {
         if (mQueue.remove(flow)) {
@@ -106,7 +113,7 @@
         }
         Duration wait = mForecast.wait(mQueue.ahead(waiting, now), now);
         Duration left = Duration.ofNanos(waiting.usefulUntilNanos() - now);
-        if (wait.toNanos() > ACCEPTED_WAIT * left.toNanos()) {
+        if (!flow.begun() && wait.toNanos() > ACCEPTED_WAIT * left.toNanos()) {
             noteEmpty();
             refuse(flow, wait);
             return;
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/RequestFlow.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/RequestFlow.java
@@ -100,6 +100,11 @@
         return mLastEventId;
     }
 
+    /** Whether the caller has received a part of the answer. */
+    boolean begun() {
+        return mStreaming;
+    }
+
     /** Number of attempts so far. */
     int attempts() {
         return mAttempts;
@@ -215,10 +220,13 @@
     }
 
     @Override
-    public boolean maySendElsewhere() {
+    public boolean maySendElsewhere(String silentUpstream) {
+        Set<String> excluded = new HashSet<>(mFailedUpstreams);
+        excluded.add(silentUpstream);
         mRetryPaid =
                 mRules.maySendAgain(Execution.UNKNOWN, mPossibleRuns + 1, mNotRun)
                         && resumable()
+                        && mDispatcher.canPlaceElsewhere(this, excluded)
                         && trySpend();
         return mRetryPaid;
     }
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/RequestTimes.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/RequestTimes.java
@@ -47,13 +47,16 @@
                 : mRequest.aimNanos() - leastServiceNanos();
     }
 
-    /** Time until which the request must be sent; callers give up on streams that stand still. */
+    /**
+     * Time until which the request must be sent; callers give up on streams that do not begin. One
+     * that has begun is never given up before its deadline.
+     */
     long usefulUntilNanos() {
-        long since = mLastEventNanos.orElse(mRequest.arrivalNanos());
         long patience =
                 mRequest.route()
                         .patience()
-                        .map(p -> since + p.toNanos())
+                        .filter(ignored -> mLastEventNanos.isEmpty())
+                        .map(p -> mRequest.arrivalNanos() + p.toNanos())
                         .orElse(mRequest.deadlineNanos());
         return Math.min(patience, mRequest.deadlineNanos()) - leastServiceNanos();
     }
