--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/GatewayService.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/GatewayService.java
@@ -173,12 +173,18 @@
                     for (Service service : mServices) {
                         started = started.thenCompose(ignored -> service.start());
                     }
-                    // Not before the fleet is known: a restart should serve as soon as it can.
-                    mSync.loaded().thenRun(this::startAdmin);
+                    mSync.loaded().thenRun(this::fleetKnown);
                     return started;
                 });
     }
 
+    private void fleetKnown() {
+        mView.firstReadEnded();
+        mCallers.fleetKnown();
+        // Last: a restart should serve as soon as it can.
+        startAdmin();
+    }
+
     private void startAdmin() {
         mAdmin.start()
                 .exceptionally(
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/caller/CallerServer.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/caller/CallerServer.java
@@ -45,8 +45,8 @@
     /** Connections that are idle this long during a shutdown are closed. */
     private static final Duration IDLE_AT_SHUTDOWN = Duration.ofMillis(150);
 
-    /** An instance that has just started knows its configuration within a fraction of this time. */
-    private static final Duration CONFIGURATION_WAIT = Duration.ofMillis(800);
+    /** An instance that has just started knows the fleet within a fraction of this time. */
+    private static final Duration FLEET_WAIT = Duration.ofMillis(800);
 
     /** Another instance takes the request at once. */
     private static final RequestFailure SHUTTING_DOWN =
@@ -66,8 +66,9 @@
     private final PeriodicTask mIdleCheck;
     private final AtomicLong mSequence = new AtomicLong();
     private final Set<CallerExchange> mExchanges = new HashSet<>();
-    private final Map<CallerExchange, Runnable> mUnconfigured = new LinkedHashMap<>();
+    private final Map<CallerExchange, Runnable> mEarly = new LinkedHashMap<>();
     private final CompletableFuture<Void> mDrained = new CompletableFuture<>();
+    private boolean mFleetKnown;
     private boolean mDraining;
     private long mEndNanos;
     private boolean mStopping;
@@ -164,12 +165,12 @@
         readBody(
                 request,
                 exchange,
-                body -> serveConfigured(exchange, () -> serve(exchange, headers, body, arrival)));
+                body -> serveWhenKnown(exchange, () -> serve(exchange, headers, body, arrival)));
     }
 
     private void ended(CallerExchange exchange, HttpServerRequest request) {
         mExchanges.remove(exchange);
-        mUnconfigured.remove(exchange);
+        mEarly.remove(exchange);
         mConnections.requestEnded(request.connection());
         completeWhenDrained();
     }
@@ -227,26 +228,42 @@
         exchange.refuse(RequestFailure.notRun(code, message).withField("body"));
     }
 
-    /** Serves the request, once a configuration is known when this instance has just started. */
-    private void serveConfigured(CallerExchange exchange, Runnable serve) {
-        if (mView.configuration().isPresent()) {
+    /** Serves the request, once the fleet is known when this instance has just started. */
+    private void serveWhenKnown(CallerExchange exchange, Runnable serve) {
+        if (isFleetKnown()) {
             serve.run();
             return;
         }
-        mUnconfigured.put(exchange, serve);
-        mClock.schedule(CONFIGURATION_WAIT, () -> serveWaiting(exchange));
+        mEarly.put(exchange, serve);
+        mClock.schedule(FLEET_WAIT, () -> serveEarly(exchange));
     }
 
-    private void serveWaiting(CallerExchange exchange) {
-        Runnable serve = mUnconfigured.remove(exchange);
+    private boolean isFleetKnown() {
+        return mFleetKnown && mView.configuration().isPresent();
+    }
+
+    private void serveEarly(CallerExchange exchange) {
+        Runnable serve = mEarly.remove(exchange);
         if (serve != null) {
             serve.run();
         }
     }
 
+    /** Serves the requests that have waited for the first complete view of the fleet. */
+    public void fleetKnown() {
+        mFleetKnown = true;
+        serveAllEarly();
+    }
+
     /** Serves the requests that have waited for a configuration. */
     public void configured() {
-        List.copyOf(mUnconfigured.keySet()).forEach(this::serveWaiting);
+        serveAllEarly();
+    }
+
+    private void serveAllEarly() {
+        if (isFleetKnown()) {
+            List.copyOf(mEarly.keySet()).forEach(this::serveEarly);
+        }
     }
 
     private void serve(CallerExchange exchange, CallerHeaders headers, Buffer body, long arrival) {
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/membership/FleetView.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/membership/FleetView.java
@@ -28,6 +28,7 @@
     private final Map<String, Upstream> mUpstreams = new HashMap<>();
     private final Map<String, Long> mLapsedAtNanos = new HashMap<>();
     private final List<Listener> mListeners = new ArrayList<>();
+    private boolean mFirstReadEnded;
     private OptionalLong mStoreReturnedNanos = OptionalLong.empty();
     private Optional<GatewayConfiguration> mConfiguration = Optional.empty();
 
@@ -82,6 +83,18 @@
         return List.copyOf(mUpstreams.values());
     }
 
+    /** Logs the upstreams of the first read in one line: a line for each would delay the start. */
+    public void firstReadEnded() {
+        mFirstReadEnded = true;
+        List<String> usable =
+                mUpstreams.values().stream()
+                        .filter(upstream -> !upstream.leaving())
+                        .map(upstream -> upstream.id() + "=" + upstream.address())
+                        .sorted()
+                        .toList();
+        sLogger.atInfo().log("%d upstreams may receive requests: %s", usable.size(), usable);
+    }
+
     /**
      * Takes over a change.
      *
@@ -182,7 +195,10 @@
         }
     }
 
-    private static void log(Upstream upstream, String what) {
+    private void log(Upstream upstream, String what) {
+        if (!mFirstReadEnded) {
+            return;
+        }
         sLogger.atInfo()
                 .with(LogKeys.UPSTREAM, upstream.id())
                 .with(LogKeys.SERVICE, upstream.service())
