Leave out the engine that refused a reservation, and spend no retry on it

Cause: when an engine refused to reserve memory, the first engine of the plan was excluded from the next one instead, so that the refusing engine was asked again, and the shared budget paid for a retry although nothing had been sent. A request whose time ran out in the queue was refused with "the predicted wait of 0 ms is too long".

Change: the attempt names the engine at fault, which is excluded; a failure before anything was sent is no retry; a message of its own for requests that found no free upstream in time.

Test: ReservationTests.anEngineThatRefusesTheMemoryIsLeftOutAfterwards; on the code before, one of its five cases asks the refusing engine twice.

--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/Attempt.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/Attempt.java
@@ -160,8 +160,9 @@
     @Override
     public void failed(CallFailure failure) {
         if (end(failure.kind().code(), failure.execution(), failure.reason())) {
-            noteFailure(failure);
-            mListener.failed(mPlacement.upstream(), failure);
+            String upstream = upstreamAtFault(failure);
+            noteFailure(upstream, failure);
+            mListener.failed(upstream, failure);
         }
     }
 
@@ -186,12 +187,14 @@
         }
     }
 
-    private void noteFailure(CallFailure failure) {
-        String upstream =
-                failure.faultyAddress()
-                        .flatMap(mParts.view()::upstreamAt)
-                        .map(Upstream::id)
-                        .orElse(mPlacement.upstream());
+    private String upstreamAtFault(CallFailure failure) {
+        return failure.faultyAddress()
+                .flatMap(mParts.view()::upstreamAt)
+                .map(Upstream::id)
+                .orElse(mPlacement.upstream());
+    }
+
+    private void noteFailure(String upstream, CallFailure failure) {
         long now = now();
         switch (failure.kind()) {
             case NOT_CONNECTED -> mParts.trust().unreachable(upstream, now);
@@ -199,7 +202,7 @@
             case REFUSED -> mParts.trust().suspend(upstream, REFUSED_SUSPENSION, now);
             case OTHER_UPSTREAM -> mParts.trust().suspend(upstream, REPLACED_SUSPENSION, now);
             case SILENT, NOT_RESERVED -> {
-                // Silence was noted when it was found; a refused reservation is another's.
+                // Silence was noted when it was found; an engine without free memory is sound.
             }
         }
     }
@@ -221,17 +224,21 @@
                 new SpanReservation(mParts, id().value(), helpers(), mPlacement.helperTokens());
         mReservation = Optional.of(reservation);
         reservation.acquire(
-                addresses -> {
-                    if (mEnded) {
-                        return;
+                new SpanReservation.Outcome() {
+                    @Override
+                    public void held(List<HelperAddress> helpers) {
+                        if (!mEnded) {
+                            call(helpers);
+                        }
                     }
-                    if (addresses.isPresent()) {
-                        call(addresses.get());
-                    } else {
+
+                    @Override
+                    public void refused(Upstream helper) {
                         failed(
                                 new CallFailure(
                                         CallFailure.Kind.NOT_RESERVED,
-                                        "memory on several engines could not be reserved"));
+                                        "memory could not be reserved at " + helper.id(),
+                                        Optional.of(helper.address().toString())));
                     }
                 });
     }
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/AttemptListener.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/AttemptListener.java
@@ -16,7 +16,7 @@
     /** A whole answer that is no stream has arrived. */
     void answered(AnswerHead head, MultiMap headers, Buffer body);
 
-    /** The attempt has failed at the upstream. */
+    /** The attempt has failed; the upstream is the one at fault, which may be a helper. */
     void failed(String upstream, CallFailure failure);
 
     /**
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/CallFailure.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/CallFailure.java
@@ -10,7 +10,7 @@
  *
  * @param kind what went wrong
  * @param reason explanation for logs and the caller
- * @param faultyAddress address of the upstream at fault, when the answer names another one
+ * @param faultyAddress address of the upstream at fault, when it is not the first one
  */
 record CallFailure(Kind kind, String reason, Optional<String> faultyAddress) {
 
@@ -35,6 +35,11 @@
             mExecution = execution;
         }
 
+        /** Whether the upstream has received the request, so that another attempt is a retry. */
+        boolean sent() {
+            return this != NOT_CONNECTED && this != NOT_RESERVED;
+        }
+
         /** Name in log lines. */
         String code() {
             return name().toLowerCase(Locale.ROOT);
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/Dispatcher.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/Dispatcher.java
@@ -115,7 +115,8 @@
         Duration left = Duration.ofNanos(waiting.usefulUntilNanos() - now);
         if (!flow.begun() && wait.toNanos() > ACCEPTED_WAIT * left.toNanos()) {
             noteEmpty();
-            refuse(flow, wait);
+            String reason = "the predicted wait of " + wait.toMillis() + " ms is too long";
+            refuse(flow, reason, wait);
             return;
         }
         mWaited.inc();
@@ -128,7 +129,7 @@
         long now = mParts.clock().nanoTime();
         for (WaitingRequest<RequestFlow> expired : mQueue.expired(now)) {
             withdraw(expired.item());
-            refuse(expired.item(), LEAST_RETRY_AFTER);
+            refuse(expired.item(), "no upstream was free in the time left", LEAST_RETRY_AFTER);
         }
         int blocked = 0;
         for (WaitingRequest<RequestFlow> waiting : mQueue.inOrder(now)) {
@@ -146,13 +147,9 @@
         }
     }
 
-    private void refuse(RequestFlow flow, Duration wait) {
+    private static void refuse(RequestFlow flow, String reason, Duration wait) {
         Duration after = wait.compareTo(LEAST_RETRY_AFTER) < 0 ? LEAST_RETRY_AFTER : wait;
-        flow.refused(
-                RequestFailure.notRun(
-                                FailureCode.OVERLOADED,
-                                "the predicted wait of " + wait.toMillis() + " ms is too long")
-                        .withRetryAfter(after));
+        flow.refused(RequestFailure.notRun(FailureCode.OVERLOADED, reason).withRetryAfter(after));
     }
 
     private void noteEmpty() {
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/RequestFlow.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/RequestFlow.java
@@ -214,8 +214,7 @@
             mPossibleRuns++;
         }
         if (!mEnded) {
-            boolean free = failure.kind() == CallFailure.Kind.NOT_CONNECTED;
-            attemptFailed(failure.reason(), failure.execution(), free);
+            attemptFailed(failure.reason(), failure.execution(), !failure.kind().sent());
         }
     }
 
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/SpanReservation.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/SpanReservation.java
@@ -12,7 +12,6 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Consumer;
 import org.tanagergap.api.time.Timer;
 import org.tanagergap.gateway.membership.Upstream;
 import org.tanagergap.gateway.wire.HelperAddress;
@@ -61,8 +60,18 @@
         mTokens = tokens;
     }
 
-    /** Reserves on all engines; tells the outcome: empty when one has refused. */
-    void acquire(Consumer<Optional<List<HelperAddress>>> outcome) {
+    /** Is told how a reservation ended. */
+    interface Outcome {
+
+        /** All engines hold the memory. */
+        void held(List<HelperAddress> helpers);
+
+        /** The engine does not hold the memory, and all the others release it. */
+        void refused(Upstream helper);
+    }
+
+    /** Reserves on all engines and tells the outcome, unless it is released before. */
+    void acquire(Outcome outcome) {
         acquireNext(0, outcome);
     }
 
@@ -105,14 +114,13 @@
         mUnanswered.add(helper.id());
     }
 
-    private void acquireNext(int index, Consumer<Optional<List<HelperAddress>>> outcome) {
+    private void acquireNext(int index, Outcome outcome) {
         if (mReleased) {
-            outcome.accept(Optional.empty());
             return;
         }
         if (index == mHelpers.size()) {
             mTimer = mParts.clock().schedule(EXTENSION_INTERVAL, this::extend);
-            outcome.accept(Optional.of(addresses()));
+            outcome.held(addresses());
             return;
         }
         Upstream helper = mHelpers.get(index);
@@ -133,12 +141,11 @@
                         });
     }
 
-    private void refused(
-            Upstream helper, String reason, Consumer<Optional<List<HelperAddress>>> outcome) {
+    private void refused(Upstream helper, String reason, Outcome outcome) {
         sLogger.atInfo().log(
                 "%d tokens for %s are not to be had at %s: %s", mTokens, mId, helper.id(), reason);
         release();
-        outcome.accept(Optional.empty());
+        outcome.refused(helper);
     }
 
     private void extend() {
