--- a/tanagergap-runtime/src/main/java/org/tanagergap/runtime/program/ProgramCommand.java
+++ b/tanagergap-runtime/src/main/java/org/tanagergap/runtime/program/ProgramCommand.java
@@ -6,11 +6,13 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
 import java.nio.file.Path;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.logging.Level;
 import org.tanagergap.api.lifecycle.Service;
 import org.tanagergap.runtime.log.StructuredLogging;
+import org.tanagergap.runtime.settings.EffectiveSetting;
 import org.tanagergap.runtime.settings.HostPort;
 import org.tanagergap.runtime.settings.SettingsReader;
 import org.tanagergap.runtime.trace.TraceOutput;
@@ -24,6 +26,11 @@
     @Option(name = "--version", description = "Prints the version and exits")
     boolean mVersion;
 
+    @Option(
+            name = "--show-settings",
+            description = "Prints each setting with its value and source, and exits")
+    boolean mShowSettings;
+
     @Option(
             name = "--config",
             title = "file",
@@ -91,15 +98,36 @@
 
     /** Reads all settings and prepares logs and traces; throws when there are findings. */
     final ProgramContext prepare(Map<String, String> environment, Vertx vertx) {
+        CommonSettings common = readAll(reader(environment));
+        StructuredLogging.install(programName(), common.level().mLevel);
+        return new ProgramContext(
+                vertx,
+                common.adminListen(),
+                new Tracing(programName(), common.traceOutput(), common.traceEndpoint()));
+    }
+
+    /** Settings in use with their sources; throws when there are findings. */
+    public final List<EffectiveSetting> effectiveSettings(Map<String, String> environment) {
         SettingsReader reader = reader(environment);
-        HostPort adminListen = reader.address("--admin-listen", mAdminListen, "127.0.0.1:0");
-        LogLevel level = reader.choice("--log-level", mLogLevel, "info", LogLevel.class);
-        TraceOutput output =
-                reader.choice("--trace-output", mTraceOutput, "none", TraceOutput.class);
-        Optional<String> endpoint = reader.optionalText("--trace-endpoint", mTraceEndpoint);
+        readAll(reader);
+        return reader.effective();
+    }
+
+    private CommonSettings readAll(SettingsReader reader) {
+        CommonSettings common =
+                new CommonSettings(
+                        reader.address("--admin-listen", mAdminListen, "127.0.0.1:0"),
+                        reader.choice("--log-level", mLogLevel, "info", LogLevel.class),
+                        reader.choice("--trace-output", mTraceOutput, "none", TraceOutput.class),
+                        reader.optionalText("--trace-endpoint", mTraceEndpoint));
         readSettings(reader);
         reader.findings().throwIfAny();
-        StructuredLogging.install(programName(), level.mLevel);
-        return new ProgramContext(vertx, adminListen, new Tracing(programName(), output, endpoint));
+        return common;
     }
+
+    private record CommonSettings(
+            HostPort adminListen,
+            LogLevel level,
+            TraceOutput traceOutput,
+            Optional<String> traceEndpoint) {}
 }
--- a/tanagergap-runtime/src/main/java/org/tanagergap/runtime/program/ProgramRunner.java
+++ b/tanagergap-runtime/src/main/java/org/tanagergap/runtime/program/ProgramRunner.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import java.util.function.Supplier;
 import org.tanagergap.api.finding.InvalidInputException;
 import org.tanagergap.api.lifecycle.Service;
 import org.tanagergap.runtime.log.StructuredLogging;
@@ -39,6 +40,10 @@
             System.out.println(command.programName() + " " + Version.current());
             return;
         }
+        if (command.mShowSettings) {
+            showSettings(command);
+            return;
+        }
         // A stream may still fail after its subscriber has cancelled it, with nobody to tell.
         Infrastructure.setDroppedExceptionHandler(
                 failure -> sLogger.atFine().withCause(failure).log("failure after cancellation"));
@@ -75,9 +80,19 @@
         }
     }
 
+    private static void showSettings(ProgramCommand command) {
+        orExit(() -> command.effectiveSettings(System.getenv()))
+                .forEach(setting -> System.out.println(setting.line()));
+    }
+
     private static ProgramContext prepare(ProgramCommand command, Vertx vertx) {
+        return orExit(() -> command.prepare(System.getenv(), vertx));
+    }
+
+    /** Value of the supplier; reports all findings and ends the process when there are any. */
+    private static <T> T orExit(Supplier<T> supplier) {
         try {
-            return command.prepare(System.getenv(), vertx);
+            return supplier.get();
         } catch (InvalidInputException e) {
             e.findings().forEach(System.err::println);
             System.exit(ExitStatus.INVALID_SETTINGS);
--- a/tanagergap-runtime/src/main/java/org/tanagergap/runtime/settings/SettingsReader.java
+++ b/tanagergap-runtime/src/main/java/org/tanagergap/runtime/settings/SettingsReader.java
@@ -13,6 +13,7 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Properties;
+import java.util.TreeMap;
 import java.util.function.Function;
 import org.tanagergap.api.finding.Findings;
 
@@ -28,6 +29,7 @@
     private final Map<String, String> mEnvironment;
     private final Map<String, String> mFile = new HashMap<>();
     private final Findings mFindings = new Findings();
+    private final Map<String, EffectiveSetting> mEffective = new TreeMap<>();
 
     public SettingsReader(Map<String, String> environment) {
         mEnvironment = Map.copyOf(Objects.requireNonNull(environment, "environment"));
@@ -54,10 +56,28 @@
 
     /** Text of the setting when it is given. */
     public Optional<String> optionalText(String flag, String flagValue) {
-        return Optional.ofNullable(flagValue)
-                .or(() -> Optional.ofNullable(mEnvironment.get(variable(flag))))
-                .or(() -> Optional.ofNullable(mFile.get(name(flag))))
-                .filter(value -> !value.isBlank());
+        Optional<EffectiveSetting> setting =
+                given(flag, flagValue, SettingSource.FLAG)
+                        .or(
+                                () ->
+                                        given(
+                                                flag,
+                                                mEnvironment.get(variable(flag)),
+                                                SettingSource.VARIABLE))
+                        .or(() -> given(flag, mFile.get(name(flag)), SettingSource.FILE))
+                        .filter(s -> !s.value().isBlank());
+        mEffective.put(flag, setting.orElseGet(() -> EffectiveSetting.absent(flag)));
+        return setting.map(EffectiveSetting::value);
+    }
+
+    private static Optional<EffectiveSetting> given(
+            String flag, String value, SettingSource source) {
+        return Optional.ofNullable(value).map(v -> new EffectiveSetting(flag, v, source));
+    }
+
+    /** Settings that were read so far, in the order of their flags. */
+    public List<EffectiveSetting> effective() {
+        return List.copyOf(mEffective.values());
     }
 
     /** Address in the form {@code host:port}. */
@@ -145,7 +165,7 @@
             Function<String, Optional<T>> parser,
             String expected) {
         Optional<String> value =
-                optionalText(flag, flagValue).or(() -> Optional.ofNullable(defaultValue));
+                optionalText(flag, flagValue).or(() -> useDefault(flag, defaultValue));
         if (value.isEmpty()) {
             reject(flag, "is required; expected " + expected);
             return null;
@@ -157,6 +177,12 @@
         return parsed.orElse(null);
     }
 
+    private Optional<String> useDefault(String flag, String defaultValue) {
+        given(flag, defaultValue, SettingSource.DEFAULT)
+                .ifPresent(setting -> mEffective.put(flag, setting));
+        return Optional.ofNullable(defaultValue);
+    }
+
     private Optional<HostPort> parseItem(String flag, String item) {
         Optional<HostPort> address = HostPort.parse(item);
         if (address.isEmpty()) {
--- /dev/null
+++ b/tanagergap-runtime/src/test/java/org/tanagergap/runtime/log/BoundedLogHandlerTests.java
@@ -0,0 +1,140 @@
+package org.tanagergap.runtime.log;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.io.ByteArrayOutputStream;
+import java.io.OutputStream;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.concurrent.CountDownLatch;
+import java.util.logging.Formatter;
+import java.util.logging.Level;
+import java.util.logging.LogRecord;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+/** Guards requests against waiting for their own log lines. */
+final class BoundedLogHandlerTests {
+
+    private static final Instant START = Instant.parse("2026-01-01T00:00:00Z");
+
+    private static final int LINES_PER_SECOND = 1000;
+    private static final int WAITING_LINES = 4096;
+
+    private final ByteArrayOutputStream mRead = new ByteArrayOutputStream();
+
+    /** Output whose reader stops reading until it is told to go on. */
+    private final class StoppedReader extends OutputStream {
+
+        private final CountDownLatch mBlocked = new CountDownLatch(1);
+        private final CountDownLatch mGoOn = new CountDownLatch(1);
+
+        @Override
+        public void write(int b) {
+            write(new byte[] {(byte) b}, 0, 1);
+        }
+
+        @Override
+        public void write(byte[] bytes, int offset, int length) {
+            mBlocked.countDown();
+            try {
+                mGoOn.await();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+            mRead.write(bytes, offset, length);
+        }
+    }
+
+    private static BoundedLogHandler handler(OutputStream output) {
+        BoundedLogHandler handler = new BoundedLogHandler(output);
+        handler.setFormatter(
+                new Formatter() {
+                    @Override
+                    public String format(LogRecord logRecord) {
+                        return logRecord.getMessage() + "\n";
+                    }
+                });
+        return handler;
+    }
+
+    private static LogRecord line(String message, Duration sinceStart) {
+        LogRecord logRecord = new LogRecord(Level.INFO, message);
+        logRecord.setInstant(START.plus(sinceStart));
+        return logRecord;
+    }
+
+    private long linesRead(String prefix) {
+        return mRead.toString(StandardCharsets.UTF_8)
+                .lines()
+                .filter(line -> line.startsWith(prefix))
+                .count();
+    }
+
+    @Test
+    void writesLinesInTheirOrder() {
+        BoundedLogHandler handler = handler(mRead);
+        handler.publish(line("first", Duration.ZERO));
+        handler.publish(line("second", Duration.ZERO));
+        handler.close();
+
+        assertThat(mRead.toString(StandardCharsets.UTF_8)).isEqualTo("first\nsecond\n");
+    }
+
+    @Test
+    void writesNoMoreThanTheStatedLinesOfASecondAndCountsTheOthers() {
+        BoundedLogHandler handler = handler(mRead);
+        for (int i = 0; i < LINES_PER_SECOND + 500; i++) {
+            handler.publish(line("line", Duration.ZERO));
+        }
+        handler.close();
+
+        assertThat(linesRead("line")).isEqualTo(LINES_PER_SECOND);
+        long dropped =
+                mRead.toString(StandardCharsets.UTF_8)
+                        .lines()
+                        .filter(line -> line.endsWith(" log lines were dropped"))
+                        .mapToLong(line -> Long.parseLong(line.split(" ")[0]))
+                        .sum();
+        assertThat(dropped).isEqualTo(500);
+    }
+
+    @Nested
+    class AReaderThatStopsReading {
+
+        private final StoppedReader mReader = new StoppedReader();
+        private final BoundedLogHandler mHandler = handler(mReader);
+
+        private void publishFor(Duration duration) {
+            for (long i = 0; i < duration.toSeconds() * LINES_PER_SECOND; i++) {
+                mHandler.publish(line("line", Duration.ofMillis(i)));
+            }
+        }
+
+        /** A write on the calling thread would block here for ever. */
+        @Test
+        void blocksNobodyAndKeepsABoundedNumberOfLines() throws Exception {
+            mHandler.publish(line("line", Duration.ZERO));
+            mReader.mBlocked.await();
+            publishFor(Duration.ofSeconds(60));
+
+            mReader.mGoOn.countDown();
+            mHandler.close();
+            assertThat(linesRead("line")).isAtMost(WAITING_LINES + 1L);
+            assertThat(linesRead(60_000 - WAITING_LINES + " log lines were dropped")).isEqualTo(1);
+        }
+
+        @Test
+        void doesNotBlockTheEndOfTheProcess() throws Exception {
+            mHandler.publish(line("line", Duration.ZERO));
+            mReader.mBlocked.await();
+
+            long start = System.nanoTime();
+            mHandler.close();
+            assertThat(Duration.ofNanos(System.nanoTime() - start))
+                    .isLessThan(Duration.ofSeconds(5));
+            mReader.mGoOn.countDown();
+        }
+    }
+}
