--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/GatewayService.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/GatewayService.java
@@ -5,7 +5,6 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpClientOptions;
-import io.vertx.core.http.HttpConnection;
 import io.vertx.core.http.PoolOptions;
 import java.time.Duration;
 import java.util.List;
@@ -35,6 +34,7 @@
 import org.tanagergap.gateway.peer.PeerRegistration;
 import org.tanagergap.runtime.admin.AdminServer;
 import org.tanagergap.runtime.async.Futures;
+import org.tanagergap.runtime.http.ClientConnections;
 import org.tanagergap.runtime.metrics.MetricsText;
 import org.tanagergap.runtime.program.ProgramContext;
 
@@ -160,16 +160,10 @@
         return vertx.httpClientBuilder()
                 .with(options)
                 .with(pool)
-                .withConnectHandler(GatewayService::connected)
+                .withConnectHandler(ClientConnections::opened)
                 .build();
     }
 
-    /** Calls report the failure of their connection themselves. */
-    private static void connected(HttpConnection connection) {
-        connection.exceptionHandler(
-                failure -> sLogger.atFine().log("an upstream's connection failed: %s", failure));
-    }
-
     @Override
     public CompletableFuture<Void> start() {
         return onEventLoop(
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/LivenessCheck.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/LivenessCheck.java
@@ -3,8 +3,9 @@
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.RequestOptions;
 import java.time.Duration;
-import java.util.concurrent.TimeUnit;
+import java.util.Optional;
 import org.tanagergap.api.time.Timer;
+import org.tanagergap.runtime.http.ShortCall;
 import org.tanagergap.runtime.settings.HostPort;
 
 /**
@@ -52,11 +53,7 @@
                         .setURI(mParts.wire().livenessPath());
         mParts.client()
                 .request(options)
-                .compose(
-                        request ->
-                                request.send()
-                                        .timeout(TIMEOUT.toMillis(), TimeUnit.MILLISECONDS)
-                                        .onFailure(ignored -> request.reset()))
+                .compose(request -> ShortCall.send(request, Optional.empty(), TIMEOUT))
                 .onComplete(ignored -> answered(), ignored -> unanswered());
     }
 
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/SpanReservation.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/SpanReservation.java
@@ -2,7 +2,6 @@
 
 import com.google.common.flogger.FluentLogger;
 import io.vertx.core.Future;
-import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.RequestOptions;
 import java.time.Duration;
@@ -11,11 +10,11 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
-import java.util.concurrent.TimeUnit;
 import org.tanagergap.api.time.Timer;
 import org.tanagergap.gateway.membership.Upstream;
 import org.tanagergap.gateway.wire.HelperAddress;
 import org.tanagergap.gateway.wire.MemoryOrder;
+import org.tanagergap.runtime.http.ShortCall;
 import org.tanagergap.runtime.settings.HostPort;
 
 /**
@@ -180,9 +179,7 @@
                 .request(options)
                 .compose(
                         request ->
-                                request.send(order.body())
-                                        .map(HttpClientResponse::statusCode)
-                                        .timeout(ORDER_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS)
-                                        .onFailure(ignored -> request.reset()));
+                                ShortCall.send(request, Optional.of(order.body()), ORDER_TIMEOUT))
+                .map(ShortCall.Answer::status);
     }
 }
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/UpstreamCall.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/UpstreamCall.java
@@ -111,6 +111,8 @@
     }
 
     private void headArrived(HttpClientResponse response) {
+        response.exceptionHandler(
+                failure -> fail(CallFailure.Kind.BROKEN, "answer broke off: " + failure));
         if (mEnded) {
             reset();
             return;
@@ -128,8 +130,6 @@
 
     private void read(HttpClientResponse response, AnswerHead head) {
         MultiMap headers = response.headers();
-        response.exceptionHandler(
-                failure -> fail(CallFailure.Kind.BROKEN, "answer broke off: " + failure));
         if (mStream && head.status() == HTTP_OK && isEventStream(headers)) {
             readEvents(response, head, headers);
         } else {
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/peer/PeerCopyClient.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/peer/PeerCopyClient.java
@@ -12,11 +12,11 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.TimeUnit;
 import org.tanagergap.gateway.membership.PeerCopies;
 import org.tanagergap.platform.keyvalue.Changes;
 import org.tanagergap.platform.keyvalue.KeyValue;
 import org.tanagergap.runtime.async.Futures;
+import org.tanagergap.runtime.http.ShortCall;
 import org.tanagergap.runtime.settings.HostPort;
 
 /** Asks peers for their copy of the store. */
@@ -50,13 +50,8 @@
                         .setURI(PeerCopyServer.PATH + "?" + PeerCopyServer.AFTER + "=" + revision);
         Future<Changes> changes =
                 mClient.request(options)
-                        .compose(
-                                request ->
-                                        request.send()
-                                                .compose(response -> response.body())
-                                                .timeout(TIMEOUT.toMillis(), TimeUnit.MILLISECONDS)
-                                                .onFailure(ignored -> request.reset()))
-                        .map(PeerCopyClient::decode);
+                        .compose(request -> ShortCall.send(request, Optional.empty(), TIMEOUT))
+                        .map(answer -> decode(answer.body()));
         return Optional.of(Futures.toCompletable(changes));
     }
 
