--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/membership/StoreSync.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/membership/StoreSync.java
@@ -35,7 +35,7 @@
     /** Number of instances up to which each asks at the least interval. */
     private static final int INSTANCES_AT_LEAST_INTERVAL = 5;
 
-    /** Longest interval, in least ones: a change is learned in 3 s even when no peer tells. */
+    /** Longest interval, in least ones: a change is learned in 2 s even when no peer tells. */
     private static final int MOST_INTERVALS = 3;
 
     private static final Duration RETRY_INTERVAL = Duration.ofMillis(250);
