Log how long reserved engine memory waits for its first token

The logs told that a reservation failed or got no response, but neither how long one lasted nor whether its request generated a token, so the hypotheses in docs/incidents/unused-reservations.md could not be told apart.

Each release is logged with the age of the reservation, its extensions and the time to the first token, and the histogram gateway_reservation_before_first_token_ms collects the latter. An extension that is refused is logged.

No logic is changed.

--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/HelperMemoryReservation.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/HelperMemoryReservation.java
@@ -9,7 +9,9 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import org.tanagergap.api.time.Timer;
 import org.tanagergap.gateway.membership.Upstream;
 import org.tanagergap.gateway.wire.HelperAddress;
@@ -42,7 +44,10 @@
     private final long mTokens;
     private final List<Upstream> mContacted = new ArrayList<>();
     private final Set<String> mWithoutResponse = new HashSet<>();
+    private long mStartNanos;
     private long mReleasedNanos;
+    private OptionalLong mFirstTokenNanos = OptionalLong.empty();
+    private int mExtensions;
     private boolean mReleased;
     private Timer mTimer = () -> {};
 
@@ -72,9 +77,15 @@
 
     /** Reserves memory on all engines and reports the outcome, unless it is released before. */
     void acquire(Outcome outcome) {
+        mStartNanos = mContext.clock().nanoTime();
         acquireNext(0, outcome);
     }
 
+    /** Records that the request generates tokens and therefore uses the memory. */
+    void firstTokenReceived() {
+        mFirstTokenNanos = OptionalLong.of(mContext.clock().nanoTime());
+    }
+
     /** Releases the reserved memory; further calls have no effect. */
     void release() {
         if (mReleased) {
@@ -84,6 +95,29 @@
         mReleasedNanos = mContext.clock().nanoTime();
         mTimer.cancel();
         mContacted.forEach(this::release);
+        recordRelease();
+    }
+
+    private void recordRelease() {
+        long unusedNanos = mFirstTokenNanos.orElse(mReleasedNanos) - mStartNanos;
+        mContext.metrics()
+                .histogram("gateway_reservation_before_first_token_ms")
+                .update(millis(unusedNanos));
+        sLogger.atInfo().log(
+                "reservation of %d tokens on each of %d engines for attempt %s released after %d ms"
+                        + " and %d extensions, %s",
+                mTokens,
+                mContacted.size(),
+                mId,
+                millis(mReleasedNanos - mStartNanos),
+                mExtensions,
+                mFirstTokenNanos.isPresent()
+                        ? "first token after " + millis(unusedNanos) + " ms"
+                        : "no token received");
+    }
+
+    private static long millis(long nanos) {
+        return TimeUnit.NANOSECONDS.toMillis(nanos);
     }
 
     private void release(Upstream helper) {
@@ -155,12 +189,21 @@
         for (Upstream helper : mContacted) {
             call(helper, mContext.wire().reservationRequest(mId, mTokens, TIME_TO_LIVE))
                     .onComplete(
-                            ignored -> {},
+                            status -> recordExtension(helper, status),
                             failure -> recordNoResponse(helper, "extension", failure));
         }
+        mExtensions++;
         mTimer = mContext.clock().schedule(EXTENSION_INTERVAL, this::extend);
     }
 
+    private void recordExtension(Upstream helper, int status) {
+        if (status != HTTP_OK) {
+            sLogger.atInfo().log(
+                    "extension of %d tokens for attempt %s at %s got status %d",
+                    mTokens, mId, helper.id(), status);
+        }
+    }
+
     private List<HelperAddress> addresses() {
         return mHelpers.stream()
                 .map(helper -> new HelperAddress(helper.address(), Optional.of(mId)))
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/UpstreamAttempt.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/UpstreamAttempt.java
@@ -169,6 +169,7 @@
         if (mFirstEvent) {
             mFirstEvent = false;
             mLoad.firstToken();
+            mReservation.ifPresent(HelperMemoryReservation::firstTokenReceived);
             if (mReservation.isEmpty()) {
                 mLiveness.ifPresent(LivenessCheck::stop);
             }
