Stop extending reserved engine memory that no request uses

What callers saw: prompts that need memory on several engines were refused or waited while memory stood reserved for requests that their engines had not begun, up to their deadline of 15 s.

Cause: the reservation was extended for as long as its attempt lived. An attempt lives until its deadline when the engine accepted the request and never begins it, or keeps it in its queue, and no retry is possible. Class of fault: a lease renewed because its owner is alive, not because it is used.

Change: ReservationUse (decisions) allows extensions for 5 s without use; with the time to live of the last one this stays below 9 s. Each event counts as use. Without events for 2 s, an engine is asked for the state of the reservation before it is extended, so a long prefill keeps its memory (aReservationThatAPrefillUsesIsExtendedUntilTheEnd). The request stays where it is; an engine that begins it later refuses it as not run, and it is placed again.

--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/HelperMemoryReservation.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/HelperMemoryReservation.java
@@ -2,6 +2,7 @@
 
 import com.google.common.flogger.FluentLogger;
 import io.vertx.core.Future;
+import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.RequestOptions;
 import java.time.Duration;
@@ -13,16 +14,18 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.tanagergap.api.time.Timer;
+import org.tanagergap.decisions.fleet.ReservationUse;
 import org.tanagergap.gateway.membership.Upstream;
 import org.tanagergap.gateway.wire.HelperAddress;
 import org.tanagergap.gateway.wire.MemoryReservationRequest;
+import org.tanagergap.gateway.wire.ReservationState;
 import org.tanagergap.runtime.http.BufferedCall;
 import org.tanagergap.runtime.settings.HostPort;
 
 /**
  * Reserves memory on all helper engines of a spanning prompt or on none, in the order of the
- * engines' identifiers. The reservation is extended while the request runs and released at its end;
- * otherwise it expires. Confined to the event loop.
+ * engines' identifiers. The reservation is extended while the request uses it or may still begin
+ * soon, and released at its end; otherwise it expires. Confined to the event loop.
  */
 final class HelperMemoryReservation {
 
@@ -44,9 +47,10 @@
     private final long mTokens;
     private final List<Upstream> mContacted = new ArrayList<>();
     private final Set<String> mWithoutResponse = new HashSet<>();
-    private long mStartNanos;
+    private final long mStartNanos;
     private long mReleasedNanos;
     private OptionalLong mFirstTokenNanos = OptionalLong.empty();
+    private final ReservationUse mUse;
     private int mExtensions;
     private boolean mReleased;
     private Timer mTimer = () -> {};
@@ -63,6 +67,8 @@
         mId = id;
         mHelpers = List.copyOf(helpers);
         mTokens = tokens;
+        mStartNanos = context.clock().nanoTime();
+        mUse = new ReservationUse(mStartNanos);
     }
 
     /** Receives the outcome of a reservation. */
@@ -77,13 +83,16 @@
 
     /** Reserves memory on all engines and reports the outcome, unless it is released before. */
     void acquire(Outcome outcome) {
-        mStartNanos = mContext.clock().nanoTime();
         acquireNext(0, outcome);
     }
 
     /** Records that the request generates tokens and therefore uses the memory. */
-    void firstTokenReceived() {
-        mFirstTokenNanos = OptionalLong.of(mContext.clock().nanoTime());
+    void tokenReceived() {
+        long now = mContext.clock().nanoTime();
+        mUse.used(now);
+        if (mFirstTokenNanos.isEmpty()) {
+            mFirstTokenNanos = OptionalLong.of(now);
+        }
     }
 
     /** Releases the reserved memory; further calls have no effect. */
@@ -186,6 +195,15 @@
         if (mReleased) {
             return;
         }
+        long now = mContext.clock().nanoTime();
+        if (!mUse.mayExtend(now)) {
+            // The request stays at its engine, which refuses to begin it without the reservation.
+            release();
+            return;
+        }
+        if (mUse.needsCheck(now)) {
+            checkUse(mHelpers.get(mExtensions % mHelpers.size()));
+        }
         for (Upstream helper : mContacted) {
             call(helper, mContext.wire().reservationRequest(mId, mTokens, TIME_TO_LIVE))
                     .onComplete(
@@ -196,6 +214,24 @@
         mTimer = mContext.clock().schedule(EXTENSION_INTERVAL, this::extend);
     }
 
+    /** Asks an engine whether the request uses its reservation, as a long prefill does. */
+    private void checkUse(Upstream helper) {
+        send(helper, HttpMethod.GET, mContext.wire().livenessPath(), Optional.empty())
+                .map(response -> mContext.wire().reservationState(response.body(), mId))
+                .onSuccess(this::recordState)
+                .onFailure(
+                        failure ->
+                                sLogger.atInfo().log(
+                                        "%s did not report the reservation of attempt %s: %s",
+                                        helper.id(), mId, failure.getMessage()));
+    }
+
+    private void recordState(Optional<ReservationState> state) {
+        if (state.filter(ReservationState.USED::equals).isPresent()) {
+            mUse.used(mContext.clock().nanoTime());
+        }
+    }
+
     private void recordExtension(Upstream helper, int status) {
         if (status != HTTP_OK) {
             sLogger.atInfo().log(
@@ -211,20 +247,23 @@
     }
 
     private Future<Integer> call(Upstream upstream, MemoryReservationRequest call) {
+        return send(upstream, HttpMethod.POST, call.path(), Optional.of(call.body()))
+                .map(BufferedCall.Response::status);
+    }
+
+    private Future<BufferedCall.Response> send(
+            Upstream upstream, HttpMethod method, String path, Optional<Buffer> body) {
         HostPort address = upstream.address();
         RequestOptions options =
                 new RequestOptions()
-                        .setMethod(HttpMethod.POST)
+                        .setMethod(method)
                         .setHost(address.host())
                         .setPort(address.port())
-                        .setURI(call.path())
+                        .setURI(path)
                         .setConnectTimeout(CALL_TIMEOUT.toMillis())
                         .putHeader("Content-Type", "application/json");
         return mContext.client()
                 .request(options)
-                .compose(
-                        request ->
-                                BufferedCall.send(request, Optional.of(call.body()), CALL_TIMEOUT))
-                .map(BufferedCall.Response::status);
+                .compose(request -> BufferedCall.send(request, body, CALL_TIMEOUT));
     }
 }
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/UpstreamAttempt.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/UpstreamAttempt.java
@@ -166,10 +166,10 @@
 
     private void recordEvent() {
         long now = now();
+        mReservation.ifPresent(HelperMemoryReservation::tokenReceived);
         if (mFirstEvent) {
             mFirstEvent = false;
             mLoad.firstToken();
-            mReservation.ifPresent(HelperMemoryReservation::firstTokenReceived);
             if (mReservation.isEmpty()) {
                 mLiveness.ifPresent(LivenessCheck::stop);
             }
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/wire/WireFormat.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/wire/WireFormat.java
@@ -1,7 +1,9 @@
 package org.tanagergap.gateway.wire;
 
 import io.vertx.core.MultiMap;
+import io.vertx.core.buffer.Buffer;
 import java.time.Duration;
+import java.util.Optional;
 
 /** Headers and message bodies of a platform, as callers and upstreams use them. */
 public interface WireFormat {
@@ -24,4 +26,10 @@
 
     /** Path on which a running engine responds at once, regardless of its load. */
     String livenessPath();
+
+    /**
+     * Reads the state of a reservation from the response on {@link #livenessPath()}; empty if the
+     * engine does not have the reservation or the response is malformed.
+     */
+    Optional<ReservationState> reservationState(Buffer response, String reservation);
 }
