Release memory again when an extension fails after the end of its request

What callers saw: engine memory could be reserved again for a request that had ended, for up to 3.5 s.

Cause: an engine may carry out an administrative request seconds late. The release is repeated for 13 s if a reservation got no response, but only if that was known when the release was answered. An extension, or a reservation of a cancelled attempt, in flight at the release fails up to 0.5 s later. Class of fault: a decision on the outcome of a concurrent call before that outcome is known.

Change: a failure that is recorded after the release schedules the release too. At most one repetition is scheduled for an engine, so that the two causes do not double the requests.

--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/HelperMemoryReservation.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/HelperMemoryReservation.java
@@ -47,6 +47,7 @@
     private final long mTokens;
     private final List<Upstream> mContacted = new ArrayList<>();
     private final Set<String> mWithoutResponse = new HashSet<>();
+    private final Set<String> mReleaseScheduled = new HashSet<>();
     private final long mStartNanos;
     private long mReleasedNanos;
     private OptionalLong mFirstTokenNanos = OptionalLong.empty();
@@ -145,16 +146,27 @@
      * memory again, so the release is repeated until that can no longer happen.
      */
     private void scheduleRelease(Upstream helper) {
-        if (mContext.clock().nanoTime() - mReleasedNanos < LATE_EXECUTION_WINDOW.toNanos()) {
-            mContext.clock().schedule(RELEASE_INTERVAL, () -> release(helper));
+        boolean mayTakeEffect =
+                mContext.clock().nanoTime() - mReleasedNanos < LATE_EXECUTION_WINDOW.toNanos();
+        if (mayTakeEffect && mReleaseScheduled.add(helper.id())) {
+            mContext.clock().schedule(RELEASE_INTERVAL, () -> repeatRelease(helper));
         }
     }
 
+    private void repeatRelease(Upstream helper) {
+        mReleaseScheduled.remove(helper.id());
+        release(helper);
+    }
+
     private void recordNoResponse(Upstream helper, String operation, Throwable failure) {
         sLogger.atInfo().log(
                 "%s of %d tokens for attempt %s at %s got no response: %s",
                 operation, mTokens, mId, helper.id(), failure.getMessage());
         mWithoutResponse.add(helper.id());
+        if (mReleased) {
+            // The release may have been answered before this failure was known.
+            scheduleRelease(helper);
+        }
     }
 
     private void acquireNext(int index, Outcome outcome) {
