Move retries and observations out of the request and attempt classes

RequestRetries counts attempts and decides on another one; AttemptObservations records what an attempt shows of its upstream. No behaviour is changed.

--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/RequestLifecycle.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/RequestLifecycle.java
@@ -14,7 +14,6 @@
 import org.tanagergap.api.failure.RequestFailure;
 import org.tanagergap.api.time.Timer;
 import org.tanagergap.decisions.fleet.Placement;
-import org.tanagergap.decisions.fleet.RetryEligibility;
 import org.tanagergap.gateway.caller.CallerExchange;
 import org.tanagergap.gateway.caller.GatewayRequest;
 import org.tanagergap.gateway.configuration.RouteKind;
@@ -36,17 +35,13 @@
     private final RequestLogRecord mLogRecord;
     private final Span mSpan;
     private final RequestTimes mTimes;
-    private final RetryEligibility mRetryEligibility;
-    private final Set<String> mFailedUpstreams = new HashSet<>();
+    private final RequestRetries mRetries;
     private Optional<UpstreamAttempt> mAttempt = Optional.empty();
     private Optional<CompleteResponse> mFailureResponse = Optional.empty();
     private OptionalLong mLastEventId;
     private int mAttempts;
-    private int mPossibleRuns;
-    private int mNotRun;
     private boolean mStreaming;
     private boolean mEnded;
-    private boolean mRetryReserved;
     private Timer mDeadline = () -> {};
 
     private record CompleteResponse(int status, MultiMap headers, Buffer body) {}
@@ -71,8 +66,7 @@
                                 Optional.ofNullable(
                                         request.headers().get(UpstreamAttempt.TRACE_HEADER)));
         mTimes = new RequestTimes(context.clock(), request);
-        mRetryEligibility =
-                new RetryEligibility(request.route().retryable(), request.route().maxAttempts());
+        mRetries = new RequestRetries(context.retryBudgets(), request);
         mLastEventId = request.lastEventId();
     }
 
@@ -121,7 +115,7 @@
         long remaining = mRequest.deadlineNanos() - now();
         mDeadline = mContext.clock().schedule(Duration.ofNanos(remaining), this::deadlinePassed);
         mExchange.onDisconnect(this::callerDisconnected);
-        mDispatcher.submit(this, mFailedUpstreams);
+        mDispatcher.submit(this, mRetries.failedUpstreams());
     }
 
     /** Starts an attempt at the chosen upstream. */
@@ -142,7 +136,7 @@
             mExchange.abort();
         } else if (mFailureResponse.isPresent()) {
             sendResponse(mFailureResponse.get(), "the upstream's failure is passed on");
-        } else if (mPossibleRuns > 0) {
+        } else if (mRetries.mayHaveRun()) {
             fail(
                     RequestFailure.of(
                             FailureCode.UPSTREAM_FAILED,
@@ -189,7 +183,7 @@
     @Override
     public void responseReceived(UpstreamResponseHead head, MultiMap headers, Buffer body) {
         mAttempt = Optional.empty();
-        mPossibleRuns++;
+        mRetries.answered();
         if (mEnded) {
             return;
         }
@@ -197,9 +191,9 @@
         if (mStreaming) {
             // A resumed stream cannot be completed by a response that is not a stream.
             attemptFailed("status " + head.status(), Execution.RAN);
-        } else if (head.status() >= MIN_SERVER_ERROR_STATUS && mayRetry(Execution.RAN)) {
+        } else if (head.status() >= MIN_SERVER_ERROR_STATUS && mRetries.tryRetry(Execution.RAN)) {
             mFailureResponse = Optional.of(response);
-            mDispatcher.submit(this, mFailedUpstreams);
+            mDispatcher.submit(this, mRetries.failedUpstreams());
         } else {
             sendResponse(response, "answer of the upstream");
         }
@@ -208,12 +202,7 @@
     @Override
     public void failed(String upstream, CallFailure failure) {
         mAttempt = Optional.empty();
-        mFailedUpstreams.add(upstream);
-        if (failure.execution() == Execution.NOT_RUN) {
-            mNotRun++;
-        } else {
-            mPossibleRuns++;
-        }
+        mRetries.failed(upstream, failure.execution());
         if (!mEnded) {
             attemptFailed(failure.reason(), failure.execution(), !failure.kind().sent());
         }
@@ -221,14 +210,13 @@
 
     @Override
     public boolean tryReserveRetryElsewhere(String idleUpstream) {
-        Set<String> excluded = new HashSet<>(mFailedUpstreams);
+        Set<String> excluded = new HashSet<>(mRetries.failedUpstreams());
         excluded.add(idleUpstream);
-        mRetryReserved =
-                mRetryEligibility.mayRetry(Execution.UNKNOWN, mPossibleRuns + 1, mNotRun)
-                        && resumable()
-                        && mDispatcher.canPlaceElsewhere(this, excluded)
-                        && trySpend();
-        return mRetryReserved;
+        mRetries.clearReservation();
+        return mRetries.mayRetryAfterRunningAttempt()
+                && resumable()
+                && mDispatcher.canPlaceElsewhere(this, excluded)
+                && mRetries.tryReserve();
     }
 
     private boolean resumable() {
@@ -240,17 +228,14 @@
     }
 
     private void attemptFailed(String reason, Execution execution, boolean free) {
-        boolean rulesAllow = mRetryEligibility.mayRetry(execution, mPossibleRuns, mNotRun);
-        boolean retryReserved = free || mRetryReserved;
-        mRetryReserved = false;
-        if (rulesAllow && resumable() && (retryReserved || trySpend())) {
-            mDispatcher.submit(this, mFailedUpstreams);
+        if (resumable() && mRetries.tryRetryAfterFailure(execution, free)) {
+            mDispatcher.submit(this, mRetries.failedUpstreams());
         } else if (mStreaming) {
             end("broken_off", Execution.RAN, reason);
             mExchange.abort();
         } else if (mFailureResponse.isPresent()) {
             sendResponse(mFailureResponse.get(), "the first failure is passed on: " + reason);
-        } else if (execution == Execution.NOT_RUN && mPossibleRuns == 0) {
+        } else if (execution == Execution.NOT_RUN && !mRetries.mayHaveRun()) {
             fail(
                     RequestFailure.notRun(FailureCode.UNAVAILABLE, reason)
                             .withRetryAfter(Dispatcher.MIN_RETRY_AFTER));
@@ -259,19 +244,11 @@
         }
     }
 
-    private boolean mayRetry(Execution execution) {
-        return mRetryEligibility.mayRetry(execution, mPossibleRuns, mNotRun) && trySpend();
-    }
-
-    private boolean trySpend() {
-        return mContext.retryBudgets().trySpend(mRequest.service().name());
-    }
-
     private void deadlinePassed() {
         if (mEnded) {
             return;
         }
-        boolean sent = mAttempt.isPresent() || mPossibleRuns > 0;
+        boolean sent = mAttempt.isPresent() || mRetries.mayHaveRun();
         mDispatcher.withdraw(this);
         mAttempt.ifPresent(UpstreamAttempt::cancel);
         mAttempt = Optional.empty();
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/UpstreamAttempt.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/UpstreamAttempt.java
@@ -27,9 +27,6 @@
     /** Subtracted from the time to the deadline, so that a response sent in time still arrives. */
     private static final Duration RESPONSE_TRANSIT_TIME = Duration.ofMillis(10);
 
-    private static final Duration REFUSED_SUSPENSION = Duration.ofMillis(60);
-    private static final Duration REPLACED_SUSPENSION = Duration.ofSeconds(3);
-
     /** The engine is probed during prefills that are predicted to take longer than this. */
     private static final double MIN_CHECKED_PREFILL_MILLIS = 1_000;
 
@@ -45,6 +42,7 @@
     private final AttemptLoad mLoad;
     private final EventSequenceChecker mSequence;
     private final UpstreamIdleTimeout mIdleTimeout;
+    private final AttemptObservations mObservations;
     private Optional<HelperMemoryReservation> mReservation = Optional.empty();
     private Optional<UpstreamCall> mCall = Optional.empty();
     private Optional<LivenessCheck> mLiveness = Optional.empty();
@@ -67,6 +65,7 @@
         mPlacement = placement;
         mListener = listener;
         mIdleTimeout = new UpstreamIdleTimeout(mRequest.route(), placement.firstTokenMillis());
+        mObservations = new AttemptObservations(context, placement, mIdleTimeout);
         mLoad = new AttemptLoad(context);
         mSequence = new EventSequenceChecker(lifecycle.lastEventId());
     }
@@ -142,7 +141,7 @@
     @Override
     public void streamEnded(UpstreamResponseHead head, MultiMap headers) {
         if (end("ok", Execution.RAN, "")) {
-            mContext.health().succeeded(mPlacement.upstream());
+            mObservations.succeeded();
             mListener.streamEnded(head, headers);
         }
     }
@@ -150,7 +149,7 @@
     @Override
     public void responseReceived(UpstreamResponseHead head, MultiMap headers, Buffer body) {
         if (end("status_" + head.status(), Execution.RAN, "")) {
-            mContext.health().succeeded(mPlacement.upstream());
+            mObservations.succeeded();
             mListener.responseReceived(head, headers, body);
         }
     }
@@ -158,9 +157,7 @@
     @Override
     public void failed(CallFailure failure) {
         if (end(failure.kind().code(), failure.execution(), failure.reason())) {
-            String upstream = upstreamAtFault(failure);
-            recordFailure(upstream, failure);
-            mListener.failed(upstream, failure);
+            mListener.failed(mObservations.failed(failure), failure);
         }
     }
 
@@ -173,40 +170,13 @@
             if (mReservation.isEmpty()) {
                 mLiveness.ifPresent(LivenessCheck::stop);
             }
-            recordFirstEvent((now - mStartNanos) / (double) NANOS_PER_MILLI);
+            mObservations.firstEvent((now - mStartNanos) / (double) NANOS_PER_MILLI);
         } else {
             mLifecycle.logRecord().recordGap((now - mLastEventNanos) / NANOS_PER_MILLI);
         }
         mLastEventNanos = now;
     }
 
-    private void recordFirstEvent(double millis) {
-        if (mPlacement.firstTokenMillis() > 0 && mPlacement.helpers().isEmpty()) {
-            mContext.health()
-                    .firstTokenObserved(mPlacement.upstream(), mIdleTimeout.slowness(millis));
-        }
-    }
-
-    private String upstreamAtFault(CallFailure failure) {
-        return failure.faultyAddress()
-                .flatMap(mContext.view()::upstreamAt)
-                .map(Upstream::id)
-                .orElse(mPlacement.upstream());
-    }
-
-    private void recordFailure(String upstream, CallFailure failure) {
-        long now = now();
-        switch (failure.kind()) {
-            case NOT_CONNECTED -> mContext.health().unreachable(upstream, now);
-            case BROKEN -> mContext.health().failed(upstream, now);
-            case REFUSED -> mContext.health().suspend(upstream, REFUSED_SUSPENSION, now);
-            case OTHER_UPSTREAM -> mContext.health().suspend(upstream, REPLACED_SUSPENSION, now);
-            case SILENT, NOT_RESERVED -> {
-                // SILENT was recorded by checkIdle(); an engine without free memory is healthy.
-            }
-        }
-    }
-
     private List<Upstream> helpers() {
         return mPlacement.helpers().stream()
                 .flatMap(id -> mContext.view().upstream(id).stream())
@@ -298,7 +268,7 @@
     }
 
     private void engineUnresponsive() {
-        mContext.health().unreachable(mPlacement.upstream(), now());
+        mObservations.unresponsive();
         mCall.ifPresent(UpstreamCall::cancel);
         failed(new CallFailure(CallFailure.Kind.BROKEN, "the engine no longer answers"));
     }
@@ -311,7 +281,7 @@
         long idleNanos = mPaused ? 0 : now() - mLastEventNanos;
         long remainingNanos = timeout.toNanos() - idleNanos;
         if (remainingNanos <= 0) {
-            mContext.health().unreachable(mPlacement.upstream(), now());
+            mObservations.unresponsive();
             if (mListener.tryReserveRetryElsewhere(mPlacement.upstream())) {
                 String reason = "nothing arrived for " + timeout.toMillis() + " ms";
                 mCall.ifPresent(UpstreamCall::cancel);
