Refuse prompts with a part that crashes engines

What callers saw: requests with one prompt part crashed an engine each time one began to answer it, and a second engine when they were retried. Sound requests were cut in the middle of their responses.

Cause: a crash was counted as a failure of the engine only. Nothing related it to the requests that the engine was working on, so the same input was sent to one engine after another. Class of fault: a retry, or a new request, that repeats the cause of a failure on healthy instances.

Change: PromptQuarantine (decisions) holds a crash against the shared prompt parts of the requests that had received no token on the engine. A second event of any request with a part clears it. A part is refused when engines crashed at three times under three requests with no tokens in between and no other part explains the crashes better. Requests in flight with the part end; new ones get 503, not run. Crashes, tokens and decisions travel in the peer reports, so nothing depends on the store or on one gateway. A lost connection counts as a crash only if the engine does not answer a probe.

--- a/tanagergap-api/src/main/java/org/tanagergap/api/failure/FailureCode.java
+++ b/tanagergap-api/src/main/java/org/tanagergap/api/failure/FailureCode.java
@@ -40,6 +40,8 @@
     UPSTREAM_FAILED(502),
     /** No upstream, configuration or intent log is available. */
     UNAVAILABLE(503),
+    /** Engines crashed on a part of the prompt, so that it is not sent to one for some time. */
+    PROMPT_QUARANTINED(503),
     /** The time allowed for the request has passed. */
     DEADLINE_EXCEEDED(504);
 
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/GatewayService.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/GatewayService.java
@@ -23,6 +23,7 @@
 import org.tanagergap.gateway.forward.Forwarder;
 import org.tanagergap.gateway.forward.ForwardingContext;
 import org.tanagergap.gateway.forward.InstanceIdentity;
+import org.tanagergap.gateway.forward.QuarantineGate;
 import org.tanagergap.gateway.forward.RetryBudgets;
 import org.tanagergap.gateway.membership.FleetView;
 import org.tanagergap.gateway.membership.StoreSync;
@@ -84,6 +85,8 @@
                         new PeerReplicaClient(client, directory),
                         directory::instanceCount,
                         directory::accept);
+        QuarantineGate quarantine =
+                new QuarantineGate(mClock, context.metrics(), client, platform.wire());
         PeerExchange exchange =
                 new PeerExchange(
                         vertx,
@@ -93,6 +96,7 @@
                         directory,
                         load,
                         health,
+                        quarantine,
                         mSync::progress,
                         mSync::peerProgressed);
         Forwarder forwarder =
@@ -107,6 +111,7 @@
                                 health,
                                 new RetryBudgets(
                                         mClock, mSettings.retryBudget(), directory::instanceCount),
+                                quarantine,
                                 context.metrics(),
                                 context.tracing(),
                                 exchange::announce),
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/caller/GatewayRequest.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/caller/GatewayRequest.java
@@ -3,6 +3,7 @@
 import io.vertx.core.MultiMap;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpMethod;
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
 import org.tanagergap.api.request.RequestCost;
@@ -17,6 +18,7 @@
  * @param workspace workspace to which its key belongs
  * @param rank its rank; 0 is the most urgent
  * @param cost tokens of its prompt and output; zero for a plain call
+ * @param sharedPromptParts identifiers of the parts of its prompt that other requests may share
  * @param lastEventId identifier of the last event that the caller has received
  * @param method HTTP method
  * @param uri path and query
@@ -33,6 +35,7 @@
         Optional<String> workspace,
         int rank,
         RequestCost cost,
+        List<String> sharedPromptParts,
         OptionalLong lastEventId,
         HttpMethod method,
         String uri,
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/caller/RequestResolver.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/caller/RequestResolver.java
@@ -53,6 +53,7 @@
                 owner.map(KeyOwner::workspace),
                 rank(route, owner),
                 headers.cost().orElse(NO_COST),
+                headers.sharedPromptParts(),
                 headers.lastEventId(),
                 request.method(),
                 request.uri(),
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/AttemptObservations.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/AttemptObservations.java
@@ -11,24 +11,46 @@
     private static final Duration REPLACED_SUSPENSION = Duration.ofSeconds(3);
 
     private final ForwardingContext mContext;
+    private final RequestLifecycle mLifecycle;
     private final Placement mPlacement;
     private final UpstreamIdleTimeout mIdleTimeout;
+    private boolean mHasEvent;
+    private boolean mGenerates;
 
     AttemptObservations(
-            ForwardingContext context, Placement placement, UpstreamIdleTimeout idleTimeout) {
+            ForwardingContext context,
+            RequestLifecycle lifecycle,
+            Placement placement,
+            UpstreamIdleTimeout idleTimeout) {
         mContext = context;
+        mLifecycle = lifecycle;
         mPlacement = placement;
         mIdleTimeout = idleTimeout;
     }
 
     /** Records the time to the first event. */
     void firstEvent(double millis) {
+        mHasEvent = true;
         if (mPlacement.firstTokenMillis() > 0 && mPlacement.helpers().isEmpty()) {
             mContext.health()
                     .firstTokenObserved(mPlacement.upstream(), mIdleTimeout.slowness(millis));
         }
     }
 
+    /** Records an event after the first, which an engine may still send while it crashes. */
+    void furtherEvent() {
+        if (!mGenerates) {
+            mGenerates = true;
+            mContext.quarantine().tokensGenerated(mLifecycle.request());
+        }
+    }
+
+    /** Records a complete stream. */
+    void streamEnded() {
+        furtherEvent();
+        succeeded();
+    }
+
     /** Records a complete response. */
     void succeeded() {
         mContext.health().succeeded(mPlacement.upstream());
@@ -49,7 +71,10 @@
         long now = now();
         switch (failure.kind()) {
             case NOT_CONNECTED -> mContext.health().unreachable(upstream, now);
-            case BROKEN -> mContext.health().failed(upstream, now);
+            case BROKEN -> {
+                mContext.health().failed(upstream, now);
+                reportLostConnection();
+            }
             case REFUSED -> mContext.health().suspend(upstream, REFUSED_SUSPENSION, now);
             case OTHER_UPSTREAM -> mContext.health().suspend(upstream, REPLACED_SUSPENSION, now);
             case SILENT, NOT_RESERVED -> {
@@ -59,6 +84,15 @@
         return upstream;
     }
 
+    /** A request that has received tokens is not the cause if its engine crashes later. */
+    private void reportLostConnection() {
+        if (!mHasEvent && !mLifecycle.responseStarted()) {
+            mContext.view()
+                    .upstream(mPlacement.upstream())
+                    .ifPresent(u -> mContext.quarantine().connectionLost(u, mLifecycle));
+        }
+    }
+
     private String upstreamAtFault(CallFailure failure) {
         return failure.faultyAddress()
                 .flatMap(mContext.view()::upstreamAt)
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/ForwardingContext.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/ForwardingContext.java
@@ -20,6 +20,7 @@
  * @param load load of each upstream
  * @param health health of each upstream, as observed in requests
  * @param retryBudgets retries that are still allowed
+ * @param quarantine requests that engines must not run, and the crashes behind it
  * @param metrics counters and histograms
  * @param tracing creates a span for each request and each attempt
  * @param announceLoad sends a load report to the peers ahead of schedule
@@ -33,6 +34,7 @@
         FleetLoad load,
         UpstreamHealth health,
         RetryBudgets retryBudgets,
+        QuarantineGate quarantine,
         MetricRegistry metrics,
         Tracing tracing,
         Runnable announceLoad) {}
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/RequestLifecycle.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/RequestLifecycle.java
@@ -112,6 +112,12 @@
 
     void start() {
         mContext.retryBudgets().request(mRequest.service().name());
+        Optional<RequestFailure> refusal = mContext.quarantine().refusal(mRequest);
+        if (refusal.isPresent()) {
+            fail(refusal.get());
+            return;
+        }
+        mContext.quarantine().began(this);
         long remaining = mRequest.deadlineNanos() - now();
         mDeadline = mContext.clock().schedule(Duration.ofNanos(remaining), this::deadlinePassed);
         mExchange.onDisconnect(this::callerDisconnected);
@@ -249,9 +255,7 @@
             return;
         }
         boolean sent = mAttempt.isPresent() || mRetries.mayHaveRun();
-        mDispatcher.withdraw(this);
-        mAttempt.ifPresent(UpstreamAttempt::cancel);
-        mAttempt = Optional.empty();
+        stopForwarding();
         if (mStreaming) {
             end("deadline_exceeded", Execution.RAN, "the time is up in the middle of the stream");
             mExchange.abort();
@@ -266,13 +270,32 @@
         }
     }
 
-    private void callerDisconnected() {
-        if (mEnded) {
+    /** Ends the request, unless an engine has generated tokens for it. */
+    void promptQuarantined(RequestFailure refusal) {
+        if (mEnded || mStreaming) {
             return;
         }
+        boolean sent = mAttempt.isPresent() || mRetries.mayHaveRun();
+        stopForwarding();
+        if (sent) {
+            String reason = refusal.getMessage();
+            fail(RequestFailure.of(FailureCode.UPSTREAM_FAILED, Execution.UNKNOWN, reason));
+        } else {
+            fail(refusal);
+        }
+    }
+
+    private void stopForwarding() {
         mDispatcher.withdraw(this);
         mAttempt.ifPresent(UpstreamAttempt::cancel);
         mAttempt = Optional.empty();
+    }
+
+    private void callerDisconnected() {
+        if (mEnded) {
+            return;
+        }
+        stopForwarding();
         end("caller_left", Execution.UNKNOWN, "the caller left before the answer was complete");
     }
 
@@ -289,6 +312,7 @@
 
     private void end(String code, Execution execution, String message) {
         mEnded = true;
+        mContext.quarantine().ended(this);
         mDeadline.cancel();
         mLogRecord.requestEnded(code, execution, message, now());
         mSpan.setAttribute("code", code);
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/UpstreamAttempt.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/UpstreamAttempt.java
@@ -65,7 +65,7 @@
         mPlacement = placement;
         mListener = listener;
         mIdleTimeout = new UpstreamIdleTimeout(mRequest.route(), placement.firstTokenMillis());
-        mObservations = new AttemptObservations(context, placement, mIdleTimeout);
+        mObservations = new AttemptObservations(context, lifecycle, placement, mIdleTimeout);
         mLoad = new AttemptLoad(context);
         mSequence = new EventSequenceChecker(lifecycle.lastEventId());
     }
@@ -141,7 +141,7 @@
     @Override
     public void streamEnded(UpstreamResponseHead head, MultiMap headers) {
         if (end("ok", Execution.RAN, "")) {
-            mObservations.succeeded();
+            mObservations.streamEnded();
             mListener.streamEnded(head, headers);
         }
     }
@@ -172,6 +172,7 @@
             }
             mObservations.firstEvent((now - mStartNanos) / (double) NANOS_PER_MILLI);
         } else {
+            mObservations.furtherEvent();
             mLifecycle.logRecord().recordGap((now - mLastEventNanos) / NANOS_PER_MILLI);
         }
         mLastEventNanos = now;
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/peer/PeerExchange.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/peer/PeerExchange.java
@@ -16,6 +16,7 @@
 import org.tanagergap.api.time.RuntimeClock;
 import org.tanagergap.decisions.fleet.FleetLoad;
 import org.tanagergap.decisions.fleet.UpstreamHealth;
+import org.tanagergap.gateway.forward.QuarantineGate;
 import org.tanagergap.gateway.membership.ReplicaProgress;
 import org.tanagergap.runtime.async.Futures;
 import org.tanagergap.runtime.settings.HostPort;
@@ -44,6 +45,7 @@
     private final PeerDirectory mDirectory;
     private final FleetLoad mLoad;
     private final UpstreamHealth mHealth;
+    private final QuarantineGate mQuarantine;
     private final Supplier<ReplicaProgress> mProgress;
     private final Consumer<ReplicaProgress> mPeerProgress;
     private final PeriodicTask mReports;
@@ -66,6 +68,7 @@
             PeerDirectory directory,
             FleetLoad load,
             UpstreamHealth health,
+            QuarantineGate quarantine,
             Supplier<ReplicaProgress> progress,
             Consumer<ReplicaProgress> peerProgress) {
         mVertx = vertx;
@@ -75,6 +78,7 @@
         mDirectory = directory;
         mLoad = load;
         mHealth = health;
+        mQuarantine = quarantine;
         mProgress = progress;
         mPeerProgress = peerProgress;
         mReports = new PeriodicTask(clock, REPORT_INTERVAL, this::reportPeriodically);
@@ -119,7 +123,13 @@
         mReportedNanos = now;
         Map<String, Long> suspended = new HashMap<>();
         mHealth.suspended(now).forEach((id, remaining) -> suspended.put(id, remaining.toMillis()));
-        PeerReport report = new PeerReport(mId, mProgress.get(), mLoad.localLoads(now), suspended);
+        PeerReport report =
+                new PeerReport(
+                        mId,
+                        mProgress.get(),
+                        mLoad.localLoads(now),
+                        suspended,
+                        mQuarantine.nextUpdate());
         Buffer datagram = report.encode();
         for (HostPort peer : mDirectory.addresses()) {
             if (!peer.equals(mAddress)) {
@@ -153,5 +163,6 @@
         mLoad.peerReported(report.id(), report.loads(), now);
         report.suspendedMillis()
                 .forEach((id, remaining) -> mHealth.suspend(id, Duration.ofMillis(remaining), now));
+        mQuarantine.accept(report.quarantine());
     }
 }
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/peer/PeerReport.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/peer/PeerReport.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 import org.tanagergap.decisions.fleet.UpstreamLoad;
+import org.tanagergap.decisions.quarantine.QuarantineUpdate;
 import org.tanagergap.gateway.membership.ReplicaProgress;
 
 /**
@@ -17,12 +18,14 @@
  * @param progress progress of its replica of the store
  * @param loads load that its requests cause, by upstream
  * @param suspendedMillis remaining suspension of upstreams that it does not use, in ms
+ * @param quarantine its crashes and quarantined prompt parts
  */
 public record PeerReport(
         String id,
         ReplicaProgress progress,
         Map<String, UpstreamLoad> loads,
-        Map<String, Long> suspendedMillis) {
+        Map<String, Long> suspendedMillis,
+        QuarantineUpdate quarantine) {
 
     public PeerReport {
         loads = Map.copyOf(loads);
@@ -43,8 +46,9 @@
                                         .add(load.memoryTokens())));
         JsonObject suspended = new JsonObject();
         suspendedMillis.forEach(suspended::put);
-        return new JsonObject()
-                .put("id", id)
+        JsonObject report = new JsonObject();
+        QuarantineUpdateCodec.encode(quarantine, report);
+        return report.put("id", id)
                 .put("revision", progress.revision())
                 .put("last_change", progress.lastChange())
                 .put("loads", upstreams)
@@ -70,7 +74,8 @@
                             new ReplicaProgress(
                                     json.getLong("revision"), json.getLong("last_change")),
                             loads,
-                            suspended));
+                            suspended,
+                            QuarantineUpdateCodec.decode(json)));
         } catch (DecodeException
                 | ClassCastException
                 | NullPointerException
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/wire/GatewayCallerHeaders.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/wire/GatewayCallerHeaders.java
@@ -1,6 +1,7 @@
 package org.tanagergap.gateway.wire;
 
 import java.time.Duration;
+import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -13,6 +14,8 @@
  * @param requestedTimeout time that the caller will wait
  * @param key key of the caller's workspace
  * @param cost tokens of a completion, if they are stated
+ * @param sharedPromptParts identifiers of the parts of the prompt that other requests may share, in
+ *     order
  * @param lastEventId identifier of the last event that the caller has received, if it resumes a
  *     stream
  */
@@ -21,6 +24,7 @@
         Optional<Duration> requestedTimeout,
         Optional<String> key,
         Optional<RequestCost> cost,
+        List<String> sharedPromptParts,
         OptionalLong lastEventId) {
 
     public GatewayCallerHeaders {
@@ -28,5 +32,6 @@
         Objects.requireNonNull(requestedTimeout, "requestedTimeout must not be null");
         Objects.requireNonNull(key, "key must not be null");
         Objects.requireNonNull(cost, "cost must not be null");
+        sharedPromptParts = List.copyOf(sharedPromptParts);
     }
 }
