Send all administrative requests to engines through one client

The liveness check, the crash detector and the memory reservations each built the same request with the same timeout. EngineAdminClient does it once.

--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/GatewayService.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/GatewayService.java
@@ -20,6 +20,7 @@
 import org.tanagergap.gateway.caller.ReadinessServer;
 import org.tanagergap.gateway.caller.RequestResolver;
 import org.tanagergap.gateway.configuration.GatewayConfiguration;
+import org.tanagergap.gateway.forward.EngineAdminClient;
 import org.tanagergap.gateway.forward.Forwarder;
 import org.tanagergap.gateway.forward.ForwardingContext;
 import org.tanagergap.gateway.forward.InstanceIdentity;
@@ -85,8 +86,8 @@
                         new PeerReplicaClient(client, directory),
                         directory::instanceCount,
                         directory::accept);
-        QuarantineGate quarantine =
-                new QuarantineGate(mClock, context.metrics(), client, platform.wire());
+        EngineAdminClient engineAdmin = new EngineAdminClient(client, platform.wire());
+        QuarantineGate quarantine = new QuarantineGate(mClock, context.metrics(), engineAdmin);
         PeerExchange exchange =
                 new PeerExchange(
                         vertx,
@@ -105,6 +106,7 @@
                                 new InstanceIdentity(mSettings.id(), mSettings.failureDomain()),
                                 mClock,
                                 client,
+                                engineAdmin,
                                 platform.wire(),
                                 mView,
                                 load,
@@ -130,18 +132,22 @@
                 new GatewayStatus(
                         mSettings, mView, mSync, directory, mCallers, load, health, mClock);
         mAdmin = adminServer(context, status);
-        mServices =
-                List.of(
-                        new ReadinessServer(vertx, mSettings.readyListen(), this::ready),
-                        new PeerReplicaServer(vertx, mSettings.peerListen(), mSync::replica),
-                        exchange,
-                        mSync,
-                        new PeerRegistration(
-                                mClock,
-                                platform.store(),
-                                mSettings.id(),
-                                PeerDirectory.registrationValue(mSettings.peerListen())),
-                        mSettingsWatch);
+        mServices = services(vertx, platform, exchange);
+    }
+
+    /** Services in the order of their start. */
+    private List<Service> services(Vertx vertx, GatewayPlatform platform, PeerExchange exchange) {
+        return List.of(
+                new ReadinessServer(vertx, mSettings.readyListen(), this::ready),
+                new PeerReplicaServer(vertx, mSettings.peerListen(), mSync::replica),
+                exchange,
+                mSync,
+                new PeerRegistration(
+                        mClock,
+                        platform.store(),
+                        mSettings.id(),
+                        PeerDirectory.registrationValue(mSettings.peerListen())),
+                mSettingsWatch);
     }
 
     private AdminServer adminServer(ProgramContext context, GatewayStatus status) {
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/CrashDetector.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/CrashDetector.java
@@ -1,18 +1,11 @@
 package org.tanagergap.gateway.forward;
 
-import io.vertx.core.http.HttpClient;
-import io.vertx.core.http.HttpMethod;
-import io.vertx.core.http.RequestOptions;
-import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.function.Consumer;
 import org.tanagergap.gateway.membership.Upstream;
-import org.tanagergap.gateway.wire.WireFormat;
-import org.tanagergap.runtime.http.BufferedCall;
 
 /**
  * Finds out whether an upstream that lost the connection of a request has crashed. A lost
@@ -21,15 +14,11 @@
  */
 final class CrashDetector {
 
-    private static final Duration TIMEOUT = Duration.ofMillis(500);
-
-    private final HttpClient mClient;
-    private final WireFormat mWire;
+    private final EngineAdminClient mEngineAdmin;
     private final Map<Upstream, List<Consumer<Upstream>>> mWaiting = new HashMap<>();
 
-    CrashDetector(HttpClient client, WireFormat wire) {
-        mClient = client;
-        mWire = wire;
+    CrashDetector(EngineAdminClient engineAdmin) {
+        mEngineAdmin = engineAdmin;
     }
 
     /** Probes the upstream and calls the action if it does not respond. */
@@ -40,15 +29,8 @@
             return;
         }
         mWaiting.put(upstream, new ArrayList<>(List.of(onCrash)));
-        RequestOptions options =
-                new RequestOptions()
-                        .setMethod(HttpMethod.GET)
-                        .setHost(upstream.address().host())
-                        .setPort(upstream.address().port())
-                        .setConnectTimeout(TIMEOUT.toMillis())
-                        .setURI(mWire.livenessPath());
-        mClient.request(options)
-                .compose(request -> BufferedCall.send(request, Optional.empty(), TIMEOUT))
+        mEngineAdmin
+                .status(upstream.address())
                 .onComplete(
                         ignored -> mWaiting.remove(upstream),
                         ignored -> mWaiting.remove(upstream).forEach(a -> a.accept(upstream)));
--- /dev/null
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/EngineAdminClient.java
@@ -0,0 +1,53 @@
+package org.tanagergap.gateway.forward;
+
+import io.vertx.core.Future;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.RequestOptions;
+import java.time.Duration;
+import java.util.Optional;
+import org.tanagergap.gateway.wire.MemoryReservationRequest;
+import org.tanagergap.gateway.wire.WireFormat;
+import org.tanagergap.runtime.http.BufferedCall;
+import org.tanagergap.runtime.settings.HostPort;
+
+/** Sends administrative requests to engines; they are short and answered at once. */
+public final class EngineAdminClient {
+
+    private static final Duration TIMEOUT = Duration.ofMillis(500);
+
+    private final HttpClient mClient;
+    private final WireFormat mWire;
+
+    public EngineAdminClient(HttpClient client, WireFormat wire) {
+        mClient = client;
+        mWire = wire;
+    }
+
+    /** Asks an engine for its status, which a running engine reports regardless of its load. */
+    Future<BufferedCall.Response> status(HostPort engine) {
+        return send(engine, HttpMethod.GET, mWire.livenessPath(), Optional.empty());
+    }
+
+    /** Sends a request for a memory reservation and returns the status of the response. */
+    Future<Integer> reservation(HostPort engine, MemoryReservationRequest request) {
+        return send(engine, HttpMethod.POST, request.path(), Optional.of(request.body()))
+                .map(BufferedCall.Response::status);
+    }
+
+    private Future<BufferedCall.Response> send(
+            HostPort engine, HttpMethod method, String path, Optional<Buffer> body) {
+        RequestOptions options =
+                new RequestOptions()
+                        .setMethod(method)
+                        .setHost(engine.host())
+                        .setPort(engine.port())
+                        .setURI(path)
+                        .setConnectTimeout(TIMEOUT.toMillis());
+        if (body.isPresent()) {
+            options.putHeader("Content-Type", "application/json");
+        }
+        return mClient.request(options).compose(r -> BufferedCall.send(r, body, TIMEOUT));
+    }
+}
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/ForwardingContext.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/ForwardingContext.java
@@ -15,6 +15,7 @@
  * @param identity identity of this instance
  * @param clock source of time
  * @param client HTTP client for upstreams, which opens a connection for each call
+ * @param engineAdmin client for administrative requests to engines
  * @param wire headers and message bodies of the platform
  * @param view this instance's view of the fleet
  * @param load load of each upstream
@@ -29,6 +30,7 @@
         InstanceIdentity identity,
         RuntimeClock clock,
         HttpClient client,
+        EngineAdminClient engineAdmin,
         WireFormat wire,
         FleetView view,
         FleetLoad load,
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/HelperMemoryReservation.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/HelperMemoryReservation.java
@@ -1,10 +1,6 @@
 package org.tanagergap.gateway.forward;
 
 import com.google.common.flogger.FluentLogger;
-import io.vertx.core.Future;
-import io.vertx.core.buffer.Buffer;
-import io.vertx.core.http.HttpMethod;
-import io.vertx.core.http.RequestOptions;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashSet;
@@ -17,10 +13,7 @@
 import org.tanagergap.decisions.fleet.ReservationUse;
 import org.tanagergap.gateway.membership.Upstream;
 import org.tanagergap.gateway.wire.HelperAddress;
-import org.tanagergap.gateway.wire.MemoryReservationRequest;
 import org.tanagergap.gateway.wire.ReservationState;
-import org.tanagergap.runtime.http.BufferedCall;
-import org.tanagergap.runtime.settings.HostPort;
 
 /**
  * Reserves memory on all helper engines of a spanning prompt or on none, in the order of the
@@ -31,7 +24,6 @@
 
     private static final Duration TIME_TO_LIVE = Duration.ofMillis(3500);
     private static final Duration EXTENSION_INTERVAL = Duration.ofMillis(1200);
-    private static final Duration CALL_TIMEOUT = Duration.ofMillis(500);
 
     /** Administrative requests without a response are carried out at most this much later. */
     private static final Duration LATE_EXECUTION_WINDOW = Duration.ofSeconds(13);
@@ -131,7 +123,8 @@
     }
 
     private void release(Upstream helper) {
-        call(helper, mContext.wire().releaseRequest(mId))
+        mContext.engineAdmin()
+                .reservation(helper.address(), mContext.wire().releaseRequest(mId))
                 .onComplete(
                         ignored -> {
                             if (mWithoutResponse.contains(helper.id())) {
@@ -181,7 +174,10 @@
         Upstream helper = mHelpers.get(index);
         // A request without a response may have been accepted, so it is released as well.
         mContacted.add(helper);
-        call(helper, mContext.wire().reservationRequest(mId, mTokens, TIME_TO_LIVE))
+        mContext.engineAdmin()
+                .reservation(
+                        helper.address(),
+                        mContext.wire().reservationRequest(mId, mTokens, TIME_TO_LIVE))
                 .onComplete(
                         status -> {
                             if (status == HTTP_OK) {
@@ -217,7 +213,10 @@
             checkUse(mHelpers.get(mExtensions % mHelpers.size()));
         }
         for (Upstream helper : mContacted) {
-            call(helper, mContext.wire().reservationRequest(mId, mTokens, TIME_TO_LIVE))
+            mContext.engineAdmin()
+                    .reservation(
+                            helper.address(),
+                            mContext.wire().reservationRequest(mId, mTokens, TIME_TO_LIVE))
                     .onComplete(
                             status -> recordExtension(helper, status),
                             failure -> recordNoResponse(helper, "extension", failure));
@@ -228,7 +227,8 @@
 
     /** Asks an engine whether the request uses its reservation, as a long prefill does. */
     private void checkUse(Upstream helper) {
-        send(helper, HttpMethod.GET, mContext.wire().livenessPath(), Optional.empty())
+        mContext.engineAdmin()
+                .status(helper.address())
                 .map(response -> mContext.wire().reservationState(response.body(), mId))
                 .onSuccess(this::recordState)
                 .onFailure(
@@ -257,25 +257,4 @@
                 .map(helper -> new HelperAddress(helper.address(), Optional.of(mId)))
                 .toList();
     }
-
-    private Future<Integer> call(Upstream upstream, MemoryReservationRequest call) {
-        return send(upstream, HttpMethod.POST, call.path(), Optional.of(call.body()))
-                .map(BufferedCall.Response::status);
-    }
-
-    private Future<BufferedCall.Response> send(
-            Upstream upstream, HttpMethod method, String path, Optional<Buffer> body) {
-        HostPort address = upstream.address();
-        RequestOptions options =
-                new RequestOptions()
-                        .setMethod(method)
-                        .setHost(address.host())
-                        .setPort(address.port())
-                        .setURI(path)
-                        .setConnectTimeout(CALL_TIMEOUT.toMillis())
-                        .putHeader("Content-Type", "application/json");
-        return mContext.client()
-                .request(options)
-                .compose(request -> BufferedCall.send(request, body, CALL_TIMEOUT));
-    }
 }
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/LivenessCheck.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/LivenessCheck.java
@@ -1,11 +1,7 @@
 package org.tanagergap.gateway.forward;
 
-import io.vertx.core.http.HttpMethod;
-import io.vertx.core.http.RequestOptions;
 import java.time.Duration;
-import java.util.Optional;
 import org.tanagergap.api.time.Timer;
-import org.tanagergap.runtime.http.BufferedCall;
 import org.tanagergap.runtime.settings.HostPort;
 
 /**
@@ -15,7 +11,6 @@
 final class LivenessCheck {
 
     private static final Duration INTERVAL = Duration.ofMillis(1000);
-    private static final Duration TIMEOUT = Duration.ofMillis(500);
 
     /** Failed probes in a row after which the engine counts as unresponsive. */
     private static final int MAX_CONSECUTIVE_FAILURES = 2;
@@ -43,16 +38,8 @@
     }
 
     private void probe() {
-        RequestOptions options =
-                new RequestOptions()
-                        .setMethod(HttpMethod.GET)
-                        .setHost(mAddress.host())
-                        .setPort(mAddress.port())
-                        .setConnectTimeout(TIMEOUT.toMillis())
-                        .setURI(mContext.wire().livenessPath());
-        mContext.client()
-                .request(options)
-                .compose(request -> BufferedCall.send(request, Optional.empty(), TIMEOUT))
+        mContext.engineAdmin()
+                .status(mAddress)
                 .onComplete(ignored -> probeSucceeded(), ignored -> probeFailed());
     }
 
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/QuarantineGate.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/QuarantineGate.java
@@ -2,7 +2,6 @@
 
 import com.codahale.metrics.MetricRegistry;
 import com.google.common.flogger.FluentLogger;
-import io.vertx.core.http.HttpClient;
 import java.time.Duration;
 import java.util.HashSet;
 import java.util.List;
@@ -15,7 +14,6 @@
 import org.tanagergap.decisions.quarantine.QuarantineUpdate;
 import org.tanagergap.gateway.caller.GatewayRequest;
 import org.tanagergap.gateway.membership.Upstream;
-import org.tanagergap.gateway.wire.WireFormat;
 import org.tanagergap.runtime.log.LogKeys;
 
 /**
@@ -33,10 +31,10 @@
     private final Set<RequestLifecycle> mActive = new HashSet<>();
 
     public QuarantineGate(
-            RuntimeClock clock, MetricRegistry metrics, HttpClient client, WireFormat wire) {
+            RuntimeClock clock, MetricRegistry metrics, EngineAdminClient engineAdmin) {
         mClock = clock;
         mMetrics = metrics;
-        mCrashes = new CrashDetector(client, wire);
+        mCrashes = new CrashDetector(engineAdmin);
     }
 
     /** Decides on the crashes known by now and returns what peers should know. */
