Bound the memory of responses without end

Class of fault: input from a peer without a bound on its size.

Heads, trailers, chunk sizes, interim responses and plain bodies without end were bounded already.

Change: an event may have 256 KB, each of its lines needs a field name, and BufferedCall takes the largest body that its caller accepts. The request continues at another upstream.

--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/EngineAdminClient.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/EngineAdminClient.java
@@ -16,6 +16,7 @@
 public final class EngineAdminClient {
 
     private static final Duration TIMEOUT = Duration.ofMillis(500);
+    private static final int MAX_RESPONSE_BYTES = 256 << 10;
 
     private final HttpClient mClient;
     private final WireFormat mWire;
@@ -48,6 +49,7 @@
         if (body.isPresent()) {
             options.putHeader("Content-Type", "application/json");
         }
-        return mClient.request(options).compose(r -> BufferedCall.send(r, body, TIMEOUT));
+        return mClient.request(options)
+                .compose(r -> BufferedCall.send(r, body, TIMEOUT, MAX_RESPONSE_BYTES));
     }
 }
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/EventSplitter.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/EventSplitter.java
@@ -2,12 +2,14 @@
 
 import io.vertx.core.buffer.Buffer;
 import java.nio.charset.StandardCharsets;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.function.Consumer;
 
 /** Splits the bytes of an event stream into events; an event ends with a blank line. */
 final class EventSplitter {
 
+    private static final int MAX_EVENT_BYTES = 256 << 10;
     private static final String ID_FIELD = "id:";
 
     private final Consumer<StreamEvent> mConsumer;
@@ -18,15 +20,23 @@
         mConsumer = consumer;
     }
 
-    /** Appends bytes and emits each event that they complete. */
-    void add(Buffer bytes) {
+    /**
+     * Appends bytes and emits each event that they complete.
+     *
+     * @return the reason why the bytes are not an event stream; empty if they may be
+     */
+    Optional<String> add(Buffer bytes) {
         mPending.appendBuffer(bytes);
         int start = 0;
         int end = eventEnd(mScanned);
         while (end >= 0) {
             Buffer event = mPending.getBuffer(start, end);
             start = end;
-            mConsumer.accept(new StreamEvent(id(event), event));
+            String text = event.toString(StandardCharsets.UTF_8);
+            if (!hasOnlyFields(text)) {
+                return Optional.of("line without a field name in an event");
+            }
+            mConsumer.accept(new StreamEvent(id(text), event));
             end = eventEnd(start);
         }
         if (start > 0) {
@@ -34,6 +44,15 @@
         }
         // The last two bytes may be the first part of the blank line.
         mScanned = Math.max(0, mPending.length() - 2);
+        return mPending.length() > MAX_EVENT_BYTES
+                ? Optional.of("event exceeds " + MAX_EVENT_BYTES + " bytes")
+                : Optional.empty();
+    }
+
+    /** Returns true if the event has a line and each has a field name or is a comment. */
+    private static boolean hasOnlyFields(String event) {
+        String lines = event.strip();
+        return !lines.isEmpty() && lines.lines().allMatch(line -> line.indexOf(':') >= 0);
     }
 
     /** Returns true if bytes of an incomplete event remain. */
@@ -58,9 +77,8 @@
         return -1;
     }
 
-    private static OptionalLong id(Buffer event) {
-        String text = event.toString(StandardCharsets.UTF_8);
-        for (String line : text.split("\r?\n")) {
+    private static OptionalLong id(String event) {
+        for (String line : event.split("\r?\n")) {
             if (line.startsWith(ID_FIELD)) {
                 return parse(line.substring(ID_FIELD.length()).trim());
             }
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/UpstreamCall.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/UpstreamCall.java
@@ -147,7 +147,10 @@
                                 mListener.event(head, headers, event);
                             }
                         });
-        response.handler(splitter::add);
+        response.handler(
+                bytes ->
+                        splitter.add(bytes)
+                                .ifPresent(reason -> fail(CallFailure.Kind.BROKEN, reason)));
         response.endHandler(
                 ignored -> {
                     if (splitter.hasPartialEvent()) {
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/peer/PeerReplicaClient.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/peer/PeerReplicaClient.java
@@ -22,6 +22,9 @@
 /** Fetches changes from the replicas of peers. */
 public final class PeerReplicaClient implements PeerReplicas {
 
+    /** A replica holds the configuration, of a few MB at most, and one entry for each upstream. */
+    private static final int MAX_RESPONSE_BYTES = 16 << 20;
+
     private static final Duration TIMEOUT = Duration.ofMillis(400);
 
     private final HttpClient mClient;
@@ -55,7 +58,13 @@
                                         + revision);
         Future<Changes> changes =
                 mClient.request(options)
-                        .compose(request -> BufferedCall.send(request, Optional.empty(), TIMEOUT))
+                        .compose(
+                                request ->
+                                        BufferedCall.send(
+                                                request,
+                                                Optional.empty(),
+                                                TIMEOUT,
+                                                MAX_RESPONSE_BYTES))
                         .map(response -> decode(response.body()));
         return Optional.of(Futures.toCompletable(changes));
     }
--- a/tanagergap-runtime/src/main/java/org/tanagergap/runtime/http/BufferedCall.java
+++ b/tanagergap-runtime/src/main/java/org/tanagergap/runtime/http/BufferedCall.java
@@ -2,8 +2,10 @@
 
 import com.google.common.flogger.FluentLogger;
 import io.vertx.core.Future;
+import io.vertx.core.Promise;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClientRequest;
+import io.vertx.core.http.HttpClientResponse;
 import java.time.Duration;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
@@ -25,20 +27,35 @@
 
     /**
      * Sends the request with the optional body and reads the complete response. Resets the request
-     * if the response is not complete within the timeout.
+     * if the response is not complete within the timeout or its body is larger than allowed.
      */
     public static Future<Response> send(
-            HttpClientRequest request, Optional<Buffer> body, Duration timeout) {
+            HttpClientRequest request, Optional<Buffer> body, Duration timeout, int maxBodyBytes) {
         // The returned future reports the failure; without a handler Vert.x logs it as unhandled.
         request.exceptionHandler(
                 failure -> sLogger.atFine().log("HTTP request failed: %s", failure));
         return body.map(request::send)
                 .orElseGet(request::send)
-                .compose(
-                        response ->
-                                response.body()
-                                        .map(bytes -> new Response(response.statusCode(), bytes)))
+                .compose(response -> read(response, maxBodyBytes))
                 .timeout(timeout.toMillis(), TimeUnit.MILLISECONDS)
                 .onFailure(ignored -> request.reset());
     }
+
+    private static Future<Response> read(HttpClientResponse response, int maxBodyBytes) {
+        Promise<Response> result = Promise.promise();
+        Buffer body = Buffer.buffer();
+        response.exceptionHandler(result::tryFail);
+        response.handler(
+                bytes -> {
+                    if (body.length() + bytes.length() > maxBodyBytes) {
+                        response.pause();
+                        result.tryFail("response body exceeds " + maxBodyBytes + " bytes");
+                    } else {
+                        body.appendBuffer(bytes);
+                    }
+                });
+        response.endHandler(
+                ignored -> result.tryComplete(new Response(response.statusCode(), body)));
+        return result.future();
+    }
 }
