--- a/tanagergap-decisions/src/main/java/org/tanagergap/decisions/fleet/ReservationUse.java
+++ b/tanagergap-decisions/src/main/java/org/tanagergap/decisions/fleet/ReservationUse.java
@@ -9,19 +9,23 @@
  */
 public final class ReservationUse {
 
-    /**
-     * A reservation is extended while it has been unused for less than this time. Together with the
-     * time to live of the last extension it stays below 9 s, the bound of the first platform.
-     */
-    static final Duration MAX_UNUSED = Duration.ofSeconds(5);
+    /** Time for the last extension to reach its engine, which begins the time to live there. */
+    private static final Duration EXTENSION_DELAY = Duration.ofMillis(500);
 
     /** Requests use their memory without sending events for this time in any long prefill. */
     static final Duration CHECK_AFTER = Duration.ofSeconds(2);
 
+    private final Duration mExtendedFor;
     private long mLastUsedNanos;
 
-    /** Begins with the time of the reservation, which is not used yet. */
-    public ReservationUse(long nowNanos) {
+    /**
+     * Begins with the time of the reservation, which is not used yet.
+     *
+     * @param maxUnused longest time for which memory may be reserved and unused
+     * @param timeToLive time after which a reservation expires unless it is extended
+     */
+    public ReservationUse(Duration maxUnused, Duration timeToLive, long nowNanos) {
+        mExtendedFor = maxUnused.minus(timeToLive).minus(EXTENSION_DELAY);
         mLastUsedNanos = nowNanos;
     }
 
@@ -32,7 +36,7 @@
 
     /** Returns true if the reservation may be extended; otherwise it is to be released. */
     public boolean mayExtend(long nowNanos) {
-        return nowNanos - mLastUsedNanos < MAX_UNUSED.toNanos();
+        return nowNanos - mLastUsedNanos < mExtendedFor.toNanos();
     }
 
     /** Returns true if an engine should be asked whether the memory is in use. */
--- a/tanagergap-decisions/src/test/java/org/tanagergap/decisions/fleet/ReservationUseTests.java
+++ b/tanagergap-decisions/src/test/java/org/tanagergap/decisions/fleet/ReservationUseTests.java
@@ -10,7 +10,8 @@
 
     private static final long START = Duration.ofHours(1).toNanos();
 
-    private final ReservationUse mUse = new ReservationUse(START);
+    private final ReservationUse mUse =
+            new ReservationUse(Duration.ofMillis(9_000), Duration.ofMillis(3_500), START);
 
     private static long after(long millis) {
         return START + Duration.ofMillis(millis).toNanos();
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/GatewayCommand.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/GatewayCommand.java
@@ -73,6 +73,12 @@
             description = "Time at shutdown after which the process will be killed")
     String mGraceS;
 
+    @Option(
+            name = "--max-unused-reservation-ms",
+            title = "milliseconds",
+            description = "Longest time for which engine memory may be reserved and unused")
+    String mMaxUnusedReservationMs;
+
     @Option(
             name = "--retry-ratio",
             title = "ratio",
@@ -147,6 +153,12 @@
                                 .toList(),
                 reader.millis("--drain-ms", mDrainMs, "3000", 0, MAX_MILLIS),
                 Duration.ofSeconds(reader.number("--grace-s", mGraceS, "8", 0, MAX_SECONDS)),
+                reader.millis(
+                        "--max-unused-reservation-ms",
+                        mMaxUnusedReservationMs,
+                        "9000",
+                        1000,
+                        MAX_MILLIS),
                 retryBudget(reader));
     }
 
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/GatewayService.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/GatewayService.java
@@ -111,6 +111,7 @@
                                 mView,
                                 load,
                                 health,
+                                mSettings.maxUnusedReservation(),
                                 new RetryBudgets(
                                         mClock, mSettings.retryBudget(), directory::instanceCount),
                                 quarantine,
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/GatewaySettings.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/GatewaySettings.java
@@ -16,6 +16,7 @@
  * @param seeds peers to contact while the store is unavailable
  * @param drain time at shutdown between reporting unready and closing idle connections
  * @param grace time at shutdown after which the process is killed
+ * @param maxUnusedReservation longest time for which engine memory may be reserved and unused
  * @param retryBudget retries that all instances together may make
  */
 public record GatewaySettings(
@@ -28,6 +29,7 @@
         List<HostPort> seeds,
         Duration drain,
         Duration grace,
+        Duration maxUnusedReservation,
         RetryBudgetSettings retryBudget) {
 
     public GatewaySettings {
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/ForwardingContext.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/ForwardingContext.java
@@ -2,6 +2,7 @@
 
 import com.codahale.metrics.MetricRegistry;
 import io.vertx.core.http.HttpClient;
+import java.time.Duration;
 import org.tanagergap.api.time.RuntimeClock;
 import org.tanagergap.decisions.fleet.FleetLoad;
 import org.tanagergap.decisions.fleet.UpstreamHealth;
@@ -20,6 +21,7 @@
  * @param view this instance's view of the fleet
  * @param load load of each upstream
  * @param health health of each upstream, as observed in requests
+ * @param maxUnusedReservation longest time for which engine memory may be reserved and unused
  * @param retryBudgets retries that are still allowed
  * @param quarantine requests that engines must not run, and the crashes behind it
  * @param metrics counters and histograms
@@ -35,6 +37,7 @@
         FleetView view,
         FleetLoad load,
         UpstreamHealth health,
+        Duration maxUnusedReservation,
         RetryBudgets retryBudgets,
         QuarantineGate quarantine,
         MetricRegistry metrics,
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/HelperMemoryReservation.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/HelperMemoryReservation.java
@@ -61,7 +61,7 @@
         mHelpers = List.copyOf(helpers);
         mTokens = tokens;
         mStartNanos = context.clock().nanoTime();
-        mUse = new ReservationUse(mStartNanos);
+        mUse = new ReservationUse(context.maxUnusedReservation(), TIME_TO_LIVE, mStartNanos);
     }
 
     /** Receives the outcome of a reservation. */
