Place a prompt again when its unused reservation is released

What callers saw: a long prompt on an engine that did not begin it waited for its idle timeout, up to 12 s of a deadline of 15 s, although its memory had been released after 6 s.

Cause: only the idle timeout, which follows from the predicted prefill, led to another attempt. An engine that reports the reservation as unused shows earlier that it has not begun the request. The check for another placement also counted the memory of the attempt itself as taken.

Change: when a reservation is released as unused, the attempt gives its load back and continues elsewhere under the same conditions as after an idle timeout; otherwise it stays where it is.

--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/HelperMemoryReservation.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/HelperMemoryReservation.java
@@ -44,6 +44,7 @@
     private long mReleasedNanos;
     private OptionalLong mFirstTokenNanos = OptionalLong.empty();
     private final ReservationUse mUse;
+    private Outcome mOutcome;
     private int mExtensions;
     private boolean mReleased;
     private Timer mTimer = () -> {};
@@ -72,11 +73,15 @@
 
         /** Called when the engine has not reserved the memory; the other engines release theirs. */
         void refused(Upstream helper);
+
+        /** Called when the memory was released because the request has not begun to use it. */
+        void unused();
     }
 
     /** Reserves memory on all engines and reports the outcome, unless it is released before. */
     void acquire(Outcome outcome) {
-        acquireNext(0, outcome);
+        mOutcome = outcome;
+        acquireNext(0);
     }
 
     /** Records that the request generates tokens and therefore uses the memory. */
@@ -162,13 +167,13 @@
         }
     }
 
-    private void acquireNext(int index, Outcome outcome) {
+    private void acquireNext(int index) {
         if (mReleased) {
             return;
         }
         if (index == mHelpers.size()) {
             mTimer = mContext.clock().schedule(EXTENSION_INTERVAL, this::extend);
-            outcome.reserved(addresses());
+            mOutcome.reserved(addresses());
             return;
         }
         Upstream helper = mHelpers.get(index);
@@ -181,22 +186,22 @@
                 .onComplete(
                         status -> {
                             if (status == HTTP_OK) {
-                                acquireNext(index + 1, outcome);
+                                acquireNext(index + 1);
                             } else {
-                                refused(helper, "status " + status, outcome);
+                                refused(helper, "status " + status);
                             }
                         },
                         failure -> {
                             recordNoResponse(helper, "reservation", failure);
-                            refused(helper, "no answer", outcome);
+                            refused(helper, "no answer");
                         });
     }
 
-    private void refused(Upstream helper, String reason, Outcome outcome) {
+    private void refused(Upstream helper, String reason) {
         sLogger.atInfo().log(
                 "%d tokens for %s are not to be had at %s: %s", mTokens, mId, helper.id(), reason);
         release();
-        outcome.refused(helper);
+        mOutcome.refused(helper);
     }
 
     private void extend() {
@@ -205,8 +210,8 @@
         }
         long now = mContext.clock().nanoTime();
         if (!mUse.mayExtend(now)) {
-            // The request stays at its engine, which refuses to begin it without the reservation.
             release();
+            mOutcome.unused();
             return;
         }
         if (mUse.needsCheck(now)) {
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/UpstreamAttempt.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/UpstreamAttempt.java
@@ -212,6 +212,13 @@
                                         "memory could not be reserved at " + helper.id(),
                                         Optional.of(helper.address().toString())));
                     }
+
+                    @Override
+                    public void unused() {
+                        // The memory is free again, also for the next attempt.
+                        mLoad.end();
+                        continueElsewhere("the engine has not begun the request");
+                    }
                 });
     }
 
@@ -283,10 +290,7 @@
         long remainingNanos = timeout.toNanos() - idleNanos;
         if (remainingNanos <= 0) {
             mObservations.unresponsive();
-            if (mListener.tryReserveRetryElsewhere(mPlacement.upstream())) {
-                String reason = "nothing arrived for " + timeout.toMillis() + " ms";
-                mCall.ifPresent(UpstreamCall::cancel);
-                failed(new CallFailure(CallFailure.Kind.SILENT, reason));
+            if (continueElsewhere("nothing arrived for " + timeout.toMillis() + " ms")) {
                 return;
             }
             // No other upstream can continue the response, so idleness alone does not end it.
@@ -295,6 +299,18 @@
         mIdleTimer = mContext.clock().schedule(Duration.ofNanos(remainingNanos), this::checkIdle);
     }
 
+    /** Ends the attempt if another upstream can take the request now. */
+    private boolean continueElsewhere(String reason) {
+        if (mEnded
+                || !mRequest.route().retryable()
+                || !mListener.tryReserveRetryElsewhere(mPlacement.upstream())) {
+            return false;
+        }
+        mCall.ifPresent(UpstreamCall::cancel);
+        failed(new CallFailure(CallFailure.Kind.SILENT, reason));
+        return true;
+    }
+
     private boolean end(String code, Execution execution, String reason) {
         if (mEnded) {
             return false;
