--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/GatewayService.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/GatewayService.java
@@ -131,7 +131,15 @@
         mView.addListener(new ViewListener(forwarder, health, mCallers));
         GatewayStatus status =
                 new GatewayStatus(
-                        mSettings, mView, mSync, directory, mCallers, load, health, mClock);
+                        mSettings,
+                        mView,
+                        mSync,
+                        directory,
+                        mCallers,
+                        load,
+                        health,
+                        quarantine,
+                        mClock);
         mAdmin = adminServer(context, status);
         mServices = services(vertx, platform, exchange);
     }
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/GatewayStatus.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/GatewayStatus.java
@@ -8,6 +8,7 @@
 import org.tanagergap.decisions.fleet.UpstreamLoad;
 import org.tanagergap.gateway.caller.GatewayCallerServer;
 import org.tanagergap.gateway.configuration.GatewayConfiguration;
+import org.tanagergap.gateway.forward.QuarantineGate;
 import org.tanagergap.gateway.membership.FleetView;
 import org.tanagergap.gateway.membership.StoreSync;
 import org.tanagergap.gateway.membership.Upstream;
@@ -23,6 +24,7 @@
  * @param callers its server for callers
  * @param load load of each upstream
  * @param health health of each upstream, with its suspension
+ * @param quarantine prompts that engines must not run
  * @param clock source of time
  */
 record GatewayStatus(
@@ -33,6 +35,7 @@
         GatewayCallerServer callers,
         FleetLoad load,
         UpstreamHealth health,
+        QuarantineGate quarantine,
         RuntimeClock clock) {
 
     JsonObject json() {
@@ -50,7 +53,9 @@
                 .ifPresent(version -> json.put("configuration_version", version));
         JsonArray upstreams = new JsonArray();
         view.upstreams().forEach(upstream -> upstreams.add(upstream(upstream)));
-        return json.put("upstreams", upstreams);
+        JsonObject quarantined = new JsonObject();
+        quarantine.parts().forEach((part, left) -> quarantined.put(part, left.toMillis()));
+        return json.put("upstreams", upstreams).put("quarantined_prompt_parts_ms", quarantined);
     }
 
     private JsonObject upstream(Upstream upstream) {
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/QuarantineGate.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/QuarantineGate.java
@@ -5,6 +5,7 @@
 import java.time.Duration;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import org.tanagergap.api.failure.FailureCode;
@@ -49,6 +50,11 @@
         mQuarantine.accept(update, mClock.nanoTime());
     }
 
+    /** Returns the prompt parts in quarantine with the remaining time. */
+    public Map<String, Duration> parts() {
+        return mQuarantine.quarantined(mClock.nanoTime());
+    }
+
     /** Returns the failure of a request that no engine must run. */
     Optional<RequestFailure> refusal(GatewayRequest request) {
         long now = mClock.nanoTime();
