Keep the newest crashes when the history of crashes is full

Cause: a full history ignored new crashes for up to 60 s. Several hundred requests in flight on a lost rack fill it, and a prompt that crashes engines after that would not be found. Class of fault: a bounded table that rejects the newest entries instead of evicting the oldest.

--- a/tanagergap-decisions/src/main/java/org/tanagergap/decisions/quarantine/CrashHistory.java
+++ b/tanagergap-decisions/src/main/java/org/tanagergap/decisions/quarantine/CrashHistory.java
@@ -24,7 +24,7 @@
     /** Peers report a crash within this time; a decision without them could blame a bystander. */
     static final Duration SETTLING_TIME = Duration.ofMillis(600);
 
-    private static final int MAX_CRASHES = 512;
+    private static final int MAX_OBSERVATIONS = 512;
     private static final int MAX_PARTS_WITH_TOKENS = 4096;
 
     private final Map<Key, Observation> mObservations = new LinkedHashMap<>();
@@ -59,12 +59,16 @@
      */
     boolean add(EngineCrash crash, long nowNanos) {
         expire(nowNanos);
-        if (crash.age().compareTo(LIFETIME) >= 0 || mObservations.size() >= MAX_CRASHES) {
+        if (crash.age().compareTo(LIFETIME) >= 0) {
             return false;
         }
         Key key = new Key(crash.engine(), crash.request());
         Observation observation = new Observation(crash, nowNanos - crash.age().toNanos());
-        return mObservations.putIfAbsent(key, observation) == null;
+        boolean added = mObservations.putIfAbsent(key, observation) == null;
+        if (mObservations.size() > MAX_OBSERVATIONS) {
+            mObservations.remove(mObservations.keySet().iterator().next());
+        }
+        return added;
     }
 
     /** Records that an engine has generated tokens on the part. */
--- a/tanagergap-decisions/src/test/java/org/tanagergap/decisions/quarantine/PromptQuarantineTests.java
+++ b/tanagergap-decisions/src/test/java/org/tanagergap/decisions/quarantine/PromptQuarantineTests.java
@@ -175,6 +175,19 @@
             assertThat(mListener.mQuarantined).containsExactly("document");
         }
 
+        /** Guards against a table that is full of bystanders of a lost rack. */
+        @Test
+        void aCauseIsFoundAfterManyOtherCrashes() {
+            for (int i = 0; i < 600; i++) {
+                crash("rack-" + i, List.of("sound-" + i));
+            }
+            pass(SECOND);
+
+            crashThreeTimes(List.of("cause"));
+
+            assertThat(quarantined("cause")).isPresent();
+        }
+
         @Test
         void crashesLongAgoDoNotCount() {
             crash("e1", List.of("p1"));
