Bound the bodies that an agent reads from its engine

Class of fault: input from a peer without a bound on its size.

Change: the bounded reading of plain services moves to ResponseBody and serves engine responses too, with 1 MB. The control requests of HttpModelEngine use Vert.x's WebClient, which has a timeout of 2 s and no limit; that is open.

--- a/tanagergap-agent/src/main/java/org/tanagergap/agent/engine/EngineExchange.java
+++ b/tanagergap-agent/src/main/java/org/tanagergap/agent/engine/EngineExchange.java
@@ -8,6 +8,7 @@
 import io.vertx.core.parsetools.RecordParser;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
+import org.tanagergap.agent.http.ResponseBody;
 import org.tanagergap.api.failure.Execution;
 import org.tanagergap.api.failure.FailureCode;
 import org.tanagergap.api.failure.RequestFailure;
@@ -22,6 +23,9 @@
     /** Far above the size of a token or a cache event. */
     private static final int MAX_LINE_BYTES = 1024 * 1024;
 
+    /** Far above the size of a description of a segment or of an error. */
+    private static final int MAX_BODY_BYTES = 1024 * 1024;
+
     private final HttpClient mClient;
     private final RequestOptions mOptions;
     private final Buffer mBody;
@@ -49,7 +53,7 @@
         Consumer<Throwable> once = once(failed);
         send(
                 response ->
-                        response.body()
+                        ResponseBody.read(response, MAX_BODY_BYTES)
                                 .onSuccess(
                                         body -> {
                                             markComplete();
@@ -128,7 +132,7 @@
     }
 
     private void readErrorResponse(HttpClientResponse response, Consumer<Throwable> failed) {
-        response.body()
+        ResponseBody.read(response, MAX_BODY_BYTES)
                 .onSuccess(
                         body -> {
                             markComplete();
--- a/tanagergap-agent/src/main/java/org/tanagergap/agent/plain/HttpPlainUpstream.java
+++ b/tanagergap-agent/src/main/java/org/tanagergap/agent/plain/HttpPlainUpstream.java
@@ -3,8 +3,6 @@
 import com.google.protobuf.UnsafeByteOperations;
 import io.smallrye.mutiny.Uni;
 import io.smallrye.mutiny.subscription.UniEmitter;
-import io.vertx.core.Future;
-import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClient;
@@ -20,6 +18,7 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Set;
+import org.tanagergap.agent.http.ResponseBody;
 import org.tanagergap.api.failure.Execution;
 import org.tanagergap.api.failure.FailureCode;
 import org.tanagergap.api.failure.RequestFailure;
@@ -139,7 +138,8 @@
             request.send(Buffer.buffer(mCall.body().toByteArray()))
                     .compose(
                             response ->
-                                    readBody(response).map(body -> serviceResponse(response, body)))
+                                    ResponseBody.read(response, MAX_RESPONSE_BYTES)
+                                            .map(body -> serviceResponse(response, body)))
                     .onSuccess(
                             serviceResponse -> {
                                 complete();
@@ -173,26 +173,6 @@
                         .withCause(failure);
     }
 
-    private static Future<Buffer> readBody(HttpClientResponse response) {
-        Promise<Buffer> bodyPromise = Promise.promise();
-        Buffer body = Buffer.buffer();
-        response.exceptionHandler(bodyPromise::tryFail);
-        response.endHandler(ignored -> bodyPromise.tryComplete(body));
-        response.handler(
-                part -> {
-                    if (body.length() + part.length() <= MAX_RESPONSE_BYTES) {
-                        body.appendBuffer(part);
-                    } else {
-                        bodyPromise.tryFail(
-                                RequestFailure.of(
-                                        FailureCode.UPSTREAM_FAILED,
-                                        Execution.RAN,
-                                        "answer exceeds " + MAX_RESPONSE_BYTES + " bytes"));
-                    }
-                });
-        return bodyPromise.future();
-    }
-
     private static PlainServiceResponse serviceResponse(HttpClientResponse response, Buffer body) {
         List<Header> headers = new ArrayList<>();
         for (Map.Entry<String, String> header : response.headers()) {
