End attempts at engines that have restarted

Cause: a machine that is dark closes no connection. When it was back within the interval of the liveness check, two probes in a row never failed, so its restart was not noticed and the attempt lived on with a half-open connection. Class of fault: liveness taken for identity; the process that answers is another one than that which took the request.

Change: the liveness check compares the start time that the engine reports with that of the engine to which the request was sent, and ends the attempt when they differ.

--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/LivenessCheck.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/LivenessCheck.java
@@ -1,8 +1,11 @@
 package org.tanagergap.gateway.forward;
 
 import java.time.Duration;
+import java.util.OptionalLong;
+import java.util.function.Consumer;
 import org.tanagergap.api.time.Timer;
-import org.tanagergap.runtime.settings.HostPort;
+import org.tanagergap.gateway.membership.Upstream;
+import org.tanagergap.runtime.http.BufferedCall;
 
 /**
  * Probes an engine during a long prefill. A machine that crashes closes no connection, and the idle
@@ -16,16 +19,21 @@
     private static final int MAX_CONSECUTIVE_FAILURES = 2;
 
     private final ForwardingContext mContext;
-    private final HostPort mAddress;
-    private final Runnable mOnUnresponsive;
+    private final Upstream mEngine;
+    private final Consumer<String> mOnLost;
     private Timer mTimer = () -> {};
     private boolean mStopped;
     private int mConsecutiveFailures;
 
-    LivenessCheck(ForwardingContext context, HostPort address, Runnable onUnresponsive) {
+    /**
+     * Creates a check that is not started.
+     *
+     * @param onLost receives the reason when the engine has lost its requests
+     */
+    LivenessCheck(ForwardingContext context, Upstream engine, Consumer<String> onLost) {
         mContext = context;
-        mAddress = address;
-        mOnUnresponsive = onUnresponsive;
+        mEngine = engine;
+        mOnLost = onLost;
     }
 
     void start() {
@@ -39,24 +47,36 @@
 
     private void probe() {
         mContext.engineAdmin()
-                .status(mAddress)
-                .onComplete(ignored -> probeSucceeded(), ignored -> probeFailed());
+                .status(mEngine.address())
+                .onComplete(this::probeSucceeded, ignored -> probeFailed());
     }
 
-    private void probeSucceeded() {
+    private void probeSucceeded(BufferedCall.Response response) {
         mConsecutiveFailures = 0;
-        if (!mStopped) {
+        if (mStopped) {
+            return;
+        }
+        if (hasRestarted(response)) {
+            mOnLost.accept("the engine has restarted");
+        } else {
             start();
         }
     }
 
+    /** An engine that restarts between two probes leaves its connections open. */
+    private boolean hasRestarted(BufferedCall.Response response) {
+        OptionalLong startedAt = mContext.wire().startedAtMillis(response.body());
+        long known = mEngine.startedAtMillis();
+        return known != 0 && startedAt.isPresent() && startedAt.getAsLong() != known;
+    }
+
     private void probeFailed() {
         if (mStopped) {
             return;
         }
         mConsecutiveFailures++;
         if (mConsecutiveFailures >= MAX_CONSECUTIVE_FAILURES) {
-            mOnUnresponsive.run();
+            mOnLost.accept("the engine no longer answers");
         } else {
             probe();
         }
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/UpstreamAttempt.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/UpstreamAttempt.java
@@ -16,7 +16,6 @@
 import org.tanagergap.gateway.wire.AttemptHeaders;
 import org.tanagergap.gateway.wire.HelperAddress;
 import org.tanagergap.gateway.wire.UpstreamResponseHead;
-import org.tanagergap.runtime.settings.HostPort;
 
 /**
  * One attempt of a request: reserves memory on helper engines if needed, calls the upstream,
@@ -248,7 +247,7 @@
         mCall = Optional.of(call);
         mLastEventNanos = now();
         checkIdle();
-        startLivenessCheck(upstream.get().address());
+        startLivenessCheck(upstream.get());
         call.start(
                 upstream.get().address(),
                 mRequest.method(),
@@ -266,19 +265,19 @@
     }
 
     /** Probes engines during long prefills and while memory is reserved on helper engines. */
-    private void startLivenessCheck(HostPort address) {
+    private void startLivenessCheck(Upstream engine) {
         boolean hasReservation = mReservation.isPresent();
         if (hasReservation || mPlacement.firstTokenMillis() > MIN_CHECKED_PREFILL_MILLIS) {
-            LivenessCheck check = new LivenessCheck(mContext, address, this::engineUnresponsive);
+            LivenessCheck check = new LivenessCheck(mContext, engine, this::engineLost);
             mLiveness = Optional.of(check);
             check.start();
         }
     }
 
-    private void engineUnresponsive() {
+    private void engineLost(String reason) {
         mObservations.unresponsive();
         mCall.ifPresent(UpstreamCall::cancel);
-        failed(new CallFailure(CallFailure.Kind.BROKEN, "the engine no longer answers"));
+        failed(new CallFailure(CallFailure.Kind.BROKEN, reason));
     }
 
     private void checkIdle() {
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/wire/WireFormat.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/wire/WireFormat.java
@@ -4,6 +4,7 @@
 import io.vertx.core.buffer.Buffer;
 import java.time.Duration;
 import java.util.Optional;
+import java.util.OptionalLong;
 
 /** Headers and message bodies of a platform, as callers and upstreams use them. */
 public interface WireFormat {
@@ -27,6 +28,12 @@
     /** Path on which a running engine responds at once, regardless of its load. */
     String livenessPath();
 
+    /**
+     * Reads when the engine started, in Unix milliseconds, from the response on {@link
+     * #livenessPath()}; empty if it does not say so or the response is malformed.
+     */
+    OptionalLong startedAtMillis(Buffer response);
+
     /**
      * Reads the state of a reservation from the response on {@link #livenessPath()}; empty if the
      * engine does not have the reservation or the response is malformed.
