Count an engine as crashed only if it accepts no connection or is silent

Cause: the probe after a lost connection counted each failure as a crash. A running engine with too many connections resets new ones, so under overload three engines and three requests could put a sound prompt part into quarantine. Class of fault: any failure of a health check read as the one failure that it looks for.

Evidence: CrashInducingPromptTests.enginesThatCloseTheProbeQuarantineNothing failed on the parent: the part "shared" was refused.

--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/CrashDetector.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/CrashDetector.java
@@ -1,9 +1,11 @@
 package org.tanagergap.gateway.forward;
 
+import java.net.ConnectException;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.TimeoutException;
 import java.util.function.Consumer;
 import org.tanagergap.gateway.membership.Upstream;
 
@@ -21,7 +23,7 @@
         mEngineAdmin = engineAdmin;
     }
 
-    /** Probes the upstream and calls the action if it does not respond. */
+    /** Probes the upstream and calls the action if it accepts no connection or is silent. */
     void connectionLost(Upstream upstream, Consumer<Upstream> onCrash) {
         List<Consumer<Upstream>> waiting = mWaiting.get(upstream);
         if (waiting != null) {
@@ -33,6 +35,18 @@
                 .status(upstream.address())
                 .onComplete(
                         ignored -> mWaiting.remove(upstream),
-                        ignored -> mWaiting.remove(upstream).forEach(a -> a.accept(upstream)));
+                        failure -> probeFailed(upstream, failure));
+    }
+
+    private void probeFailed(Upstream upstream, Throwable failure) {
+        List<Consumer<Upstream>> waiting = mWaiting.remove(upstream);
+        if (isGone(failure)) {
+            waiting.forEach(onCrash -> onCrash.accept(upstream));
+        }
+    }
+
+    /** A running engine may reset a connection, when it has too many, or respond with damage. */
+    private static boolean isGone(Throwable failure) {
+        return failure instanceof ConnectException || failure instanceof TimeoutException;
     }
 }
