--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/AttemptObservations.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/AttemptObservations.java
@@ -4,7 +4,10 @@
 import org.tanagergap.decisions.fleet.Placement;
 import org.tanagergap.gateway.membership.Upstream;
 
-/** Records what one attempt shows about the health of its upstream. Confined to the event loop. */
+/**
+ * Records what one attempt shows about the health of its upstream, and whether its prompt may have
+ * crashed the engine. Confined to the event loop.
+ */
 final class AttemptObservations {
 
     private static final Duration REFUSED_SUSPENSION = Duration.ofMillis(60);
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/HelperMemoryReservation.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/HelperMemoryReservation.java
@@ -41,9 +41,9 @@
     private final Set<String> mWithoutResponse = new HashSet<>();
     private final Set<String> mReleaseScheduled = new HashSet<>();
     private final long mStartNanos;
+    private final ReservationUse mUse;
     private long mReleasedNanos;
     private OptionalLong mFirstTokenNanos = OptionalLong.empty();
-    private final ReservationUse mUse;
     private Outcome mOutcome;
     private int mExtensions;
     private boolean mReleased;
@@ -74,7 +74,7 @@
         /** Called when the engine has not reserved the memory; the other engines release theirs. */
         void refused(Upstream helper);
 
-        /** Called when the memory was released because the request has not begun to use it. */
+        /** Called when the memory was released because the request does not use it. */
         void unused();
     }
 
