--- a/tanagergap-decisions/src/test/java/org/tanagergap/decisions/quarantine/PromptQuarantinePropertyTests.java
+++ b/tanagergap-decisions/src/test/java/org/tanagergap/decisions/quarantine/PromptQuarantinePropertyTests.java
@@ -80,12 +80,12 @@
         }
     }
 
-    /** Every instance reports to the others; a fifth of the datagrams is lost. */
+    /** Every instance reports to the others; a third of the datagrams is lost. */
     private void exchange(Random random) {
         for (PromptQuarantine sender : mInstances) {
             QuarantineUpdate update = sender.nextUpdate(mNow);
             for (PromptQuarantine receiver : mInstances) {
-                if (receiver != sender && random.nextInt(5) > 0) {
+                if (receiver != sender && random.nextInt(3) > 0) {
                     receiver.accept(update, mNow);
                 }
             }
