Keep the rate limits that upstreams advertise

Callers saw nothing; upstreams short of capacity went on to get their full share of requests.

Cause: nothing read the limit. Class of fault: a limit that concerns all instances together is known to none of them, so each one decides as if it were alone and as if load were all that an upstream can say.

Change: SharedRateLimits in decisions/ratelimit learns a limit at the head of a response, shares it in the load reports with the age of the response, and sends to a limited upstream only with a permit. One instance issues the permits of an upstream, chosen by rendezvous hashing over the instances heard of; an even split would give nobody a request at limits below the number of instances. A new issuer waits until permits of the previous one and its belief in the role must have ended. A limit ends with a response without it or with the incarnation of the upstream, and at least one request in 5 s is sent so that this is noticed. Long prompts prefer engines without a limit, which do not help either. If all upstreams of a service are limited, requests beyond the share that the issuer announces are refused at once.

--- a/tanagergap-decisions/src/main/java/org/tanagergap/decisions/fleet/DispatchForecast.java
+++ b/tanagergap-decisions/src/main/java/org/tanagergap/decisions/fleet/DispatchForecast.java
@@ -42,7 +42,12 @@
         if (ahead == 0) {
             return Duration.ZERO;
         }
-        return Duration.ofNanos((long) (ahead / rate(nowNanos) * NANOS_PER_SECOND));
+        return predictedWait(ahead, rate(nowNanos));
+    }
+
+    /** Returns the time in which requests are dispatched at the rate. */
+    public static Duration predictedWait(int requests, double perSecond) {
+        return Duration.ofNanos((long) (requests / perSecond * NANOS_PER_SECOND));
     }
 
     private double rate(long nowNanos) {
--- a/tanagergap-decisions/src/main/java/org/tanagergap/decisions/fleet/LengthAwarePlacement.java
+++ b/tanagergap-decisions/src/main/java/org/tanagergap/decisions/fleet/LengthAwarePlacement.java
@@ -99,7 +99,14 @@
         if (prefillMillis < MIN_SPLIT_PREFILL_MILLIS) {
             return chooseOneEngine(request, prefillMillis, engines);
         }
-        return chooseSplit(request, prefillMillis, engines);
+        // An engine that limits its requests looks idle, but is short of capacity.
+        List<UpstreamCandidate> unlimited = engines.stream().filter(c -> !c.rateLimited()).toList();
+        Optional<Plan> plan = bestPlan(request, prefillMillis, unlimited);
+        if (plan.isEmpty() && unlimited.size() < engines.size()) {
+            plan = bestPlan(request, prefillMillis, engines);
+        }
+        return plan.filter(p -> p.latencyImpact() <= acceptedImpact(request, p))
+                .map(Plan::placement);
     }
 
     private Optional<Placement> chooseOneEngine(
@@ -125,7 +132,7 @@
         return Optional.of(equal.get(mRandom.nextInt(equal.size())));
     }
 
-    private Optional<Placement> chooseSplit(
+    private static Optional<Plan> bestPlan(
             PlacementRequest request, double prefillMillis, List<UpstreamCandidate> engines) {
         Optional<Plan> best = Optional.empty();
         for (int parts : PART_COUNTS) {
@@ -134,8 +141,7 @@
                 best = plan;
             }
         }
-        return best.filter(plan -> plan.latencyImpact() <= acceptedImpact(request, plan))
-                .map(Plan::placement);
+        return best;
     }
 
     /**
@@ -155,11 +161,14 @@
      * Plans the prompt in the given number of parts; empty when too few engines have memory for
      * them.
      */
-    private Optional<Plan> plan(
+    private static Optional<Plan> plan(
             PlacementRequest request,
             double prefillMillis,
             int parts,
             List<UpstreamCandidate> engines) {
+        if (engines.isEmpty()) {
+            return Optional.empty();
+        }
         EngineProfile engine = engines.get(0).engine().orElseThrow();
         long memory = request.cost().memoryTokens();
         boolean reserved = memory > PLANNED_MEMORY_SHARE * engine.memoryTokens();
@@ -178,11 +187,17 @@
                 scored.stream()
                         .filter(s -> hasSlot(s.candidate()) && fits(primaryTokens, s.candidate()))
                         .findFirst();
-        if (first.isEmpty() || scored.size() < parts) {
+        if (first.isEmpty()) {
             return Optional.empty();
         }
         List<Scored> helpers =
-                scored.stream().filter(s -> s != first.get()).limit(parts - 1L).toList();
+                scored.stream()
+                        .filter(s -> s != first.get() && !s.candidate().rateLimited())
+                        .limit(parts - 1L)
+                        .toList();
+        if (helpers.size() < parts - 1) {
+            return Optional.empty();
+        }
         return Optional.of(plan(request, first.get(), helpers, tokensPerHelper));
     }
 
--- a/tanagergap-decisions/src/main/java/org/tanagergap/decisions/fleet/UpstreamCandidate.java
+++ b/tanagergap-decisions/src/main/java/org/tanagergap/decisions/fleet/UpstreamCandidate.java
@@ -12,6 +12,7 @@
  * @param load load from all instances at the upstream
  * @param delayMillis one-way delay to its failure domain, in ms
  * @param slowness observed time to the first token relative to the prediction; 1 when as predicted
+ * @param rateLimited whether the upstream advertises a rate limit because it is short of capacity
  */
 public record UpstreamCandidate(
         String id,
@@ -19,7 +20,8 @@
         Optional<EngineProfile> engine,
         UpstreamLoad load,
         double delayMillis,
-        double slowness) {
+        double slowness,
+        boolean rateLimited) {
 
     public UpstreamCandidate {
         Objects.requireNonNull(id, "id must not be null");
--- /dev/null
+++ b/tanagergap-decisions/src/main/java/org/tanagergap/decisions/ratelimit/SharedRateLimits.java
@@ -0,0 +1,237 @@
+package org.tanagergap.decisions.ratelimit;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.OptionalDouble;
+import java.util.Set;
+import org.tanagergap.decisions.routing.RendezvousHash;
+
+/**
+ * Keeps the rate limits that upstreams advertise for all instances together. Each limited upstream
+ * has one issuer among the instances, chosen by rendezvous hashing, and a request is sent there
+ * only with a permit of the issuer. Even shares would not do: a limit can be lower than the number
+ * of instances, and most callers may be at a few of them.
+ *
+ * <p>An instance becomes the issuer only when the previous one has been silent for longer than its
+ * permits and its own belief in the role can last, so that two never issue at full rate. An
+ * upstream whose issuer is lost gets no requests for that time. Upstreams are named by their
+ * incarnation, because a limit ends with it. Confined to the event loop.
+ */
+public final class SharedRateLimits {
+
+    /** Instances that have been silent for longer are not asked for permits. */
+    static final Duration ISSUER_SILENCE = Duration.ofMillis(1500);
+
+    /**
+     * Instances that have been silent for this time, or were started so long ago, count as gone.
+     */
+    static final Duration TAKEOVER_TIME = Duration.ofMillis(3000);
+
+    /** Lowest rate of requests, without which the end of a limit would never be noticed. */
+    static final double MIN_REQUESTS_PER_SECOND = 0.2;
+
+    private final String mId;
+    private final long mStartNanos;
+    private final AdvertisedRateLimits mLimits = new AdvertisedRateLimits();
+    private final PermitIssuer mIssuer = new PermitIssuer();
+    private final PermitPool mPool = new PermitPool();
+    private final Listener mListener;
+
+    /** Receives changes of limits and permits. */
+    public interface Listener {
+
+        /** Called when the limit of an upstream has begun, changed or ended. */
+        void limitChanged(String upstream, OptionalDouble requestsPerSecond);
+
+        /** Called when requests may be sent that could not be sent before. */
+        void permitsReceived();
+    }
+
+    /**
+     * Creates limits that know of no upstream.
+     *
+     * @param id identifier of this instance
+     */
+    public SharedRateLimits(String id, Listener listener, long nowNanos) {
+        mId = id;
+        mListener = listener;
+        mStartNanos = nowNanos;
+    }
+
+    /** Records what a response of the upstream showed. */
+    public void responseReceived(String upstream, RateLimitNotice notice, long nowNanos) {
+        if (notice instanceof RateLimitNotice.Limited limited) {
+            OptionalDouble limit = OptionalDouble.of(limited.requestsPerSecond());
+            observe(upstream, limit, nowNanos, nowNanos);
+        } else if (notice instanceof RateLimitNotice.Unlimited) {
+            observe(upstream, OptionalDouble.empty(), nowNanos, nowNanos);
+        }
+    }
+
+    /** Accepts what another instance knows. */
+    public void accept(Map<String, RateLimitObservation> observations, long nowNanos) {
+        observations.forEach(
+                (upstream, observation) ->
+                        observe(
+                                upstream,
+                                observation.requestsPerSecond(),
+                                nowNanos - observation.age().toNanos(),
+                                nowNanos));
+    }
+
+    private void observe(String upstream, OptionalDouble limit, long nanos, long nowNanos) {
+        if (mLimits.observe(upstream, limit, nanos, nowNanos)) {
+            mPool.discard(upstream);
+            if (limit.isPresent()) {
+                mIssuer.add(upstream);
+            }
+            mListener.limitChanged(upstream, limit);
+        }
+    }
+
+    /** Returns what other instances should know. */
+    public Map<String, RateLimitObservation> observations(long nowNanos) {
+        return mLimits.observations(nowNanos);
+    }
+
+    /** Returns the limits by upstream, in requests per second. */
+    public Map<String, Double> limits() {
+        return mLimits.limits();
+    }
+
+    public boolean isLimited(String upstream) {
+        return mLimits.limit(upstream).isPresent();
+    }
+
+    /** Returns true if a request may be sent to the upstream now; otherwise requests a permit. */
+    public boolean maySend(String upstream, long nowNanos) {
+        return !isLimited(upstream) || mPool.isAvailable(upstream, nowNanos);
+    }
+
+    /** Records that a request is sent to the upstream. */
+    public void sent(String upstream, long nowNanos) {
+        if (isLimited(upstream)) {
+            mPool.use(upstream, nowNanos);
+        }
+    }
+
+    /**
+     * Returns the rate at which this instance can expect to send requests to a limited upstream;
+     * the whole limit as long as the issuer has not told the share of this instance.
+     */
+    public OptionalDouble expectedPerSecond(String upstream, long nowNanos) {
+        OptionalDouble limit = issuedPerSecond(upstream);
+        OptionalDouble expected = mPool.expectedPerSecond(upstream, nowNanos);
+        return limit.isPresent() && expected.isPresent() ? expected : limit;
+    }
+
+    /** Discards what is known of an upstream that is gone. */
+    public void remove(String upstream) {
+        mLimits.remove(upstream);
+        mPool.discard(upstream);
+    }
+
+    /** Records that another instance requests permits, by upstream. */
+    public void requested(String instance, Map<String, Integer> permits, long nowNanos) {
+        permits.forEach(
+                (upstream, count) -> {
+                    if (isLimited(upstream)) {
+                        mIssuer.request(instance, upstream, count, nowNanos);
+                    }
+                });
+    }
+
+    /** Accepts permits from another instance, by upstream. */
+    public void granted(Map<String, PermitGrant> grants, long nowNanos) {
+        boolean usable = false;
+        for (Map.Entry<String, PermitGrant> grant : grants.entrySet()) {
+            if (isLimited(grant.getKey())) {
+                mPool.add(grant.getKey(), grant.getValue(), nowNanos);
+                usable |= grant.getValue().permits() > 0;
+            }
+        }
+        if (usable) {
+            mListener.permitsReceived();
+        }
+    }
+
+    /**
+     * Requests and issues permits. To be called periodically while there are limits, and soon after
+     * a request for permits.
+     *
+     * @param silence time since the last report of each other instance
+     * @return messages for the other instances
+     */
+    public PermitMessages exchange(Map<String, Duration> silence, long nowNanos) {
+        if (mLimits.isEmpty()) {
+            return PermitMessages.NONE;
+        }
+        Map<String, Map<String, Integer>> requests = requests(silence, nowNanos);
+        Map<String, Integer> own = requests.remove(mId);
+        if (own != null) {
+            requested(mId, own, nowNanos);
+        }
+        Map<String, Map<String, PermitGrant>> grants = issue(silence, nowNanos);
+        Map<String, PermitGrant> ownGrants = grants.remove(mId);
+        if (ownGrants != null) {
+            granted(ownGrants, nowNanos);
+        }
+        return new PermitMessages(requests, grants);
+    }
+
+    private Map<String, Map<String, Integer>> requests(
+            Map<String, Duration> silence, long nowNanos) {
+        Set<String> present = instances(silence, ISSUER_SILENCE);
+        Map<String, Map<String, Integer>> requests = new HashMap<>();
+        mPool.wanted(nowNanos)
+                .forEach(
+                        (upstream, count) ->
+                                requests.computeIfAbsent(
+                                                issuer(upstream, present),
+                                                ignored -> new HashMap<>())
+                                        .put(upstream, count));
+        return requests;
+    }
+
+    private Map<String, Map<String, PermitGrant>> issue(
+            Map<String, Duration> silence, long nowNanos) {
+        Map<String, Map<String, PermitGrant>> grants = new HashMap<>();
+        Set<String> candidates = instances(silence, TAKEOVER_TIME);
+        boolean established = nowNanos - mStartNanos >= TAKEOVER_TIME.toNanos();
+        mIssuer.issue(
+                upstream ->
+                        established && issuer(upstream, candidates).equals(mId)
+                                ? issuedPerSecond(upstream)
+                                : OptionalDouble.empty(),
+                (instance, upstream, grant) ->
+                        grants.computeIfAbsent(instance, ignored -> new HashMap<>())
+                                .put(upstream, grant),
+                nowNanos);
+        return grants;
+    }
+
+    private OptionalDouble issuedPerSecond(String upstream) {
+        OptionalDouble limit = mLimits.limit(upstream);
+        return limit.isPresent()
+                ? OptionalDouble.of(Math.max(MIN_REQUESTS_PER_SECOND, limit.getAsDouble()))
+                : limit;
+    }
+
+    private Set<String> instances(Map<String, Duration> silence, Duration limit) {
+        Set<String> instances = new HashSet<>();
+        instances.add(mId);
+        silence.forEach(
+                (instance, time) -> {
+                    if (time.compareTo(limit) <= 0) {
+                        instances.add(instance);
+                    }
+                });
+        return instances;
+    }
+
+    private static String issuer(String upstream, Set<String> instances) {
+        return RendezvousHash.first(upstream, instances, id -> id, 1).get(0);
+    }
+}
--- a/tanagergap-decisions/src/test/java/org/tanagergap/decisions/fleet/LengthAwarePlacementTests.java
+++ b/tanagergap-decisions/src/test/java/org/tanagergap/decisions/fleet/LengthAwarePlacementTests.java
@@ -28,7 +28,12 @@
     }
 
     private static UpstreamCandidate engine(String id, UpstreamLoad load) {
-        return new UpstreamCandidate(id, ENGINE.slots(), Optional.of(ENGINE), load, 0.1, 1);
+        return new UpstreamCandidate(id, ENGINE.slots(), Optional.of(ENGINE), load, 0.1, 1, false);
+    }
+
+    private static UpstreamCandidate rateLimitedEngine(String id) {
+        return new UpstreamCandidate(
+                id, ENGINE.slots(), Optional.of(ENGINE), UpstreamLoad.NONE, 0.1, 1, true);
     }
 
     private static List<UpstreamCandidate> engines(int count, UpstreamLoad load) {
@@ -95,7 +100,8 @@
         @Test
         void avoidASlowEngine() {
             UpstreamCandidate slow =
-                    new UpstreamCandidate("a", 11, Optional.of(ENGINE), UpstreamLoad.NONE, 0.1, 8);
+                    new UpstreamCandidate(
+                            "a", 11, Optional.of(ENGINE), UpstreamLoad.NONE, 0.1, 8, false);
 
             Placement placement =
                     place(shortPrompt(), List.of(slow, engine("b", UpstreamLoad.NONE)));
@@ -107,6 +113,26 @@
     @Nested
     class LongPrompts {
 
+        /** An engine that limits its requests has few of them and looks idle. */
+        @Test
+        void avoidEnginesThatLimitTheirRequests() {
+            UpstreamLoad streams = new UpstreamLoad(1, 0, 1, 0, 18_000);
+            List<UpstreamCandidate> candidates = new ArrayList<>(engines(4, streams));
+            candidates.add(rateLimitedEngine("limited"));
+
+            Placement placement = place(longPrompt(45_000), candidates);
+
+            assertThat(placement.upstream()).isNotEqualTo("limited");
+            assertThat(placement.helpers()).doesNotContain("limited");
+        }
+
+        @Test
+        void useAnEngineThatLimitsItsRequestsIfThereIsNoOther() {
+            Placement placement = place(longPrompt(45_000), List.of(rateLimitedEngine("limited")));
+
+            assertThat(placement.upstream()).isEqualTo("limited");
+        }
+
         @Test
         void avoidEnginesWithShortStreams() {
             UpstreamLoad streams = new UpstreamLoad(3, 3, 3, 0, 18_000);
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/GatewayService.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/GatewayService.java
@@ -25,6 +25,7 @@
 import org.tanagergap.gateway.forward.ForwardingContext;
 import org.tanagergap.gateway.forward.InstanceIdentity;
 import org.tanagergap.gateway.forward.QuarantineGate;
+import org.tanagergap.gateway.forward.RateLimitGate;
 import org.tanagergap.gateway.forward.RetryBudgets;
 import org.tanagergap.gateway.membership.FleetView;
 import org.tanagergap.gateway.membership.StoreSync;
@@ -76,18 +77,11 @@
         UpstreamHealth health = new UpstreamHealth();
         PeerDirectory directory = new PeerDirectory(mClock, mSettings.id(), mSettings.seeds());
         HttpClient client = client(vertx);
-        mSync =
-                new StoreSync(
-                        mClock,
-                        platform.feed(),
-                        platform.decoder(),
-                        List.of(PeerDirectory.KEY_PREFIX),
-                        mView,
-                        new PeerReplicaClient(client, directory),
-                        directory::instanceCount,
-                        directory::accept);
+        mSync = storeSync(platform, directory, new PeerReplicaClient(client, directory));
         EngineAdminClient engineAdmin = new EngineAdminClient(client, platform.wire());
         QuarantineGate quarantine = new QuarantineGate(mClock, context.metrics(), engineAdmin);
+        RateLimitGate rateLimits =
+                new RateLimitGate(mClock, mSettings.id(), mView, context.metrics());
         PeerExchange exchange =
                 new PeerExchange(
                         vertx,
@@ -98,6 +92,7 @@
                         load,
                         health,
                         quarantine,
+                        rateLimits,
                         mSync::progress,
                         mSync::peerProgressed);
         Forwarder forwarder =
@@ -115,6 +110,7 @@
                                 new RetryBudgets(
                                         mClock, mSettings.retryBudget(), directory::instanceCount),
                                 quarantine,
+                                rateLimits,
                                 context.metrics(),
                                 context.tracing(),
                                 exchange::announce),
@@ -128,7 +124,8 @@
                         platform.wire(),
                         new RequestResolver(random),
                         forwarder);
-        mView.addListener(new ViewListener(forwarder, health, mCallers));
+        rateLimits.listener(new PermitListener(exchange, forwarder));
+        mView.addListener(new ViewListener(forwarder, health, rateLimits, mCallers));
         GatewayStatus status =
                 new GatewayStatus(
                         mSettings,
@@ -139,11 +136,25 @@
                         load,
                         health,
                         quarantine,
+                        rateLimits,
                         mClock);
         mAdmin = adminServer(context, status);
         mServices = services(vertx, platform, exchange);
     }
 
+    private StoreSync storeSync(
+            GatewayPlatform platform, PeerDirectory directory, PeerReplicaClient peers) {
+        return new StoreSync(
+                mClock,
+                platform.feed(),
+                platform.decoder(),
+                List.of(PeerDirectory.KEY_PREFIX),
+                mView,
+                peers,
+                directory::instanceCount,
+                directory::accept);
+    }
+
     /** Services in the order of their start. */
     private List<Service> services(Vertx vertx, GatewayPlatform platform, PeerExchange exchange) {
         return List.of(
@@ -279,9 +290,27 @@
         return result;
     }
 
+    /** Forwards demand for permits to the exchange with peers, and permits to the requests. */
+    private record PermitListener(PeerExchange exchange, Forwarder forwarder)
+            implements RateLimitGate.Listener {
+
+        @Override
+        public void exchangeNeeded() {
+            exchange.exchangePermitsSoon();
+        }
+
+        @Override
+        public void capacityChanged() {
+            forwarder.fleetChanged();
+        }
+    }
+
     /** Forwards changes of the fleet view to the components that depend on them. */
     private record ViewListener(
-            Forwarder forwarder, UpstreamHealth health, GatewayCallerServer callers)
+            Forwarder forwarder,
+            UpstreamHealth health,
+            RateLimitGate rateLimits,
+            GatewayCallerServer callers)
             implements FleetView.Listener {
 
         @Override
@@ -293,6 +322,7 @@
         @Override
         public void upstreamUnavailable(Upstream upstream) {
             // Requests in flight there continue; only new ones go to other upstreams.
+            rateLimits.remove(upstream);
         }
 
         @Override
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/GatewayStatus.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/GatewayStatus.java
@@ -9,6 +9,7 @@
 import org.tanagergap.gateway.caller.GatewayCallerServer;
 import org.tanagergap.gateway.configuration.GatewayConfiguration;
 import org.tanagergap.gateway.forward.QuarantineGate;
+import org.tanagergap.gateway.forward.RateLimitGate;
 import org.tanagergap.gateway.membership.FleetView;
 import org.tanagergap.gateway.membership.StoreSync;
 import org.tanagergap.gateway.membership.Upstream;
@@ -25,6 +26,7 @@
  * @param load load of each upstream
  * @param health health of each upstream, with its suspension
  * @param quarantine prompts that engines must not run
+ * @param rateLimits rate limits that upstreams advertise
  * @param clock source of time
  */
 record GatewayStatus(
@@ -36,6 +38,7 @@
         FleetLoad load,
         UpstreamHealth health,
         QuarantineGate quarantine,
+        RateLimitGate rateLimits,
         RuntimeClock clock) {
 
     JsonObject json() {
@@ -55,7 +58,11 @@
         view.upstreams().forEach(upstream -> upstreams.add(upstream(upstream)));
         JsonObject quarantined = new JsonObject();
         quarantine.parts().forEach((part, left) -> quarantined.put(part, left.toMillis()));
-        return json.put("upstreams", upstreams).put("quarantined_prompt_parts_ms", quarantined);
+        JsonObject limits = new JsonObject();
+        rateLimits.limits().forEach(limits::put);
+        return json.put("upstreams", upstreams)
+                .put("rate_limits_per_second", limits)
+                .put("quarantined_prompt_parts_ms", quarantined);
     }
 
     private JsonObject upstream(Upstream upstream) {
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/CandidateSource.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/CandidateSource.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.OptionalDouble;
 import java.util.Set;
 import org.tanagergap.decisions.fleet.UpstreamCandidate;
 import org.tanagergap.gateway.configuration.ServiceTarget;
@@ -26,7 +27,9 @@
         List<UpstreamCandidate> candidates = new ArrayList<>();
         for (Upstream upstream : mContext.view().usable(service.name())) {
             boolean usable = mContext.health().isUsable(upstream.id(), now);
-            if (usable && !excluded.contains(upstream.id())) {
+            if (usable
+                    && !excluded.contains(upstream.id())
+                    && mContext.rateLimits().maySend(upstream)) {
                 candidates.add(candidate(service, upstream, now));
             }
         }
@@ -41,6 +44,24 @@
                 service.engine(),
                 mContext.load().totalLoad(upstream.id(), now),
                 sameDomain ? SAME_DOMAIN_MILLIS : CROSS_DOMAIN_MILLIS,
-                mContext.health().slowness(upstream.id()));
+                mContext.health().slowness(upstream.id()),
+                mContext.rateLimits().isLimited(upstream));
+    }
+
+    /**
+     * Returns the rate at which this instance can expect to send requests to the service, if all
+     * its upstreams advertise rate limits; empty otherwise.
+     */
+    OptionalDouble limitedPerSecond(ServiceTarget service) {
+        double perSecond = 0;
+        List<Upstream> upstreams = mContext.view().usable(service.name());
+        for (Upstream upstream : upstreams) {
+            OptionalDouble expected = mContext.rateLimits().expectedPerSecond(upstream);
+            if (expected.isEmpty()) {
+                return expected;
+            }
+            perSecond += expected.getAsDouble();
+        }
+        return upstreams.isEmpty() ? OptionalDouble.empty() : OptionalDouble.of(perSecond);
     }
 }
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/Dispatcher.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/Dispatcher.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.Set;
 import org.tanagergap.api.failure.FailureCode;
 import org.tanagergap.api.failure.RequestFailure;
@@ -113,13 +114,16 @@
         if (mQueue.size() == 0) {
             mForecast.queueBecameNonEmpty(now);
         }
-        Duration wait = mForecast.predictedWait(mQueue.requestsAhead(waiting, now), now);
+        int ahead = mQueue.requestsAhead(waiting, now);
         Duration remaining = Duration.ofNanos(waiting.latestDispatchNanos() - now);
+        Optional<Duration> permitWait = permitWait(request, ahead + 1);
+        Duration wait = permitWait.orElseGet(() -> mForecast.predictedWait(ahead, now));
+        // Permits come at a known rate; other waits are estimates.
+        double maxWaitFraction = permitWait.isPresent() ? 1 : MAX_WAIT_FRACTION;
         if (!lifecycle.responseStarted()
-                && wait.toNanos() > MAX_WAIT_FRACTION * remaining.toNanos()) {
+                && wait.toNanos() > maxWaitFraction * remaining.toNanos()) {
             endForecastIfEmpty();
-            String reason = "the predicted wait of " + wait.toMillis() + " ms is too long";
-            refuse(lifecycle, reason, wait);
+            refuse(lifecycle, tooLong(wait), wait);
             return;
         }
         mWaitedCounter.inc();
@@ -132,7 +136,8 @@
         long now = mContext.clock().nanoTime();
         for (WaitingRequest<RequestLifecycle> expired : mQueue.expired(now)) {
             withdraw(expired.item());
-            refuse(expired.item(), "no upstream was free in the time left", MIN_RETRY_AFTER);
+            Duration wait = permitWait(expired.item().request(), 1).orElse(MIN_RETRY_AFTER);
+            refuse(expired.item(), "no upstream was free in the time left", wait);
         }
         int blocked = 0;
         for (WaitingRequest<RequestLifecycle> waiting : mQueue.inOrder(now)) {
@@ -144,12 +149,40 @@
                 withdraw(lifecycle);
                 mForecast.dispatched(now);
                 lifecycle.placed(placement.get());
-            } else if (++blocked >= MAX_BLOCKED_PER_ROUND) {
+            } else if (!refuseIfPermitsComeTooLate(waiting, blocked, now)
+                    && ++blocked >= MAX_BLOCKED_PER_ROUND) {
                 break;
             }
         }
     }
 
+    /** The issuer of permits tells the share of this instance only after a request has waited. */
+    private boolean refuseIfPermitsComeTooLate(
+            WaitingRequest<RequestLifecycle> waiting, int ahead, long now) {
+        RequestLifecycle lifecycle = waiting.item();
+        Optional<Duration> wait = permitWait(lifecycle.request(), ahead);
+        long remainingNanos = waiting.latestDispatchNanos() - now;
+        if (lifecycle.responseStarted()
+                || wait.filter(w -> w.toNanos() > remainingNanos).isEmpty()) {
+            return false;
+        }
+        withdraw(lifecycle);
+        refuse(lifecycle, tooLong(wait.get()), wait.get());
+        return true;
+    }
+
+    /** Returns the time until that many requests may be sent, if all upstreams limit their rate. */
+    private Optional<Duration> permitWait(GatewayRequest request, int requests) {
+        OptionalDouble perSecond = mCandidates.limitedPerSecond(request.service());
+        return perSecond.isPresent()
+                ? Optional.of(DispatchForecast.predictedWait(requests, perSecond.getAsDouble()))
+                : Optional.empty();
+    }
+
+    private static String tooLong(Duration wait) {
+        return "the predicted wait of " + wait.toMillis() + " ms is too long";
+    }
+
     private static void refuse(RequestLifecycle lifecycle, String reason, Duration wait) {
         Duration after = wait.compareTo(MIN_RETRY_AFTER) < 0 ? MIN_RETRY_AFTER : wait;
         lifecycle.refused(
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/ForwardingContext.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/ForwardingContext.java
@@ -24,6 +24,7 @@
  * @param maxUnusedReservation longest time for which engine memory may be reserved and unused
  * @param retryBudgets retries that are still allowed
  * @param quarantine requests that engines must not run, and the crashes behind it
+ * @param rateLimits rate limits that upstreams advertise
  * @param metrics counters and histograms
  * @param tracing creates a span for each request and each attempt
  * @param announceLoad sends a load report to the peers ahead of schedule
@@ -40,6 +41,7 @@
         Duration maxUnusedReservation,
         RetryBudgets retryBudgets,
         QuarantineGate quarantine,
+        RateLimitGate rateLimits,
         MetricRegistry metrics,
         Tracing tracing,
         Runnable announceLoad) {}
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/QuarantineGate.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/QuarantineGate.java
@@ -102,8 +102,7 @@
                 .with(LogKeys.UPSTREAM, upstream.id())
                 .with(LogKeys.REQUEST_ID, request)
                 .log("engine crashed before the first token; shared prompt parts %s", parts);
-        String incarnation = upstream.id() + "@" + upstream.startedAtMillis();
-        mQuarantine.engineCrashed(incarnation, request, parts, mClock.nanoTime());
+        mQuarantine.engineCrashed(upstream.incarnation(), request, parts, mClock.nanoTime());
     }
 
     /** Ends the requests in flight that would crash their engines. */
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/UpstreamAttempt.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/UpstreamAttempt.java
@@ -42,6 +42,7 @@
     private final EventSequenceChecker mSequence;
     private final UpstreamIdleTimeout mIdleTimeout;
     private final AttemptObservations mObservations;
+    private Optional<Upstream> mUpstream = Optional.empty();
     private Optional<HelperMemoryReservation> mReservation = Optional.empty();
     private Optional<UpstreamCall> mCall = Optional.empty();
     private Optional<LivenessCheck> mLiveness = Optional.empty();
@@ -71,6 +72,8 @@
 
     void start() {
         mStartNanos = now();
+        mUpstream = mContext.view().upstream(mPlacement.upstream());
+        mUpstream.ifPresent(mContext.rateLimits()::sent);
         mSpan = mContext.tracing().startChild("attempt", SpanKind.CLIENT, mLifecycle.span());
         mLifecycle.logRecord().attemptStarted(newRecord());
         mLoad.begin(mPlacement, mLifecycle.times().placementRequest(), mRequest.service().engine());
@@ -117,6 +120,11 @@
         mCall.ifPresent(UpstreamCall::resume);
     }
 
+    @Override
+    public void headReceived(UpstreamResponseHead head) {
+        mUpstream.ifPresent(u -> mContext.rateLimits().responseReceived(u, head.rateLimit()));
+    }
+
     @Override
     public void event(UpstreamResponseHead head, MultiMap headers, StreamEvent event) {
         if (mEnded) {
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/UpstreamCall.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/UpstreamCall.java
@@ -120,6 +120,7 @@
         mResponse = response;
         UpstreamResponseHead head =
                 mWire.parseResponseHead(response.statusCode(), response.headers(), mRequestId);
+        mListener.headReceived(head);
         switch (head.verdict()) {
             case NOT_RUN -> refused(CallFailure.Kind.REFUSED, head);
             case OTHER_UPSTREAM -> refused(CallFailure.Kind.OTHER_UPSTREAM, head);
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/UpstreamCallListener.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/UpstreamCallListener.java
@@ -10,6 +10,9 @@
  */
 interface UpstreamCallListener {
 
+    /** Called when the head of a response has arrived, before its result. */
+    void headReceived(UpstreamResponseHead head);
+
     /** Called when an event of a stream has arrived. */
     void event(UpstreamResponseHead head, MultiMap headers, StreamEvent event);
 
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/membership/Upstream.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/membership/Upstream.java
@@ -6,7 +6,7 @@
 /**
  * Upstream as registered with the platform.
  *
- * @param id identifier of this incarnation of the upstream
+ * @param id identifier under which the upstream is registered; it may be reused after a restart
  * @param service service that it belongs to
  * @param address address for requests
  * @param failureDomain failure domain in which it runs
@@ -30,4 +30,9 @@
         Objects.requireNonNull(address, "address must not be null");
         Objects.requireNonNull(failureDomain, "failureDomain must not be null");
     }
+
+    /** Identifier that differs for each start of the upstream, also if it keeps {@link #id()}. */
+    public String incarnation() {
+        return id + "@" + startedAtMillis;
+    }
 }
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/peer/PeerDirectory.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/peer/PeerDirectory.java
@@ -9,6 +9,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import org.tanagergap.api.time.RuntimeClock;
 import org.tanagergap.platform.keyvalue.KeyValue;
@@ -102,6 +103,21 @@
         return newer.stream().map(ReportingPeer::address).toList();
     }
 
+    /** Time since the last report of each peer that has reported recently. */
+    public Map<String, Duration> silence() {
+        removeIdle();
+        long now = mClock.nanoTime();
+        Map<String, Duration> silence = new HashMap<>();
+        mReportingPeers.forEach(
+                (id, peer) -> silence.put(id, Duration.ofNanos(now - peer.nanos())));
+        return silence;
+    }
+
+    /** Address of a peer that has reported recently. */
+    public Optional<HostPort> address(String id) {
+        return Optional.ofNullable(mReportingPeers.get(id)).map(ReportingPeer::address);
+    }
+
     private void removeIdle() {
         long now = mClock.nanoTime();
         mReportingPeers.values().removeIf(h -> now - h.nanos() > REPORT_LIFETIME.toNanos());
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/peer/PeerExchange.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/peer/PeerExchange.java
@@ -1,11 +1,6 @@
 package org.tanagergap.gateway.peer;
 
-import com.google.common.flogger.FluentLogger;
-import io.vertx.core.Future;
 import io.vertx.core.Vertx;
-import io.vertx.core.buffer.Buffer;
-import io.vertx.core.datagram.DatagramPacket;
-import io.vertx.core.datagram.DatagramSocket;
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
@@ -17,14 +12,14 @@
 import org.tanagergap.decisions.fleet.FleetLoad;
 import org.tanagergap.decisions.fleet.UpstreamHealth;
 import org.tanagergap.gateway.forward.QuarantineGate;
+import org.tanagergap.gateway.forward.RateLimitGate;
 import org.tanagergap.gateway.membership.ReplicaProgress;
-import org.tanagergap.runtime.async.Futures;
 import org.tanagergap.runtime.settings.HostPort;
 import org.tanagergap.runtime.time.PeriodicTask;
 
 /**
- * Exchanges load reports with peers. They are sent as datagrams, because the next report replaces a
- * lost one. Confined to the event loop.
+ * Exchanges reports and permits with peers. They are sent as datagrams, because the next one
+ * replaces a lost one. Confined to the event loop.
  */
 public final class PeerExchange implements Service {
 
@@ -36,20 +31,18 @@
     /** An instance without load sends a report only once in this number of intervals. */
     private static final int IDLE_REPORT_INTERVALS = 4;
 
-    private static final FluentLogger sLogger = FluentLogger.forEnclosingClass();
-
-    private final Vertx mVertx;
     private final RuntimeClock mClock;
     private final String mId;
-    private final HostPort mAddress;
     private final PeerDirectory mDirectory;
     private final FleetLoad mLoad;
     private final UpstreamHealth mHealth;
     private final QuarantineGate mQuarantine;
+    private final RateLimitGate mRateLimits;
     private final Supplier<ReplicaProgress> mProgress;
     private final Consumer<ReplicaProgress> mPeerProgress;
     private final PeriodicTask mReports;
-    private DatagramSocket mSocket;
+    private final PeerSocket mSocket;
+    private final PermitExchange mPermits;
     private long mReportedNanos;
     private boolean mReportScheduled;
     private int mIntervalsSinceReport;
@@ -69,33 +62,35 @@
             FleetLoad load,
             UpstreamHealth health,
             QuarantineGate quarantine,
+            RateLimitGate rateLimits,
             Supplier<ReplicaProgress> progress,
             Consumer<ReplicaProgress> peerProgress) {
-        mVertx = vertx;
         mClock = clock;
         mId = id;
-        mAddress = address;
         mDirectory = directory;
         mLoad = load;
         mHealth = health;
         mQuarantine = quarantine;
+        mRateLimits = rateLimits;
         mProgress = progress;
         mPeerProgress = peerProgress;
+        mSocket = new PeerSocket(vertx, id, address, this::received);
+        mPermits = new PermitExchange(clock, id, directory, rateLimits, mSocket);
         mReports = new PeriodicTask(clock, REPORT_INTERVAL, this::reportPeriodically);
     }
 
     @Override
     public CompletableFuture<Void> start() {
-        mSocket = mVertx.createDatagramSocket();
-        mSocket.handler(this::datagramReceived);
-        Future<Void> bound = mSocket.listen(mAddress.port(), mAddress.host()).mapEmpty();
-        return Futures.toCompletable(bound).thenCompose(ignored -> mReports.start());
+        return mSocket.start()
+                .thenCompose(ignored -> mPermits.start())
+                .thenCompose(ignored -> mReports.start());
     }
 
     @Override
     public CompletableFuture<Void> stop() {
-        Future<Void> closed = mSocket == null ? Future.succeededFuture() : mSocket.close();
-        return mReports.stop().thenCompose(ignored -> Futures.toCompletable(closed));
+        return mReports.stop()
+                .thenCompose(ignored -> mPermits.stop())
+                .thenCompose(ignored -> mSocket.stop());
     }
 
     /** Sends a report ahead of schedule, so that peers avoid an upstream with much new load. */
@@ -108,6 +103,11 @@
         }
     }
 
+    /** Requests or issues permits ahead of schedule. */
+    public void exchangePermitsSoon() {
+        mPermits.exchangeSoon();
+    }
+
     private void reportPeriodically() {
         mIntervalsSinceReport++;
         if (mIntervalsSinceReport >= IDLE_REPORT_INTERVALS
@@ -129,40 +129,27 @@
                         mProgress.get(),
                         mLoad.localLoads(now),
                         suspended,
-                        mQuarantine.nextUpdate());
-        Buffer datagram = report.encode();
-        for (HostPort peer : mDirectory.addresses()) {
-            if (!peer.equals(mAddress)) {
-                mSocket.send(datagram, peer.port(), peer.host())
-                        .onFailure(
-                                failure ->
-                                        sLogger.atFine().log(
-                                                "report to %s was not sent: %s", peer, failure));
-            }
-        }
+                        mQuarantine.nextUpdate(),
+                        mRateLimits.observations());
+        mSocket.send(report, mDirectory.addresses());
     }
 
-    private void datagramReceived(DatagramPacket packet) {
-        var report = PeerReport.decode(packet.data());
-        if (report.isEmpty()) {
-            sLogger.atWarning().log(
-                    "datagram from %s is not a peer report and is ignored", packet.sender());
-            return;
+    private void received(PeerDatagram datagram, HostPort sender) {
+        if (datagram instanceof PeerReport report) {
+            accept(report, sender);
+        } else if (datagram instanceof PermitMessage message) {
+            mPermits.received(message);
         }
-        accept(report.get(), packet);
     }
 
-    private void accept(PeerReport report, DatagramPacket packet) {
-        if (report.id().equals(mId)) {
-            return;
-        }
+    private void accept(PeerReport report, HostPort sender) {
         long now = mClock.nanoTime();
-        HostPort address = new HostPort(packet.sender().host(), packet.sender().port());
-        mDirectory.reportReceived(report.id(), address, report.progress().revision());
+        mDirectory.reportReceived(report.id(), sender, report.progress().revision());
         mPeerProgress.accept(report.progress());
         mLoad.peerReported(report.id(), report.loads(), now);
         report.suspendedMillis()
                 .forEach((id, remaining) -> mHealth.suspend(id, Duration.ofMillis(remaining), now));
         mQuarantine.accept(report.quarantine());
+        mRateLimits.accept(report.rateLimits());
     }
 }
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/peer/PeerReport.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/peer/PeerReport.java
@@ -1,14 +1,14 @@
 package org.tanagergap.gateway.peer;
 
 import io.vertx.core.buffer.Buffer;
-import io.vertx.core.json.DecodeException;
 import io.vertx.core.json.JsonArray;
 import io.vertx.core.json.JsonObject;
 import java.util.HashMap;
 import java.util.Map;
-import java.util.Optional;
+import java.util.Objects;
 import org.tanagergap.decisions.fleet.UpstreamLoad;
 import org.tanagergap.decisions.quarantine.QuarantineUpdate;
+import org.tanagergap.decisions.ratelimit.RateLimitObservation;
 import org.tanagergap.gateway.membership.ReplicaProgress;
 
 /**
@@ -19,19 +19,25 @@
  * @param loads load that its requests cause, by upstream
  * @param suspendedMillis remaining suspension of upstreams that it does not use, in ms
  * @param quarantine its crashes and quarantined prompt parts
+ * @param rateLimits rate limits that upstreams advertise, by incarnation
  */
 public record PeerReport(
         String id,
         ReplicaProgress progress,
         Map<String, UpstreamLoad> loads,
         Map<String, Long> suspendedMillis,
-        QuarantineUpdate quarantine) {
+        QuarantineUpdate quarantine,
+        Map<String, RateLimitObservation> rateLimits)
+        implements PeerDatagram {
 
     public PeerReport {
+        Objects.requireNonNull(id, "id must not be null");
         loads = Map.copyOf(loads);
         suspendedMillis = Map.copyOf(suspendedMillis);
+        rateLimits = Map.copyOf(rateLimits);
     }
 
+    @Override
     public Buffer encode() {
         JsonObject upstreams = new JsonObject();
         loads.forEach(
@@ -48,6 +54,7 @@
         suspendedMillis.forEach(suspended::put);
         JsonObject report = new JsonObject();
         QuarantineUpdateCodec.encode(quarantine, report);
+        RateLimitCodec.encode(rateLimits, report);
         return report.put("id", id)
                 .put("revision", progress.revision())
                 .put("last_change", progress.lastChange())
@@ -56,32 +63,23 @@
                 .toBuffer();
     }
 
-    /** Decodes a report; empty if the datagram is not a valid report. */
-    public static Optional<PeerReport> decode(Buffer datagram) {
-        try {
-            JsonObject json = new JsonObject(datagram);
-            Map<String, UpstreamLoad> loads = new HashMap<>();
-            for (Map.Entry<String, Object> entry : json.getJsonObject("loads")) {
-                loads.put(entry.getKey(), load((JsonArray) entry.getValue()));
-            }
-            Map<String, Long> suspended = new HashMap<>();
-            for (Map.Entry<String, Object> entry : json.getJsonObject("suspended")) {
-                suspended.put(entry.getKey(), ((Number) entry.getValue()).longValue());
-            }
-            return Optional.of(
-                    new PeerReport(
-                            json.getString("id"),
-                            new ReplicaProgress(
-                                    json.getLong("revision"), json.getLong("last_change")),
-                            loads,
-                            suspended,
-                            QuarantineUpdateCodec.decode(json)));
-        } catch (DecodeException
-                | ClassCastException
-                | NullPointerException
-                | IndexOutOfBoundsException e) {
-            return Optional.empty();
+    /** Throws {@link ClassCastException} or another runtime exception for malformed fields. */
+    static PeerReport decode(JsonObject json) {
+        Map<String, UpstreamLoad> loads = new HashMap<>();
+        for (Map.Entry<String, Object> entry : json.getJsonObject("loads")) {
+            loads.put(entry.getKey(), load((JsonArray) entry.getValue()));
         }
+        Map<String, Long> suspended = new HashMap<>();
+        for (Map.Entry<String, Object> entry : json.getJsonObject("suspended")) {
+            suspended.put(entry.getKey(), ((Number) entry.getValue()).longValue());
+        }
+        return new PeerReport(
+                json.getString("id"),
+                new ReplicaProgress(json.getLong("revision"), json.getLong("last_change")),
+                loads,
+                suspended,
+                QuarantineUpdateCodec.decode(json),
+                RateLimitCodec.decode(json));
     }
 
     private static UpstreamLoad load(JsonArray values) {
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/wire/UpstreamResponseHead.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/wire/UpstreamResponseHead.java
@@ -2,6 +2,7 @@
 
 import java.util.Objects;
 import java.util.Optional;
+import org.tanagergap.decisions.ratelimit.RateLimitNotice;
 
 /**
  * Interpretation of the head of an upstream's response.
@@ -9,8 +10,10 @@
  * @param status HTTP status
  * @param verdict meaning of the response for the request
  * @param faultyUpstream address of the upstream at fault, if the response names one
+ * @param rateLimit what the response says about the rate limit of the upstream
  */
-public record UpstreamResponseHead(int status, Verdict verdict, Optional<String> faultyUpstream) {
+public record UpstreamResponseHead(
+        int status, Verdict verdict, Optional<String> faultyUpstream, RateLimitNotice rateLimit) {
 
     /** Meaning of a response for the request. */
     public enum Verdict {
@@ -27,5 +30,6 @@
     public UpstreamResponseHead {
         Objects.requireNonNull(verdict, "verdict must not be null");
         Objects.requireNonNull(faultyUpstream, "faultyUpstream must not be null");
+        Objects.requireNonNull(rateLimit, "rateLimit must not be null");
     }
 }
