--- /dev/null
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/GatewayFleetListener.java
@@ -0,0 +1,43 @@
+package org.tanagergap.gateway;
+
+import org.tanagergap.decisions.fleet.UpstreamHealth;
+import org.tanagergap.gateway.caller.GatewayCallerServer;
+import org.tanagergap.gateway.configuration.GatewayConfiguration;
+import org.tanagergap.gateway.forward.Forwarder;
+import org.tanagergap.gateway.forward.RateLimitGate;
+import org.tanagergap.gateway.membership.FleetView;
+import org.tanagergap.gateway.membership.Upstream;
+
+/**
+ * Forwards changes of the fleet view to the components that depend on them.
+ *
+ * @param forwarder forwarder of requests
+ * @param health health of upstreams
+ * @param rateLimits rate limits of upstreams
+ * @param callers server for callers
+ */
+record GatewayFleetListener(
+        Forwarder forwarder,
+        UpstreamHealth health,
+        RateLimitGate rateLimits,
+        GatewayCallerServer callers)
+        implements FleetView.Listener {
+
+    @Override
+    public void upstreamAvailable(Upstream upstream) {
+        health.remove(upstream.id());
+        forwarder.fleetChanged();
+    }
+
+    @Override
+    public void upstreamUnavailable(Upstream upstream) {
+        // Requests in flight there continue; only new ones go to other upstreams.
+        rateLimits.remove(upstream);
+    }
+
+    @Override
+    public void configurationChanged(GatewayConfiguration configuration) {
+        callers.configurationChanged();
+        forwarder.fleetChanged();
+    }
+}
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/GatewayService.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/GatewayService.java
@@ -19,7 +19,6 @@
 import org.tanagergap.gateway.caller.GatewayCallerServer;
 import org.tanagergap.gateway.caller.ReadinessServer;
 import org.tanagergap.gateway.caller.RequestResolver;
-import org.tanagergap.gateway.configuration.GatewayConfiguration;
 import org.tanagergap.gateway.forward.EngineAdminClient;
 import org.tanagergap.gateway.forward.Forwarder;
 import org.tanagergap.gateway.forward.ForwardingContext;
@@ -29,7 +28,6 @@
 import org.tanagergap.gateway.forward.RetryBudgets;
 import org.tanagergap.gateway.membership.FleetView;
 import org.tanagergap.gateway.membership.StoreSync;
-import org.tanagergap.gateway.membership.Upstream;
 import org.tanagergap.gateway.peer.PeerDirectory;
 import org.tanagergap.gateway.peer.PeerExchange;
 import org.tanagergap.gateway.peer.PeerRegistration;
@@ -57,6 +55,7 @@
     private final GatewaySettings mSettings;
     private final Context mEventLoop;
     private final FleetView mView;
+    private final PeerRegistration mRegistration;
     private final StoreSync mSync;
     private final GatewayCallerServer mCallers;
     private final AdminServer mAdmin;
@@ -77,6 +76,7 @@
         UpstreamHealth health = new UpstreamHealth();
         PeerDirectory directory = new PeerDirectory(mClock, mSettings.id(), mSettings.seeds());
         HttpClient client = client(vertx);
+        mRegistration = registration(platform);
         mSync = storeSync(platform, directory, new PeerReplicaClient(client, directory));
         EngineAdminClient engineAdmin = new EngineAdminClient(client, platform.wire());
         QuarantineGate quarantine = new QuarantineGate(mClock, context.metrics(), engineAdmin);
@@ -124,8 +124,8 @@
                         platform.wire(),
                         new RequestResolver(random),
                         forwarder);
-        rateLimits.listener(new PermitListener(exchange, forwarder));
-        mView.addListener(new ViewListener(forwarder, health, rateLimits, mCallers));
+        rateLimits.listener(new GatewayPermitListener(exchange, forwarder));
+        mView.addListener(new GatewayFleetListener(forwarder, health, rateLimits, mCallers));
         GatewayStatus status =
                 new GatewayStatus(
                         mSettings,
@@ -139,7 +139,15 @@
                         rateLimits,
                         mClock);
         mAdmin = adminServer(context, status);
-        mServices = services(vertx, platform, exchange);
+        mServices = services(vertx, exchange);
+    }
+
+    private PeerRegistration registration(GatewayPlatform platform) {
+        return new PeerRegistration(
+                mClock,
+                platform.store(),
+                mSettings.id(),
+                PeerDirectory.registrationValue(mSettings.peerListen()));
     }
 
     private StoreSync storeSync(
@@ -152,21 +160,17 @@
                 mView,
                 peers,
                 directory::instanceCount,
-                directory::accept);
+                new GatewayStoreListener(directory, mRegistration));
     }
 
     /** Services in the order of their start. */
-    private List<Service> services(Vertx vertx, GatewayPlatform platform, PeerExchange exchange) {
+    private List<Service> services(Vertx vertx, PeerExchange exchange) {
         return List.of(
                 new ReadinessServer(vertx, mSettings.readyListen(), this::ready),
                 new PeerReplicaServer(vertx, mSettings.peerListen(), mSync::replica),
                 exchange,
                 mSync,
-                new PeerRegistration(
-                        mClock,
-                        platform.store(),
-                        mSettings.id(),
-                        PeerDirectory.registrationValue(mSettings.peerListen())),
+                mRegistration,
                 mSettingsWatch);
     }
 
@@ -289,46 +293,4 @@
                                         }));
         return result;
     }
-
-    /** Forwards demand for permits to the exchange with peers, and permits to the requests. */
-    private record PermitListener(PeerExchange exchange, Forwarder forwarder)
-            implements RateLimitGate.Listener {
-
-        @Override
-        public void exchangeNeeded() {
-            exchange.exchangePermitsSoon();
-        }
-
-        @Override
-        public void capacityChanged() {
-            forwarder.fleetChanged();
-        }
-    }
-
-    /** Forwards changes of the fleet view to the components that depend on them. */
-    private record ViewListener(
-            Forwarder forwarder,
-            UpstreamHealth health,
-            RateLimitGate rateLimits,
-            GatewayCallerServer callers)
-            implements FleetView.Listener {
-
-        @Override
-        public void upstreamAvailable(Upstream upstream) {
-            health.remove(upstream.id());
-            forwarder.fleetChanged();
-        }
-
-        @Override
-        public void upstreamUnavailable(Upstream upstream) {
-            // Requests in flight there continue; only new ones go to other upstreams.
-            rateLimits.remove(upstream);
-        }
-
-        @Override
-        public void configurationChanged(GatewayConfiguration configuration) {
-            callers.configurationChanged();
-            forwarder.fleetChanged();
-        }
-    }
 }
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/GatewayStatus.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/GatewayStatus.java
@@ -48,7 +48,8 @@
                         .put("program", "tanagergap-gateway")
                         .put("failure_domain", settings.failureDomain())
                         .put("requests_in_flight", callers.requestsInFlight())
-                        .put("store_revision", sync.replica().revision())
+                        .put("store_revision", sync.replica().position().revision())
+                        .put("store_epoch", sync.replica().position().epoch())
                         .put("store_age_ms", sync.age().toMillis())
                         .put("instances", directory.instanceCount());
         view.configuration()
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/membership/FleetView.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/membership/FleetView.java
@@ -10,6 +10,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import org.tanagergap.api.time.RuntimeClock;
+import org.tanagergap.decisions.replication.DepartedUpstreams;
 import org.tanagergap.gateway.configuration.GatewayConfiguration;
 import org.tanagergap.runtime.log.LogKeys;
 
@@ -27,6 +28,7 @@
     private final RuntimeClock mClock;
     private final Map<String, Upstream> mUpstreams = new HashMap<>();
     private final Map<String, Long> mExpiredAtNanos = new HashMap<>();
+    private final DepartedUpstreams mDeparted = new DepartedUpstreams();
     private final List<Listener> mListeners = new ArrayList<>();
     private boolean mInitialLoadCompleted;
     private long mChanges;
@@ -108,14 +110,13 @@
     /**
      * Applies a change.
      *
-     * @param mayBeExpiry whether a removal may be a lease that expired during an outage of the
-     *     store
+     * @param origin where the change comes from, on which its meaning depends
      */
-    public void accept(FleetChange change, boolean mayBeExpiry) {
+    public void accept(FleetChange change, ChangeOrigin origin) {
         if (change instanceof FleetChange.ConfigurationAccepted accepted) {
             applyConfiguration(accepted.configuration());
         } else if (change instanceof FleetChange.UpstreamEntry entry) {
-            accept(entry, mayBeExpiry);
+            accept(entry, origin);
         } else if (change instanceof FleetChange.InvalidItem invalid) {
             sLogger.atWarning().log(
                     "store item %s is invalid and is ignored: %s", invalid.key(), invalid.reason());
@@ -159,7 +160,7 @@
         mListeners.forEach(listener -> listener.configurationChanged(configuration));
     }
 
-    private void accept(FleetChange.UpstreamEntry entry, boolean mayBeExpiry) {
+    private void accept(FleetChange.UpstreamEntry entry, ChangeOrigin origin) {
         entry.invalidReason()
                 .ifPresent(
                         reason ->
@@ -167,8 +168,8 @@
                                         .with(LogKeys.UPSTREAM, entry.id())
                                         .log("upstream entry is invalid: %s", reason));
         if (entry.upstream().isPresent()) {
-            put(entry.upstream().get());
-        } else if (mayBeExpiry
+            putUnlessDeparted(entry.upstream().get(), origin);
+        } else if (origin != ChangeOrigin.WRITE
                 && entry.invalidReason().isEmpty()
                 && mUpstreams.containsKey(entry.id())) {
             mExpiredAtNanos.putIfAbsent(entry.id(), graceStartNanos());
@@ -184,6 +185,19 @@
         return now - recovered < EXPIRY_GRACE.toNanos() ? recovered : now;
     }
 
+    private void putUnlessDeparted(Upstream upstream, ChangeOrigin origin) {
+        String incarnation = upstream.incarnation();
+        if (upstream.draining()) {
+            mDeparted.draining(incarnation, mClock.nanoTime());
+        } else if (mDeparted.mayReturn(incarnation, origin == ChangeOrigin.RESTORE)) {
+            mDeparted.returned(incarnation);
+        } else {
+            log(upstream, "has left; an earlier entry of it is ignored");
+            return;
+        }
+        put(upstream);
+    }
+
     private void put(Upstream upstream) {
         mExpiredAtNanos.remove(upstream.id());
         Upstream previous = mUpstreams.put(upstream.id(), upstream);
@@ -209,6 +223,7 @@
         Upstream previous = mUpstreams.remove(id);
         if (previous != null) {
             mChanges++;
+            mDeparted.removed(previous.incarnation(), mClock.nanoTime());
             log(previous, "is gone: " + reason);
             mListeners.forEach(listener -> listener.upstreamUnavailable(previous));
         }
--- /dev/null
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/membership/PeerChanges.java
@@ -0,0 +1,19 @@
+package org.tanagergap.gateway.membership;
+
+import java.util.List;
+import org.tanagergap.api.store.StorePosition;
+import org.tanagergap.platform.keyvalue.KeyValue;
+
+/**
+ * Items of one replica for another.
+ *
+ * @param items changed items, or all items; the value of a deleted key is empty
+ * @param position position of the store that the sender's replica reflects
+ * @param allItems whether other keys do not exist, as opposed to not having changed
+ */
+public record PeerChanges(List<KeyValue> items, StorePosition position, boolean allItems) {
+
+    public PeerChanges {
+        items = List.copyOf(items);
+    }
+}
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/membership/ReplicaProgress.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/membership/ReplicaProgress.java
@@ -1,10 +1,12 @@
 package org.tanagergap.gateway.membership;
 
+import org.tanagergap.api.store.StorePosition;
+
 /**
  * Progress of a replica of the store, which instances report to each other.
  *
- * @param revision revision of the store that the replica reflects
- * @param lastChange revision of the last change that affected the fleet; heartbeats of upstreams do
+ * @param position position of the store that the replica reflects
+ * @param lastChange position of the last change that affected the fleet; heartbeats of upstreams do
  *     not count
  */
-public record ReplicaProgress(long revision, long lastChange) {}
+public record ReplicaProgress(StorePosition position, StorePosition lastChange) {}
--- /dev/null
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/membership/StoreAvailability.java
@@ -0,0 +1,90 @@
+package org.tanagergap.gateway.membership;
+
+import java.time.Duration;
+import java.util.Optional;
+import org.tanagergap.api.time.RuntimeClock;
+
+/**
+ * Availability of the store to this instance and its peers, on which the meaning of a removed entry
+ * depends. Confined to the event loop.
+ */
+final class StoreAvailability {
+
+    /** Removals this soon after an outage may be leases that expired during the outage. */
+    private static final Duration EXPIRY_WINDOW = Duration.ofMillis(2200);
+
+    /**
+     * Peers that are ahead for longer are served by a store that is unavailable to this instance.
+     */
+    private static final Duration PEERS_AHEAD_THRESHOLD = Duration.ofMillis(1200);
+
+    private final RuntimeClock mClock;
+    private Optional<Long> mFailingSinceNanos = Optional.empty();
+    private Optional<Long> mRecoveredNanos = Optional.empty();
+    private Optional<Long> mPeersAheadSinceNanos = Optional.empty();
+
+    StoreAvailability(RuntimeClock clock) {
+        mClock = clock;
+    }
+
+    boolean isFailing() {
+        return mFailingSinceNanos.isPresent();
+    }
+
+    /**
+     * Records a failed call.
+     *
+     * @return true if the store was available before
+     */
+    boolean failed() {
+        if (isFailing()) {
+            return false;
+        }
+        mFailingSinceNanos = Optional.of(mClock.nanoTime());
+        mPeersAheadSinceNanos = Optional.empty();
+        return true;
+    }
+
+    /** Records a response; returns the duration of the outage that it ends. */
+    Optional<Duration> responded() {
+        Optional<Duration> outage =
+                mFailingSinceNanos.map(since -> Duration.ofNanos(elapsedNanos(since)));
+        if (outage.isPresent()) {
+            mFailingSinceNanos = Optional.empty();
+            mRecoveredNanos = Optional.of(mClock.nanoTime());
+        }
+        return outage;
+    }
+
+    /** Records that the store was restored from a backup, in which entries may be missing. */
+    void restored() {
+        mRecoveredNanos = Optional.of(mClock.nanoTime());
+        mPeersAheadSinceNanos = Optional.empty();
+    }
+
+    /** Records that a peer has newer changes although the store is unavailable to this instance. */
+    void peerWasAhead() {
+        mPeersAheadSinceNanos = mPeersAheadSinceNanos.or(() -> Optional.of(mClock.nanoTime()));
+    }
+
+    /** Returns true if a removal may be a lease that expired while the store was unavailable. */
+    boolean removalMayBeExpiry() {
+        boolean recentlyRecovered =
+                mRecoveredNanos.filter(t -> elapsedNanos(t) < EXPIRY_WINDOW.toNanos()).isPresent();
+        return (isFailing() || recentlyRecovered) && !storeServedPeers();
+    }
+
+    /**
+     * Returns true if peers received changes from the store while this instance did not. After an
+     * outage for all instances a peer may be ahead for a moment, which does not count.
+     */
+    boolean storeServedPeers() {
+        return mPeersAheadSinceNanos
+                .filter(t -> elapsedNanos(t) > PEERS_AHEAD_THRESHOLD.toNanos())
+                .isPresent();
+    }
+
+    private long elapsedNanos(long nanos) {
+        return mClock.nanoTime() - nanos;
+    }
+}
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/membership/StoreReplica.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/membership/StoreReplica.java
@@ -7,19 +7,21 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
+import org.tanagergap.api.store.StorePosition;
 import org.tanagergap.platform.keyvalue.Changes;
 import org.tanagergap.platform.keyvalue.KeyValue;
 
 /**
  * Local replica of the store's keys with given prefixes. It accepts changes from the store and from
- * peers in any order and keeps the newest value of each key. Confined to the event loop.
+ * peers in any order and keeps the newest value of each key. All its items belong to one epoch of
+ * the store, as revisions of different epochs cannot be compared. Confined to the event loop.
  */
 public final class StoreReplica {
 
     private final List<String> mPrefixes;
     private final Consumer<KeyValue> mListener;
     private final Map<String, KeyValue> mItems = new HashMap<>();
-    private long mRevision;
+    private StorePosition mPosition = StorePosition.NONE;
 
     /**
      * Creates an empty replica.
@@ -32,46 +34,69 @@
         mListener = listener;
     }
 
-    /** Revision of the store that the replica reflects; 0 before the first read. */
-    public long revision() {
-        return mRevision;
+    /** Position of the store that the replica reflects. */
+    public StorePosition position() {
+        return mPosition;
     }
 
-    /** Applies changes from the store or a peer. */
+    /** Applies changes from the store or a peer in the same epoch. */
     public void apply(Changes changes) {
+        if (!changes.position().isInSameEpoch(mPosition)) {
+            throw new IllegalArgumentException(
+                    "changes at " + changes.position() + " cannot follow " + mPosition);
+        }
         for (KeyValue item : changes.items()) {
             if (mPrefixes.stream().anyMatch(item.key()::startsWith)) {
                 accept(item);
             }
         }
-        mRevision = Math.max(mRevision, changes.revision());
+        mPosition = mPosition.max(changes.position());
     }
 
     /**
-     * Replaces the contents by a full read of the store: missing keys count as deleted, unless they
-     * changed after its revision.
+     * Replaces the contents by a full read of the store in the same or a later epoch: missing keys
+     * count as deleted, unless they changed after the read in the same epoch.
      */
-    public void replace(List<KeyValue> items, long revision) {
+    public void replace(List<KeyValue> items, StorePosition position) {
+        Map<String, KeyValue> previous = Map.copyOf(mItems);
+        if (position.isInLaterEpoch(mPosition)) {
+            mItems.clear();
+            mPosition = new StorePosition(position.epoch(), 0);
+        }
         Set<String> present = new HashSet<>();
         items.forEach(item -> present.add(item.key()));
-        for (KeyValue current : List.copyOf(mItems.values())) {
-            boolean missing = !present.contains(current.key()) && !current.value().isEmpty();
-            if (missing && current.modRevision() <= revision) {
-                accept(new KeyValue(current.key(), "", revision, 0));
+        for (KeyValue known : previous.values()) {
+            if (!present.contains(known.key()) && !known.value().isEmpty()) {
+                acceptMissing(known.key(), position.revision());
             }
         }
-        apply(new Changes(items, revision, true));
+        apply(new Changes(items, position, true));
+    }
+
+    private void acceptMissing(String key, long revision) {
+        KeyValue current = mItems.get(key);
+        if (current == null || current.modRevision() <= revision) {
+            accept(new KeyValue(key, "", revision, 0));
+        }
     }
 
-    /** Items that have changed after the revision; deleted keys have an empty value. */
-    public List<KeyValue> itemsAfter(long revision) {
+    /**
+     * Changes after the position for another replica, or all items if the position is in an earlier
+     * epoch.
+     */
+    public PeerChanges changesAfter(StorePosition position) {
+        boolean allItems = mPosition.isInLaterEpoch(position);
         List<KeyValue> items = new ArrayList<>();
         for (KeyValue item : mItems.values()) {
-            if (item.modRevision() > revision) {
+            if (allItems || position(item).isAfter(position)) {
                 items.add(item);
             }
         }
-        return items;
+        return new PeerChanges(items, mPosition, allItems);
+    }
+
+    private StorePosition position(KeyValue item) {
+        return new StorePosition(mPosition.epoch(), item.modRevision());
     }
 
     private void accept(KeyValue item) {
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/membership/StoreSync.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/membership/StoreSync.java
@@ -5,13 +5,13 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Objects;
-import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
-import java.util.function.Consumer;
 import java.util.function.IntSupplier;
 import org.tanagergap.api.lifecycle.Service;
+import org.tanagergap.api.store.StorePosition;
 import org.tanagergap.api.time.RuntimeClock;
 import org.tanagergap.api.time.Timer;
+import org.tanagergap.decisions.replication.ReplicaUpdate;
 import org.tanagergap.platform.keyvalue.ChangeFeed;
 import org.tanagergap.platform.keyvalue.Changes;
 import org.tanagergap.platform.keyvalue.HistoryLostException;
@@ -42,37 +42,41 @@
 
     private static final Duration RETRY_INTERVAL = Duration.ofMillis(250);
 
-    /** Removals this soon after an outage may be leases that expired during the outage. */
-    private static final Duration EXPIRY_WINDOW = Duration.ofMillis(2200);
-
-    /**
-     * Peers that are ahead for longer are served by a store that is unavailable to this instance.
-     */
-    private static final Duration PEERS_AHEAD_THRESHOLD = Duration.ofMillis(1200);
-
     private static final FluentLogger sLogger = FluentLogger.forEnclosingClass();
 
     private final RuntimeClock mClock;
     private final ChangeFeed mFeed;
+    private final StoreReader mReader;
     private final StoreReplica mReplica;
+    private final StoreAvailability mAvailability;
     private final FleetView mView;
+    private final FleetDecoder mDecoder;
     private final PeerReplicas mPeerReplicas;
     private final IntSupplier mInstances;
-    private final List<String> mPrefixes;
+    private final Listener mListener;
     private final CompletableFuture<Void> mLoaded = new CompletableFuture<>();
     private boolean mStopped;
     private boolean mNeedsFullRead = true;
     private boolean mFetchingFromPeer;
-    private long mLastChange;
-    private Optional<Long> mFailingSinceNanos = Optional.empty();
-    private Optional<Long> mRecoveredNanos = Optional.empty();
-    private Optional<Long> mPeersAheadSinceNanos = Optional.empty();
+    private boolean mReplacingAfterRestore;
+    private StorePosition mLastChange = StorePosition.NONE;
     private long mLastUpdateNanos;
     private Timer mTimer = () -> {};
 
+    /** Receives what concerns other components than the fleet view. */
+    public interface Listener {
+
+        /** Called for each changed item, also if it does not concern the fleet. */
+        void itemChanged(KeyValue item);
+
+        /** Called when the store was restored from a backup and has lost writes and leases. */
+        void storeRestored();
+    }
+
     /**
      * Creates a synchronization that is not started.
      *
+     * @param ownPrefixes prefixes of keys that the decoder does not read
      * @param instances number of instances that report their progress to each other
      */
     public StoreSync(
@@ -83,58 +87,84 @@
             FleetView view,
             PeerReplicas peers,
             IntSupplier instances,
-            Consumer<KeyValue> ownItems) {
+            Listener listener) {
         mClock = Objects.requireNonNull(clock, "clock must not be null");
         mFeed = Objects.requireNonNull(feed, "feed must not be null");
+        mDecoder = Objects.requireNonNull(decoder, "decoder must not be null");
         mView = Objects.requireNonNull(view, "view must not be null");
         mPeerReplicas = Objects.requireNonNull(peers, "peers must not be null");
         mInstances = Objects.requireNonNull(instances, "instances must not be null");
-        mPrefixes = new ArrayList<>(decoder.prefixes());
-        mPrefixes.addAll(ownPrefixes);
-        mReplica =
-                new StoreReplica(
-                        mPrefixes,
-                        item -> {
-                            ownItems.accept(item);
-                            long before = view.changes();
-                            view.accept(decoder.decode(item), removalMayBeExpiry());
-                            if (view.changes() != before) {
-                                mLastChange = Math.max(mLastChange, item.modRevision());
-                            }
-                        });
+        mListener = Objects.requireNonNull(listener, "listener must not be null");
+        List<String> prefixes = new ArrayList<>(decoder.prefixes());
+        prefixes.addAll(ownPrefixes);
+        mReader = new StoreReader(feed, prefixes);
+        mReplica = new StoreReplica(prefixes, this::itemChanged);
+        mAvailability = new StoreAvailability(clock);
+    }
+
+    private void itemChanged(KeyValue item) {
+        mListener.itemChanged(item);
+        long before = mView.changes();
+        mView.accept(mDecoder.decode(item), origin());
+        if (mView.changes() != before) {
+            long epoch = mReplica.position().epoch();
+            mLastChange = mLastChange.max(new StorePosition(epoch, item.modRevision()));
+        }
+    }
+
+    private ChangeOrigin origin() {
+        if (mReplacingAfterRestore) {
+            return ChangeOrigin.RESTORE;
+        }
+        return mAvailability.removalMayBeExpiry() ? ChangeOrigin.OUTAGE : ChangeOrigin.WRITE;
     }
 
     /** Progress of the local replica. */
     public ReplicaProgress progress() {
-        return new ReplicaProgress(mReplica.revision(), mLastChange);
+        return new ReplicaProgress(mReplica.position(), mLastChange);
     }
 
     /** Fetches the changes of a peer whose replica has a newer change than the local one. */
     public void peerProgressed(ReplicaProgress peer) {
-        boolean newer = peer.lastChange() > mReplica.revision();
+        boolean newer = peer.lastChange().isAfter(mReplica.position());
         if (!newer
                 || mFetchingFromPeer
                 || mStopped
                 || mNeedsFullRead
-                || mFailingSinceNanos.isPresent()) {
+                || mAvailability.isFailing()) {
             return;
         }
+        StorePosition requested = mReplica.position();
         mPeerReplicas
-                .changesAfter(mReplica.revision())
+                .changesAfter(requested)
                 .ifPresent(
                         response -> {
                             mFetchingFromPeer = true;
-                            response.whenComplete(this::peerChangesReceived);
+                            response.whenComplete((c, f) -> peerChangesReceived(requested, c, f));
                         });
     }
 
-    private void peerChangesReceived(Changes changes, Throwable failure) {
+    private void peerChangesReceived(
+            StorePosition requested, PeerChanges changes, Throwable failure) {
         mFetchingFromPeer = false;
         if (failure != null) {
             sLogger.atFine().log(
                     "fetching changes from a peer failed: %s", Futures.rootFailure(failure));
         } else {
-            mReplica.apply(changes);
+            acceptPeerChanges(requested, changes);
+        }
+    }
+
+    private void acceptPeerChanges(StorePosition requested, PeerChanges changes) {
+        StorePosition position = changes.position();
+        ReplicaUpdate update =
+                changes.allItems()
+                        ? ReplicaUpdate.forContents(mReplica.position(), List.of(position))
+                        : ReplicaUpdate.forChanges(requested, mReplica.position(), position);
+        switch (update) {
+            case APPLY -> mReplica.apply(new Changes(changes.items(), position, true));
+            case REPLACE -> replace(changes.items(), position);
+            case READ_ALL, IGNORE -> logIgnored(position);
         }
     }
 
@@ -167,99 +197,87 @@
         return CompletableFuture.completedFuture(null);
     }
 
-    /** Returns true if a removal may be a lease that expired while the store was unavailable. */
-    private boolean removalMayBeExpiry() {
-        boolean recentlyRecovered =
-                mRecoveredNanos.filter(t -> elapsedNanos(t) < EXPIRY_WINDOW.toNanos()).isPresent();
-        return (mFailingSinceNanos.isPresent() || recentlyRecovered) && !storeServedPeers();
-    }
-
-    /**
-     * Returns true if peers received changes from the store while this instance did not. After an
-     * outage for all instances a peer may be ahead for a moment, which does not count.
-     */
-    private boolean storeServedPeers() {
-        return mPeersAheadSinceNanos
-                .filter(t -> elapsedNanos(t) > PEERS_AHEAD_THRESHOLD.toNanos())
-                .isPresent();
-    }
-
-    private long elapsedNanos(long nanos) {
-        return mClock.nanoTime() - nanos;
-    }
-
     private void poll() {
         if (mStopped) {
             return;
         }
-        mView.removeExpired(storeServedPeers());
+        mView.removeExpired(mAvailability.storeServedPeers());
+        StorePosition requested = mReplica.position();
         CompletableFuture<Void> completed =
                 mNeedsFullRead
-                        ? readAll()
-                        : mFeed.changesAfter(mReplica.revision()).thenAccept(this::apply);
+                        ? mReader.readAll().thenAccept(this::contentsReceived)
+                        : mFeed.changesAfter(requested.revision())
+                                .thenAccept(changes -> changesReceived(requested, changes));
         completed.whenComplete((ignored, failure) -> pollCompleted(failure));
     }
 
-    private void apply(Changes changes) {
+    private void changesReceived(StorePosition requested, Changes changes) {
         recordStoreResponse();
-        mReplica.apply(changes);
+        switch (ReplicaUpdate.forChanges(requested, mReplica.position(), changes.position())) {
+            case APPLY -> mReplica.apply(changes);
+            case READ_ALL -> mNeedsFullRead = true;
+            case REPLACE, IGNORE -> logIgnored(changes.position());
+        }
     }
 
-    private CompletableFuture<Void> readAll() {
-        List<KeyValue> items = new ArrayList<>();
-        CompletableFuture<Long> revision = CompletableFuture.completedFuture(Long.MAX_VALUE);
-        for (String prefix : mPrefixes) {
-            revision =
-                    revision.thenCompose(
-                            lowest ->
-                                    readPrefix(prefix, "", items).thenApply(r -> lower(lowest, r)));
+    private void contentsReceived(StoreReader.Contents contents) {
+        recordStoreResponse();
+        switch (ReplicaUpdate.forContents(mReplica.position(), contents.pages())) {
+            case REPLACE -> {
+                mNeedsFullRead = false;
+                // Pages are not one snapshot: the next poll reads the changes since the first page.
+                replace(contents.items(), contents.position());
+                mLoaded.complete(null);
+            }
+            case APPLY, IGNORE -> {
+                mNeedsFullRead = false;
+                logIgnored(contents.position());
+            }
+            case READ_ALL ->
+                    sLogger.atInfo().log("store was restored between two pages of a full read");
         }
-        return revision.thenAccept(
-                lowest -> {
-                    recordStoreResponse();
-                    mNeedsFullRead = false;
-                    // Pages are not one snapshot: the next poll reads the changes since the first
-                    // page.
-                    mReplica.replace(items, lowest);
-                    mLoaded.complete(null);
-                });
     }
 
-    private CompletableFuture<Long> readPrefix(
-            String prefix, String afterKey, List<KeyValue> items) {
-        return mFeed.readPage(prefix, afterKey)
-                .thenCompose(
-                        page -> {
-                            items.addAll(page.items());
-                            if (page.complete() || page.items().isEmpty()) {
-                                return CompletableFuture.completedFuture(page.revision());
-                            }
-                            String last = page.items().get(page.items().size() - 1).key();
-                            return readPrefix(prefix, last, items)
-                                    .thenApply(next -> lower(page.revision(), next));
-                        });
+    private static void logIgnored(StorePosition position) {
+        sLogger.atInfo().log("response at %s is ignored: the store was restored", position);
     }
 
-    private static long lower(long a, long b) {
-        return Math.min(a, b);
+    private void replace(List<KeyValue> items, StorePosition position) {
+        StorePosition previous = mReplica.position();
+        boolean restored =
+                !previous.equals(StorePosition.NONE) && position.isInLaterEpoch(previous);
+        if (restored) {
+            sLogger.atWarning().log(
+                    "store was restored from a backup: revision %s replaces %s",
+                    position, previous);
+            mAvailability.restored();
+            mView.storeRecovered();
+        }
+        mReplacingAfterRestore = restored;
+        mReplica.replace(items, position);
+        mReplacingAfterRestore = false;
+        if (restored) {
+            mLastChange = mLastChange.max(position);
+            mListener.storeRestored();
+        }
     }
 
     private void recordStoreResponse() {
-        long now = mClock.nanoTime();
-        mLastUpdateNanos = now;
-        if (mFailingSinceNanos.isPresent()) {
-            long outageNanos = now - mFailingSinceNanos.get();
-            sLogger.atInfo().log(
-                    "key-value store is available again after %d ms", outageNanos / 1_000_000);
-            mFailingSinceNanos = Optional.empty();
-            mRecoveredNanos = Optional.of(now);
-            mView.storeRecovered();
-        }
+        mLastUpdateNanos = mClock.nanoTime();
+        mAvailability
+                .responded()
+                .ifPresent(
+                        outage -> {
+                            sLogger.atInfo().log(
+                                    "key-value store is available again after %d ms",
+                                    outage.toMillis());
+                            mView.storeRecovered();
+                        });
     }
 
     private void pollCompleted(Throwable failure) {
         if (failure == null) {
-            schedule(pollInterval());
+            schedule(mNeedsFullRead ? Duration.ZERO : pollInterval());
             return;
         }
         Throwable root = Futures.rootFailure(failure);
@@ -269,29 +287,31 @@
             schedule(Duration.ZERO);
             return;
         }
-        if (mFailingSinceNanos.isEmpty()) {
-            mFailingSinceNanos = Optional.of(mClock.nanoTime());
-            mPeersAheadSinceNanos = Optional.empty();
+        if (mAvailability.failed()) {
             sLogger.atWarning().log("key-value store is unavailable: %s", root.getMessage());
         }
+        StorePosition requested = mReplica.position();
         mPeerReplicas
-                .changesAfter(mReplica.revision())
+                .changesAfter(requested)
                 .ifPresent(
-                        response -> response.whenComplete((c, f) -> fallbackChangesReceived(c, f)));
+                        response ->
+                                response.whenComplete(
+                                        (c, f) -> fallbackChangesReceived(requested, c, f)));
         schedule(RETRY_INTERVAL);
     }
 
-    private void fallbackChangesReceived(Changes changes, Throwable failure) {
+    private void fallbackChangesReceived(
+            StorePosition requested, PeerChanges changes, Throwable failure) {
         if (failure != null) {
             sLogger.atFine().log(
                     "fetching changes from a peer during the outage failed: %s",
                     Futures.rootFailure(failure));
             return;
         }
-        if (changes.revision() > mReplica.revision()) {
+        if (changes.position().isAfter(mReplica.position())) {
             mLastUpdateNanos = mClock.nanoTime();
-            mPeersAheadSinceNanos = mPeersAheadSinceNanos.or(() -> Optional.of(mLastUpdateNanos));
-            mReplica.apply(changes);
+            mAvailability.peerWasAhead();
+            acceptPeerChanges(requested, changes);
             mLoaded.complete(null);
         }
     }
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/peer/PeerDirectory.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/peer/PeerDirectory.java
@@ -5,12 +5,14 @@
 import io.vertx.core.json.JsonObject;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import org.tanagergap.api.store.StorePosition;
 import org.tanagergap.api.time.RuntimeClock;
 import org.tanagergap.platform.keyvalue.KeyValue;
 import org.tanagergap.runtime.settings.HostPort;
@@ -35,7 +37,7 @@
     private final Map<String, HostPort> mRegistered = new HashMap<>();
     private final Map<String, ReportingPeer> mReportingPeers = new HashMap<>();
 
-    private record ReportingPeer(HostPort address, long storeRevision, long nanos) {}
+    private record ReportingPeer(HostPort address, StorePosition position, long nanos) {}
 
     public PeerDirectory(RuntimeClock clock, String id, List<HostPort> seeds) {
         mClock = clock;
@@ -67,9 +69,9 @@
     }
 
     /** Records the report of a peer. */
-    public void reportReceived(String id, HostPort address, long storeRevision) {
+    public void reportReceived(String id, HostPort address, StorePosition position) {
         if (!id.equals(mId)) {
-            mReportingPeers.put(id, new ReportingPeer(address, storeRevision, mClock.nanoTime()));
+            mReportingPeers.put(id, new ReportingPeer(address, position, mClock.nanoTime()));
         }
     }
 
@@ -92,14 +94,14 @@
         return Math.max(1 + ids.size(), mSeeds.size());
     }
 
-    /** Peers whose replica is newer than the revision, the newest first. */
-    public List<HostPort> peersAheadOf(long revision) {
+    /** Peers whose replica is after the position, the newest first. */
+    public List<HostPort> peersAheadOf(StorePosition position) {
         removeIdle();
         List<ReportingPeer> newer = new ArrayList<>();
         mReportingPeers.values().stream()
-                .filter(h -> h.storeRevision() > revision)
+                .filter(peer -> peer.position().isAfter(position))
                 .forEach(newer::add);
-        newer.sort((a, b) -> Long.compare(b.storeRevision(), a.storeRevision()));
+        newer.sort(Comparator.comparing(ReportingPeer::position).reversed());
         return newer.stream().map(ReportingPeer::address).toList();
     }
 
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/peer/PeerExchange.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/peer/PeerExchange.java
@@ -144,7 +144,7 @@
 
     private void accept(PeerReport report, HostPort sender) {
         long now = mClock.nanoTime();
-        mDirectory.reportReceived(report.id(), sender, report.progress().revision());
+        mDirectory.reportReceived(report.id(), sender, report.progress().position());
         mPeerProgress.accept(report.progress());
         mLoad.peerReported(report.id(), report.loads(), now);
         report.suspendedMillis()
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/peer/PeerRegistration.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/peer/PeerRegistration.java
@@ -27,6 +27,8 @@
     private final String mValue;
     private OptionalLong mLease = OptionalLong.empty();
     private boolean mStopped;
+    private boolean mRenewing;
+    private boolean mRegisterAgain;
     private Timer mTimer = () -> {};
 
     public PeerRegistration(RuntimeClock clock, LeasedStore store, String id, String value) {
@@ -50,22 +52,40 @@
         return CompletableFuture.completedFuture(null);
     }
 
+    /** Registers again: the store has lost the lease and may grant its number to another client. */
+    public void storeRestored() {
+        mLease = OptionalLong.empty();
+        if (mRenewing) {
+            mRegisterAgain = true;
+        } else {
+            mTimer.cancel();
+            renew();
+        }
+    }
+
     private void renew() {
         if (mStopped) {
             return;
         }
+        mRenewing = true;
         CompletableFuture<Void> renewed =
                 mLease.isPresent() ? mStore.keepLeaseAlive(mLease.getAsLong()) : register();
-        renewed.whenComplete(
-                (ignored, failure) -> {
-                    if (failure != null) {
-                        sLogger.atInfo().log(
-                                "registration %s was not renewed: %s",
-                                mKey, Futures.rootFailure(failure).getMessage());
-                        mLease = OptionalLong.empty();
-                    }
-                    mTimer = mClock.schedule(RENEWAL_INTERVAL, this::renew);
-                });
+        renewed.whenComplete((ignored, failure) -> renewalCompleted(failure));
+    }
+
+    private void renewalCompleted(Throwable failure) {
+        mRenewing = false;
+        if (failure != null) {
+            sLogger.atInfo().log(
+                    "registration %s was not renewed: %s",
+                    mKey, Futures.rootFailure(failure).getMessage());
+        }
+        if (failure != null || mRegisterAgain) {
+            mLease = OptionalLong.empty();
+        }
+        Duration delay = mRegisterAgain ? Duration.ZERO : RENEWAL_INTERVAL;
+        mRegisterAgain = false;
+        mTimer = mClock.schedule(delay, this::renew);
     }
 
     private CompletableFuture<Void> register() {
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/peer/PeerReplicaClient.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/peer/PeerReplicaClient.java
@@ -12,8 +12,9 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import org.tanagergap.api.store.StorePosition;
+import org.tanagergap.gateway.membership.PeerChanges;
 import org.tanagergap.gateway.membership.PeerReplicas;
-import org.tanagergap.platform.keyvalue.Changes;
 import org.tanagergap.platform.keyvalue.KeyValue;
 import org.tanagergap.runtime.async.Futures;
 import org.tanagergap.runtime.http.BufferedCall;
@@ -37,8 +38,8 @@
     }
 
     @Override
-    public Optional<CompletableFuture<Changes>> changesAfter(long revision) {
-        List<HostPort> peers = mDirectory.peersAheadOf(revision);
+    public Optional<CompletableFuture<PeerChanges>> changesAfter(StorePosition position) {
+        List<HostPort> peers = mDirectory.peersAheadOf(position);
         if (peers.isEmpty()) {
             return Optional.empty();
         }
@@ -50,13 +51,8 @@
                         .setHost(peer.host())
                         .setPort(peer.port())
                         .setConnectTimeout(TIMEOUT.toMillis())
-                        .setURI(
-                                PeerReplicaServer.PATH
-                                        + "?"
-                                        + PeerReplicaServer.AFTER
-                                        + "="
-                                        + revision);
-        Future<Changes> changes =
+                        .setURI(PeerReplicaServer.uri(position));
+        Future<PeerChanges> changes =
                 mClient.request(options)
                         .compose(
                                 request ->
@@ -69,7 +65,7 @@
         return Optional.of(Futures.toCompletable(changes));
     }
 
-    private static Changes decode(Buffer body) {
+    private static PeerChanges decode(Buffer body) {
         JsonObject json = new JsonObject(body);
         List<KeyValue> items = new ArrayList<>();
         for (Object element : json.getJsonArray(PeerReplicaServer.ITEMS)) {
@@ -81,6 +77,11 @@
                             item.getLong(2),
                             item.getLong(3)));
         }
-        return new Changes(items, json.getLong(PeerReplicaServer.REVISION), true);
+        StorePosition position =
+                new StorePosition(
+                        json.getLong(PeerReplicaServer.EPOCH, 0L),
+                        json.getLong(PeerReplicaServer.REVISION));
+        return new PeerChanges(
+                items, position, json.getBoolean(PeerReplicaServer.ALL_ITEMS, false));
     }
 }
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/peer/PeerReplicaServer.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/peer/PeerReplicaServer.java
@@ -10,6 +10,8 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Supplier;
 import org.tanagergap.api.lifecycle.Service;
+import org.tanagergap.api.store.StorePosition;
+import org.tanagergap.gateway.membership.PeerChanges;
 import org.tanagergap.gateway.membership.StoreReplica;
 import org.tanagergap.platform.keyvalue.KeyValue;
 import org.tanagergap.runtime.async.Futures;
@@ -18,11 +20,15 @@
 /** Serves the local replica of the store to peers. */
 public final class PeerReplicaServer implements Service {
 
-    static final String PATH = "/copy";
-    static final String AFTER = "after";
+    static final String EPOCH = "epoch";
     static final String REVISION = "revision";
     static final String ITEMS = "items";
 
+    /** Whether the items are all that exist, and not only changes. */
+    static final String ALL_ITEMS = "all_items";
+
+    private static final String PATH = "/copy";
+    private static final String AFTER = "after";
     private static final int HTTP_BAD_REQUEST = 400;
     private static final int HTTP_NOT_FOUND = 404;
 
@@ -39,6 +45,19 @@
         mReplica = replica;
     }
 
+    /** URI of the items after the position. */
+    static String uri(StorePosition position) {
+        return PATH
+                + "?"
+                + AFTER
+                + "="
+                + position.revision()
+                + "&"
+                + EPOCH
+                + "="
+                + position.epoch();
+    }
+
     @Override
     public CompletableFuture<Void> start() {
         mServer = mVertx.createHttpServer().requestHandler(this::serve);
@@ -56,17 +75,21 @@
             request.response().setStatusCode(HTTP_NOT_FOUND).end();
             return;
         }
-        long after;
+        StorePosition after;
         try {
-            after = Long.parseLong(request.getParam(AFTER, "0"));
+            after =
+                    new StorePosition(
+                            Long.parseLong(request.getParam(EPOCH, "0")),
+                            Long.parseLong(request.getParam(AFTER, "0")));
         } catch (NumberFormatException e) {
             request.response()
                     .setStatusCode(HTTP_BAD_REQUEST)
-                    .end("\"" + AFTER + "\" is not a whole number\n");
+                    .end("\"" + AFTER + "\" or \"" + EPOCH + "\" is not a whole number\n");
             return;
         }
+        PeerChanges changes = mReplica.get().changesAfter(after);
         JsonArray items = new JsonArray();
-        for (KeyValue item : mReplica.get().itemsAfter(after)) {
+        for (KeyValue item : changes.items()) {
             items.add(
                     new JsonArray()
                             .add(item.key())
@@ -74,11 +97,13 @@
                             .add(item.modRevision())
                             .add(item.createRevision()));
         }
-        sLogger.atFine().log("sending a peer %d items after revision %d", items.size(), after);
+        sLogger.atFine().log("sending a peer %d items after revision %s", items.size(), after);
         request.response()
                 .end(
                         new JsonObject()
-                                .put(REVISION, mReplica.get().revision())
+                                .put(EPOCH, changes.position().epoch())
+                                .put(REVISION, changes.position().revision())
+                                .put(ALL_ITEMS, changes.allItems())
                                 .put(ITEMS, items)
                                 .toBuffer());
     }
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/peer/PeerReport.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/peer/PeerReport.java
@@ -6,6 +6,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Objects;
+import org.tanagergap.api.store.StorePosition;
 import org.tanagergap.decisions.fleet.UpstreamLoad;
 import org.tanagergap.decisions.quarantine.QuarantineUpdate;
 import org.tanagergap.decisions.ratelimit.RateLimitObservation;
@@ -56,8 +57,10 @@
         QuarantineUpdateCodec.encode(quarantine, report);
         RateLimitCodec.encode(rateLimits, report);
         return report.put("id", id)
-                .put("revision", progress.revision())
-                .put("last_change", progress.lastChange())
+                .put("epoch", progress.position().epoch())
+                .put("revision", progress.position().revision())
+                .put("last_change_epoch", progress.lastChange().epoch())
+                .put("last_change", progress.lastChange().revision())
                 .put("loads", upstreams)
                 .put("suspended", suspended)
                 .toBuffer();
@@ -75,13 +78,21 @@
         }
         return new PeerReport(
                 json.getString("id"),
-                new ReplicaProgress(json.getLong("revision"), json.getLong("last_change")),
+                progress(json),
                 loads,
                 suspended,
                 QuarantineUpdateCodec.decode(json),
                 RateLimitCodec.decode(json));
     }
 
+    /** Peers of earlier versions send no epoch. */
+    private static ReplicaProgress progress(JsonObject json) {
+        return new ReplicaProgress(
+                new StorePosition(json.getLong("epoch", 0L), json.getLong("revision")),
+                new StorePosition(
+                        json.getLong("last_change_epoch", 0L), json.getLong("last_change")));
+    }
+
     private static UpstreamLoad load(JsonArray values) {
         return new UpstreamLoad(
                 values.getInteger(0),
--- a/tanagergap-gateway/src/test/java/org/tanagergap/gateway/membership/FleetViewTests.java
+++ b/tanagergap-gateway/src/test/java/org/tanagergap/gateway/membership/FleetViewTests.java
@@ -58,7 +58,7 @@
                         mEvents.add("configured " + configuration.version());
                     }
                 });
-        mView.accept(entry("u", false, 1), false);
+        mView.accept(entry("u", false, 1), ChangeOrigin.WRITE);
         mEvents.clear();
     }
 
@@ -68,7 +68,7 @@
 
     @Test
     void aDrainingUpstreamIsNotUsable() {
-        mView.accept(entry("u", true, 1), false);
+        mView.accept(entry("u", true, 1), ChangeOrigin.WRITE);
 
         assertThat(usable()).isFalse();
         assertThat(mEvents).containsExactly("unavailable u");
@@ -76,21 +76,21 @@
 
     @Test
     void aRestartedUpstreamBecomesUnavailableThenAvailable() {
-        mView.accept(entry("u", false, 2), false);
+        mView.accept(entry("u", false, 2), ChangeOrigin.WRITE);
 
         assertThat(mEvents).containsExactly("unavailable u", "available u").inOrder();
     }
 
     @Test
     void aHeartbeatChangesNothing() {
-        mView.accept(entry("u", false, 1), false);
+        mView.accept(entry("u", false, 1), ChangeOrigin.WRITE);
 
         assertThat(mEvents).isEmpty();
     }
 
     @Test
     void anExpiredEntryIsUsedDuringItsGracePeriod() {
-        mView.accept(removed("u"), true);
+        mView.accept(removed("u"), ChangeOrigin.OUTAGE);
         mClock.advance(Duration.ofMillis(2199));
         mView.removeExpired(false);
         assertThat(usable()).isTrue();
@@ -105,7 +105,7 @@
     void theGracePeriodBeginsAtTheRecoveryOfTheStore() {
         mView.storeRecovered();
         mClock.advance(Duration.ofMillis(1000));
-        mView.accept(removed("u"), true);
+        mView.accept(removed("u"), ChangeOrigin.OUTAGE);
         mClock.advance(Duration.ofMillis(1200));
         mView.removeExpired(false);
 
@@ -114,8 +114,8 @@
 
     @Test
     void anExpiredEntryThatIsWrittenAgainStays() {
-        mView.accept(removed("u"), true);
-        mView.accept(entry("u", false, 1), false);
+        mView.accept(removed("u"), ChangeOrigin.OUTAGE);
+        mView.accept(entry("u", false, 1), ChangeOrigin.WRITE);
         mClock.advance(Duration.ofSeconds(5));
         mView.removeExpired(false);
 
@@ -125,7 +125,7 @@
 
     @Test
     void anEntryIsRemovedAtOnceWhenTheStoreServedPeers() {
-        mView.accept(removed("u"), true);
+        mView.accept(removed("u"), ChangeOrigin.OUTAGE);
         mView.removeExpired(true);
 
         assertThat(usable()).isFalse();
@@ -133,11 +133,53 @@
 
     @Test
     void onlyAHigherConfigurationTakesEffect() {
-        mView.accept(configurationAccepted(5), false);
-        mView.accept(configurationAccepted(4), false);
-        mView.accept(configurationAccepted(5), false);
-        mView.accept(configurationAccepted(9), false);
+        mView.accept(configurationAccepted(5), ChangeOrigin.WRITE);
+        mView.accept(configurationAccepted(4), ChangeOrigin.WRITE);
+        mView.accept(configurationAccepted(5), ChangeOrigin.WRITE);
+        mView.accept(configurationAccepted(9), ChangeOrigin.WRITE);
 
         assertThat(mEvents).containsExactly("configured 5", "configured 9").inOrder();
     }
+
+    /** The contents of a restored store can be from before the upstream left. */
+    @Test
+    void anUpstreamThatHasLeftDoesNotReturnWithTheContentsOfARestoredStore() {
+        mView.accept(removed("u"), ChangeOrigin.WRITE);
+        mView.accept(entry("u", false, 1), ChangeOrigin.RESTORE);
+
+        assertThat(usable()).isFalse();
+    }
+
+    @Test
+    void anUpstreamThatWasRemovedReturnsWhenItWritesItsEntryAgain() {
+        mView.accept(removed("u"), ChangeOrigin.WRITE);
+        mView.accept(entry("u", false, 1), ChangeOrigin.RESTORE);
+        mView.accept(entry("u", false, 1), ChangeOrigin.WRITE);
+
+        assertThat(usable()).isTrue();
+    }
+
+    @Test
+    void aDrainingUpstreamIsNeverUsedAgain() {
+        mView.accept(entry("u", true, 1), ChangeOrigin.WRITE);
+        mView.accept(entry("u", false, 1), ChangeOrigin.RESTORE);
+        mView.accept(entry("u", false, 1), ChangeOrigin.WRITE);
+
+        assertThat(usable()).isFalse();
+    }
+
+    @Test
+    void anUpstreamThatStartsAgainAfterItsDrainIsUsed() {
+        mView.accept(entry("u", true, 1), ChangeOrigin.WRITE);
+        mView.accept(entry("u", false, 2), ChangeOrigin.WRITE);
+
+        assertThat(usable()).isTrue();
+    }
+
+    @Test
+    void anEntryThatARestoredStoreLacksIsUsedDuringItsGracePeriod() {
+        mView.accept(removed("u"), ChangeOrigin.RESTORE);
+
+        assertThat(usable()).isTrue();
+    }
 }
--- a/tanagergap-gateway/src/test/java/org/tanagergap/gateway/membership/StoreReplicaTests.java
+++ b/tanagergap-gateway/src/test/java/org/tanagergap/gateway/membership/StoreReplicaTests.java
@@ -1,6 +1,7 @@
 package org.tanagergap.gateway.membership;
 
 import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import java.util.ArrayList;
 import java.util.Collections;
@@ -11,7 +12,9 @@
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
+import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.tanagergap.api.store.StorePosition;
 import org.tanagergap.platform.keyvalue.Changes;
 import org.tanagergap.platform.keyvalue.KeyValue;
 
@@ -28,8 +31,17 @@
         return new KeyValue(key, value, revision, 1);
     }
 
+    private static StorePosition position(long epoch, long revision) {
+        return new StorePosition(epoch, revision);
+    }
+
+    @BeforeEach
+    void readFirst() {
+        mReplica.replace(List.of(), position(1, 0));
+    }
+
     private static Changes changes(long revision, KeyValue... items) {
-        return new Changes(List.of(items), revision, true);
+        return new Changes(List.of(items), position(1, revision), true);
     }
 
     @Test
@@ -38,7 +50,7 @@
         mReplica.apply(changes(5, item("a/1", "old", 5)));
 
         assertThat(mSeen).containsExactly("a/1", "new");
-        assertThat(mReplica.revision()).isEqualTo(9);
+        assertThat(mReplica.position()).isEqualTo(position(1, 9));
     }
 
     @Test
@@ -51,7 +63,7 @@
     @Test
     void aFullReadDeletesMissingKeys() {
         mReplica.apply(changes(9, item("a/1", "x", 8), item("a/2", "y", 9)));
-        mReplica.replace(List.of(item("a/2", "y", 9)), 12);
+        mReplica.replace(List.of(item("a/2", "y", 9)), position(1, 12));
 
         assertThat(mSeen).containsExactly("a/1", "", "a/2", "y");
     }
@@ -60,7 +72,7 @@
     @Test
     void aFullReadKeepsNewerKeys() {
         mReplica.apply(changes(20, item("a/1", "x", 20)));
-        mReplica.replace(List.of(), 12);
+        mReplica.replace(List.of(), position(1, 12));
 
         assertThat(mSeen).containsExactly("a/1", "x");
     }
@@ -69,7 +81,38 @@
     void itemsAfterARevisionAreReturned() {
         mReplica.apply(changes(9, item("a/1", "x", 8), item("a/2", "", 9)));
 
-        assertThat(mReplica.itemsAfter(8)).containsExactly(item("a/2", "", 9));
+        PeerChanges changes = mReplica.changesAfter(position(1, 8));
+
+        assertThat(changes.items()).containsExactly(item("a/2", "", 9));
+        assertThat(changes.allItems()).isFalse();
+    }
+
+    /** Revisions of a restored store are lower than those that it has lost. */
+    @Test
+    void theContentsOfALaterEpochReplaceNewerRevisions() {
+        mReplica.apply(changes(90, item("a/1", "lost", 88), item("a/2", "x", 90)));
+        mReplica.replace(List.of(item("a/1", "restored", 12)), position(2, 20));
+
+        assertThat(mSeen).containsExactly("a/1", "restored", "a/2", "");
+        assertThat(mReplica.position()).isEqualTo(position(2, 20));
+    }
+
+    @Test
+    void changesOfAnotherEpochAreRejected() {
+        Changes later = new Changes(List.of(), position(2, 5), true);
+
+        assertThrows(IllegalArgumentException.class, () -> mReplica.apply(later));
+    }
+
+    @Test
+    void aReplicaOfAnEarlierEpochGetsAllItems() {
+        mReplica.replace(List.of(item("a/1", "x", 5)), position(2, 9));
+
+        PeerChanges changes = mReplica.changesAfter(position(1, 90));
+
+        assertThat(changes.items()).containsExactly(item("a/1", "x", 5));
+        assertThat(changes.allItems()).isTrue();
+        assertThat(mReplica.changesAfter(position(3, 1)).items()).isEmpty();
     }
 
     /** Changes of the store and of peers arrive in any order and more than once. */
@@ -92,6 +135,7 @@
         StoreReplica replica =
                 new StoreReplica(List.of("a/"), item -> seen.put(item.key(), item.value()));
 
+        replica.replace(List.of(), position(1, 0));
         for (KeyValue item : delivered) {
             replica.apply(changes(item.modRevision(), item));
         }
--- a/tanagergap-gateway/src/test/java/org/tanagergap/gateway/membership/StoreSyncTests.java
+++ b/tanagergap-gateway/src/test/java/org/tanagergap/gateway/membership/StoreSyncTests.java
@@ -8,8 +8,10 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import org.junit.jupiter.api.Test;
+import org.tanagergap.api.store.StorePosition;
 import org.tanagergap.platform.keyvalue.ChangeFeed;
 import org.tanagergap.platform.keyvalue.Changes;
+import org.tanagergap.platform.keyvalue.HistoryLostException;
 import org.tanagergap.platform.keyvalue.KeyValue;
 import org.tanagergap.runtime.settings.HostPort;
 import org.tanagergap.testing.PausedClock;
@@ -21,8 +23,13 @@
 
     private final PausedClock mClock = new PausedClock();
     private final FleetView mView = new FleetView(mClock);
-    private final List<Changes> mPeerChanges = new ArrayList<>();
+    private final List<PeerChanges> mPeerChanges = new ArrayList<>();
     private long mPolls;
+    private long mReads;
+    private long mEpoch = 1;
+    private long mRevision = 10;
+    private boolean mHistoryLost;
+    private int mRestores;
     private int mInstances = 4;
 
     /** Store in which nothing changes after the first read. */
@@ -30,17 +37,23 @@
 
         @Override
         public CompletableFuture<Changes> readPage(String prefix, String afterKey) {
-            return response(List.of(entry("u1", 1, 5)), 10);
+            mReads++;
+            mHistoryLost = false;
+            return response(List.of(entry("u1", 1, 5)), mRevision);
         }
 
         @Override
         public CompletableFuture<Changes> changesAfter(long revision) {
             mPolls++;
+            if (mHistoryLost) {
+                return CompletableFuture.failedFuture(new HistoryLostException(revision));
+            }
             return response(List.of(), revision);
         }
 
         private CompletableFuture<Changes> response(List<KeyValue> items, long revision) {
-            return CompletableFuture.completedFuture(new Changes(items, revision, true));
+            return CompletableFuture.completedFuture(
+                    new Changes(items, new StorePosition(mEpoch, revision), true));
         }
     }
 
@@ -68,6 +81,30 @@
         }
     }
 
+    private final class CountingListener implements StoreSync.Listener {
+
+        @Override
+        public void itemChanged(KeyValue item) {}
+
+        @Override
+        public void storeRestored() {
+            mRestores++;
+        }
+    }
+
+    private static ReplicaProgress progress(long epoch, long revision, long lastChange) {
+        return new ReplicaProgress(
+                new StorePosition(epoch, revision), new StorePosition(epoch, lastChange));
+    }
+
+    private static PeerChanges changes(long epoch, long revision, List<KeyValue> items) {
+        return new PeerChanges(items, new StorePosition(epoch, revision), false);
+    }
+
+    private static PeerChanges allItems(long epoch, long revision, KeyValue... items) {
+        return new PeerChanges(List.of(items), new StorePosition(epoch, revision), true);
+    }
+
     private static KeyValue entry(String id, int starts, long revision) {
         return new KeyValue(PREFIX + id, Integer.toString(starts), revision, 1);
     }
@@ -85,7 +122,7 @@
                                         .findFirst()
                                         .map(CompletableFuture::completedFuture),
                         () -> mInstances,
-                        item -> {});
+                        new CountingListener());
         sync.start();
         return sync;
     }
@@ -112,32 +149,104 @@
     @Test
     void changesOfAPeerAreAppliedAtOnce() {
         StoreSync sync = started();
-        mPeerChanges.add(new Changes(List.of(new KeyValue(PREFIX + "u1", "", 12, 0)), 14, true));
+        mPeerChanges.add(changes(1, 14, List.of(new KeyValue(PREFIX + "u1", "", 12, 0))));
 
-        sync.peerProgressed(new ReplicaProgress(14, 12));
+        sync.peerProgressed(progress(1, 14, 12));
 
         assertThat(mView.usable("s")).isEmpty();
-        assertThat(sync.progress()).isEqualTo(new ReplicaProgress(14, 12));
+        assertThat(sync.progress()).isEqualTo(progress(1, 14, 12));
     }
 
     @Test
     void changesThatWereAppliedAreNotFetched() {
         StoreSync sync = started();
-        mPeerChanges.add(new Changes(List.of(), 14, true));
+        mPeerChanges.add(changes(1, 14, List.of()));
 
-        sync.peerProgressed(new ReplicaProgress(14, 9));
+        sync.peerProgressed(progress(1, 14, 9));
 
-        assertThat(sync.progress().revision()).isEqualTo(10);
+        assertThat(sync.progress().position().revision()).isEqualTo(10);
     }
 
     /** Otherwise each heartbeat makes every instance fetch changes from its peers. */
     @Test
     void aHeartbeatIsNotReportedAsAChange() {
         StoreSync sync = started();
-        mPeerChanges.add(new Changes(List.of(entry("u1", 1, 15)), 15, true));
+        mPeerChanges.add(changes(1, 15, List.of(entry("u1", 1, 15))));
+
+        sync.peerProgressed(progress(1, 15, 12));
+
+        assertThat(sync.progress()).isEqualTo(progress(1, 15, 5));
+    }
+
+    @Test
+    void aRestoredStoreThatStillHasTheRevisionIsReadAgainOnce() {
+        StoreSync sync = started();
+        mEpoch = 2;
+
+        mClock.advance(Duration.ofSeconds(10));
+
+        assertThat(mReads).isEqualTo(2);
+        assertThat(mRestores).isEqualTo(1);
+        assertThat(sync.progress().position()).isEqualTo(new StorePosition(2, 10));
+    }
+
+    /** The watch of a revision that the restored store lacks once failed again and again. */
+    @Test
+    void aRestoredStoreThatLacksTheRevisionIsReadAgainOnce() {
+        StoreSync sync = started();
+        mEpoch = 2;
+        mRevision = 4;
+        mHistoryLost = true;
+
+        mClock.advance(Duration.ofSeconds(10));
+
+        assertThat(mReads).isEqualTo(2);
+        assertThat(sync.progress().position()).isEqualTo(new StorePosition(2, 4));
+    }
+
+    @Test
+    void aPeerThatKnowsOfARestoreIsFollowed() {
+        StoreSync sync = started();
+        mPeerChanges.add(allItems(2, 4, entry("u1", 1, 3), entry("u2", 1, 4)));
+
+        sync.peerProgressed(progress(2, 4, 4));
+
+        assertThat(mView.usable("s")).hasSize(2);
+        assertThat(mRestores).isEqualTo(1);
+    }
+
+    @Test
+    void aPeerThatDoesNotKnowOfARestoreIsNotFollowed() {
+        mEpoch = 2;
+        StoreSync sync = started();
+        mPeerChanges.add(changes(1, 90, List.of(entry("u2", 1, 88))));
+
+        sync.peerProgressed(progress(1, 90, 88));
+
+        assertThat(mView.usable("s")).hasSize(1);
+        assertThat(sync.progress().position()).isEqualTo(new StorePosition(2, 10));
+    }
+
+    /** A response can arrive after a peer has told of the restore. */
+    @Test
+    void aResponseFromBeforeARestoreIsIgnored() {
+        StoreSync sync = started();
+        mPeerChanges.add(allItems(2, 4, entry("u2", 1, 4)));
+        sync.peerProgressed(progress(2, 4, 4));
+
+        mClock.advance(Duration.ofMillis(700));
+
+        assertThat(sync.progress().position()).isEqualTo(new StorePosition(2, 4));
+    }
 
-        sync.peerProgressed(new ReplicaProgress(15, 12));
+    @Test
+    void entriesThatARestoredStoreLacksAreUsedUntilTheyCanHaveBeenWrittenAgain() {
+        StoreSync sync = started();
+        mPeerChanges.add(allItems(2, 4, entry("u2", 1, 4)));
+        sync.peerProgressed(progress(2, 4, 4));
 
-        assertThat(sync.progress()).isEqualTo(new ReplicaProgress(15, 5));
+        assertThat(mView.usable("s")).hasSize(2);
+        mClock.advance(Duration.ofMillis(2900));
+        assertThat(mView.usable("s")).hasSize(1);
     }
 }
--- a/tanagergap-gateway/src/test/java/org/tanagergap/gateway/peer/PeerDatagramTests.java
+++ b/tanagergap-gateway/src/test/java/org/tanagergap/gateway/peer/PeerDatagramTests.java
@@ -12,6 +12,7 @@
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
 import org.junit.jupiter.api.Test;
+import org.tanagergap.api.store.StorePosition;
 import org.tanagergap.decisions.fleet.UpstreamLoad;
 import org.tanagergap.decisions.quarantine.EngineCrash;
 import org.tanagergap.decisions.quarantine.QuarantineUpdate;
@@ -25,7 +26,7 @@
     private static final PeerReport REPORT =
             new PeerReport(
                     "gateway-1",
-                    new ReplicaProgress(77, 70),
+                    new ReplicaProgress(new StorePosition(2, 77), new StorePosition(2, 70)),
                     Map.of("e1", new UpstreamLoad(3, 2, 1, 40, 15_000)),
                     Map.of("e2", 400L),
                     new QuarantineUpdate(
@@ -89,7 +90,7 @@
     private static PeerReport singleLimit() {
         return new PeerReport(
                 "gateway-1",
-                new ReplicaProgress(77, 70),
+                new ReplicaProgress(new StorePosition(2, 77), new StorePosition(2, 70)),
                 Map.of(),
                 Map.of(),
                 QuarantineUpdate.NONE,
--- a/tanagergap-runtime/src/main/java/org/tanagergap/runtime/http/BufferedCall.java
+++ b/tanagergap-runtime/src/main/java/org/tanagergap/runtime/http/BufferedCall.java
@@ -2,6 +2,7 @@
 
 import com.google.common.flogger.FluentLogger;
 import io.vertx.core.Future;
+import io.vertx.core.MultiMap;
 import io.vertx.core.Promise;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClientRequest;
@@ -19,9 +20,10 @@
      * Buffered response.
      *
      * @param status HTTP status code
+     * @param headers headers
      * @param body complete body
      */
-    public record Response(int status, Buffer body) {}
+    public record Response(int status, MultiMap headers, Buffer body) {}
 
     private BufferedCall() {}
 
@@ -55,7 +57,9 @@
                     }
                 });
         response.endHandler(
-                ignored -> result.tryComplete(new Response(response.statusCode(), body)));
+                ignored ->
+                        result.tryComplete(
+                                new Response(response.statusCode(), response.headers(), body)));
         return result.future();
     }
 }
