Send all items to a peer from before the last full read

A gateway could keep an upstream for ever that the store had removed. Cause: a full read of the store does not show the keys that were deleted until then, if the replica did not hold them. A replica that passed on its changes since an older position left such deletions out, and the receiver moved past them; a late change of a peer could also bring a deleted key back to a replica that had read everything since. Class of fault: a summary of changes taken for the changes.

Change: a replica remembers the position of its last full read, sends all items to a peer from before it, and ignores unknown keys with revisions up to it.

Before, on the parent: two of the tests of StoreReplicaTests fail.

--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/membership/StoreReplica.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/membership/StoreReplica.java
@@ -23,6 +23,9 @@
     private final Map<String, KeyValue> mItems = new HashMap<>();
     private StorePosition mPosition = StorePosition.NONE;
 
+    /** Position of the last full read: keys that it lacks were deleted by then. */
+    private StorePosition mCompleteSince = StorePosition.NONE;
+
     /**
      * Creates an empty replica.
      *
@@ -71,6 +74,7 @@
             }
         }
         apply(new Changes(items, position, true));
+        mCompleteSince = mCompleteSince.max(position);
     }
 
     private void acceptMissing(String key, long revision) {
@@ -82,10 +86,10 @@
 
     /**
      * Changes after the position for another replica, or all items if the position is in an earlier
-     * epoch.
+     * epoch or from before the last full read, which does not show the keys deleted until then.
      */
     public PeerChanges changesAfter(StorePosition position) {
-        boolean allItems = mPosition.isInLaterEpoch(position);
+        boolean allItems = mCompleteSince.isAfter(position);
         List<KeyValue> items = new ArrayList<>();
         for (KeyValue item : mItems.values()) {
             if (allItems || position(item).isAfter(position)) {
@@ -101,7 +105,11 @@
 
     private void accept(KeyValue item) {
         KeyValue current = mItems.get(item.key());
-        if (current == null || item.modRevision() > current.modRevision()) {
+        boolean newer =
+                current == null
+                        ? position(item).isAfter(mCompleteSince)
+                        : item.modRevision() > current.modRevision();
+        if (newer) {
             mItems.put(item.key(), item);
             mListener.accept(item);
         }
--- a/tanagergap-gateway/src/test/java/org/tanagergap/gateway/membership/StoreReplicaTests.java
+++ b/tanagergap-gateway/src/test/java/org/tanagergap/gateway/membership/StoreReplicaTests.java
@@ -115,6 +115,24 @@
         assertThat(mReplica.changesAfter(position(3, 1)).items()).isEmpty();
     }
 
+    /** A full read does not show that a key was deleted if the replica did not hold it before. */
+    @Test
+    void aReplicaFromBeforeTheFullReadGetsAllItems() {
+        mReplica.replace(List.of(item("a/1", "x", 5)), position(1, 9));
+
+        assertThat(mReplica.changesAfter(position(1, 7)).allItems()).isTrue();
+        assertThat(mReplica.changesAfter(position(1, 9)).allItems()).isFalse();
+    }
+
+    /** The deleted key would stay for ever, as no further change of it is sent. */
+    @Test
+    void aLateChangeDoesNotReviveAKeyThatAFullReadLacks() {
+        mReplica.replace(List.of(), position(1, 9));
+        mReplica.apply(changes(4, item("a/1", "x", 3)));
+
+        assertThat(mSeen).isEmpty();
+    }
+
     /** Changes of the store and of peers arrive in any order and more than once. */
     @Property(tries = 300)
     void theNewestValuesWinInAnyOrder(
