Pause an engine that refuses with a time to retry after

An agent went on to send requests to an engine that had refused one with 429 and Retry-After, so that callers got refusals that the agent could have avoided or given at once. The cause is that of the advertised rate limits: what an upstream says about its capacity was not read.

Requests wait in the agent's queue; those whose deadline is earlier are refused at once as not run, with the remaining time.

--- a/tanagergap-agent/src/main/java/org/tanagergap/agent/AgentCore.java
+++ b/tanagergap-agent/src/main/java/org/tanagergap/agent/AgentCore.java
@@ -29,6 +29,7 @@
 import org.tanagergap.api.lifecycle.Service;
 import org.tanagergap.api.time.RuntimeClock;
 import org.tanagergap.api.time.Timer;
+import org.tanagergap.decisions.ratelimit.UpstreamPause;
 import org.tanagergap.decisions.scheduling.UpstreamScheduler;
 import org.tanagergap.runtime.time.PeriodicTask;
 import org.tanagergap.runtime.trace.Tracing;
@@ -81,6 +82,7 @@
                         hints::since,
                         metrics,
                         tracing);
+        UpstreamPause pause = new UpstreamPause();
         ModelEngine modelEngine = engine.orElseGet(UnsupportedModelEngine::new);
         AttemptFactory factory =
                 plainClient
@@ -92,11 +94,11 @@
                                                 scheduler,
                                                 modelEngine,
                                                 prefixes,
-                                                tokenEstimator));
-        CapacityControl capacity =
-                new CapacityControl(
-                        scheduler,
-                        plainClient.isPresent() ? settings.concurrency() : settings.memoryTokens());
+                                                tokenEstimator,
+                                                pause));
+        long maxCapacity =
+                plainClient.isPresent() ? settings.concurrency() : settings.memoryTokens();
+        CapacityControl capacity = new CapacityControl(scheduler, maxCapacity);
         mReservations = new SegmentReservations(scheduler, modelEngine, clock, loop);
         mAttempts =
                 new AttemptTable(
@@ -106,6 +108,7 @@
                         mReservations,
                         policies,
                         mReadiness,
+                        pause,
                         settings.service());
         mRpcHandler =
                 new UpstreamAgentRpcHandler(
@@ -137,6 +140,10 @@
                         clock,
                         SCHEDULING_INTERVAL,
                         () -> loop.execute(mAttempts::expireAndDispatch));
+        registerGauges(metrics, scheduler);
+    }
+
+    private static void registerGauges(MetricRegistry metrics, UpstreamScheduler scheduler) {
         metrics.register("agent_reserved_tokens", (Gauge<Long>) scheduler::reservedTokens);
         metrics.register("agent_free_tokens", (Gauge<Long>) scheduler::freeTokens);
         metrics.register("agent_running", (Gauge<Integer>) scheduler::running);
--- a/tanagergap-agent/src/main/java/org/tanagergap/agent/attempt/AttemptTable.java
+++ b/tanagergap-agent/src/main/java/org/tanagergap/agent/attempt/AttemptTable.java
@@ -1,5 +1,6 @@
 package org.tanagergap.agent.attempt;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -19,6 +20,7 @@
 import org.tanagergap.api.request.AttemptId;
 import org.tanagergap.api.request.RequestCost;
 import org.tanagergap.decisions.policy.PolicyStamp;
+import org.tanagergap.decisions.ratelimit.UpstreamPause;
 import org.tanagergap.decisions.scheduling.AdmissionDecision;
 import org.tanagergap.decisions.scheduling.EngineRun;
 import org.tanagergap.decisions.scheduling.ReconcileResult;
@@ -42,6 +44,7 @@
     private final SegmentReservations mReservations;
     private final PolicyRegistry mPolicies;
     private final AgentReadiness mReadiness;
+    private final UpstreamPause mPause;
     private final String mService;
     private final Map<AttemptId, Attempt> mAttempts = new HashMap<>();
     private final CompletableFuture<Void> mDrained = new CompletableFuture<>();
@@ -53,6 +56,7 @@
             SegmentReservations reservations,
             PolicyRegistry policies,
             AgentReadiness readiness,
+            UpstreamPause pause,
             String service) {
         mContext = Objects.requireNonNull(context, "context must not be null");
         mScheduler = Objects.requireNonNull(scheduler, "scheduler must not be null");
@@ -60,6 +64,7 @@
         mReservations = Objects.requireNonNull(reservations, "reservations must not be null");
         mPolicies = Objects.requireNonNull(policies, "policies must not be null");
         mReadiness = Objects.requireNonNull(readiness, "readiness must not be null");
+        mPause = Objects.requireNonNull(pause, "pause must not be null");
         mService = Objects.requireNonNull(service, "service must not be null");
     }
 
@@ -103,12 +108,16 @@
         for (WorkItem item : mScheduler.takeExpired()) {
             find(item).ifPresent(a -> a.fail(expired(item)));
         }
-        for (WorkItem item : mScheduler.takeDispatchable()) {
-            Optional<Attempt> attempt = find(item);
-            attempt.ifPresent(Attempt::dispatch);
-            if (attempt.isEmpty()) {
-                mScheduler.release(item.attemptId(), 0);
-            }
+        if (mPause.remaining(mContext.clock().nanoTime()).isEmpty()) {
+            mScheduler.takeDispatchable().forEach(this::dispatch);
+        }
+    }
+
+    private void dispatch(WorkItem item) {
+        Optional<Attempt> attempt = find(item);
+        attempt.ifPresent(Attempt::dispatch);
+        if (attempt.isEmpty()) {
+            mScheduler.release(item.attemptId(), 0);
         }
     }
 
@@ -247,6 +256,13 @@
         if (request.getDeadlineLeftMs() <= 0) {
             throw RequestFailure.notRun(FailureCode.DEADLINE_EXCEEDED, "deadline has passed");
         }
+        Optional<Duration> pause = mPause.remaining(mContext.clock().nanoTime());
+        if (pause.filter(p -> p.toMillis() >= request.getDeadlineLeftMs()).isPresent()) {
+            throw RequestFailure.notRun(
+                            FailureCode.OVERLOADED,
+                            "upstream takes no requests before the deadline")
+                    .withRetryAfter(pause.get());
+        }
         if (mAttempts.containsKey(new AttemptId(request.getAttemptId()))) {
             throw RequestFailure.of(
                     FailureCode.IN_PROGRESS,
--- a/tanagergap-agent/src/main/java/org/tanagergap/agent/attempt/ModelAttempt.java
+++ b/tanagergap-agent/src/main/java/org/tanagergap/agent/attempt/ModelAttempt.java
@@ -212,6 +212,7 @@
         if (failure instanceof RequestFailure requestFailure && !mEngineResponded) {
             // A refused request uses no memory, so there is nothing to cancel.
             mStreamEnded = requestFailure.execution() == Execution.NOT_RUN;
+            requestFailure.retryAfter().ifPresent(mListener::overloaded);
             fail(requestFailure);
         } else {
             fail(upstreamFailure(knownExecution(), "engine stream failed: " + failure));
--- a/tanagergap-agent/src/main/java/org/tanagergap/agent/attempt/ModelAttemptFactory.java
+++ b/tanagergap-agent/src/main/java/org/tanagergap/agent/attempt/ModelAttemptFactory.java
@@ -1,5 +1,7 @@
 package org.tanagergap.agent.attempt;
 
+import com.google.common.flogger.FluentLogger;
+import java.time.Duration;
 import java.util.concurrent.TimeUnit;
 import org.tanagergap.agent.engine.ModelEngine;
 import org.tanagergap.agent.load.BytesPerTokenEstimator;
@@ -8,6 +10,7 @@
 import org.tanagergap.api.request.AttemptId;
 import org.tanagergap.api.request.LengthBand;
 import org.tanagergap.decisions.policy.PolicyStamp;
+import org.tanagergap.decisions.ratelimit.UpstreamPause;
 import org.tanagergap.decisions.scheduling.EnginePriority;
 import org.tanagergap.decisions.scheduling.UpstreamScheduler;
 import org.tanagergap.protocol.v1.CompletionWork;
@@ -16,23 +19,28 @@
 /** Creates attempts for a model engine and updates the load data from their results. */
 public final class ModelAttemptFactory implements AttemptFactory, ModelAttemptListener {
 
+    private static final FluentLogger sLogger = FluentLogger.forEnclosingClass();
+
     private final AttemptContext mContext;
     private final UpstreamScheduler mScheduler;
     private final ModelEngine mEngine;
     private final PrefixTable mPrefixes;
     private final BytesPerTokenEstimator mTokenEstimator;
+    private final UpstreamPause mPause;
 
     public ModelAttemptFactory(
             AttemptContext context,
             UpstreamScheduler scheduler,
             ModelEngine engine,
             PrefixTable prefixes,
-            BytesPerTokenEstimator tokenEstimator) {
+            BytesPerTokenEstimator tokenEstimator,
+            UpstreamPause pause) {
         mContext = context;
         mScheduler = scheduler;
         mEngine = engine;
         mPrefixes = prefixes;
         mTokenEstimator = tokenEstimator;
+        mPause = pause;
     }
 
     @Override
@@ -64,6 +72,13 @@
         mPrefixes.recordPrefill(work.getPrefixHash());
     }
 
+    @Override
+    public void overloaded(Duration retryAfter) {
+        sLogger.atInfo().log(
+                "engine is overloaded and takes requests again in %d ms", retryAfter.toMillis());
+        mPause.begin(retryAfter, mContext.clock().nanoTime());
+    }
+
     @Override
     public void finished(CompletionWork work, long promptTokens) {
         // With segments or resumed text, the engine counts tokens that are not in the prompt.
--- a/tanagergap-agent/src/main/java/org/tanagergap/agent/engine/EngineExchange.java
+++ b/tanagergap-agent/src/main/java/org/tanagergap/agent/engine/EngineExchange.java
@@ -4,8 +4,10 @@
 import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpClientResponse;
+import io.vertx.core.http.HttpHeaders;
 import io.vertx.core.http.RequestOptions;
 import io.vertx.core.parsetools.RecordParser;
+import java.util.Optional;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.tanagergap.agent.http.ResponseBody;
@@ -136,7 +138,12 @@
                 .onSuccess(
                         body -> {
                             markComplete();
-                            failed.accept(EngineMessages.failureOf(response.statusCode(), body));
+                            failed.accept(
+                                    EngineMessages.failureOf(
+                                            response.statusCode(),
+                                            body,
+                                            Optional.ofNullable(
+                                                    response.getHeader(HttpHeaders.RETRY_AFTER))));
                         })
                 .onFailure(failure -> failed.accept(connectionFailure(failure)));
     }
--- a/tanagergap-agent/src/main/java/org/tanagergap/agent/engine/EngineMessages.java
+++ b/tanagergap-agent/src/main/java/org/tanagergap/agent/engine/EngineMessages.java
@@ -4,8 +4,11 @@
 import io.vertx.core.json.DecodeException;
 import io.vertx.core.json.JsonArray;
 import io.vertx.core.json.JsonObject;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
+import java.util.regex.Pattern;
 import org.tanagergap.api.failure.Execution;
 import org.tanagergap.api.failure.FailureCode;
 import org.tanagergap.api.failure.RequestFailure;
@@ -19,6 +22,7 @@
     private static final int NOT_FOUND = 404;
     private static final int CONFLICT = 409;
     private static final int TOO_MANY_REQUESTS = 429;
+    private static final Pattern SECONDS = Pattern.compile("[0-9]{1,9}(\\.[0-9]{1,9})?");
     private static final int SERVER_ERROR = 500;
 
     private EngineMessages() {}
@@ -104,7 +108,7 @@
      * Failure for a response with a status other than 200. A refusal (4xx with an error body) means
      * that nothing ran, except 409: an earlier run with the identifier of this attempt exists.
      */
-    static RequestFailure failureOf(int status, Buffer body) {
+    static RequestFailure failureOf(int status, Buffer body, Optional<String> retryAfter) {
         String text = "engine answered " + status;
         boolean hasErrorCode = false;
         try {
@@ -124,7 +128,18 @@
                     case TOO_MANY_REQUESTS -> FailureCode.OVERLOADED;
                     default -> FailureCode.UPSTREAM_FAILED;
                 };
-        return RequestFailure.notRun(code, text);
+        RequestFailure failure = RequestFailure.notRun(code, text);
+        return retryAfter
+                .flatMap(EngineMessages::seconds)
+                .map(failure::withRetryAfter)
+                .orElse(failure);
+    }
+
+    /** Parses a number of seconds; empty for other values, such as a date. */
+    private static Optional<Duration> seconds(String text) {
+        return SECONDS.matcher(text).matches()
+                ? Optional.of(Duration.ofMillis(Math.round(Double.parseDouble(text) * 1000)))
+                : Optional.empty();
     }
 
     private static JsonArray segments(List<RemoteSegment> segments) {
