Write a configuration again that a restored store has lost

An operator's change was acknowledged and never took effect, after the key-value service had been restored from a backup: entries keep the highest version that they have read, and the service gives out lost versions again.

Change: a watch that holds a version above the stored one writes it again after a random delay of up to 2 s, on condition that nothing was written in between, so that few of many instances write.

Before, ConfigurationWatchTests on the parent: 3 of 5 fail. After: all pass, and so do the fuzz tests of the store.

--- /dev/null
+++ b/tanagergap-state/src/main/java/org/tanagergap/state/configuration/ConfigurationRepair.java
@@ -0,0 +1,102 @@
+package org.tanagergap.state.configuration;
+
+import com.google.common.flogger.FluentLogger;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executor;
+import java.util.random.RandomGenerator;
+import org.tanagergap.api.time.RuntimeClock;
+import org.tanagergap.platform.keyvalue.Condition;
+import org.tanagergap.platform.keyvalue.KeyValue;
+import org.tanagergap.platform.keyvalue.KeyValueStore;
+import org.tanagergap.platform.keyvalue.Transaction;
+import org.tanagergap.platform.keyvalue.TransactionResult;
+import org.tanagergap.platform.keyvalue.Write;
+
+/**
+ * Writes an accepted configuration again that the store has lost, because it was restored from a
+ * backup. Without it the store would give out the lost versions again, which instances ignore as
+ * outdated. Confined to a serial executor.
+ */
+final class ConfigurationRepair {
+
+    /**
+     * Longest random delay. All instances notice the loss within one poll interval; most of 350 see
+     * that another one has repaired it before they write.
+     */
+    private static final Duration MAX_DELAY = Duration.ofSeconds(2);
+
+    private static final FluentLogger sLogger = FluentLogger.forEnclosingClass();
+
+    private final KeyValueStore mStore;
+    private final RuntimeClock mClock;
+    private final RandomGenerator mRandom;
+    private final Executor mSerial;
+    private boolean mScheduled;
+
+    ConfigurationRepair(
+            KeyValueStore store, RuntimeClock clock, RandomGenerator random, Executor serial) {
+        mStore = store;
+        mClock = clock;
+        mRandom = random;
+        mSerial = serial;
+    }
+
+    /** Writes the configuration after a random delay, if the store still holds an older one. */
+    void schedule(StoredConfiguration lost) {
+        if (mScheduled) {
+            return;
+        }
+        mScheduled = true;
+        Duration delay = Duration.ofMillis(mRandom.nextLong(MAX_DELAY.toMillis()));
+        mClock.schedule(delay, () -> mSerial.execute(() -> repair(lost)));
+    }
+
+    private void repair(StoredConfiguration lost) {
+        mStore.read(ConfigurationKeys.VERSION)
+                .thenComposeAsync(
+                        version ->
+                                isOlder(version, lost)
+                                        ? write(lost, version)
+                                        : CompletableFuture.completedFuture(false),
+                        mSerial)
+                .whenCompleteAsync(
+                        (written, failure) -> completed(lost, written, failure), mSerial);
+    }
+
+    /** Returns true if the stored version is older than the configuration. */
+    static boolean isOlder(Optional<KeyValue> storedVersion, StoredConfiguration configuration) {
+        long stored = storedVersion.map(v -> Long.parseLong(v.value())).orElse(0L);
+        return stored < configuration.version();
+    }
+
+    /** The condition fails if an operator or another instance has written in between. */
+    private CompletableFuture<Boolean> write(
+            StoredConfiguration lost, Optional<KeyValue> storedVersion) {
+        long revision = storedVersion.map(KeyValue::modRevision).orElse(0L);
+        return mStore.commit(transaction(lost, revision)).thenApply(TransactionResult::succeeded);
+    }
+
+    private static Transaction transaction(StoredConfiguration lost, long revision) {
+        return new Transaction(
+                List.of(new Condition.AtRevision(ConfigurationKeys.VERSION, revision)),
+                List.of(
+                        new Write.Put(ConfigurationKeys.CURRENT, ConfigurationValues.current(lost)),
+                        new Write.Put(ConfigurationKeys.VERSION, Long.toString(lost.version()))));
+    }
+
+    private void completed(StoredConfiguration lost, Boolean written, Throwable failure) {
+        mScheduled = false;
+        if (failure != null) {
+            sLogger.atWarning().withCause(failure).log(
+                    "configuration %d, which the store has lost, was not written again",
+                    lost.version());
+        } else if (written) {
+            sLogger.atWarning().log(
+                    "the store was restored without configuration %d, which is written again",
+                    lost.version());
+        }
+    }
+}
--- a/tanagergap-state/src/main/java/org/tanagergap/state/configuration/ConfigurationWatch.java
+++ b/tanagergap-state/src/main/java/org/tanagergap/state/configuration/ConfigurationWatch.java
@@ -6,6 +6,7 @@
 import io.smallrye.mutiny.subscription.MultiEmitter;
 import java.time.Duration;
 import java.util.Optional;
+import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
 import org.tanagergap.api.time.RuntimeClock;
@@ -29,7 +30,8 @@
     private final PeriodicTask mPollTask;
     private final Executor mSerial =
             MoreExecutors.newSequentialExecutor(MoreExecutors.directExecutor());
-    private long mVersion;
+    private final ConfigurationRepair mRepair;
+    private Optional<StoredConfiguration> mNewest = Optional.empty();
     private boolean mWatching;
     private boolean mCancelled;
     private Cancellable mWatch = () -> {};
@@ -40,6 +42,7 @@
             MultiEmitter<? super StoredConfiguration> emitter) {
         mStore = store;
         mEmitter = emitter;
+        mRepair = new ConfigurationRepair(store, clock, new Random(), mSerial);
         mPollTask = new PeriodicTask(clock, POLL_INTERVAL, () -> mSerial.execute(this::refresh));
     }
 
@@ -71,7 +74,10 @@
 
     /** Reads the document, which can be 1 MB long, only if the stored version is newer. */
     private CompletableFuture<Optional<KeyValue>> readIfNewer(Optional<KeyValue> version) {
-        boolean newer = version.filter(v -> Long.parseLong(v.value()) > mVersion).isPresent();
+        mNewest.filter(newest -> ConfigurationRepair.isOlder(version, newest))
+                .ifPresent(mRepair::schedule);
+        boolean newer =
+                version.filter(v -> Long.parseLong(v.value()) > newestVersion()).isPresent();
         return newer
                 ? mStore.read(ConfigurationKeys.CURRENT)
                 : CompletableFuture.completedFuture(Optional.empty());
@@ -104,12 +110,16 @@
                     value.modRevision());
             return;
         }
-        if (configuration.version() > mVersion) {
-            mVersion = configuration.version();
+        if (configuration.version() > newestVersion()) {
+            mNewest = Optional.of(configuration);
             mEmitter.emit(configuration);
         }
     }
 
+    private long newestVersion() {
+        return mNewest.map(StoredConfiguration::version).orElse(0L);
+    }
+
     private void terminate() {
         mCancelled = true;
         mPollTask.stop();
--- a/tanagergap-state/src/test/java/org/tanagergap/state/configuration/ConfigurationWatchTests.java
+++ b/tanagergap-state/src/test/java/org/tanagergap/state/configuration/ConfigurationWatchTests.java
@@ -6,6 +6,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import org.junit.jupiter.api.BeforeEach;
@@ -59,6 +60,55 @@
         assertThat(mVersions).containsExactly(1L, 2L).inOrder();
     }
 
+    private long storedVersion() {
+        var read = mConfigurations.read();
+        mClock.advance(Duration.ofMillis(100));
+        return read.join().orElseThrow().version();
+    }
+
+    /** Instances would ignore the versions that are given out again. */
+    @Test
+    void anAcceptedConfigurationThatARestoredStoreLacksIsWrittenAgain() {
+        var backup = mStore.backup();
+        submit(1, "n-2");
+        mClock.advance(Duration.ofSeconds(1));
+        mStore.restore(backup);
+
+        mClock.advance(Duration.ofSeconds(5));
+        assertThat(storedVersion()).isEqualTo(2);
+        submit(2, "n-3");
+        mClock.advance(Duration.ofSeconds(4));
+
+        assertThat(mVersions).containsExactly(1L, 2L, 3L).inOrder();
+    }
+
+    @Test
+    void anAcceptedConfigurationThatAnEmptyStoreLacksIsWrittenAgain() {
+        mStore.restore(Map.of());
+
+        mClock.advance(Duration.ofSeconds(5));
+
+        assertThat(storedVersion()).isEqualTo(1);
+    }
+
+    /** Each of 350 instances would write a document of up to 1 MB; a tenth of them may. */
+    @Test
+    void fewOfManyInstancesWriteALostConfiguration() {
+        var backup = mStore.backup();
+        for (int i = 0; i < 349; i++) {
+            mConfigurations.watch().subscribe().with(stored -> {});
+        }
+        submit(1, "n-2");
+        mClock.advance(Duration.ofSeconds(3));
+        mStore.restore(backup);
+        int before = mStore.writes();
+
+        mClock.advance(Duration.ofSeconds(5));
+
+        assertThat(storedVersion()).isEqualTo(2);
+        assertThat(mStore.writes() - before).isAtMost(35);
+    }
+
     private void submit(long baseVersion, String nonce) {
         CompletableFuture<SubmitResult> result = mConfigurations.submit("{}", baseVersion, nonce);
         mClock.advance(Duration.ofMillis(100));
--- a/tanagergap-state/src/test/java/org/tanagergap/state/fake/FakeKeyValueStore.java
+++ b/tanagergap-state/src/test/java/org/tanagergap/state/fake/FakeKeyValueStore.java
@@ -5,6 +5,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
 import java.util.TreeMap;
@@ -68,6 +69,18 @@
         }
     }
 
+    /** Copies the values. */
+    public Map<String, KeyValue> backup() {
+        return Map.copyOf(mValues);
+    }
+
+    /** Loses all writes since the backup without telling the open watches. */
+    public void restore(Map<String, KeyValue> backup) {
+        mValues.clear();
+        mValues.putAll(backup);
+        mRevision = backup.values().stream().mapToLong(KeyValue::modRevision).max().orElse(1);
+    }
+
     /** Stops sending changes to the open watches without ending them. */
     public void stallWatches() {
         mWatchers.clear();
