Wait for the first answer of an agent before an entry is ready

The first requests after the start of an entry got 503 "service "assistant" has no reachable upstream", seen once in EndToEndRequestTests under load. The load balancer sent requests as soon as the configuration was in effect, before the entry had reached an agent.

Change: an entry becomes ready when an agent of each service has answered, or 3 s after the configuration at the latest, so that a service without reachable agents does not keep it from serving the others. It stays ready from then on.

--- a/tanagergap-entry/src/main/java/org/tanagergap/entry/EntryService.java
+++ b/tanagergap-entry/src/main/java/org/tanagergap/entry/EntryService.java
@@ -39,6 +39,7 @@
     private final ProgramContext mContext;
     private final EntrySettings mSettings;
     private final ConfigurationView mView;
+    private final EntryReadiness mReadiness;
     private final RequestsInFlight mRequests = new RequestsInFlight();
     private final TlsReloader mTls;
     private final AgentClients mClients;
@@ -54,6 +55,7 @@
         mContext = Objects.requireNonNull(context, "context must not be null");
         mSettings = Objects.requireNonNull(settings, "settings must not be null");
         mView = new ConfigurationView(components.documents());
+        mReadiness = new EntryReadiness(context.clock(), mView::isPresent, components.router());
         mTls = new TlsReloader(context.vertx(), context.clock(), settings.tls());
         mClients = new AgentClients(context.vertx(), mTls);
         AgentActivity activity = new AgentActivity(context.clock());
@@ -134,7 +136,7 @@
 
     /** Returns true if the load balancer may send requests. */
     public boolean isReady() {
-        return mAccepting && mView.isPresent();
+        return mAccepting && mReadiness.isReady();
     }
 
     /** Port for callers. */
