Keep permits when a rate limit varies a little

An upstream that adapts its limit with each response got a quarter of what it offered: each change emptied the bucket of the issuer and discarded the permits. Now a bucket goes on filling at the lower of two limits, and permits are discarded only if a limit begins, ends or changes by more than half. Changes below that are not logged.

An upstream without a start time returns after its drain, because a restart cannot be told from a return; only one with a start time stays away (DepartedUpstreams).

--- a/tanagergap-decisions/src/main/java/org/tanagergap/decisions/ratelimit/PermitIssuer.java
+++ b/tanagergap-decisions/src/main/java/org/tanagergap/decisions/ratelimit/PermitIssuer.java
@@ -39,11 +39,12 @@
         private double mPermits;
         private long mFilledNanos;
 
-        /** Adds the permits since the last call; a new limit starts without any. */
+        /** Adds the permits since the last call; the first limit starts without any. */
         void fill(OptionalDouble perSecond, long nowNanos) {
-            if (perSecond.isPresent() && perSecond.equals(mPerSecond)) {
+            if (perSecond.isPresent() && mPerSecond.isPresent()) {
                 double limit = perSecond.getAsDouble();
-                double added = limit * (nowNanos - mFilledNanos) / NANOS_PER_SECOND;
+                double since = (nowNanos - mFilledNanos) / NANOS_PER_SECOND;
+                double added = Math.min(limit, mPerSecond.getAsDouble()) * since;
                 mPermits = Math.min(Math.max(1, BURST_SECONDS * limit), mPermits + added);
             } else {
                 mPermits = 0;
--- a/tanagergap-decisions/src/main/java/org/tanagergap/decisions/ratelimit/SharedRateLimits.java
+++ b/tanagergap-decisions/src/main/java/org/tanagergap/decisions/ratelimit/SharedRateLimits.java
@@ -32,6 +32,12 @@
     /** Lowest rate of requests, without which the end of a limit would never be noticed. */
     static final double MIN_REQUESTS_PER_SECOND = 0.2;
 
+    /**
+     * Changes of a limit up to this ratio keep the permits, as upstreams may adapt their limit with
+     * each response.
+     */
+    private static final double MAX_SIMILAR_RATIO = 1.5;
+
     private final String mId;
     private final long mStartNanos;
     private final AdvertisedRateLimits mLimits = new AdvertisedRateLimits();
@@ -42,7 +48,7 @@
     /** Receives changes of limits and permits. */
     public interface Listener {
 
-        /** Called when the limit of an upstream has begun, changed or ended. */
+        /** Called when the limit of an upstream has begun, changed considerably or ended. */
         void limitChanged(String upstream, OptionalDouble requestsPerSecond);
 
         /** Called when requests may be sent that could not be sent before. */
@@ -82,13 +88,25 @@
     }
 
     private void observe(String upstream, OptionalDouble limit, long nanos, long nowNanos) {
-        if (mLimits.observe(upstream, limit, nanos, nowNanos)) {
-            mPool.discard(upstream);
-            if (limit.isPresent()) {
-                mIssuer.add(upstream);
-            }
-            mListener.limitChanged(upstream, limit);
+        OptionalDouble previous = mLimits.limit(upstream);
+        if (!mLimits.observe(upstream, limit, nanos, nowNanos) || isSimilar(previous, limit)) {
+            return;
+        }
+        // Permits issued under a much higher limit would exceed the new one.
+        mPool.discard(upstream);
+        if (limit.isPresent()) {
+            mIssuer.add(upstream);
+        }
+        mListener.limitChanged(upstream, limit);
+    }
+
+    private static boolean isSimilar(OptionalDouble previous, OptionalDouble limit) {
+        if (previous.isEmpty() || limit.isEmpty()) {
+            return false;
         }
+        double lower = Math.min(previous.getAsDouble(), limit.getAsDouble());
+        double higher = Math.max(previous.getAsDouble(), limit.getAsDouble());
+        return higher <= MAX_SIMILAR_RATIO * lower;
     }
 
     /** Returns what other instances should know. */
--- a/tanagergap-decisions/src/test/java/org/tanagergap/decisions/ratelimit/SharedRateLimitsTests.java
+++ b/tanagergap-decisions/src/test/java/org/tanagergap/decisions/ratelimit/SharedRateLimitsTests.java
@@ -107,6 +107,24 @@
             assertThat(instances.largestWindow(learned, WINDOW)).isAtMost(6);
         }
 
+        /** Upstreams that adapt their limit advertise another one in each response. */
+        @ParameterizedTest
+        @ValueSource(doubles = {0.5, 3, 40})
+        void aLimitThatVariesALittleIsUsed(double limit) {
+            SimulatedInstances instances = instances(4);
+            instances.advertise(limit);
+            instances.run(Duration.ofMillis(50), i -> i == 0);
+
+            int sent = 0;
+            for (int i = 0; i < 2000; i++) {
+                instances.advertise(limit * (1 + 0.1 * mRandom.nextDouble()));
+                sent += instances.run(Duration.ofMillis(10), j -> j == 0);
+            }
+
+            assertThat(sent).isAtLeast((int) (0.8 * 20 * limit));
+            assertThat(sent).isAtMost((int) (1.2 * 20 * limit + 2));
+        }
+
         @Test
         void aHigherLimitIsUsed() {
             SimulatedInstances instances = instances(4);
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/LivenessCheck.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/LivenessCheck.java
@@ -66,8 +66,9 @@
     /** An engine that restarts between two probes leaves its connections open. */
     private boolean hasRestarted(BufferedCall.Response response) {
         OptionalLong startedAt = mContext.wire().startedAtMillis(response.body());
-        long known = mEngine.startedAtMillis();
-        return known != 0 && startedAt.isPresent() && startedAt.getAsLong() != known;
+        return mEngine.hasStartTime()
+                && startedAt.isPresent()
+                && startedAt.getAsLong() != mEngine.startedAtMillis();
     }
 
     private void probeFailed() {
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/membership/FleetView.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/membership/FleetView.java
@@ -187,6 +187,11 @@
 
     private void putUnlessDeparted(Upstream upstream, ChangeOrigin origin) {
         String incarnation = upstream.incarnation();
+        if (!upstream.hasStartTime()) {
+            // Without it a restart under the same identifier cannot be told from a return.
+            put(upstream);
+            return;
+        }
         if (upstream.draining()) {
             mDeparted.draining(incarnation, mClock.nanoTime());
         } else if (mDeparted.mayReturn(incarnation, origin == ChangeOrigin.RESTORE)) {
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/membership/Upstream.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/membership/Upstream.java
@@ -12,8 +12,8 @@
  * @param failureDomain failure domain in which it runs
  * @param slots number of requests that it processes concurrently
  * @param draining whether it must receive no new requests
- * @param startedAtMillis time of its start, in Unix milliseconds; differs when an identifier is
- *     reused
+ * @param startedAtMillis time of its start, in Unix milliseconds, 0 if unknown; differs when an
+ *     identifier is reused
  */
 public record Upstream(
         String id,
@@ -31,6 +31,11 @@
         Objects.requireNonNull(failureDomain, "failureDomain must not be null");
     }
 
+    /** Returns whether the start time is known, so that incarnations can be told apart. */
+    public boolean hasStartTime() {
+        return startedAtMillis != 0;
+    }
+
     /** Identifier that differs for each start of the upstream, also if it keeps {@link #id()}. */
     public String incarnation() {
         return id + "@" + startedAtMillis;
--- a/tanagergap-gateway/src/test/java/org/tanagergap/gateway/membership/FleetViewTests.java
+++ b/tanagergap-gateway/src/test/java/org/tanagergap/gateway/membership/FleetViewTests.java
@@ -176,6 +176,14 @@
         assertThat(usable()).isTrue();
     }
 
+    @Test
+    void anUpstreamWithoutStartTimeReturnsAfterItsDrain() {
+        mView.accept(entry("u", true, 0), ChangeOrigin.WRITE);
+        mView.accept(entry("u", false, 0), ChangeOrigin.WRITE);
+
+        assertThat(usable()).isTrue();
+    }
+
     @Test
     void anEntryThatARestoredStoreLacksIsUsedDuringItsGracePeriod() {
         mView.accept(removed("u"), ChangeOrigin.RESTORE);
