Let a new issuer of permits begin after 1.5 s

A limited upstream got no requests for 3 s after its issuer was lost, and after each start of an instance that was to issue its permits. Now the silence after which an instance is no longer asked is the only delay.

--- a/tanagergap-decisions/src/main/java/org/tanagergap/decisions/ratelimit/SharedRateLimits.java
+++ b/tanagergap-decisions/src/main/java/org/tanagergap/decisions/ratelimit/SharedRateLimits.java
@@ -14,20 +14,18 @@
  * only with a permit of the issuer. Even shares would not do: a limit can be lower than the number
  * of instances, and most callers may be at a few of them.
  *
- * <p>An instance becomes the issuer only when the previous one has been silent for longer than its
- * permits and its own belief in the role can last, so that two never issue at full rate. An
- * upstream whose issuer is lost gets no requests for that time. Upstreams are named by their
- * incarnation, because a limit ends with it. Confined to the event loop.
+ * <p>An instance becomes the issuer when the previous one has been silent for longer than its
+ * permits last, and begins without permits, so that a change of the issuer does not exceed the
+ * limit. An upstream whose issuer is lost gets no requests for that time. Upstreams are named by
+ * their incarnation, because a limit ends with it. Confined to the event loop.
  */
 public final class SharedRateLimits {
 
-    /** Instances that have been silent for longer are not asked for permits. */
-    static final Duration ISSUER_SILENCE = Duration.ofMillis(1500);
-
     /**
-     * Instances that have been silent for this time, or were started so long ago, count as gone.
+     * Instances that have been silent for longer are not issuers. One that starts waits for the
+     * same time before it issues permits, until the others have heard of it.
      */
-    static final Duration TAKEOVER_TIME = Duration.ofMillis(3000);
+    static final Duration ISSUER_SILENCE = Duration.ofMillis(1500);
 
     /** Lowest rate of requests, without which the end of a limit would never be noticed. */
     static final double MIN_REQUESTS_PER_SECOND = 0.2;
@@ -186,12 +184,13 @@
         if (mLimits.isEmpty()) {
             return PermitMessages.NONE;
         }
-        Map<String, Map<String, Integer>> requests = requests(silence, nowNanos);
+        Set<String> instances = instances(silence);
+        Map<String, Map<String, Integer>> requests = requests(instances, nowNanos);
         Map<String, Integer> own = requests.remove(mId);
         if (own != null) {
             requested(mId, own, nowNanos);
         }
-        Map<String, Map<String, PermitGrant>> grants = issue(silence, nowNanos);
+        Map<String, Map<String, PermitGrant>> grants = issue(instances, nowNanos);
         Map<String, PermitGrant> ownGrants = grants.remove(mId);
         if (ownGrants != null) {
             granted(ownGrants, nowNanos);
@@ -199,28 +198,24 @@
         return new PermitMessages(requests, grants);
     }
 
-    private Map<String, Map<String, Integer>> requests(
-            Map<String, Duration> silence, long nowNanos) {
-        Set<String> present = instances(silence, ISSUER_SILENCE);
+    private Map<String, Map<String, Integer>> requests(Set<String> instances, long nowNanos) {
         Map<String, Map<String, Integer>> requests = new HashMap<>();
         mPool.wanted(nowNanos)
                 .forEach(
                         (upstream, count) ->
                                 requests.computeIfAbsent(
-                                                issuer(upstream, present),
+                                                issuer(upstream, instances),
                                                 ignored -> new HashMap<>())
                                         .put(upstream, count));
         return requests;
     }
 
-    private Map<String, Map<String, PermitGrant>> issue(
-            Map<String, Duration> silence, long nowNanos) {
+    private Map<String, Map<String, PermitGrant>> issue(Set<String> instances, long nowNanos) {
         Map<String, Map<String, PermitGrant>> grants = new HashMap<>();
-        Set<String> candidates = instances(silence, TAKEOVER_TIME);
-        boolean established = nowNanos - mStartNanos >= TAKEOVER_TIME.toNanos();
+        boolean established = nowNanos - mStartNanos >= ISSUER_SILENCE.toNanos();
         mIssuer.issue(
                 upstream ->
-                        established && issuer(upstream, candidates).equals(mId)
+                        established && issuer(upstream, instances).equals(mId)
                                 ? issuedPerSecond(upstream)
                                 : OptionalDouble.empty(),
                 (instance, upstream, grant) ->
@@ -237,12 +232,12 @@
                 : limit;
     }
 
-    private Set<String> instances(Map<String, Duration> silence, Duration limit) {
+    private Set<String> instances(Map<String, Duration> silence) {
         Set<String> instances = new HashSet<>();
         instances.add(mId);
         silence.forEach(
                 (instance, time) -> {
-                    if (time.compareTo(limit) <= 0) {
+                    if (time.compareTo(ISSUER_SILENCE) <= 0) {
                         instances.add(instance);
                     }
                 });
--- a/tanagergap-decisions/src/test/java/org/tanagergap/decisions/ratelimit/SharedRateLimitsTests.java
+++ b/tanagergap-decisions/src/test/java/org/tanagergap/decisions/ratelimit/SharedRateLimitsTests.java
@@ -47,6 +47,20 @@
             assertThat(instances.largestWindow(learned, Duration.ofSeconds(20))).isAtLeast(10);
         }
 
+        @Test
+        void permitsThatWereNotUsedAreNotUsedTogetherLater() {
+            SimulatedInstances instances = instances(25);
+            instances.advertise(1);
+            instances.run(Duration.ofMillis(200), i -> i == 0);
+            instances.preferOthers(true);
+            instances.run(Duration.ofSeconds(30), i -> true);
+            instances.preferOthers(false);
+
+            instances.run(Duration.ofSeconds(4), i -> true);
+
+            assertThat(instances.largestWindow(0, WINDOW)).isAtMost(6);
+        }
+
         @ParameterizedTest
         @ValueSource(doubles = {0.5, 3, 40})
         void oneBusyInstanceGetsTheWholeLimit(double limit) {
@@ -83,10 +97,11 @@
                 instances.kill(instances.instances().get(0));
                 instances.start();
             }
+            instances.kill(instances.instances().get(0));
             int sent = instances.run(Duration.ofSeconds(10), j -> true);
 
-            assertThat(instances.largestWindow(learned, WINDOW)).isAtMost(35);
-            assertThat(sent).isAtLeast(25);
+            assertThat(instances.largestWindow(learned, WINDOW)).isAtMost(28);
+            assertThat(sent).isAtLeast(35);
         }
     }
 
--- a/tanagergap-decisions/src/test/java/org/tanagergap/decisions/ratelimit/SimulatedInstances.java
+++ b/tanagergap-decisions/src/test/java/org/tanagergap/decisions/ratelimit/SimulatedInstances.java
@@ -29,6 +29,7 @@
     private final List<Arrival> mArrivals = new ArrayList<>();
     private RateLimitNotice mNotice = UNLIMITED;
     private int mStarted;
+    private boolean mPreferOthers;
     private long mStep;
 
     private record Message(long step, Instance recipient, Runnable delivery) {}
@@ -82,7 +83,7 @@
         }
 
         private boolean sendRequest() {
-            if (!mLimits.maySend(UPSTREAM, nanos())) {
+            if (!mLimits.maySend(UPSTREAM, nanos()) || mPreferOthers) {
                 return false;
             }
             if (mLimits.isLimited(UPSTREAM)) {
@@ -139,6 +140,11 @@
         advertise(new RateLimitNotice.Limited(requestsPerSecond));
     }
 
+    /** Makes instances ask for permits and send their requests to other upstreams. */
+    void preferOthers(boolean preferOthers) {
+        mPreferOthers = preferOthers;
+    }
+
     void advertiseNothing() {
         advertise(UNLIMITED);
     }
