Let the stand-ins restore a backup and name a time to retry after

The key-value stand-in copies its contents and returns to them ("backup" and "restore" of its faults), the engine names a time in its refusals ("retry_after_s"). An end-to-end test submits a configuration, restores the key-value service to before, and expects that the entries store it again and that the next version takes effect; it passes.

--- a/tanagergap-endtoend/src/test/java/org/tanagergap/endtoend/ConfigurationFailureTests.java
+++ b/tanagergap-endtoend/src/test/java/org/tanagergap/endtoend/ConfigurationFailureTests.java
@@ -11,6 +11,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.MethodOrderer;
 import org.junit.jupiter.api.Order;
 import org.junit.jupiter.api.Test;
@@ -105,6 +106,24 @@
         }
     }
 
+    /** The entries would ignore the versions that the key-value service gives out again. */
+    @Test
+    @Order(5)
+    void aConfigurationThatARestoredKeyValueServiceLacksIsStoredAgainAndTheNextOneFollows()
+            throws Exception {
+        long base = highestVersion();
+        mSystem.setFaults("key-value", "{\"backup\":true}");
+        assertThat(submit(base, 29).waitFor(30)).hasValue(0);
+        awaitInEffect("the version that will be lost is in effect", base + 1);
+        mSystem.setFaults("key-value", "{\"restore\":true}");
+        // An entry notices within 2 s and writes the configuration within another 2 s.
+        TimeUnit.SECONDS.sleep(5);
+
+        assertThat(submit(base + 1, 31).waitFor(30)).hasValue(0);
+
+        awaitInEffect("the version after the lost one is in effect", base + 2);
+    }
+
     @Test
     @Order(3)
     void anEntryThatStartsDuringAnOutageLoadsTheVersionOfItsPeer() throws Exception {
--- a/tanagergap-standins/src/main/java/org/tanagergap/standins/engine/EngineFaults.java
+++ b/tanagergap-standins/src/main/java/org/tanagergap/standins/engine/EngineFaults.java
@@ -7,6 +7,7 @@
 
     private boolean mWithholdsEvents;
     private boolean mRefusesRequests;
+    private double mRetryAfterSeconds;
     private int mCutAfterTokens;
     private int mCrossedEvents;
     private int mDuplicatedEvents;
@@ -16,6 +17,7 @@
     void replace(JsonObject json) {
         mWithholdsEvents = json.getBoolean("silent", false);
         mRefusesRequests = json.getBoolean("refuse", false);
+        mRetryAfterSeconds = json.getDouble("retry_after_s", 0.0);
         mCutAfterTokens = json.getInteger("cut_after_tokens", 0);
         mCrossedEvents = json.getInteger("crossed", 0);
         mDuplicatedEvents = json.getInteger("duplicated", 0);
@@ -32,6 +34,11 @@
         return mRefusesRequests;
     }
 
+    /** Returns the time that refusals name, in seconds; 0 if they name none. */
+    double retryAfterSeconds() {
+        return mRetryAfterSeconds;
+    }
+
     /** Returns true if the connection is reset once the stream has sent this many tokens. */
     boolean cutsAfter(long tokensSent) {
         return mCutAfterTokens > 0 && tokensSent >= mCutAfterTokens;
--- a/tanagergap-standins/src/main/java/org/tanagergap/standins/engine/EngineServer.java
+++ b/tanagergap-standins/src/main/java/org/tanagergap/standins/engine/EngineServer.java
@@ -166,6 +166,10 @@
             return true;
         }
         if (mFaults.refusesRequests()) {
+            if (mFaults.retryAfterSeconds() > 0) {
+                context.response()
+                        .putHeader("Retry-After", Double.toString(mFaults.retryAfterSeconds()));
+            }
             refuse(context, 429, "refused", "the engine refuses all requests");
             return true;
         }
--- a/tanagergap-standins/src/main/java/org/tanagergap/standins/keyvalue/KeyValueServer.java
+++ b/tanagergap-standins/src/main/java/org/tanagergap/standins/keyvalue/KeyValueServer.java
@@ -16,6 +16,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
@@ -37,6 +38,7 @@
     private final Object mLock = new Object();
     private final KeyValueState mState;
     private final FaultSwitches mFaults = new FaultSwitches();
+    private Optional<KeyValueState.Backup> mBackup = Optional.empty();
     private final Map<CallKind, Long> mCounts = new EnumMap<>(CallKind.class);
     private final TokenBucket mReadLimit;
     private final TokenBucket mWriteLimit;
@@ -231,6 +233,12 @@
         }
         synchronized (mLock) {
             mFaults.update(faults);
+            if (faults.getBoolean("backup", false)) {
+                mBackup = Optional.of(mState.backup());
+            }
+            if (faults.getBoolean("restore", false)) {
+                mBackup.ifPresent(mState::restore);
+            }
             if (mFaults.outage()) {
                 mWatches.forEach(HttpServerResponse::reset);
             }
--- a/tanagergap-standins/src/main/java/org/tanagergap/standins/keyvalue/KeyValueState.java
+++ b/tanagergap-standins/src/main/java/org/tanagergap/standins/keyvalue/KeyValueState.java
@@ -34,6 +34,9 @@
 
     private record Lease(long timeToLiveSeconds, long expiryNanos) {}
 
+    /** Contents at one revision, from which the state can be restored. */
+    public record Backup(Map<String, StoredValue> values, Set<Long> leases, long revision) {}
+
     private record Watcher(KeyRange range, Consumer<List<KeyChange>> listener) {}
 
     /** Revision of the last change. */
@@ -41,6 +44,21 @@
         return mRevision;
     }
 
+    public Backup backup() {
+        return new Backup(Map.copyOf(mValues), Set.copyOf(mLeases.keySet()), mRevision);
+    }
+
+    /**
+     * Loses all changes and leases since the backup. Revisions are given out again, and watches see
+     * none of it.
+     */
+    public void restore(Backup backup) {
+        mValues.clear();
+        mValues.putAll(backup.values());
+        mLeases.keySet().retainAll(backup.leases());
+        mRevision = backup.revision();
+    }
+
     /** Values in the range, ascending by key, at most {@code limit} or all when it is 0. */
     public SortedMap<String, StoredValue> range(KeyRange range, long limit) {
         SortedMap<String, StoredValue> result = new TreeMap<>();
--- a/tanagergap-standins/src/test/java/org/tanagergap/standins/keyvalue/KeyValueStateTests.java
+++ b/tanagergap-standins/src/test/java/org/tanagergap/standins/keyvalue/KeyValueStateTests.java
@@ -43,6 +43,29 @@
         assertThat(read("a").value()).isEqualTo("2");
     }
 
+    @Test
+    void givesOutRevisionsAgainAfterARestore() {
+        put("a", "1", 0);
+        KeyValueState.Backup backup = mState.backup();
+        put("a", "2", 0);
+        put("b", "1", 0);
+        mState.restore(backup);
+
+        assertThat(read("a").value()).isEqualTo("1");
+        assertThat(read("b")).isNull();
+        put("c", "1", 0);
+        assertThat(mState.revision()).isEqualTo(3);
+    }
+
+    @Test
+    void losesLeasesThatWereGrantedAfterTheBackup() {
+        KeyValueState.Backup backup = mState.backup();
+        long lease = mState.grantLease(5, 0);
+        mState.restore(backup);
+
+        assertThat(mState.keepLeaseAlive(lease, 0)).isEqualTo(0);
+    }
+
     @Test
     void readsRangesInOrderUpToTheLimit() {
         List.of("k3", "k1", "k2", "l").forEach(key -> put(key, key, 0));
