Bring work to the leaving agent whatever the router prefers

They share one prompt, and the router prefers the agent that holds it; nothing was lost.

The test now starts streams with other prompts, one each 50 ms, until engine-b runs one. What follows is checked as before, for more streams.

--- a/tanagergap-endtoend/src/test/java/org/tanagergap/endtoend/ShutdownTests.java
+++ b/tanagergap-endtoend/src/test/java/org/tanagergap/endtoend/ShutdownTests.java
@@ -30,6 +30,8 @@
 
     private final RunningSystem mSystem;
 
+    private record RunningStream(String prompt, CompletableFuture<HttpResponse<String>> response) {}
+
     ShutdownTests(RunningSystem system) {
         mSystem = system;
     }
@@ -37,9 +39,8 @@
     @Test
     @Order(2)
     void aLeavingAgentFinishesItsStreamsAndGetsNoNewWorkAfterThreeSeconds() throws Exception {
-        List<CompletableFuture<HttpResponse<String>>> streams = startStreams(2, 8);
-        Waiting.until(
-                "engine-b runs", Duration.ofSeconds(10), () -> mSystem.engineMemoryTokens("b") > 0);
+        List<RunningStream> streams = startStreams(2, 8);
+        Waiting.until("engine-b runs", Duration.ofSeconds(10), () -> reachesEngineB(streams));
         Map<Long, Integer> statuses = new ConcurrentHashMap<>();
 
         mSystem.process("agent-b").requestTermination();
@@ -70,7 +71,7 @@
     @Test
     @Order(3)
     void aDrainingEntryFinishesItsStreams() throws Exception {
-        List<CompletableFuture<HttpResponse<String>>> streams = startStreams(1, 8);
+        List<RunningStream> streams = startStreams(1, 8);
         TimeUnit.MILLISECONDS.sleep(500);
 
         mSystem.process("entry-1").requestTermination();
@@ -104,21 +105,37 @@
         assertThat(mSystem.process("agent-orders").waitFor(20)).hasValue(0);
     }
 
-    private List<CompletableFuture<HttpResponse<String>>> startStreams(int entry, int count) {
-        List<CompletableFuture<HttpResponse<String>>> streams = new ArrayList<>();
+    /**
+     * Starts a stream with another prompt unless engine-b runs one. All streams with one prompt may
+     * go to one engine, because the router prefers the agent that holds the prompt.
+     */
+    private boolean reachesEngineB(List<RunningStream> streams) throws Exception {
+        boolean reached = mSystem.engineMemoryTokens("b") > 0;
+        if (!reached) {
+            streams.add(startStream(2, "stream " + streams.size() + " " + PROMPT));
+        }
+        return reached;
+    }
+
+    private List<RunningStream> startStreams(int entry, int count) {
+        List<RunningStream> streams = new ArrayList<>();
         for (int i = 0; i < count; i++) {
-            streams.add(mSystem.sendAsync(mSystem.completion(entry, PROMPT, OUTPUT_TOKENS)));
+            streams.add(startStream(entry, PROMPT));
         }
         return streams;
     }
 
-    private static void assertComplete(List<CompletableFuture<HttpResponse<String>>> streams)
-            throws Exception {
-        for (CompletableFuture<HttpResponse<String>> stream : streams) {
-            HttpResponse<String> response = stream.get(40, TimeUnit.SECONDS);
+    private RunningStream startStream(int entry, String prompt) {
+        return new RunningStream(
+                prompt, mSystem.sendAsync(mSystem.completion(entry, prompt, OUTPUT_TOKENS)));
+    }
+
+    private static void assertComplete(List<RunningStream> streams) throws Exception {
+        for (RunningStream stream : streams) {
+            HttpResponse<String> response = stream.response().get(40, TimeUnit.SECONDS);
             assertWithMessage(response.body())
                     .that(CompletionTexts.text(response.body()))
-                    .isEqualTo(CompletionTexts.expectedText(PROMPT, OUTPUT_TOKENS));
+                    .isEqualTo(CompletionTexts.expectedText(stream.prompt(), OUTPUT_TOKENS));
             assertThat(response.body()).endsWith("data: [DONE]\n\n");
         }
     }
