--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/caller/CallerConnections.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/caller/CallerConnections.java
@@ -61,6 +61,11 @@
                         idleConnections.add(connection);
                     }
                 });
+        if (!idleConnections.isEmpty()) {
+            sLogger.atInfo().log(
+                    "closing %d connections of callers that were idle for %d ms",
+                    idleConnections.size(), idle.toMillis());
+        }
         idleConnections.forEach(HttpConnection::close);
     }
 }
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/AttemptObservations.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/AttemptObservations.java
@@ -1,8 +1,11 @@
 package org.tanagergap.gateway.forward;
 
+import com.google.common.flogger.FluentLogger;
 import java.time.Duration;
+import org.tanagergap.api.request.AttemptId;
 import org.tanagergap.decisions.fleet.Placement;
 import org.tanagergap.gateway.membership.Upstream;
+import org.tanagergap.runtime.log.LogKeys;
 
 /**
  * Records what one attempt shows about the health of its upstream, and whether its prompt may have
@@ -13,6 +16,8 @@
     private static final Duration REFUSED_SUSPENSION = Duration.ofMillis(60);
     private static final Duration REPLACED_SUSPENSION = Duration.ofSeconds(3);
 
+    private static final FluentLogger sLogger = FluentLogger.forEnclosingClass();
+
     private final ForwardingContext mContext;
     private final RequestLifecycle mLifecycle;
     private final Placement mPlacement;
@@ -64,6 +69,15 @@
         mContext.health().unreachable(mPlacement.upstream(), now());
     }
 
+    /** Logs that nothing arrived for a time, and what follows from it. */
+    void logStall(AttemptId attempt, Duration silence, String decision) {
+        sLogger.atInfo()
+                .with(LogKeys.REQUEST_ID, mLifecycle.exchange().id().value())
+                .with(LogKeys.ATTEMPT_ID, attempt.value())
+                .with(LogKeys.UPSTREAM, mPlacement.upstream())
+                .log("nothing arrived for %d ms: %s", silence.toMillis(), decision);
+    }
+
     /**
      * Records a failure.
      *
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/UpstreamAttempt.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/UpstreamAttempt.java
@@ -51,6 +51,7 @@
     private long mLastEventNanos;
     private boolean mFirstEvent = true;
     private boolean mPaused;
+    private boolean mStalled;
     private boolean mEnded;
     private Timer mIdleTimer = () -> {};
 
@@ -170,6 +171,11 @@
 
     private void recordEvent() {
         long now = now();
+        if (mStalled) {
+            mStalled = false;
+            mObservations.logStall(
+                    id(), Duration.ofNanos(now - mLastEventNanos), "the upstream goes on");
+        }
         mReservation.ifPresent(HelperMemoryReservation::tokenReceived);
         if (mFirstEvent) {
             mFirstEvent = false;
@@ -298,8 +304,11 @@
         if (remainingNanos <= 0) {
             mObservations.unresponsive();
             if (continueElsewhere("nothing arrived for " + timeout.toMillis() + " ms")) {
+                mObservations.logStall(id(), timeout, "the request continues at another upstream");
                 return;
             }
+            mObservations.logStall(id(), timeout, "no other upstream can take the request");
+            mStalled = true;
             // No other upstream can continue the response, so idleness alone does not end it.
             remainingNanos = timeout.toNanos();
         }
