Keep a stalled attempt until another one makes progress

Callers saw a connection closed in the middle of a stream, or a 502, although the upstream of their request was sound and went on after 1.4 s of silence. Cause: an attempt was ended as soon as nothing had arrived for its idle timeout and another upstream could take the request. What that one did then decided alone: a refusal, a closed connection or an error lost the request. Another attempt starts beside those that are silent, within the limit on attempts, the retry budget and what an upstream can take at once; the first one with an event or response is kept and the others are cancelled. Silence alone ends no attempt. An upstream that goes on is no longer suspended.

--- a/tanagergap-decisions/src/main/java/org/tanagergap/decisions/fleet/UpstreamHealth.java
+++ b/tanagergap-decisions/src/main/java/org/tanagergap/decisions/fleet/UpstreamHealth.java
@@ -26,6 +26,8 @@
         private long mSuspendedUntilNanos;
         private boolean mSuspended;
         private boolean mFoundLocally;
+        private boolean mStalled;
+        private int mFailuresBeforeStall;
         private double mSlowness = 1;
     }
 
@@ -34,6 +36,7 @@
         State state = mStates.get(upstream);
         if (state != null) {
             state.mFailures = 0;
+            state.mStalled = false;
             state.mSuspended = false;
         }
     }
@@ -47,13 +50,38 @@
         }
     }
 
-    /** Records that the upstream could not be reached or timed out; it is suspended at once. */
+    /** Records that the upstream could not be reached; it is suspended at once. */
     public void unreachable(String upstream, long nowNanos) {
         State state = state(upstream);
+        state.mStalled = false;
         suspend(state, state.mFailures, nowNanos);
         state.mFailures++;
     }
 
+    /**
+     * Records that the upstream sends nothing for a request. It is suspended at once, until it goes
+     * on or the time is up.
+     */
+    public void stalled(String upstream, long nowNanos) {
+        State state = state(upstream);
+        if (!state.mStalled) {
+            state.mStalled = true;
+            state.mFailuresBeforeStall = state.mFailures;
+        }
+        suspend(state, state.mFailures, nowNanos);
+        state.mFailures++;
+    }
+
+    /** Records that the upstream goes on with a request; a stall counts no longer as a failure. */
+    public void progressed(String upstream) {
+        State state = mStates.get(upstream);
+        if (state != null && state.mStalled) {
+            state.mStalled = false;
+            state.mFailures = state.mFailuresBeforeStall;
+            state.mSuspended = false;
+        }
+    }
+
     /** Suspends an upstream that requested a pause or that a peer has suspended. */
     public void suspend(String upstream, Duration duration, long nowNanos) {
         State state = state(upstream);
--- a/tanagergap-decisions/src/test/java/org/tanagergap/decisions/fleet/FleetStateTests.java
+++ b/tanagergap-decisions/src/test/java/org/tanagergap/decisions/fleet/FleetStateTests.java
@@ -101,6 +101,30 @@
             assertThat(mHealth.isUsable("e1", 0)).isTrue();
         }
 
+        /** An upstream that had been silent for a second stayed suspended for several. */
+        @Test
+        void anUpstreamThatGoesOnAfterAStallIsUsableAgain() {
+            mHealth.stalled("e1", 0);
+            mHealth.stalled("e1", 1_200 * MILLI);
+            assertThat(mHealth.isUsable("e1", 1_300 * MILLI)).isFalse();
+
+            mHealth.progressed("e1");
+
+            assertThat(mHealth.isUsable("e1", 1_300 * MILLI)).isTrue();
+            mHealth.failed("e1", 1_300 * MILLI);
+            assertThat(mHealth.isUsable("e1", 1_300 * MILLI)).isTrue();
+        }
+
+        @Test
+        void progressDoesNotEndASuspensionForAnotherReason() {
+            mHealth.stalled("e1", 0);
+            mHealth.unreachable("e1", 0);
+
+            mHealth.progressed("e1");
+
+            assertThat(mHealth.isUsable("e1", 0)).isFalse();
+        }
+
         /**
          * Guards against suspensions that peers report back to each other and that therefore never
          * end.
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/AttemptObservations.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/AttemptObservations.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import org.tanagergap.api.request.AttemptId;
 import org.tanagergap.decisions.fleet.Placement;
+import org.tanagergap.decisions.stall.IdleTimeout;
 import org.tanagergap.gateway.membership.Upstream;
 import org.tanagergap.runtime.log.LogKeys;
 
@@ -21,15 +22,16 @@
     private final ForwardingContext mContext;
     private final RequestLifecycle mLifecycle;
     private final Placement mPlacement;
-    private final UpstreamIdleTimeout mIdleTimeout;
+    private final IdleTimeout mIdleTimeout;
     private boolean mHasEvent;
     private boolean mGenerates;
+    private String mLoggedDecision = "";
 
     AttemptObservations(
             ForwardingContext context,
             RequestLifecycle lifecycle,
             Placement placement,
-            UpstreamIdleTimeout idleTimeout) {
+            IdleTimeout idleTimeout) {
         mContext = context;
         mLifecycle = lifecycle;
         mPlacement = placement;
@@ -64,13 +66,22 @@
         mContext.health().succeeded(mPlacement.upstream());
     }
 
-    /** Records that the upstream does not respond. */
-    void unresponsive() {
-        mContext.health().unreachable(mPlacement.upstream(), now());
+    /** Records that the upstream sends nothing. */
+    void stalled() {
+        mContext.health().stalled(mPlacement.upstream(), now());
     }
 
-    /** Logs that nothing arrived for a time, and what follows from it. */
+    /** Records that the upstream has sent a part of the response. */
+    void progressed() {
+        mContext.health().progressed(mPlacement.upstream());
+    }
+
+    /** Logs that nothing arrived for a time, and what follows from it unless that is unchanged. */
     void logStall(AttemptId attempt, Duration silence, String decision) {
+        if (decision.equals(mLoggedDecision)) {
+            return;
+        }
+        mLoggedDecision = decision;
         sLogger.atInfo()
                 .with(LogKeys.REQUEST_ID, mLifecycle.exchange().id().value())
                 .with(LogKeys.ATTEMPT_ID, attempt.value())
@@ -94,8 +105,8 @@
             }
             case REFUSED -> mContext.health().suspend(upstream, REFUSED_SUSPENSION, now);
             case OTHER_UPSTREAM -> mContext.health().suspend(upstream, REPLACED_SUSPENSION, now);
-            case SILENT, NOT_RESERVED -> {
-                // SILENT was recorded as unresponsive; an engine without free memory is healthy.
+            case NOT_RESERVED -> {
+                // An engine without free memory is healthy.
             }
         }
         return upstream;
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/CallFailure.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/CallFailure.java
@@ -25,9 +25,7 @@
         /** Memory on a helper engine could not be reserved. */
         NOT_RESERVED(Execution.NOT_RUN),
         /** The connection failed or the response was malformed. */
-        BROKEN(Execution.UNKNOWN),
-        /** Nothing arrived within the idle timeout. */
-        SILENT(Execution.UNKNOWN);
+        BROKEN(Execution.UNKNOWN);
 
         private final Execution mExecution;
 
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/Dispatcher.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/Dispatcher.java
@@ -65,11 +65,11 @@
                 .ifPresentOrElse(lifecycle::placed, () -> enqueue(lifecycle, excluded));
     }
 
-    /** Returns true if an upstream that is not excluded can take the request now. */
-    boolean canPlaceElsewhere(RequestLifecycle lifecycle, Set<String> excluded) {
+    /** Chooses an upstream that is not excluded and can take the request now. */
+    Optional<Placement> chooseElsewhere(RequestLifecycle lifecycle, Set<String> excluded) {
         List<UpstreamCandidate> candidates =
                 mCandidates.candidates(lifecycle.request().service(), excluded);
-        return mPolicy.choose(lifecycle.times().placementRequest(), candidates).isPresent();
+        return mPolicy.choose(lifecycle.times().placementRequest(), candidates);
     }
 
     /** Removes a request from the queue. */
@@ -88,15 +88,10 @@
     }
 
     private Optional<Placement> choose(RequestLifecycle lifecycle, Set<String> excluded) {
-        GatewayRequest request = lifecycle.request();
-        List<UpstreamCandidate> candidates = mCandidates.candidates(request.service(), excluded);
-        Optional<Placement> placement =
-                mPolicy.choose(lifecycle.times().placementRequest(), candidates);
+        Optional<Placement> placement = chooseElsewhere(lifecycle, excluded);
         if (placement.isEmpty() && !excluded.isEmpty()) {
             // Any other upstream is preferred, but one that has failed is better than none.
-            return mPolicy.choose(
-                    lifecycle.times().placementRequest(),
-                    mCandidates.candidates(request.service(), Set.of()));
+            return chooseElsewhere(lifecycle, Set.of());
         }
         return placement;
     }
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/RequestLifecycle.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/RequestLifecycle.java
@@ -5,10 +5,8 @@
 import io.vertx.core.MultiMap;
 import io.vertx.core.buffer.Buffer;
 import java.time.Duration;
-import java.util.HashSet;
 import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.Set;
 import org.tanagergap.api.failure.Execution;
 import org.tanagergap.api.failure.FailureCode;
 import org.tanagergap.api.failure.RequestFailure;
@@ -36,10 +34,9 @@
     private final Span mSpan;
     private final RequestTimes mTimes;
     private final RequestRetries mRetries;
-    private Optional<UpstreamAttempt> mAttempt = Optional.empty();
+    private final OpenAttempts mAttempts;
     private Optional<CompleteResponse> mFailureResponse = Optional.empty();
     private OptionalLong mLastEventId;
-    private int mAttempts;
     private boolean mStreaming;
     private boolean mEnded;
     private Timer mDeadline = () -> {};
@@ -67,6 +64,7 @@
                                         request.headers().get(UpstreamAttempt.TRACE_HEADER)));
         mTimes = new RequestTimes(context.clock(), request);
         mRetries = new RequestRetries(context.retryBudgets(), request);
+        mAttempts = new OpenAttempts(context, this, dispatcher, mRetries);
         mLastEventId = request.lastEventId();
     }
 
@@ -101,10 +99,6 @@
         return mStreaming;
     }
 
-    int attempts() {
-        return mAttempts;
-    }
-
     /** Tries to place queued requests after an attempt has freed capacity. */
     void capacityChanged() {
         mDispatcher.capacityChanged();
@@ -126,13 +120,9 @@
 
     /** Starts an attempt at the chosen upstream. */
     void placed(Placement placement) {
-        if (mEnded) {
-            return;
+        if (!mEnded) {
+            mAttempts.start(placement);
         }
-        mAttempts++;
-        UpstreamAttempt attempt = new UpstreamAttempt(mContext, this, placement, this);
-        mAttempt = Optional.of(attempt);
-        attempt.start();
     }
 
     /** Ends the request, for which no upstream is available. */
@@ -154,10 +144,15 @@
     }
 
     @Override
-    public void event(UpstreamResponseHead head, MultiMap headers, StreamEvent event) {
+    public void event(
+            UpstreamAttempt attempt,
+            UpstreamResponseHead head,
+            MultiMap headers,
+            StreamEvent event) {
         if (mEnded) {
             return;
         }
+        mAttempts.progressed(attempt);
         if (!mStreaming) {
             mStreaming = true;
             mExchange.startStream(head.status(), headers);
@@ -168,17 +163,18 @@
             mLastEventId = event.id();
         }
         if (mExchange.sendEvent(event.bytes())) {
-            mAttempt.ifPresent(UpstreamAttempt::pause);
-            mExchange.onDrain(() -> mAttempt.ifPresent(UpstreamAttempt::resume));
+            mAttempts.pauseReading();
+            mExchange.onDrain(mAttempts::resumeReading);
         }
     }
 
     @Override
-    public void streamEnded(UpstreamResponseHead head, MultiMap headers) {
-        mAttempt = Optional.empty();
+    public void streamEnded(UpstreamAttempt attempt, UpstreamResponseHead head, MultiMap headers) {
+        mAttempts.ended(attempt);
         if (mEnded) {
             return;
         }
+        mAttempts.cancel();
         if (!mStreaming) {
             mExchange.startStream(head.status(), headers);
         }
@@ -187,52 +183,50 @@
     }
 
     @Override
-    public void responseReceived(UpstreamResponseHead head, MultiMap headers, Buffer body) {
-        mAttempt = Optional.empty();
+    public void responseReceived(
+            UpstreamAttempt attempt, UpstreamResponseHead head, MultiMap headers, Buffer body) {
+        mAttempts.ended(attempt);
         mRetries.answered();
         if (mEnded) {
             return;
         }
         CompleteResponse response = new CompleteResponse(head.status(), headers, body);
-        if (mStreaming) {
-            // A resumed stream cannot be completed by a response that is not a stream.
-            attemptFailed("status " + head.status(), Execution.RAN);
-        } else if (head.status() >= MIN_SERVER_ERROR_STATUS && mRetries.tryRetry(Execution.RAN)) {
-            mFailureResponse = Optional.of(response);
-            mDispatcher.submit(this, mRetries.failedUpstreams());
-        } else {
+        boolean failed = mStreaming || head.status() >= MIN_SERVER_ERROR_STATUS;
+        if (!failed) {
+            mAttempts.cancel();
             sendResponse(response, "answer of the upstream");
+            return;
+        }
+        if (!mStreaming) {
+            mFailureResponse = Optional.of(response);
+        }
+        if (!mAttempts.continueAfterFailure(false)) {
+            attemptFailed("status " + head.status(), Execution.RAN, false);
         }
     }
 
     @Override
-    public void failed(String upstream, CallFailure failure) {
-        mAttempt = Optional.empty();
+    public void failed(UpstreamAttempt attempt, String upstream, CallFailure failure) {
+        mAttempts.ended(attempt);
         mRetries.failed(upstream, failure.execution());
-        if (!mEnded) {
-            attemptFailed(failure.reason(), failure.execution(), !failure.kind().sent());
+        boolean free = !failure.kind().sent();
+        if (!mEnded && !mAttempts.continueAfterFailure(free)) {
+            attemptFailed(failure.reason(), failure.execution(), free);
         }
     }
 
     @Override
-    public boolean tryReserveRetryElsewhere(String idleUpstream) {
-        Set<String> excluded = new HashSet<>(mRetries.failedUpstreams());
-        excluded.add(idleUpstream);
-        mRetries.clearReservation();
-        return mRetries.mayRetryAfterRunningAttempt()
-                && resumable()
-                && mDispatcher.canPlaceElsewhere(this, excluded)
-                && mRetries.tryReserve();
+    public void stalled(UpstreamAttempt attempt, Duration silence) {
+        if (!mEnded) {
+            mAttempts.stalled(attempt, silence);
+        }
     }
 
-    private boolean resumable() {
+    /** Returns true if another run may go on with the response. */
+    boolean resumable() {
         return !mStreaming || mLastEventId.isPresent();
     }
 
-    private void attemptFailed(String reason, Execution execution) {
-        attemptFailed(reason, execution, false);
-    }
-
     private void attemptFailed(String reason, Execution execution, boolean free) {
         if (resumable() && mRetries.tryRetryAfterFailure(execution, free)) {
             mDispatcher.submit(this, mRetries.failedUpstreams());
@@ -254,7 +248,7 @@
         if (mEnded) {
             return;
         }
-        boolean sent = mAttempt.isPresent() || mRetries.mayHaveRun();
+        boolean sent = !mAttempts.isEmpty() || mRetries.mayHaveRun();
         stopForwarding();
         if (mStreaming) {
             end("deadline_exceeded", Execution.RAN, "the time is up in the middle of the stream");
@@ -275,7 +269,7 @@
         if (mEnded || mStreaming) {
             return;
         }
-        boolean sent = mAttempt.isPresent() || mRetries.mayHaveRun();
+        boolean sent = !mAttempts.isEmpty() || mRetries.mayHaveRun();
         stopForwarding();
         if (sent) {
             String reason = refusal.getMessage();
@@ -287,8 +281,7 @@
 
     private void stopForwarding() {
         mDispatcher.withdraw(this);
-        mAttempt.ifPresent(UpstreamAttempt::cancel);
-        mAttempt = Optional.empty();
+        mAttempts.cancel();
     }
 
     private void callerDisconnected() {
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/RequestLogRecord.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/RequestLogRecord.java
@@ -8,6 +8,7 @@
 import java.util.Locale;
 import java.util.OptionalLong;
 import org.tanagergap.api.failure.Execution;
+import org.tanagergap.api.request.AttemptId;
 import org.tanagergap.api.request.RequestId;
 import org.tanagergap.gateway.caller.GatewayRequest;
 import org.tanagergap.runtime.log.LogItems;
@@ -40,11 +41,8 @@
         mAttempts.add(attempt);
     }
 
-    void attemptEnded(AttemptRecord.End end) {
-        int last = mAttempts.size() - 1;
-        if (last >= 0) {
-            mAttempts.set(last, mAttempts.get(last).withEnd(end));
-        }
+    void attemptEnded(AttemptId id, AttemptRecord.End end) {
+        mAttempts.replaceAll(attempt -> attempt.id().equals(id) ? attempt.withEnd(end) : attempt);
     }
 
     void recordFirstEvent(long nowNanos) {
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/RequestRetries.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/RequestRetries.java
@@ -15,7 +15,6 @@
     private final Set<String> mFailedUpstreams = new HashSet<>();
     private int mPossibleRuns;
     private int mNotRun;
-    private boolean mReserved;
 
     RequestRetries(RetryBudgets budgets, GatewayRequest request) {
         mBudgets = budgets;
@@ -39,6 +38,11 @@
         mPossibleRuns++;
     }
 
+    /** Records an attempt that was cancelled and may have run. */
+    void cancelled() {
+        mPossibleRuns++;
+    }
+
     /** Records an attempt that failed at the upstream. */
     void failed(String upstream, Execution execution) {
         mFailedUpstreams.add(upstream);
@@ -49,42 +53,27 @@
         }
     }
 
-    /** Takes a retry after an attempt that ended as given, if rules and budget allow it. */
-    boolean tryRetry(Execution execution) {
-        return rulesAllow(execution) && trySpend();
-    }
-
     /**
-     * Takes a retry after a failed attempt, using one that was reserved before.
+     * Takes a retry after a failed attempt, if rules and budget allow it.
      *
      * @param free whether the attempt reached no upstream, so that another one is not a retry
      */
     boolean tryRetryAfterFailure(Execution execution, boolean free) {
-        boolean paid = free || mReserved;
-        mReserved = false;
-        return rulesAllow(execution) && (paid || trySpend());
+        return rulesAllow(execution) && (free || trySpend());
     }
 
-    /** Returns true if the rules allow a retry while an attempt runs that would be ended. */
-    boolean mayRetryAfterRunningAttempt() {
-        return mEligibility.mayRetry(Execution.UNKNOWN, mPossibleRuns + 1, mNotRun);
+    /** Returns true if the rules allow another attempt beside that many open ones. */
+    boolean mayStartBeside(int openAttempts) {
+        return mEligibility.mayRetry(Execution.UNKNOWN, mPossibleRuns + openAttempts, mNotRun)
+                && mEligibility.mayRetry(Execution.NOT_RUN, mPossibleRuns + openAttempts, mNotRun);
     }
 
-    /** Takes a retry from the budget for the next failed attempt. */
-    boolean tryReserve() {
-        mReserved = trySpend();
-        return mReserved;
-    }
-
-    void clearReservation() {
-        mReserved = false;
+    /** Takes one retry from the budget. */
+    boolean trySpend() {
+        return mBudgets.trySpend(mService);
     }
 
     private boolean rulesAllow(Execution execution) {
         return mEligibility.mayRetry(execution, mPossibleRuns, mNotRun);
     }
-
-    private boolean trySpend() {
-        return mBudgets.trySpend(mService);
-    }
 }
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/UpstreamAttempt.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/UpstreamAttempt.java
@@ -9,8 +9,8 @@
 import java.util.Optional;
 import org.tanagergap.api.failure.Execution;
 import org.tanagergap.api.request.AttemptId;
-import org.tanagergap.api.time.Timer;
 import org.tanagergap.decisions.fleet.Placement;
+import org.tanagergap.decisions.stall.IdleTimeout;
 import org.tanagergap.gateway.caller.GatewayRequest;
 import org.tanagergap.gateway.membership.Upstream;
 import org.tanagergap.gateway.wire.AttemptHeaders;
@@ -19,7 +19,7 @@
 
 /**
  * One attempt of a request: reserves memory on helper engines if needed, calls the upstream,
- * enforces the idle timeout and accounts for the load. Confined to the event loop.
+ * reports stalls and accounts for the load. Confined to the event loop.
  */
 final class UpstreamAttempt implements UpstreamCallListener {
 
@@ -35,12 +35,13 @@
 
     private final ForwardingContext mContext;
     private final RequestLifecycle mLifecycle;
+    private final AttemptId mId;
     private final GatewayRequest mRequest;
     private final Placement mPlacement;
     private final UpstreamAttemptListener mListener;
     private final AttemptLoad mLoad;
     private final EventSequenceChecker mSequence;
-    private final UpstreamIdleTimeout mIdleTimeout;
+    private final IdleCheck mIdleCheck;
     private final AttemptObservations mObservations;
     private Optional<Upstream> mUpstream = Optional.empty();
     private Optional<HelperMemoryReservation> mReservation = Optional.empty();
@@ -48,25 +49,30 @@
     private Optional<LivenessCheck> mLiveness = Optional.empty();
     private Span mSpan = Span.getInvalid();
     private long mStartNanos;
-    private long mLastEventNanos;
     private boolean mFirstEvent = true;
-    private boolean mPaused;
     private boolean mStalled;
     private boolean mEnded;
-    private Timer mIdleTimer = () -> {};
 
     UpstreamAttempt(
             ForwardingContext context,
             RequestLifecycle lifecycle,
+            AttemptId id,
             Placement placement,
             UpstreamAttemptListener listener) {
         mContext = context;
         mLifecycle = lifecycle;
+        mId = id;
         mRequest = lifecycle.request();
         mPlacement = placement;
         mListener = listener;
-        mIdleTimeout = new UpstreamIdleTimeout(mRequest.route(), placement.firstTokenMillis());
-        mObservations = new AttemptObservations(context, lifecycle, placement, mIdleTimeout);
+        IdleTimeout idleTimeout =
+                new IdleTimeout(
+                        lifecycle.isStream(),
+                        mRequest.route().latencyTarget(),
+                        mRequest.route().interTokenTarget(),
+                        placement.firstTokenMillis());
+        mIdleCheck = new IdleCheck(context.clock(), idleTimeout, this::stalled);
+        mObservations = new AttemptObservations(context, lifecycle, placement, idleTimeout);
         mLoad = new AttemptLoad(context);
         mSequence = new EventSequenceChecker(lifecycle.lastEventId());
     }
@@ -88,7 +94,7 @@
     private AttemptRecord newRecord() {
         String upstream = mPlacement.upstream();
         return new AttemptRecord(
-                id(),
+                mId,
                 upstream,
                 mContext.view().upstream(upstream).map(Upstream::failureDomain).orElse(""),
                 mPlacement.helpers().size(),
@@ -98,8 +104,9 @@
                 AttemptRecord.RUNNING);
     }
 
-    private AttemptId id() {
-        return mLifecycle.exchange().id().attempt(mLifecycle.attempts());
+    /** Upstream to which the attempt is sent. */
+    String upstream() {
+        return mPlacement.upstream();
     }
 
     /** Cancels the attempt and closes the connection to the upstream. */
@@ -111,16 +118,20 @@
 
     /** Pauses reading from the upstream. */
     void pause() {
-        mPaused = true;
+        mIdleCheck.pause();
         mCall.ifPresent(UpstreamCall::pause);
     }
 
     void resume() {
-        mPaused = false;
-        mLastEventNanos = now();
+        mIdleCheck.resume();
         mCall.ifPresent(UpstreamCall::resume);
     }
 
+    /** Logs that nothing has arrived for a time, and what follows from it. */
+    void logStall(Duration silence, String decision) {
+        mObservations.logStall(mId, silence, decision);
+    }
+
     @Override
     public void headReceived(UpstreamResponseHead head) {
         mUpstream.ifPresent(u -> mContext.rateLimits().responseReceived(u, head.rateLimit()));
@@ -134,12 +145,9 @@
         switch (mSequence.check(event)) {
             case NEXT -> {
                 recordEvent();
-                mListener.event(head, headers, event);
-            }
-            case AFTER_GAP -> {
-                mCall.ifPresent(UpstreamCall::cancel);
-                failed(new CallFailure(CallFailure.Kind.BROKEN, "events are missing"));
+                mListener.event(this, head, headers, event);
             }
+            case AFTER_GAP -> broken("events are missing");
             case REPEATED -> {
                 // An earlier attempt has delivered the event to the caller.
             }
@@ -150,7 +158,7 @@
     public void streamEnded(UpstreamResponseHead head, MultiMap headers) {
         if (end("ok", Execution.RAN, "")) {
             mObservations.streamEnded();
-            mListener.streamEnded(head, headers);
+            mListener.streamEnded(this, head, headers);
         }
     }
 
@@ -158,23 +166,28 @@
     public void responseReceived(UpstreamResponseHead head, MultiMap headers, Buffer body) {
         if (end("status_" + head.status(), Execution.RAN, "")) {
             mObservations.succeeded();
-            mListener.responseReceived(head, headers, body);
+            mListener.responseReceived(this, head, headers, body);
         }
     }
 
     @Override
     public void failed(CallFailure failure) {
         if (end(failure.kind().code(), failure.execution(), failure.reason())) {
-            mListener.failed(mObservations.failed(failure), failure);
+            mListener.failed(this, mObservations.failed(failure), failure);
         }
     }
 
+    private void broken(String reason) {
+        mCall.ifPresent(UpstreamCall::cancel);
+        failed(new CallFailure(CallFailure.Kind.BROKEN, reason));
+    }
+
     private void recordEvent() {
-        long now = now();
+        Duration gap = mIdleCheck.eventArrived();
         if (mStalled) {
             mStalled = false;
-            mObservations.logStall(
-                    id(), Duration.ofNanos(now - mLastEventNanos), "the upstream goes on");
+            mObservations.progressed();
+            logStall(gap, "the upstream goes on");
         }
         mReservation.ifPresent(HelperMemoryReservation::tokenReceived);
         if (mFirstEvent) {
@@ -183,12 +196,11 @@
             if (mReservation.isEmpty()) {
                 mLiveness.ifPresent(LivenessCheck::stop);
             }
-            mObservations.firstEvent((now - mStartNanos) / (double) NANOS_PER_MILLI);
+            mObservations.firstEvent((now() - mStartNanos) / (double) NANOS_PER_MILLI);
         } else {
             mObservations.furtherEvent();
-            mLifecycle.logRecord().recordGap((now - mLastEventNanos) / NANOS_PER_MILLI);
+            mLifecycle.logRecord().recordGap(gap.toMillis());
         }
-        mLastEventNanos = now;
     }
 
     private List<Upstream> helpers() {
@@ -206,7 +218,7 @@
     private void reserve() {
         HelperMemoryReservation reservation =
                 new HelperMemoryReservation(
-                        mContext, id().value(), helpers(), mPlacement.reservedTokensPerHelper());
+                        mContext, mId.value(), helpers(), mPlacement.reservedTokensPerHelper());
         mReservation = Optional.of(reservation);
         reservation.acquire(
                 new HelperMemoryReservation.Outcome() {
@@ -230,7 +242,7 @@
                     public void unused() {
                         // The memory is free again, also for the next attempt.
                         mLoad.end();
-                        continueElsewhere("the engine has not begun the request");
+                        stalled(mIdleCheck.silence());
                     }
                 });
     }
@@ -259,8 +271,9 @@
                         mLifecycle.isStream(),
                         this);
         mCall = Optional.of(call);
-        mLastEventNanos = now();
-        checkIdle();
+        if (mRequest.route().retryable()) {
+            mIdleCheck.start();
+        }
         startLivenessCheck(upstream.get());
         call.start(
                 upstream.get().address(),
@@ -289,42 +302,16 @@
     }
 
     private void engineLost(String reason) {
-        mObservations.unresponsive();
-        mCall.ifPresent(UpstreamCall::cancel);
-        failed(new CallFailure(CallFailure.Kind.BROKEN, reason));
+        mObservations.stalled();
+        broken(reason);
     }
 
-    private void checkIdle() {
-        if (!mRequest.route().retryable()) {
-            return;
-        }
-        Duration timeout = mIdleTimeout.timeout(mFirstEvent);
-        long idleNanos = mPaused ? 0 : now() - mLastEventNanos;
-        long remainingNanos = timeout.toNanos() - idleNanos;
-        if (remainingNanos <= 0) {
-            mObservations.unresponsive();
-            if (continueElsewhere("nothing arrived for " + timeout.toMillis() + " ms")) {
-                mObservations.logStall(id(), timeout, "the request continues at another upstream");
-                return;
-            }
-            mObservations.logStall(id(), timeout, "no other upstream can take the request");
+    private void stalled(Duration silence) {
+        if (!mEnded) {
             mStalled = true;
-            // No other upstream can continue the response, so idleness alone does not end it.
-            remainingNanos = timeout.toNanos();
+            mObservations.stalled();
+            mListener.stalled(this, silence);
         }
-        mIdleTimer = mContext.clock().schedule(Duration.ofNanos(remainingNanos), this::checkIdle);
-    }
-
-    /** Ends the attempt if another upstream can take the request now. */
-    private boolean continueElsewhere(String reason) {
-        if (mEnded
-                || !mRequest.route().retryable()
-                || !mListener.tryReserveRetryElsewhere(mPlacement.upstream())) {
-            return false;
-        }
-        mCall.ifPresent(UpstreamCall::cancel);
-        failed(new CallFailure(CallFailure.Kind.SILENT, reason));
-        return true;
     }
 
     private boolean end(String code, Execution execution, String reason) {
@@ -332,9 +319,9 @@
             return false;
         }
         mEnded = true;
-        mIdleTimer.cancel();
+        mIdleCheck.stop();
         mLiveness.ifPresent(LivenessCheck::stop);
-        mLifecycle.logRecord().attemptEnded(new AttemptRecord.End(code, execution, reason));
+        mLifecycle.logRecord().attemptEnded(mId, new AttemptRecord.End(code, execution, reason));
         mSpan.setAttribute("code", code);
         mSpan.end();
         mLoad.end();
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/UpstreamAttemptListener.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/UpstreamAttemptListener.java
@@ -2,32 +2,36 @@
 
 import io.vertx.core.MultiMap;
 import io.vertx.core.buffer.Buffer;
+import java.time.Duration;
 import org.tanagergap.gateway.wire.UpstreamResponseHead;
 
 /** Receives the progress of one attempt; not called after its cancellation. */
 interface UpstreamAttemptListener {
 
     /** Called when the next event of the stream has arrived. */
-    void event(UpstreamResponseHead head, MultiMap headers, StreamEvent event);
+    void event(
+            UpstreamAttempt attempt,
+            UpstreamResponseHead head,
+            MultiMap headers,
+            StreamEvent event);
 
     /** Called when the stream has ended after its last event. */
-    void streamEnded(UpstreamResponseHead head, MultiMap headers);
+    void streamEnded(UpstreamAttempt attempt, UpstreamResponseHead head, MultiMap headers);
 
     /** Called when a complete response that is not a stream has arrived. */
-    void responseReceived(UpstreamResponseHead head, MultiMap headers, Buffer body);
+    void responseReceived(
+            UpstreamAttempt attempt, UpstreamResponseHead head, MultiMap headers, Buffer body);
 
     /**
      * Called when the attempt has failed.
      *
      * @param upstream upstream at fault, which may be a helper engine
      */
-    void failed(String upstream, CallFailure failure);
+    void failed(UpstreamAttempt attempt, String upstream, CallFailure failure);
 
     /**
-     * Reserves a retry at another upstream, for which the attempt at the idle one would be ended.
-     *
-     * @return true if the request may be retried, another upstream can take it and the retry budget
-     *     allowed the retry
+     * Called each time when nothing has arrived for the idle timeout, and when the engine does not
+     * respond or does not begin the request.
      */
-    boolean tryReserveRetryElsewhere(String idleUpstream);
+    void stalled(UpstreamAttempt attempt, Duration silence);
 }
