Do not take an engine that is silent for a while for a crashed one

Callers got a 502 after 2 s for a prompt of 95,000 tokens whose engine was silent from 0.8 to 2.6 s and would have sent the first token at 2.9 s, also where the prompt may not be repeated. Cause: LivenessCheck ended the attempt after two probes without a response. Evidence: BeforeTheResponse.aLongPromptSurvivesAStallOfAllItsEngines and aLongPromptThatMayNotBeRepeatedSurvivesAStallOfItsEngine failed before with 502 after 2.0 s. Change: EngineLiveness (decisions/stall). Probes without a response show a stall, which starts another attempt beside the first where that is allowed. A request is lost when its engine has restarted, refuses connections twice, or is silent for 2.5 s while memory of other engines is reserved for it. Result: both tests pass; another attempt still starts after the second failed probe.

--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/LivenessCheck.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/LivenessCheck.java
@@ -1,9 +1,13 @@
 package org.tanagergap.gateway.forward;
 
+import io.netty.channel.ConnectTimeoutException;
+import java.net.ConnectException;
 import java.time.Duration;
 import java.util.OptionalLong;
 import java.util.function.Consumer;
 import org.tanagergap.api.time.Timer;
+import org.tanagergap.decisions.stall.EngineLiveness;
+import org.tanagergap.decisions.stall.EngineLiveness.Probe;
 import org.tanagergap.gateway.membership.Upstream;
 import org.tanagergap.runtime.http.BufferedCall;
 
@@ -15,29 +19,43 @@
 
     private static final Duration INTERVAL = Duration.ofMillis(1000);
 
-    /** Failed probes in a row after which the engine counts as unresponsive. */
-    private static final int MAX_CONSECUTIVE_FAILURES = 2;
+    /** Applies after the first two failed probes, which follow each other immediately. */
+    private static final Duration INTERVAL_WHILE_STALLED = Duration.ofMillis(250);
+
+    private static final int MAX_IMMEDIATE_REPEATS = 1;
 
     private final ForwardingContext mContext;
     private final Upstream mEngine;
     private final Consumer<String> mOnLost;
+    private final Consumer<Duration> mOnStall;
+    private final EngineLiveness mLiveness;
     private Timer mTimer = () -> {};
     private boolean mStopped;
-    private int mConsecutiveFailures;
+    private long mLastResponseNanos;
 
     /**
      * Creates a check that is not started.
      *
+     * @param holdsReservation whether memory on other engines is reserved for the request
      * @param onLost receives the reason when the engine has lost its requests
+     * @param onStall receives the time since its last response when the engine does not respond
      */
-    LivenessCheck(ForwardingContext context, Upstream engine, Consumer<String> onLost) {
+    LivenessCheck(
+            ForwardingContext context,
+            Upstream engine,
+            boolean holdsReservation,
+            Consumer<String> onLost,
+            Consumer<Duration> onStall) {
         mContext = context;
         mEngine = engine;
         mOnLost = onLost;
+        mOnStall = onStall;
+        mLiveness = new EngineLiveness(holdsReservation);
     }
 
     void start() {
-        mTimer = mContext.clock().schedule(INTERVAL, this::probe);
+        mLastResponseNanos = now();
+        schedule(INTERVAL);
     }
 
     void stop() {
@@ -45,41 +63,72 @@
         mTimer.cancel();
     }
 
+    private void schedule(Duration delay) {
+        mTimer = mContext.clock().schedule(delay, this::probe);
+    }
+
     private void probe() {
+        long sent = now();
         mContext.engineAdmin()
                 .status(mEngine.address())
-                .onComplete(this::probeSucceeded, ignored -> probeFailed());
+                .onComplete(
+                        response -> probed(result(response), sent),
+                        failure -> probed(result(failure), sent));
     }
 
-    private void probeSucceeded(BufferedCall.Response response) {
-        mConsecutiveFailures = 0;
+    private void probed(Probe probe, long sentNanos) {
         if (mStopped) {
             return;
         }
-        if (hasRestarted(response)) {
-            mOnLost.accept("the engine has restarted");
-        } else {
-            start();
+        long now = now();
+        switch (mLiveness.probed(probe, sentNanos, now)) {
+            case LOST -> mOnLost.accept(reason(probe));
+            case STALLED -> {
+                schedule(INTERVAL_WHILE_STALLED);
+                mOnStall.accept(Duration.ofNanos(now - mLastResponseNanos));
+            }
+            case ALIVE -> {
+                if (probe == Probe.ALIVE) {
+                    mLastResponseNanos = now;
+                    schedule(INTERVAL);
+                } else {
+                    schedule(repeatDelay());
+                }
+            }
         }
     }
 
+    private Duration repeatDelay() {
+        return mLiveness.consecutiveFailures() <= MAX_IMMEDIATE_REPEATS
+                ? Duration.ZERO
+                : INTERVAL_WHILE_STALLED;
+    }
+
     /** An engine that restarts between two probes leaves its connections open. */
-    private boolean hasRestarted(BufferedCall.Response response) {
+    private Probe result(BufferedCall.Response response) {
         OptionalLong startedAt = mContext.wire().startedAtMillis(response.body());
-        return mEngine.hasStartTime()
-                && startedAt.isPresent()
-                && startedAt.getAsLong() != mEngine.startedAtMillis();
+        boolean restarted =
+                mEngine.hasStartTime()
+                        && startedAt.isPresent()
+                        && startedAt.getAsLong() != mEngine.startedAtMillis();
+        return restarted ? Probe.RESTARTED : Probe.ALIVE;
     }
 
-    private void probeFailed() {
-        if (mStopped) {
-            return;
-        }
-        mConsecutiveFailures++;
-        if (mConsecutiveFailures >= MAX_CONSECUTIVE_FAILURES) {
-            mOnLost.accept("the engine no longer answers");
-        } else {
-            probe();
-        }
+    /** A connection that times out is also reported as a {@link ConnectException}. */
+    private static Probe result(Throwable failure) {
+        boolean refused =
+                failure instanceof ConnectException
+                        && !(failure instanceof ConnectTimeoutException);
+        return refused ? Probe.REFUSED : Probe.NO_RESPONSE;
+    }
+
+    private static String reason(Probe probe) {
+        return probe == Probe.RESTARTED
+                ? "the engine has restarted"
+                : "the engine no longer answers";
+    }
+
+    private long now() {
+        return mContext.clock().nanoTime();
     }
 }
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/UpstreamAttempt.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/UpstreamAttempt.java
@@ -295,7 +295,9 @@
     private void startLivenessCheck(Upstream engine) {
         boolean hasReservation = mReservation.isPresent();
         if (hasReservation || mPlacement.firstTokenMillis() > MIN_CHECKED_PREFILL_MILLIS) {
-            LivenessCheck check = new LivenessCheck(mContext, engine, this::engineLost);
+            LivenessCheck check =
+                    new LivenessCheck(
+                            mContext, engine, hasReservation, this::engineLost, this::stalled);
             mLiveness = Optional.of(check);
             check.start();
         }
