Reject what cannot continue a stream from the next upstream

Callers got a stream of two events that looked complete, or the text of an error in the middle of their stream, when the first upstream broke off or was silent and the next one responded with an empty event stream or with one event without identifier. Cause: UpstreamAttempt took the end of any event stream as the end of the response, and EventSequenceChecker passed events without identifier, also when another run had delivered the events before them. Change: a run that resumes a stream must send at least one further event, and each of its events needs an identifier; otherwise the attempt has failed. A stream that broke off between its last event and its end is now seen as incomplete; its caller can resume it.

--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/EventSequenceChecker.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/EventSequenceChecker.java
@@ -11,19 +11,29 @@
         /** The caller has already received the event. */
         REPEATED,
         /** Events before it are missing. */
-        AFTER_GAP
+        AFTER_GAP,
+        /** It has no identifier, so its place in the resumed stream is unknown. */
+        UNIDENTIFIED
     }
 
+    private final boolean mResumed;
     private OptionalLong mExpected;
 
-    EventSequenceChecker(OptionalLong lastEventId) {
+    /**
+     * Creates a checker for one run.
+     *
+     * @param lastEventId identifier of the last event that the caller has received
+     * @param resumed whether earlier events of the same response came from another run
+     */
+    EventSequenceChecker(OptionalLong lastEventId, boolean resumed) {
         mExpected = next(lastEventId);
+        mResumed = resumed;
     }
 
     /** Classifies the next event; the first one of a stream may have any identifier. */
     Verdict check(StreamEvent event) {
         if (event.id().isEmpty()) {
-            return Verdict.NEXT;
+            return mResumed ? Verdict.UNIDENTIFIED : Verdict.NEXT;
         }
         long id = event.id().getAsLong();
         if (mExpected.isPresent() && id != mExpected.getAsLong()) {
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/RequestLifecycle.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/RequestLifecycle.java
@@ -182,6 +182,12 @@
         mExchange.endStream();
     }
 
+    @Override
+    public boolean acceptsEmptyStream() {
+        // A resumed run has at least one event, and an open attempt may have more.
+        return !mStreaming && mAttempts.size() == 1;
+    }
+
     @Override
     public void responseReceived(
             UpstreamAttempt attempt, UpstreamResponseHead head, MultiMap headers, Buffer body) {
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/UpstreamAttempt.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/UpstreamAttempt.java
@@ -74,7 +74,7 @@
         mIdleCheck = new IdleCheck(context.clock(), idleTimeout, this::stalled);
         mObservations = new AttemptObservations(context, lifecycle, placement, idleTimeout);
         mLoad = new AttemptLoad(context);
-        mSequence = new EventSequenceChecker(lifecycle.lastEventId());
+        mSequence = new EventSequenceChecker(lifecycle.lastEventId(), lifecycle.responseStarted());
     }
 
     void start() {
@@ -148,6 +148,7 @@
                 mListener.event(this, head, headers, event);
             }
             case AFTER_GAP -> broken("events are missing");
+            case UNIDENTIFIED -> broken("the resumed stream has an event without an identifier");
             case REPEATED -> {
                 // An earlier attempt has delivered the event to the caller.
             }
@@ -156,6 +157,10 @@
 
     @Override
     public void streamEnded(UpstreamResponseHead head, MultiMap headers) {
+        if (mFirstEvent && !mListener.acceptsEmptyStream()) {
+            failed(new CallFailure(CallFailure.Kind.BROKEN, "the stream has no further event"));
+            return;
+        }
         if (end("ok", Execution.RAN, "")) {
             mObservations.streamEnded();
             mListener.streamEnded(this, head, headers);
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/UpstreamAttemptListener.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/UpstreamAttemptListener.java
@@ -34,4 +34,7 @@
      * respond or does not begin the request.
      */
     void stalled(UpstreamAttempt attempt, Duration silence);
+
+    /** Returns true if a stream without any event is the response to the request. */
+    boolean acceptsEmptyStream();
 }
--- a/tanagergap-gateway/src/test/java/org/tanagergap/gateway/forward/EventSequenceCheckerTests.java
+++ b/tanagergap-gateway/src/test/java/org/tanagergap/gateway/forward/EventSequenceCheckerTests.java
@@ -16,13 +16,13 @@
 
     @Test
     void theFirstEventMayHaveAnyIdentifier() {
-        assertThat(new EventSequenceChecker(OptionalLong.empty()).check(event(5)))
+        assertThat(new EventSequenceChecker(OptionalLong.empty(), false).check(event(5)))
                 .isEqualTo(Verdict.NEXT);
     }
 
     @Test
     void aResumedStreamContinuesAfterTheLastEvent() {
-        EventSequenceChecker checker = new EventSequenceChecker(OptionalLong.of(4));
+        EventSequenceChecker checker = new EventSequenceChecker(OptionalLong.of(4), false);
 
         assertThat(checker.check(event(3))).isEqualTo(Verdict.REPEATED);
         assertThat(checker.check(event(4))).isEqualTo(Verdict.REPEATED);
@@ -34,7 +34,16 @@
     void eventsWithoutIdentifierPass() {
         StreamEvent plain = new StreamEvent(OptionalLong.empty(), Buffer.buffer("x"));
 
-        assertThat(new EventSequenceChecker(OptionalLong.of(1)).check(plain))
+        assertThat(new EventSequenceChecker(OptionalLong.of(1), false).check(plain))
                 .isEqualTo(Verdict.NEXT);
     }
+
+    /** An error event of the next run was forwarded in the middle of a stream. */
+    @Test
+    void anEventWithoutIdentifierIsNotPartOfAResumedStream() {
+        StreamEvent plain = new StreamEvent(OptionalLong.empty(), Buffer.buffer("x"));
+
+        assertThat(new EventSequenceChecker(OptionalLong.of(1), true).check(plain))
+                .isEqualTo(Verdict.UNIDENTIFIED);
+    }
 }
