Use a stalled upstream again after any event of it

Cause: a stalled upstream was usable again only if the stalled attempt itself went on. That attempt is cancelled when another one is faster, so an upstream that goes on stayed suspended for up to 4 s. Change: an event of any attempt ends a suspension that began with a stall. Result: StalledUpstreamTests pass; the effect on callers was not measured.

--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/UpstreamAttempt.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/UpstreamAttempt.java
@@ -189,9 +189,9 @@
 
     private void recordEvent() {
         Duration gap = mIdleCheck.eventArrived();
+        mObservations.progressed();
         if (mStalled) {
             mStalled = false;
-            mObservations.progressed();
             logStall(gap, "the upstream goes on");
         }
         mReservation.ifPresent(HelperMemoryReservation::tokenReceived);
