Separate writing a response from the lifecycle of its request

ResponseWriter keeps what the caller has received and ends the response once; the choice between breaking a stream off, passing a failure on and failing stands once instead of three times. The message of a stream that is broken off at its deadline is now the same as of other requests.

--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/RequestLifecycle.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/RequestLifecycle.java
@@ -26,6 +26,9 @@
     /** Lowest status that reports a failure of the upstream itself. */
     private static final int MIN_SERVER_ERROR_STATUS = 500;
 
+    /** Code of a stream that ends before its last event. */
+    private static final String BROKEN_OFF = "broken_off";
+
     private final ForwardingContext mContext;
     private final Dispatcher mDispatcher;
     private final CallerExchange mExchange;
@@ -35,14 +38,10 @@
     private final RequestTimes mTimes;
     private final RequestRetries mRetries;
     private final OpenAttempts mAttempts;
-    private Optional<CompleteResponse> mFailureResponse = Optional.empty();
+    private final ResponseWriter mResponse;
     private OptionalLong mLastEventId;
-    private boolean mStreaming;
-    private boolean mEnded;
     private Timer mDeadline = () -> {};
 
-    private record CompleteResponse(int status, MultiMap headers, Buffer body) {}
-
     RequestLifecycle(
             ForwardingContext context,
             Dispatcher dispatcher,
@@ -65,6 +64,8 @@
         mTimes = new RequestTimes(context.clock(), request);
         mRetries = new RequestRetries(context.retryBudgets(), request);
         mAttempts = new OpenAttempts(context, this, dispatcher, mRetries);
+        mResponse =
+                new ResponseWriter(context.clock(), exchange, mLogRecord, mSpan, this::responded);
         mLastEventId = request.lastEventId();
     }
 
@@ -96,7 +97,7 @@
 
     /** Returns true if the caller has received a part of the response. */
     boolean responseStarted() {
-        return mStreaming;
+        return mResponse.hasStarted();
     }
 
     /** Tries to place queued requests after an attempt has freed capacity. */
@@ -108,7 +109,7 @@
         mContext.retryBudgets().request(mRequest.service().name());
         Optional<RequestFailure> refusal = mContext.quarantine().refusal(mRequest);
         if (refusal.isPresent()) {
-            fail(refusal.get());
+            mResponse.fail(refusal.get());
             return;
         }
         mContext.quarantine().began(this);
@@ -120,27 +121,22 @@
 
     /** Starts an attempt at the chosen upstream. */
     void placed(Placement placement) {
-        if (!mEnded) {
+        if (!mResponse.hasEnded()) {
             mAttempts.start(placement);
         }
     }
 
     /** Ends the request, for which no upstream is available. */
     void refused(RequestFailure failure) {
-        if (mStreaming) {
-            end("broken_off", Execution.RAN, "no upstream goes on: " + failure.getMessage());
-            mExchange.abort();
-        } else if (mFailureResponse.isPresent()) {
-            sendResponse(mFailureResponse.get(), "the upstream's failure is passed on");
-        } else if (mRetries.mayHaveRun()) {
-            fail(
-                    RequestFailure.of(
-                            FailureCode.UPSTREAM_FAILED,
-                            Execution.UNKNOWN,
-                            "an attempt failed and there is no upstream for another"));
-        } else {
-            fail(failure);
-        }
+        RequestFailure possiblyRun =
+                RequestFailure.of(
+                        FailureCode.UPSTREAM_FAILED,
+                        Execution.UNKNOWN,
+                        "an attempt failed and there is no upstream for another");
+        mResponse.giveUp(
+                BROKEN_OFF,
+                "no upstream goes on: " + failure.getMessage(),
+                mRetries.mayHaveRun() ? possiblyRun : failure);
     }
 
     @Override
@@ -149,20 +145,15 @@
             UpstreamResponseHead head,
             MultiMap headers,
             StreamEvent event) {
-        if (mEnded) {
+        if (mResponse.hasEnded()) {
             return;
         }
         mAttempts.progressed(attempt);
-        if (!mStreaming) {
-            mStreaming = true;
-            mExchange.startStream(head.status(), headers);
-        }
         mTimes.eventArrived();
-        mLogRecord.recordFirstEvent(now());
         if (event.id().isPresent()) {
             mLastEventId = event.id();
         }
-        if (mExchange.sendEvent(event.bytes())) {
+        if (mResponse.sendEvent(head, headers, event)) {
             mAttempts.pauseReading();
             mExchange.onDrain(mAttempts::resumeReading);
         }
@@ -171,21 +162,14 @@
     @Override
     public void streamEnded(UpstreamAttempt attempt, UpstreamResponseHead head, MultiMap headers) {
         mAttempts.ended(attempt);
-        if (mEnded) {
-            return;
-        }
         mAttempts.cancel();
-        if (!mStreaming) {
-            mExchange.startStream(head.status(), headers);
-        }
-        end("ok", Execution.RAN, "complete stream");
-        mExchange.endStream();
+        mResponse.endStream(head, headers);
     }
 
     @Override
     public boolean acceptsEmptyStream() {
         // A resumed run has at least one event, and an open attempt may have more.
-        return !mStreaming && mAttempts.size() == 1;
+        return !responseStarted() && mAttempts.size() == 1;
     }
 
     @Override
@@ -193,19 +177,15 @@
             UpstreamAttempt attempt, UpstreamResponseHead head, MultiMap headers, Buffer body) {
         mAttempts.ended(attempt);
         mRetries.answered();
-        if (mEnded) {
+        if (mResponse.hasEnded()) {
             return;
         }
-        CompleteResponse response = new CompleteResponse(head.status(), headers, body);
-        boolean failed = mStreaming || head.status() >= MIN_SERVER_ERROR_STATUS;
-        if (!failed) {
+        if (!responseStarted() && head.status() < MIN_SERVER_ERROR_STATUS) {
             mAttempts.cancel();
-            sendResponse(response, "answer of the upstream");
+            mResponse.send(head, headers, body);
             return;
         }
-        if (!mStreaming) {
-            mFailureResponse = Optional.of(response);
-        }
+        mResponse.keepFailure(head, headers, body);
         if (!mAttempts.continueAfterFailure(false)) {
             attemptFailed("status " + head.status(), Execution.RAN, false);
         }
@@ -216,73 +196,66 @@
         mAttempts.ended(attempt);
         mRetries.failed(upstream, failure.execution());
         boolean free = !failure.kind().sent();
-        if (!mEnded && !mAttempts.continueAfterFailure(free)) {
+        if (!mResponse.hasEnded() && !mAttempts.continueAfterFailure(free)) {
             attemptFailed(failure.reason(), failure.execution(), free);
         }
     }
 
     @Override
     public void stalled(UpstreamAttempt attempt, Duration silence) {
-        if (!mEnded) {
+        if (!mResponse.hasEnded()) {
             mAttempts.stalled(attempt, silence);
         }
     }
 
     /** Returns true if another run may go on with the response. */
     boolean resumable() {
-        return !mStreaming || mLastEventId.isPresent();
+        return !responseStarted() || mLastEventId.isPresent();
     }
 
     private void attemptFailed(String reason, Execution execution, boolean free) {
         if (resumable() && mRetries.tryRetryAfterFailure(execution, free)) {
             mDispatcher.submit(this, mRetries.failedUpstreams());
-        } else if (mStreaming) {
-            end("broken_off", Execution.RAN, reason);
-            mExchange.abort();
-        } else if (mFailureResponse.isPresent()) {
-            sendResponse(mFailureResponse.get(), "the first failure is passed on: " + reason);
-        } else if (execution == Execution.NOT_RUN && !mRetries.mayHaveRun()) {
-            fail(
-                    RequestFailure.notRun(FailureCode.UNAVAILABLE, reason)
-                            .withRetryAfter(Dispatcher.MIN_RETRY_AFTER));
-        } else {
-            fail(RequestFailure.of(FailureCode.UPSTREAM_FAILED, Execution.UNKNOWN, reason));
+            return;
         }
+        RequestFailure failure =
+                execution == Execution.NOT_RUN && !mRetries.mayHaveRun()
+                        ? RequestFailure.notRun(FailureCode.UNAVAILABLE, reason)
+                                .withRetryAfter(Dispatcher.MIN_RETRY_AFTER)
+                        : RequestFailure.of(FailureCode.UPSTREAM_FAILED, Execution.UNKNOWN, reason);
+        mResponse.giveUp(BROKEN_OFF, reason, failure);
     }
 
     private void deadlinePassed() {
-        if (mEnded) {
-            return;
-        }
-        boolean sent = !mAttempts.isEmpty() || mRetries.mayHaveRun();
+        boolean sent = mayHaveRun();
         stopForwarding();
-        if (mStreaming) {
-            end("deadline_exceeded", Execution.RAN, "the time is up in the middle of the stream");
-            mExchange.abort();
-        } else if (mFailureResponse.isPresent()) {
-            sendResponse(mFailureResponse.get(), "the first failure is passed on at the deadline");
-        } else {
-            fail(
-                    RequestFailure.of(
-                            FailureCode.DEADLINE_EXCEEDED,
-                            sent ? Execution.UNKNOWN : Execution.NOT_RUN,
-                            "the time allowed for the request is up"));
-        }
+        FailureCode code = FailureCode.DEADLINE_EXCEEDED;
+        RequestFailure failure =
+                RequestFailure.of(
+                        code,
+                        sent ? Execution.UNKNOWN : Execution.NOT_RUN,
+                        "the time allowed for the request is up");
+        mResponse.giveUp(code.wireName(), failure.getMessage(), failure);
     }
 
     /** Ends the request, unless an engine has generated tokens for it. */
     void promptQuarantined(RequestFailure refusal) {
-        if (mEnded || mStreaming) {
+        if (mResponse.hasEnded() || responseStarted()) {
             return;
         }
-        boolean sent = !mAttempts.isEmpty() || mRetries.mayHaveRun();
+        boolean sent = mayHaveRun();
         stopForwarding();
-        if (sent) {
-            String reason = refusal.getMessage();
-            fail(RequestFailure.of(FailureCode.UPSTREAM_FAILED, Execution.UNKNOWN, reason));
-        } else {
-            fail(refusal);
-        }
+        mResponse.fail(
+                sent
+                        ? RequestFailure.of(
+                                FailureCode.UPSTREAM_FAILED,
+                                Execution.UNKNOWN,
+                                refusal.getMessage())
+                        : refusal);
+    }
+
+    private boolean mayHaveRun() {
+        return !mAttempts.isEmpty() || mRetries.mayHaveRun();
     }
 
     private void stopForwarding() {
@@ -291,31 +264,15 @@
     }
 
     private void callerDisconnected() {
-        if (mEnded) {
-            return;
+        if (!mResponse.hasEnded()) {
+            stopForwarding();
+            mResponse.callerLeft();
         }
-        stopForwarding();
-        end("caller_left", Execution.UNKNOWN, "the caller left before the answer was complete");
-    }
-
-    private void sendResponse(CompleteResponse response, String message) {
-        mLogRecord.recordFirstEvent(now());
-        end("status_" + response.status(), Execution.RAN, message);
-        mExchange.sendResponse(response.status(), response.headers(), response.body());
-    }
-
-    private void fail(RequestFailure failure) {
-        end(failure.code().wireName(), failure.execution(), failure.getMessage());
-        mExchange.sendFailure(failure);
     }
 
-    private void end(String code, Execution execution, String message) {
-        mEnded = true;
+    private void responded() {
         mContext.quarantine().ended(this);
         mDeadline.cancel();
-        mLogRecord.requestEnded(code, execution, message, now());
-        mSpan.setAttribute("code", code);
-        mSpan.end();
     }
 
     private long now() {
