--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/AttemptRecord.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/AttemptRecord.java
@@ -4,6 +4,9 @@
 import java.util.Map;
 import org.tanagergap.api.failure.Execution;
 import org.tanagergap.api.request.AttemptId;
+import org.tanagergap.decisions.fleet.Placement;
+import org.tanagergap.gateway.caller.GatewayRequest;
+import org.tanagergap.gateway.membership.Upstream;
 
 /**
  * Attempt of a request, as written to the log line of the request.
@@ -27,7 +30,8 @@
         long predictedMillis,
         End end) {
 
-    static final End RUNNING = new End("running", Execution.UNKNOWN, "");
+    private static final End RUNNING = new End("running", Execution.UNKNOWN, "");
+    private static final long NANOS_PER_MILLI = 1_000_000;
 
     /**
      * Result of an attempt.
@@ -39,6 +43,25 @@
      */
     record End(String code, Execution execution, String reason) {}
 
+    /** Describes an attempt that starts at the given time. */
+    static AttemptRecord started(
+            ForwardingContext context,
+            GatewayRequest request,
+            AttemptId id,
+            Placement placement,
+            long nowNanos) {
+        String upstream = placement.upstream();
+        return new AttemptRecord(
+                id,
+                upstream,
+                context.view().upstream(upstream).map(Upstream::failureDomain).orElse(""),
+                placement.helpers().size(),
+                (nowNanos - request.arrivalNanos()) / NANOS_PER_MILLI,
+                context.load().totalLoad(upstream, nowNanos).running(),
+                Math.round(placement.firstTokenMillis()),
+                RUNNING);
+    }
+
     AttemptRecord withEnd(End newEnd) {
         return new AttemptRecord(
                 id,
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/RequestLifecycle.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/RequestLifecycle.java
@@ -60,7 +60,7 @@
                                 "request",
                                 SpanKind.SERVER,
                                 Optional.ofNullable(
-                                        request.headers().get(UpstreamAttempt.TRACE_HEADER)));
+                                        request.headers().get(AttemptRequestHeaders.TRACE_HEADER)));
         mTimes = new RequestTimes(context.clock(), request);
         mRetries = new RequestRetries(context.retryBudgets(), request);
         mAttempts = new OpenAttempts(context, this, dispatcher, mRetries);
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/UpstreamAttempt.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/UpstreamAttempt.java
@@ -13,7 +13,6 @@
 import org.tanagergap.decisions.stall.IdleTimeout;
 import org.tanagergap.gateway.caller.GatewayRequest;
 import org.tanagergap.gateway.membership.Upstream;
-import org.tanagergap.gateway.wire.AttemptHeaders;
 import org.tanagergap.gateway.wire.HelperAddress;
 import org.tanagergap.gateway.wire.UpstreamResponseHead;
 
@@ -23,14 +22,9 @@
  */
 final class UpstreamAttempt implements UpstreamCallListener {
 
-    /** Subtracted from the time to the deadline, so that a response sent in time still arrives. */
-    private static final Duration RESPONSE_TRANSIT_TIME = Duration.ofMillis(10);
-
     /** The engine is probed during prefills that are predicted to take longer than this. */
     private static final double MIN_CHECKED_PREFILL_MILLIS = 1_000;
 
-    static final String TRACE_HEADER = "traceparent";
-
     private static final long NANOS_PER_MILLI = 1_000_000;
 
     private final ForwardingContext mContext;
@@ -82,7 +76,10 @@
         mUpstream = mContext.view().upstream(mPlacement.upstream());
         mUpstream.ifPresent(mContext.rateLimits()::sent);
         mSpan = mContext.tracing().startChild("attempt", SpanKind.CLIENT, mLifecycle.span());
-        mLifecycle.logRecord().attemptStarted(newRecord());
+        mLifecycle
+                .logRecord()
+                .attemptStarted(
+                        AttemptRecord.started(mContext, mRequest, mId, mPlacement, mStartNanos));
         mLoad.begin(mPlacement, mLifecycle.times().placementRequest(), mRequest.service().engine());
         if (mPlacement.reservedTokensPerHelper() > 0) {
             reserve();
@@ -91,19 +88,6 @@
         }
     }
 
-    private AttemptRecord newRecord() {
-        String upstream = mPlacement.upstream();
-        return new AttemptRecord(
-                mId,
-                upstream,
-                mContext.view().upstream(upstream).map(Upstream::failureDomain).orElse(""),
-                mPlacement.helpers().size(),
-                (mStartNanos - mRequest.arrivalNanos()) / NANOS_PER_MILLI,
-                mContext.load().totalLoad(upstream, mStartNanos).running(),
-                Math.round(mPlacement.firstTokenMillis()),
-                AttemptRecord.RUNNING);
-    }
-
     /** Upstream to which the attempt is sent. */
     String upstream() {
         return mPlacement.upstream();
@@ -258,16 +242,6 @@
             failed(new CallFailure(CallFailure.Kind.NOT_CONNECTED, "the upstream has left"));
             return;
         }
-        Duration remaining =
-                Duration.ofNanos(mRequest.deadlineNanos() - now()).minus(RESPONSE_TRANSIT_TIME);
-        AttemptHeaders attempt =
-                new AttemptHeaders(
-                        remaining.isNegative() ? Duration.ZERO : remaining,
-                        mPlacement.upstream(),
-                        mRequest.workspace(),
-                        mRequest.rank(),
-                        mLifecycle.lastEventId(),
-                        helpers);
         UpstreamCall call =
                 new UpstreamCall(
                         mContext.client(),
@@ -284,18 +258,10 @@
                 upstream.get().address(),
                 mRequest.method(),
                 mRequest.uri(),
-                headers(attempt),
+                AttemptRequestHeaders.create(mContext, mLifecycle, mPlacement, helpers, mSpan),
                 mRequest.body());
     }
 
-    private MultiMap headers(AttemptHeaders attempt) {
-        MultiMap headers = mContext.wire().upstreamHeaders(mRequest.headers(), attempt);
-        if (mSpan.isRecording()) {
-            headers.set(TRACE_HEADER, mContext.tracing().traceparent(mSpan));
-        }
-        return headers;
-    }
-
     /** Probes engines during long prefills and while memory is reserved on helper engines. */
     private void startLivenessCheck(Upstream engine) {
         boolean hasReservation = mReservation.isPresent();
