Let the stand-ins repeat an earlier refusal on a kept connection

Operators of other systems saw faulty upstreams write an earlier refusal once more on a kept connection, where the response to the next request was due. No stand-in could do that, so no test covered it.

With the fault "repeat_refusals" the stand-in engine, order service and key-value service carry out a call and answer it with the last refusal of its connection. Without an earlier refusal on the connection they answer as usual. The order service also gains "refuse", which the other two have in another form.

--- a/tanagergap-standins/src/main/java/org/tanagergap/standins/engine/CompletionStream.java
+++ b/tanagergap-standins/src/main/java/org/tanagergap/standins/engine/CompletionStream.java
@@ -19,7 +19,7 @@
 
     @Override
     public void onToken(long index, String text) {
-        if (mFaults.withholdsEvents() || mResponse.closed() || mFaults.takeSkippedEvent()) {
+        if (mFaults.withholdsEvents() || isOver() || mFaults.takeSkippedEvent()) {
             return;
         }
         if (mFaults.takeCrossedEvent()) {
@@ -37,7 +37,7 @@
 
     @Override
     public void onFinished(String finishReason, RunUsage usage) {
-        if (mFaults.withholdsEvents() || mResponse.closed()) {
+        if (mFaults.withholdsEvents() || isOver()) {
             return;
         }
         send(
@@ -55,17 +55,22 @@
 
     @Override
     public void onCancelled() {
-        if (!mResponse.closed()) {
+        if (!isOver()) {
             mResponse.reset();
         }
     }
 
     private void send(JsonObject event) {
-        if (!mResponse.closed()) {
+        if (!isOver()) {
             mResponse.write("data: " + event.encode() + "\n\n");
         }
     }
 
+    /** Returns true if the connection is closed or the response was sent by another fault. */
+    private boolean isOver() {
+        return mResponse.closed() || mResponse.ended();
+    }
+
     private static JsonObject token(String requestId, long index, String text) {
         return new JsonObject().put("request_id", requestId).put("index", index).put("text", text);
     }
--- a/tanagergap-standins/src/main/java/org/tanagergap/standins/engine/EngineFaults.java
+++ b/tanagergap-standins/src/main/java/org/tanagergap/standins/engine/EngineFaults.java
@@ -12,6 +12,7 @@
     private int mCrossedEvents;
     private int mDuplicatedEvents;
     private int mSkippedEvents;
+    private boolean mRepeatsRefusals;
 
     /** Replaces all faults; absent fields switch their fault off. */
     void replace(JsonObject json) {
@@ -22,6 +23,7 @@
         mCrossedEvents = json.getInteger("crossed", 0);
         mDuplicatedEvents = json.getInteger("duplicated", 0);
         mSkippedEvents = json.getInteger("skipped", 0);
+        mRepeatsRefusals = json.getBoolean("repeat_refusals", false);
     }
 
     /** Returns true if no events are sent although runs continue. */
@@ -54,6 +56,11 @@
         return mDuplicatedEvents > 0 && mDuplicatedEvents-- > 0;
     }
 
+    /** Returns true if runs are answered with an earlier refusal of their connection. */
+    boolean repeatsRefusals() {
+        return mRepeatsRefusals;
+    }
+
     /** Consumes one fault that drops the next event. */
     boolean takeSkippedEvent() {
         return mSkippedEvents > 0 && mSkippedEvents-- > 0;
--- a/tanagergap-standins/src/main/java/org/tanagergap/standins/engine/EngineServer.java
+++ b/tanagergap-standins/src/main/java/org/tanagergap/standins/engine/EngineServer.java
@@ -21,6 +21,7 @@
 import org.tanagergap.runtime.async.Futures;
 import org.tanagergap.runtime.settings.HostPort;
 import org.tanagergap.runtime.time.PeriodicTask;
+import org.tanagergap.standins.faults.EarlierRefusals;
 
 /** Serves an {@link EngineModel} over HTTP. All handlers run on one event loop. */
 public final class EngineServer implements Service {
@@ -33,6 +34,7 @@
     private final EngineModel mEngine;
     private final CacheEventFeed mCacheEvents;
     private final EngineFaults mFaults = new EngineFaults();
+    private final EarlierRefusals mRefusals = new EarlierRefusals();
     private final RequestParser mParser;
     private final WebClient mClient;
     private final PeriodicTask mLoadSampler;
@@ -131,6 +133,9 @@
         HttpServerResponse response = context.response();
         CompletionStream stream = new CompletionStream(request.requestId(), response, mFaults);
         if (submitOrRefuse(context, request, stream)) {
+            if (mFaults.repeatsRefusals() && mRefusals.sendAgain(context)) {
+                return;
+            }
             response.setChunked(true).putHeader("Content-Type", "text/event-stream");
             response.write(": accepted\n\n");
             response.closeHandler(ignored -> mEngine.cancel(request.requestId()));
@@ -278,10 +283,8 @@
         context.response().setStatusCode(204).end();
     }
 
-    private static void refuse(RoutingContext context, int status, String code, String message) {
-        context.response().setStatusCode(status);
-        context.json(
-                new JsonObject()
-                        .put("error", new JsonObject().put("code", code).put("message", message)));
+    private void refuse(RoutingContext context, int status, String code, String message) {
+        JsonObject error = new JsonObject().put("code", code).put("message", message);
+        mRefusals.refuse(context, status, new JsonObject().put("error", error));
     }
 }
--- a/tanagergap-standins/src/main/java/org/tanagergap/standins/keyvalue/FaultSwitches.java
+++ b/tanagergap-standins/src/main/java/org/tanagergap/standins/keyvalue/FaultSwitches.java
@@ -9,6 +9,7 @@
     private long mDelayMillis;
     private long mRepliesToLose;
     private long mRepliesToKeep;
+    private boolean mRepeatsRefusals;
 
     /** Sets the faults that the object contains; the others keep their values. */
     void update(JsonObject faults) {
@@ -16,6 +17,7 @@
         mDelayMillis = faults.getLong("delay_ms", mDelayMillis);
         mRepliesToLose = faults.getLong("lose_replies", mRepliesToLose);
         mRepliesToKeep = faults.getLong("keep_replies", mRepliesToKeep);
+        mRepeatsRefusals = faults.getBoolean("repeat_refusals", mRepeatsRefusals);
     }
 
     JsonObject toJson() {
@@ -23,7 +25,8 @@
                 .put("outage", mOutage)
                 .put("delay_ms", mDelayMillis)
                 .put("lose_replies", mRepliesToLose)
-                .put("keep_replies", mRepliesToKeep);
+                .put("keep_replies", mRepliesToKeep)
+                .put("repeat_refusals", mRepeatsRefusals);
     }
 
     boolean outage() {
@@ -34,6 +37,11 @@
         return mDelayMillis;
     }
 
+    /** Returns true if calls are answered with an earlier refusal of their connection. */
+    boolean repeatsRefusals() {
+        return mRepeatsRefusals;
+    }
+
     /** Returns true if the reply to the write that was just applied must not be sent. */
     boolean takeLostReply() {
         if (mRepliesToLose <= 0) {
--- a/tanagergap-standins/src/main/java/org/tanagergap/standins/keyvalue/KeyValueServer.java
+++ b/tanagergap-standins/src/main/java/org/tanagergap/standins/keyvalue/KeyValueServer.java
@@ -26,6 +26,7 @@
 import org.tanagergap.runtime.async.Futures;
 import org.tanagergap.runtime.settings.HostPort;
 import org.tanagergap.runtime.time.PeriodicTask;
+import org.tanagergap.standins.faults.EarlierRefusals;
 
 /** Serves {@link KeyValueState} over the JSON gateway, with limits and faults. */
 public final class KeyValueServer implements Service {
@@ -38,6 +39,7 @@
     private final Object mLock = new Object();
     private final KeyValueState mState;
     private final FaultSwitches mFaults = new FaultSwitches();
+    private final EarlierRefusals mRefusals = new EarlierRefusals();
     private Optional<KeyValueState.Backup> mBackup = Optional.empty();
     private final Map<CallKind, Long> mCounts = new EnumMap<>(CallKind.class);
     private final TokenBucket mReadLimit;
@@ -135,6 +137,9 @@
                 context.request().connection().close();
                 return;
             }
+            if (mFaults.repeatsRefusals() && mRefusals.sendAgain(context)) {
+                return;
+            }
         }
         context.json(reply);
     }
@@ -278,15 +283,12 @@
         }
     }
 
-    private static void refuse(RoutingContext context, RefusedCallException refusal) {
-        context.response()
-                .setStatusCode(refusal.httpStatus())
-                .putHeader("Content-Type", "application/json")
-                .end(
-                        new JsonObject()
-                                .put("error", refusal.getMessage())
-                                .put("code", refusal.grpcCode())
-                                .put("message", refusal.getMessage())
-                                .encode());
+    private void refuse(RoutingContext context, RefusedCallException refusal) {
+        JsonObject body =
+                new JsonObject()
+                        .put("error", refusal.getMessage())
+                        .put("code", refusal.grpcCode())
+                        .put("message", refusal.getMessage());
+        mRefusals.refuse(context, refusal.httpStatus(), body);
     }
 }
--- a/tanagergap-standins/src/main/java/org/tanagergap/standins/orders/OrderServer.java
+++ b/tanagergap-standins/src/main/java/org/tanagergap/standins/orders/OrderServer.java
@@ -14,16 +14,19 @@
 import org.tanagergap.api.time.RuntimeClock;
 import org.tanagergap.runtime.async.Futures;
 import org.tanagergap.runtime.settings.HostPort;
+import org.tanagergap.standins.faults.EarlierRefusals;
 
 /** Plain service that takes orders, which must not be repeated, and serves stock checks. */
 public final class OrderServer implements Service {
 
     private static final int CREATED = 201;
+    private static final int UNAVAILABLE = 503;
 
     private final Vertx mVertx;
     private final RuntimeClock mClock;
     private final HostPort mAddress;
     private final OrderBook mBook = new OrderBook();
+    private final EarlierRefusals mRefusals = new EarlierRefusals();
     private volatile JsonObject mFaults = new JsonObject();
     private HttpServer mServer;
 
@@ -67,12 +70,19 @@
             context.response().reset();
             return;
         }
+        if (faults.getBoolean("refuse", false)) {
+            mRefusals.refuse(context, UNAVAILABLE, new JsonObject().put("error", "refused"));
+            return;
+        }
         String key = context.request().getHeader("Idempotency-Key");
         long order = mBook.place(key == null ? "" : key);
         if (faults.getBoolean("cut_after", false)) {
             context.response().reset();
             return;
         }
+        if (faults.getBoolean("repeat_refusals", false) && mRefusals.sendAgain(context)) {
+            return;
+        }
         JsonObject reply = new JsonObject().put("order", order).put("idempotency_key", key);
         long delayMillis = faults.getLong("delay_ms", 0L);
         mClock.schedule(
