Use one connection for each request to an engine

What callers would see: a completion fails as not_run although the engine runs it, and the entry, which may send what is not_run to another agent, runs it a second time.

Cause: the agent kept its connections to the engine. A refusal (4xx with an error code) names no request, so one that the engine wrote again was taken for the response to the next request on the connection. Replies to the control calls (runs, load, cancel) name no request either.

The client no longer keeps connections, so that a connection carries one request, and what follows its response is closed with it. Matching an echoed identifier would need one in refusals and control replies, which the engines' interface does not have.

--- a/tanagergap-agent/src/main/java/org/tanagergap/agent/engine/EngineExchange.java
+++ b/tanagergap-agent/src/main/java/org/tanagergap/agent/engine/EngineExchange.java
@@ -92,7 +92,7 @@
         }
     }
 
-    /** Marks the response as complete, so that {@link #close} keeps the connection for reuse. */
+    /** Marks the response as complete, so that {@link #close} has nothing left to cancel. */
     private synchronized void markComplete() {
         mComplete = true;
     }
--- a/tanagergap-agent/src/main/java/org/tanagergap/agent/engine/HttpModelEngine.java
+++ b/tanagergap-agent/src/main/java/org/tanagergap/agent/engine/HttpModelEngine.java
@@ -51,8 +51,12 @@
      */
     public HttpModelEngine(Vertx vertx, String baseUrl) {
         mBaseUrl = Objects.requireNonNull(baseUrl, "baseUrl must not be null");
+        // One connection for each request: a late or duplicate response has no identifier by which
+        // it could be told from that of the next request on a kept connection.
         HttpClientOptions options =
-                new HttpClientOptions().setConnectTimeout(CONNECT_TIMEOUT_MILLIS);
+                new HttpClientOptions()
+                        .setConnectTimeout(CONNECT_TIMEOUT_MILLIS)
+                        .setKeepAlive(false);
         PoolOptions pool = new PoolOptions().setHttp1MaxSize(MAX_CONNECTIONS);
         mStreamingClient = vertx.createHttpClient(options, pool);
         // Uses separate connections, so that cancellations never wait for completions.
--- a/tanagergap-agent/src/test/java/org/tanagergap/agent/EngineOverNetworkTests.java
+++ b/tanagergap-agent/src/test/java/org/tanagergap/agent/EngineOverNetworkTests.java
@@ -85,6 +85,19 @@
         assertThat(sink.last().hasFinished()).isTrue();
     }
 
+    @Test
+    void anEarlierRefusalThatTheEngineSendsAgainIsNotTakenForThatOfALaterRun() {
+        mFixture.faults(mEngine.port(), new JsonObject().put("refuse", true));
+        assertThat(run("a.1").failure()).isEqualTo("overloaded/NOT_RUN");
+        mFixture.faults(mEngine.port(), new JsonObject().put("repeat_refusals", true));
+
+        RecordingSink sink = run("a.2");
+
+        assertThat(mFixture.read(mEngine.port(), "/counts").getLong("submitted")).isEqualTo(1);
+        assertThat(sink.last().hasFailed() ? sink.failure() : "finished").isEqualTo("finished");
+        assertThat(sink.tokens()).hasSize(10);
+    }
+
     @Test
     void aRequestToAnUnresponsiveEngineEndsAtItsDeadline() {
         mFixture.faults(mEngine.port(), new JsonObject().put("silent", true));
