Use one connection for each call to a plain service

What callers would see: an order is answered with the 503 of an earlier call although the service has placed it. The agent records that response as the outcome, so later calls with the same key get it as well, and a caller that takes it for a refusal orders again with another key.

Cause: the agent kept its connections to the service, and a response names no call. One that the service wrote again, or late, was taken for the response to the next call on the connection.

The client no longer keeps connections. A limit to non-idempotent calls would leave other callers with responses that are not theirs.

--- a/tanagergap-agent/src/main/java/org/tanagergap/agent/plain/HttpPlainUpstream.java
+++ b/tanagergap-agent/src/main/java/org/tanagergap/agent/plain/HttpPlainUpstream.java
@@ -62,10 +62,13 @@
      */
     public HttpPlainUpstream(Vertx vertx, String baseUrl, int concurrency) {
         mBaseUrl = Objects.requireNonNull(baseUrl, "baseUrl must not be null");
-        mClient =
-                vertx.createHttpClient(
-                        new HttpClientOptions().setConnectTimeout(CONNECT_TIMEOUT_MILLIS),
-                        new PoolOptions().setHttp1MaxSize(concurrency));
+        // One connection for each call: a late or duplicate response has no identifier by which it
+        // could be told from that of the next call on a kept connection.
+        HttpClientOptions options =
+                new HttpClientOptions()
+                        .setConnectTimeout(CONNECT_TIMEOUT_MILLIS)
+                        .setKeepAlive(false);
+        mClient = vertx.createHttpClient(options, new PoolOptions().setHttp1MaxSize(concurrency));
     }
 
     @Override
@@ -155,9 +158,7 @@
             }
         }
 
-        /**
-         * Marks the response as complete, so that {@link #close} keeps the connection for reuse.
-         */
+        /** Marks the response as complete, so that {@link #close} has nothing left to cancel. */
         private synchronized void complete() {
             mComplete = true;
         }
--- a/tanagergap-agent/src/test/java/org/tanagergap/agent/OrdersOverNetworkTests.java
+++ b/tanagergap-agent/src/test/java/org/tanagergap/agent/OrdersOverNetworkTests.java
@@ -73,6 +73,18 @@
         assertThat(mOrders.book().counts()).isEmpty();
     }
 
+    @Test
+    void anEarlierRefusalThatTheServiceSendsAgainIsNotTakenForThatOfALaterOrder() {
+        mFixture.faults(mOrders.port(), new JsonObject().put("refuse", true));
+        assertThat(order("a.1", "k1").mEvents.get(1).getHead().getStatus()).isEqualTo(503);
+        mFixture.faults(mOrders.port(), new JsonObject().put("repeat_refusals", true));
+
+        RecordingSink placed = order("a.2", "k2");
+
+        assertThat(mOrders.book().counts()).containsExactly("k2", 1);
+        assertThat(placed.mEvents.get(1).getHead().getStatus()).isEqualTo(201);
+    }
+
     @Test
     void ordersAreRefusedDuringAnOutageOfTheKeyValueService() {
         mFixture.faults(mKeyValue.port(), new JsonObject().put("outage", true));
