Believe a refusal of an order only if it names the order

What callers would see: an order is refused as not run (503) although upstreams have run it, up to four times for one request.

Cause: a refusal without a request identifier was believed because the connection carries no other request. Bytes that a faulty runner sends before it has read the request arrive on that connection too, and cannot be told from a refusal of the request by their time of arrival.

A refusal without it now counts as a broken response where the request may not be repeated (502, execution unknown), with the reason "without the identifier of the request" in the log. Requests that may be repeated are handled as before.

Not run: whether the runners of the deployments name the request in every refusal.

--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/UpstreamAttempt.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/UpstreamAttempt.java
@@ -274,6 +274,7 @@
                         mContext.wire(),
                         mLifecycle.exchange().id().value(),
                         mLifecycle.isStream(),
+                        mRequest.route().retryable(),
                         this);
         mCall = Optional.of(call);
         if (mRequest.route().retryable()) {
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/UpstreamCall.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/UpstreamCall.java
@@ -33,6 +33,7 @@
     private final WireFormat mWire;
     private final String mRequestId;
     private final boolean mStream;
+    private final boolean mRetryable;
     private final UpstreamCallListener mListener;
     private final Buffer mBody = Buffer.buffer();
     private HttpClientRequest mRequest;
@@ -44,11 +45,13 @@
             WireFormat wire,
             String requestId,
             boolean stream,
+            boolean retryable,
             UpstreamCallListener listener) {
         mClient = client;
         mWire = wire;
         mRequestId = requestId;
         mStream = stream;
+        mRetryable = retryable;
         mListener = listener;
     }
 
@@ -186,9 +189,17 @@
         return type != null && type.toLowerCase(Locale.ROOT).startsWith(EVENT_STREAM);
     }
 
+    /**
+     * Bytes that an upstream sends before it has read the request belong to no request, and only
+     * the identifier distinguishes a refusal from them.
+     */
     private void refused(CallFailure.Kind kind, UpstreamResponseHead head) {
         String reason = "refused with status " + head.status();
-        fail(new CallFailure(kind, reason, head.faultyUpstream()));
+        if (mRetryable || head.namesRequest()) {
+            fail(new CallFailure(kind, reason, head.faultyUpstream()));
+        } else {
+            fail(CallFailure.Kind.BROKEN, reason + " without the identifier of the request");
+        }
     }
 
     private void fail(CallFailure.Kind kind, String reason) {
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/wire/UpstreamResponseHead.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/wire/UpstreamResponseHead.java
@@ -9,11 +9,16 @@
  *
  * @param status HTTP status
  * @param verdict meaning of the response for the request
+ * @param namesRequest whether the response names the request that it belongs to
  * @param faultyUpstream address of the upstream at fault, if the response names one
  * @param rateLimit what the response says about the rate limit of the upstream
  */
 public record UpstreamResponseHead(
-        int status, Verdict verdict, Optional<String> faultyUpstream, RateLimitNotice rateLimit) {
+        int status,
+        Verdict verdict,
+        boolean namesRequest,
+        Optional<String> faultyUpstream,
+        RateLimitNotice rateLimit) {
 
     /** Meaning of a response for the request. */
     public enum Verdict {
