Use one connection for each call to the key-value service

What callers would see: a compare-and-swap that failed counts as done, so two agents may send the same order or a configuration that was not stored is reported as accepted; or a write that was applied is reported as not applied.

Cause: the client kept its connections and a response of the service names no call. A response that the service, or the JSON gateway in front of it, wrote again was taken for that of the next call on the connection. If it arrived while the connection was idle, the next call could fail with "Connection was closed".

Evidence, before the change: aSecondResponseToAnEarlierCallIsNotTakenForThatOf- ALaterOne: "expected to be false" (a failed transaction counted as succeeded); anEarlierRefusalIsNotTakenForThatOfAWriteThatWasApplied: "/v3/kv/txn answered 400", which counts as not applied, for a write that was applied; aSecondResponseRightAfterTheFirstIsDiscarded: "Connection was closed".

The client no longer keeps connections, which costs a round trip for each call; watches have one connection each as before. Late responses were no fault: after its timeout a call's connection is closed (aResponseAfterTheTimeoutIsNotTakenForThatOfALaterCall passed before, too).

Measured: DuplicateResponseTests, HttpKeyValueStoreTests and HttpInstanceListTests pass.

--- a/tanagergap-platform/src/main/java/org/tanagergap/platform/keyvalue/HttpKeyValueStore.java
+++ b/tanagergap-platform/src/main/java/org/tanagergap/platform/keyvalue/HttpKeyValueStore.java
@@ -60,8 +60,12 @@
         Objects.requireNonNull(metrics, "metrics must not be null");
         mAddress = Objects.requireNonNull(address, "address must not be null");
         mTimeout = Objects.requireNonNull(timeout, "timeout must not be null");
+        // One connection for each call: a late or duplicate response has no identifier by which it
+        // could be told from that of the next call on a kept connection.
         HttpClientOptions options =
-                new HttpClientOptions().setConnectTimeout((int) timeout.toMillis());
+                new HttpClientOptions()
+                        .setConnectTimeout((int) timeout.toMillis())
+                        .setKeepAlive(false);
         mClient =
                 vertx.createHttpClient(options, new PoolOptions().setHttp1MaxSize(MAX_CONNECTIONS));
         // Watches occupy their connections, so they have a separate pool.
--- a/tanagergap-platform/src/test/java/org/tanagergap/platform/keyvalue/HttpKeyValueStoreTests.java
+++ b/tanagergap-platform/src/test/java/org/tanagergap/platform/keyvalue/HttpKeyValueStoreTests.java
@@ -233,6 +233,14 @@
             assertThat(failureOf(connect(port).commit(create("/a", "1"))).notApplied()).isTrue();
         }
 
+        @Test
+        void anEarlierRefusalIsNotTakenForThatOfAWriteThatWasApplied() throws Exception {
+            failureOf(mStore.commit(create("/a", "x".repeat(1_000_001))));
+            setFaults(new JsonObject().put("repeat_refusals", true));
+
+            assertThat(await(mStore.commit(create("/b", "1"))).succeeded()).isTrue();
+        }
+
         @Test
         void oversizedValuesAndExceededRatesAreReportedAsNotApplied() throws Exception {
             String large = "x".repeat(1_000_001);
