Close the connection of a status request that timed out

What operators would see: a process that was frozen and has started again at its address is still shown as frozen.

Cause: only the future of the request timed out. The request kept its connection, and after five of them (the size of the pool for an address) later requests waited for a connection until their own timeout.

Evidence: aProcessThatRestartsAfterItWasFrozenIsNotReportedAsFrozen failed before the change: expected IN_EFFECT, but was FROZEN, after six requests that got no response.

The connection is closed now when it is idle for the timeout. Late responses were no fault: they stayed with their own request.

Measured: ProcessStatusClientTests passes.

--- a/tanagergap-runtime/src/main/java/org/tanagergap/runtime/status/ProcessStatusClient.java
+++ b/tanagergap-runtime/src/main/java/org/tanagergap/runtime/status/ProcessStatusClient.java
@@ -55,6 +55,8 @@
 
     private Future<ProcessStatus> read(HostPort address) {
         return mClient.get(address.port(), address.host(), "/status")
+                // Closes the connection, which otherwise keeps its place in the pool.
+                .idleTimeout(mTimeout.toMillis())
                 .send()
                 .timeout(mTimeout.toMillis(), TimeUnit.MILLISECONDS)
                 .map(response -> status(address, response))
--- a/tanagergap-runtime/src/test/java/org/tanagergap/runtime/status/ProcessStatusClientTests.java
+++ b/tanagergap-runtime/src/test/java/org/tanagergap/runtime/status/ProcessStatusClientTests.java
@@ -3,9 +3,12 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpConnection;
 import io.vertx.core.http.HttpServer;
 import java.time.Duration;
 import java.util.List;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -47,4 +50,31 @@
         assertThat(status.state(3)).isEqualTo(ProcessState.FROZEN);
         assertThat(status.name()).isEqualTo("entry-2");
     }
+
+    @Test
+    void aProcessThatRestartsAfterItWasFrozenIsNotReportedAsFrozen() throws Exception {
+        AtomicBoolean frozen = new AtomicBoolean(true);
+        Set<HttpConnection> frozenConnections = ConcurrentHashMap.newKeySet();
+        HttpServer server =
+                mVertx.createHttpServer()
+                        .requestHandler(
+                                request -> {
+                                    if (frozen.get()) {
+                                        frozenConnections.add(request.connection());
+                                    } else if (!frozenConnections.contains(request.connection())) {
+                                        request.response().end("{\"configuration_version\":3}");
+                                    }
+                                })
+                        .listen(0, "127.0.0.1")
+                        .await();
+        List<HostPort> address = List.of(new HostPort("127.0.0.1", server.actualPort()));
+        ProcessStatusClient client = new ProcessStatusClient(mVertx, Duration.ofSeconds(1));
+        for (int i = 0; i < 6; i++) {
+            assertThat(client.read(address).join().get(0).state(3)).isEqualTo(ProcessState.FROZEN);
+        }
+
+        frozen.set(false);
+
+        assertThat(client.read(address).join().get(0).state(3)).isEqualTo(ProcessState.IN_EFFECT);
+    }
 }
