Share the search for free ports between platform and end-to-end tests

FreePorts of the end-to-end tests took a port from the range that the system also gives to outgoing connections, which any process could take before the program that it was meant for had bound it. FreeAddresses of platform/ chooses below that range since.

FreeAddresses moves to tanagergap-runtime, on which both modules depend, and FreePorts uses it; it still returns no port twice.

No failure was seen before or after the change.

--- a/tanagergap-endtoend/src/test/java/org/tanagergap/endtoend/FreePorts.java
+++ b/tanagergap-endtoend/src/test/java/org/tanagergap/endtoend/FreePorts.java
@@ -2,10 +2,9 @@
 
 import java.io.IOException;
 import java.io.UncheckedIOException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.util.HashSet;
 import java.util.Set;
+import org.tanagergap.runtime.settings.FreeAddresses;
 
 /** Finds free loopback ports. */
 final class FreePorts {
@@ -17,9 +16,10 @@
     /** Returns a port that could be bound just now and that no earlier call has returned. */
     static synchronized int next() {
         while (true) {
-            try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-                if (sReturnedPorts.add(socket.getLocalPort())) {
-                    return socket.getLocalPort();
+            try {
+                int port = FreeAddresses.find(1).get(0).port();
+                if (sReturnedPorts.add(port)) {
+                    return port;
                 }
             } catch (IOException e) {
                 throw new UncheckedIOException("could not bind a free loopback port", e);
--- a/platform/src/main/java/org/tanagergap/adapter/FreeAddresses.java
+++ b/tanagergap-runtime/src/main/java/org/tanagergap/runtime/settings/FreeAddresses.java
@@ -1,4 +1,4 @@
-package org.tanagergap.adapter;
+package org.tanagergap.runtime.settings;
 
 import java.io.IOException;
 import java.net.BindException;
@@ -7,12 +7,12 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.ThreadLocalRandom;
-import org.tanagergap.runtime.settings.HostPort;
 
 /** Loopback addresses for training runs and tests. */
-final class FreeAddresses {
+public final class FreeAddresses {
 
-    static final String HOST = "127.0.0.1";
+    /** Host of the addresses. */
+    public static final String HOST = "127.0.0.1";
 
     /** Below the ports that the system gives to outgoing connections of any process. */
     private static final int MIN_PORT = 15_000;
@@ -26,7 +26,7 @@
      * Returns different addresses on which nothing listens. All ports are open at the same time, so
      * that none is found twice.
      */
-    static List<HostPort> find(int count) throws IOException {
+    public static List<HostPort> find(int count) throws IOException {
         List<ServerSocket> sockets = new ArrayList<>();
         List<HostPort> addresses = new ArrayList<>();
         try {
