Run a periodic task again after a stack overflow

Seen: PeriodicTask caught RuntimeException only. A run that ended with StackOverflowError scheduled no next run, so a process would go on without its polls of the instance list, the configuration or the engine.

Change: a stack overflow is logged like an exception and the task runs again.

Evidence: PeriodicTaskTests.aTaskThatOverflowsItsStackRunsAgain failed before the change (1 run of 3) and passes with it.

--- a/tanagergap-runtime/src/main/java/org/tanagergap/runtime/time/PeriodicTask.java
+++ b/tanagergap-runtime/src/main/java/org/tanagergap/runtime/time/PeriodicTask.java
@@ -48,7 +48,7 @@
     private void runOnce() {
         try {
             mTask.run();
-        } catch (RuntimeException e) {
+        } catch (RuntimeException | StackOverflowError e) {
             sLogger.atWarning().withCause(e).log(
                     "periodic task with an interval of %d ms failed", mInterval.toMillis());
         }
