Refuse a configuration version that is no whole number

Cause: Number.longValue limits a double and drops the high bits of a big integer without an error.

Change: JsonNumbers reads whole numbers within bounds and nothing else; a status with another version is reported as invalid.

--- a/tanagergap-runtime/src/main/java/org/tanagergap/runtime/status/ProcessStatusClient.java
+++ b/tanagergap-runtime/src/main/java/org/tanagergap/runtime/status/ProcessStatusClient.java
@@ -20,6 +20,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import org.tanagergap.runtime.async.Futures;
+import org.tanagergap.runtime.json.JsonNumbers;
 import org.tanagergap.runtime.settings.HostPort;
 
 /** Requests the configuration version in effect from the admin servers of processes. */
@@ -88,14 +89,19 @@
         }
         try {
             JsonObject body = response.bodyAsJsonObject();
-            if (body == null || !(body.getValue("configuration_version") instanceof Number)) {
+            OptionalLong version =
+                    body == null
+                            ? OptionalLong.empty()
+                            : JsonNumbers.whole(
+                                    body.getValue("configuration_version"), 0, Long.MAX_VALUE);
+            if (version.isEmpty()) {
                 return invalid(address, "the answer has no configuration_version");
             }
             return new ProcessStatus(
                     address,
                     String.valueOf(body.getValue("name", "")),
                     String.valueOf(body.getValue("program", "")),
-                    OptionalLong.of(body.getLong("configuration_version")),
+                    version,
                     Optional.empty(),
                     "");
         } catch (DecodeException | ClassCastException e) {
--- a/tanagergap-runtime/src/test/java/org/tanagergap/runtime/status/ProcessStatusClientTests.java
+++ b/tanagergap-runtime/src/test/java/org/tanagergap/runtime/status/ProcessStatusClientTests.java
@@ -9,6 +9,8 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.tanagergap.runtime.settings.HostPort;
 
 /** Guards against a process status that does not show which process has a problem. */
@@ -47,4 +49,22 @@
         assertThat(status.state(3)).isEqualTo(ProcessState.FROZEN);
         assertThat(status.name()).isEqualTo("entry-2");
     }
+
+    /** Guards against a submission that is reported as in effect because of such a number. */
+    @ParameterizedTest
+    @ValueSource(strings = {"1e400", "9999999999999999999999", "-1", "\"3\"", "NaN"})
+    void aVersionThatIsNoWholeNumberIsNotTakenForOneInEffect(String version) {
+        HttpServer server =
+                mVertx.createHttpServer()
+                        .requestHandler(
+                                request ->
+                                        request.response()
+                                                .end("{\"configuration_version\":" + version + "}"))
+                        .listen(0, "127.0.0.1")
+                        .await();
+        List<HostPort> address = List.of(new HostPort("127.0.0.1", server.actualPort()));
+        ProcessStatusClient client = new ProcessStatusClient(mVertx, Duration.ofSeconds(3));
+
+        assertThat(client.read(address).join().get(0).state(3)).isEqualTo(ProcessState.INVALID);
+    }
 }
