Skip malformed items of the instance list

Seen: one item of another type, or one nested deeper than the library's bound, made every read of the list fail. Entries keep the last list then, so they no longer notice upstreams that are leaving and send requests to them until they refuse.

Cause: the list was decoded as a whole and its items were cast; ports were converted with Number.intValue and hosts were not checked.

An instance that is terminating is listed whatever its address, because no connection goes there. The stand-in lists raw items of a test.

--- a/tanagergap-platform/src/main/java/org/tanagergap/platform/instances/HttpInstanceList.java
+++ b/tanagergap-platform/src/main/java/org/tanagergap/platform/instances/HttpInstanceList.java
@@ -3,15 +3,12 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpResponseExpectation;
-import io.vertx.core.json.JsonArray;
-import io.vertx.core.json.JsonObject;
 import io.vertx.ext.web.client.HttpResponse;
 import io.vertx.ext.web.client.WebClient;
 import java.time.Duration;
 import java.util.List;
 import java.util.Objects;
 import java.util.concurrent.CompletableFuture;
-import java.util.stream.Stream;
 import org.tanagergap.runtime.async.Futures;
 import org.tanagergap.runtime.settings.HostPort;
 
@@ -19,11 +16,11 @@
 public final class HttpInstanceList implements InstanceList {
 
     private static final String PATH = "/apis/discovery.k8s.io/v1/endpointslices";
-    private static final String GROUP_LABEL = "kubernetes.io/service-name";
 
     private final WebClient mClient;
     private final HostPort mAddress;
     private final Duration mTimeout;
+    private final EndpointSliceReader mReader = new EndpointSliceReader();
 
     public HttpInstanceList(Vertx vertx, HostPort address, Duration timeout) {
         mClient = WebClient.create(Objects.requireNonNull(vertx, "vertx must not be null"));
@@ -36,51 +33,15 @@
         Objects.requireNonNull(group, "group must not be null");
         return Futures.toCompletable(
                 mClient.get(mAddress.port(), mAddress.host(), PATH)
-                        .addQueryParam("labelSelector", GROUP_LABEL + "=" + group)
+                        .addQueryParam(
+                                "labelSelector", EndpointSliceReader.GROUP_LABEL + "=" + group)
                         .timeout(mTimeout.toMillis())
                         .send()
                         .expecting(HttpResponseExpectation.SC_OK)
-                        .map(response -> instances(response, group)));
+                        .map(response -> mReader.read(body(response), group)));
     }
 
-    private static List<Instance> instances(HttpResponse<Buffer> response, String group) {
-        return objects(response.bodyAsJsonObject(), "items")
-                .filter(slice -> group.equals(groupOf(slice)))
-                .flatMap(HttpInstanceList::inSlice)
-                .toList();
-    }
-
-    private static String groupOf(JsonObject slice) {
-        return slice.getJsonObject("metadata", new JsonObject())
-                .getJsonObject("labels", new JsonObject())
-                .getString(GROUP_LABEL, "");
-    }
-
-    private static Stream<Instance> inSlice(JsonObject slice) {
-        int port =
-                objects(slice, "ports")
-                        .findFirst()
-                        .map(object -> object.getInteger("port", 0))
-                        .orElse(0);
-        return objects(slice, "endpoints").flatMap(endpoint -> atEndpoint(endpoint, port));
-    }
-
-    /** Returns the instance at an endpoint; empty if it is neither ready nor terminating. */
-    private static Stream<Instance> atEndpoint(JsonObject endpoint, int port) {
-        JsonObject conditions = endpoint.getJsonObject("conditions", new JsonObject());
-        boolean terminating = conditions.getBoolean("terminating", false);
-        JsonArray addresses = endpoint.getJsonArray("addresses", new JsonArray());
-        boolean usable = conditions.getBoolean("ready", true) || terminating;
-        if (!usable || addresses.isEmpty()) {
-            return Stream.empty();
-        }
-        String address = new HostPort(addresses.getString(0), port).toString();
-        String name =
-                endpoint.getJsonObject("targetRef", new JsonObject()).getString("name", address);
-        return Stream.of(new Instance(name, address, endpoint.getString("zone", ""), terminating));
-    }
-
-    private static Stream<JsonObject> objects(JsonObject object, String field) {
-        return object.getJsonArray(field, new JsonArray()).stream().map(JsonObject.class::cast);
+    private static Buffer body(HttpResponse<Buffer> response) {
+        return response.body() == null ? Buffer.buffer() : response.body();
     }
 }
--- a/tanagergap-platform/src/test/java/org/tanagergap/platform/instances/HttpInstanceListTests.java
+++ b/tanagergap-platform/src/test/java/org/tanagergap/platform/instances/HttpInstanceListTests.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.json.JsonObject;
 import io.vertx.ext.web.client.WebClient;
@@ -15,6 +16,8 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.tanagergap.runtime.settings.HostPort;
 import org.tanagergap.standins.instances.InstanceListServer;
 import org.tanagergap.testing.PausedClock;
@@ -90,6 +93,104 @@
         assertThat(status).isEqualTo(400);
     }
 
+    private void putRaw(String name, String item) throws Exception {
+        await(
+                WebClient.create(mVertx)
+                        .put(mServer.port(), "127.0.0.1", "/raw/agents/" + name)
+                        .sendBuffer(Buffer.buffer(item))
+                        .toCompletionStage()
+                        .toCompletableFuture());
+    }
+
+    private static String item(String endpoints, String ports) {
+        return "{\"metadata\":{\"name\":\"x\",\"labels\":"
+                + "{\"kubernetes.io/service-name\":\"agents\"}},\"endpoints\":"
+                + endpoints
+                + ",\"ports\":"
+                + ports
+                + "}";
+    }
+
+    private static String endpoint(String fields) {
+        return "[{\"targetRef\":{\"name\":\"x\"}," + fields + "}]";
+    }
+
+    private void assertOnlyTheNeighbourIsListed(String malformedItem) throws Exception {
+        change(HttpMethod.PUT, "/instances/agents/m1", instance("127.0.0.1:71", false));
+        mClock.advance(LAG);
+        putRaw("malformed", malformedItem);
+
+        assertThat(await(mList.read("agents")).stream().map(Instance::name)).containsExactly("m1");
+    }
+
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "[{\"port\":0}]",
+                "[{\"port\":70000}]",
+                "[{\"port\":-1}]",
+                "[{\"port\":1e400}]",
+                "[{\"port\":9999999999999999999999}]",
+                "[{\"port\":4294967376}]",
+                "[{\"port\":\"80\"}]",
+                "[80]",
+                "80"
+            })
+    void anItemWithAMalformedPortIsSkippedAndItsNeighbourListed(String ports) throws Exception {
+        String endpoints = endpoint("\"addresses\":[\"127.0.0.1\"]");
+        assertOnlyTheNeighbourIsListed(item(endpoints, ports));
+    }
+
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "\"addresses\":[\"x y\"]",
+                "\"addresses\":[\"\"]",
+                "\"addresses\":[7]",
+                "\"addresses\":[null]",
+                "\"addresses\":\"127.0.0.1\"",
+                "\"addresses\":[\"127.0.0.1\"],\"conditions\":[]",
+                "\"addresses\":[\"127.0.0.1\"],\"conditions\":{\"terminating\":\"no\"}",
+                "\"addresses\":[\"127.0.0.1\"],\"targetRef\":{\"name\":1e400}",
+                "\"addresses\":[\"127.0.0.1\"],\"zone\":{}"
+            })
+    void aMalformedEndpointIsSkippedAndItsNeighbourListed(String fields) throws Exception {
+        assertOnlyTheNeighbourIsListed(item(endpoint(fields), "[{\"port\":80}]"));
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"7", "null", "[]", "\"x\"", "{\"metadata\":7}", "{\"metadata\":{}}"})
+    void anItemThatIsNoSliceIsSkippedAndItsNeighbourListed(String item) throws Exception {
+        assertOnlyTheNeighbourIsListed(item);
+    }
+
+    @Test
+    void aSliceWithoutEndpointsAndPortsHidesNoNeighbour() throws Exception {
+        assertOnlyTheNeighbourIsListed(item("null", "null"));
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {500, 900, 5_000, 100_000})
+    void aDeeplyNestedItemIsSkippedAndItsNeighbourListed(int depth) throws Exception {
+        String nested = "[".repeat(depth) + "]".repeat(depth);
+        assertOnlyTheNeighbourIsListed(item(nested, "[{\"port\":80}]"));
+    }
+
+    /** New requests would go to an instance that is about to stop. */
+    @Test
+    void aLeavingInstanceStaysListedWhenItsPortIsMalformed() throws Exception {
+        putRaw(
+                "m2",
+                item(
+                        endpoint(
+                                "\"addresses\":[\"127.0.0.1\"],"
+                                        + "\"conditions\":{\"terminating\":true}"),
+                        "[{\"port\":70000}]"));
+
+        assertThat(await(mList.read("agents")).stream().map(Instance::terminating))
+                .containsExactly(true);
+    }
+
     @Test
     void failsWhenTheListCannotBeReached() throws Exception {
         await(mServer.stop());
--- a/tanagergap-standins/src/main/java/org/tanagergap/standins/instances/InstanceListServer.java
+++ b/tanagergap-standins/src/main/java/org/tanagergap/standins/instances/InstanceListServer.java
@@ -12,6 +12,7 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.StringJoiner;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import org.tanagergap.api.lifecycle.Service;
@@ -31,6 +32,7 @@
     private final Duration mLag;
     private final RuntimeClock mClock;
     private final Map<String, Map<String, ListedInstance>> mVisibleInstances = new TreeMap<>();
+    private final Map<String, Map<String, String>> mRawItems = new TreeMap<>();
     private HttpServer mServer;
 
     public InstanceListServer(Vertx vertx, HostPort address, Duration lag, RuntimeClock clock) {
@@ -46,6 +48,7 @@
         router.route().handler(BodyHandler.create(false));
         router.get(PATH).handler(this::list);
         router.put("/instances/:group/:name").handler(this::put);
+        router.put("/raw/:group/:name").handler(this::putRaw);
         router.delete("/instances/:group/:name").handler(this::delete);
         mServer = mVertx.createHttpServer().requestHandler(router);
         return Futures.toCompletable(mServer.listen(mAddress.port(), mAddress.host()).mapEmpty());
@@ -77,6 +80,14 @@
         applyAfterLag(context, Optional.of(instance));
     }
 
+    /** Lists the body as it is, like an item that another writer has left; visible at once. */
+    private synchronized void putRaw(RoutingContext context) {
+        mRawItems
+                .computeIfAbsent(context.pathParam("group"), ignored -> new TreeMap<>())
+                .put(context.pathParam("name"), context.body().asString());
+        context.json(new JsonObject());
+    }
+
     private void delete(RoutingContext context) {
         applyAfterLag(context, Optional.empty());
     }
@@ -100,18 +111,30 @@
 
     private synchronized void list(RoutingContext context) {
         String selector = context.request().getParam("labelSelector", "");
-        JsonArray items = new JsonArray();
+        StringJoiner items = new StringJoiner(",", "[", "]");
+        mRawItems.forEach(
+                (group, members) -> {
+                    if (isSelected(selector, group)) {
+                        members.values().forEach(items::add);
+                    }
+                });
         mVisibleInstances.forEach(
                 (group, members) -> {
-                    if (selector.isEmpty() || selector.equals(GROUP_LABEL + "=" + group)) {
-                        members.forEach((name, i) -> items.add(slice(group, name, i)));
+                    if (isSelected(selector, group)) {
+                        members.forEach((name, i) -> items.add(slice(group, name, i).encode()));
                     }
                 });
-        context.json(
-                new JsonObject()
-                        .put("kind", "EndpointSliceList")
-                        .put("apiVersion", "discovery.k8s.io/v1")
-                        .put("items", items));
+        context.response()
+                .putHeader("Content-Type", "application/json")
+                .end(
+                        "{\"kind\":\"EndpointSliceList\",\"apiVersion\":\"discovery.k8s.io/v1\","
+                                + "\"items\":"
+                                + items
+                                + "}");
+    }
+
+    private static boolean isSelected(String selector, String group) {
+        return selector.isEmpty() || selector.equals(GROUP_LABEL + "=" + group);
     }
 
     /** Creates a slice per instance, because all endpoints of a slice share one list of ports. */
