Skip malformed events of a watch and fail malformed replies

Seen: an event of a watch with a value that is not base64, a revision that is no 64-bit number or another type ended its message with an unchecked exception: the watch neither reported the other events of the message nor failed, so it was not opened again. A malformed reply to a call failed with an exception other than KeyValueException, which callers do not expect; a revision of 1e400 became the greatest long, also in the reply to a transaction.

Cause: only DecodeException and ClassCastException were caught, replies were decoded outside the client's error handling, and Number.longValue hides numbers out of range.

Change: replies are decoded within the call, so that a malformed one fails with a KeyValueException of unknown result. A malformed event is skipped and logged once; a malformed message still fails the watch, which is opened again. The stand-in sends a raw line to its watches.

--- a/tanagergap-platform/src/main/java/org/tanagergap/platform/keyvalue/HttpKeyValueStore.java
+++ b/tanagergap-platform/src/main/java/org/tanagergap/platform/keyvalue/HttpKeyValueStore.java
@@ -25,7 +25,9 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
+import java.util.function.Function;
 import org.tanagergap.runtime.async.Futures;
+import org.tanagergap.runtime.log.MalformedItemLog;
 import org.tanagergap.runtime.metrics.MetricName;
 import org.tanagergap.runtime.settings.HostPort;
 
@@ -47,6 +49,8 @@
     private final Counter mWrites;
     private final Counter mWatches;
     private final Counter mFailures;
+    private final MalformedItemLog mMalformedEvents =
+            new MalformedItemLog("watch of the key-value service");
 
     /**
      * Creates a client.
@@ -75,41 +79,52 @@
 
     @Override
     public CompletableFuture<Optional<KeyValue>> read(String key) {
-        return call(mReads, "/v3/kv/range", KeyValueJson.range(key, "", 1))
-                .thenApply(reply -> KeyValueJson.keyValues(reply).stream().findFirst());
+        return call(
+                mReads,
+                "/v3/kv/range",
+                KeyValueJson.range(key, "", 1),
+                reply -> KeyValueJson.keyValues(reply).stream().findFirst());
     }
 
     @Override
     public CompletableFuture<List<KeyValue>> readRange(String from, String to, int limit) {
-        return call(mReads, "/v3/kv/range", KeyValueJson.range(from, to, limit))
-                .thenApply(KeyValueJson::keyValues);
+        return call(
+                mReads,
+                "/v3/kv/range",
+                KeyValueJson.range(from, to, limit),
+                KeyValueJson::keyValues);
     }
 
     @Override
     public CompletableFuture<TransactionResult> commit(Transaction transaction) {
-        return call(mWrites, "/v3/kv/txn", KeyValueJson.transaction(transaction))
-                .thenApply(KeyValueJson::transactionResult);
+        return call(
+                mWrites,
+                "/v3/kv/txn",
+                KeyValueJson.transaction(transaction),
+                KeyValueJson::transactionResult);
     }
 
     @Override
     public CompletableFuture<Long> grantLease(Duration timeToLive) {
         JsonObject body = new JsonObject().put("TTL", "" + timeToLive.toSeconds());
-        return call(mWrites, "/v3/lease/grant", body)
-                .thenApply(reply -> KeyValueJson.number(reply, "ID"));
+        return call(mWrites, "/v3/lease/grant", body, reply -> KeyValueJson.number(reply, "ID"));
     }
 
     @Override
     public CompletableFuture<Void> keepLeaseAlive(long leaseId) {
         JsonObject body = new JsonObject().put("ID", "" + leaseId);
-        return call(mWrites, "/v3/lease/keepalive", body)
-                .thenAccept(
-                        reply -> {
-                            JsonObject result = reply.getJsonObject("result", new JsonObject());
-                            if (KeyValueJson.number(result, "TTL") <= 0) {
-                                throw new KeyValueException(
-                                        "lease " + leaseId + " has expired", false, null);
-                            }
-                        });
+        return call(
+                mWrites,
+                "/v3/lease/keepalive",
+                body,
+                reply -> {
+                    JsonObject result = reply.getJsonObject("result", new JsonObject());
+                    if (KeyValueJson.number(result, "TTL") <= 0) {
+                        throw new KeyValueException(
+                                "lease " + leaseId + " has expired", false, null);
+                    }
+                    return null;
+                });
     }
 
     @Override
@@ -118,12 +133,15 @@
         return Multi.createFrom().emitter(emitter -> openWatch(prefix, emitter));
     }
 
-    private CompletableFuture<JsonObject> call(Counter counter, String path, JsonObject body) {
+    /** Calls the gateway; a reply that the decoder rejects fails the call with unknown result. */
+    private <T> CompletableFuture<T> call(
+            Counter counter, String path, JsonObject body, Function<JsonObject, T> decoder) {
         counter.inc();
-        Future<JsonObject> reply =
+        Future<T> reply =
                 mClient.request(options(path))
                         .recover(failure -> Future.failedFuture(callFailure(path, true, failure)))
                         .compose(request -> exchange(request, path, body))
+                        .map(decoder)
                         .recover(
                                 failure -> Future.failedFuture(toKeyValueException(path, failure)));
         return Futures.toCompletable(reply);
@@ -210,7 +228,7 @@
         lines.handler(line -> emitLine(line, emitter, fail));
     }
 
-    private static void emitLine(
+    private void emitLine(
             Buffer line, MultiEmitter<? super KeyValue> emitter, Consumer<Throwable> fail) {
         try {
             JsonObject message = new JsonObject(line);
@@ -219,7 +237,7 @@
                 fail.accept(new KeyValueException("watch was cancelled: " + line, true, null));
                 return;
             }
-            KeyValueJson.changes(result).forEach(emitter::emit);
+            KeyValueJson.changes(result, mMalformedEvents).forEach(emitter::emit);
         } catch (DecodeException | ClassCastException e) {
             fail.accept(
                     new KeyValueException(
--- a/tanagergap-platform/src/main/java/org/tanagergap/platform/keyvalue/KeyValueJson.java
+++ b/tanagergap-platform/src/main/java/org/tanagergap/platform/keyvalue/KeyValueJson.java
@@ -1,10 +1,15 @@
 package org.tanagergap.platform.keyvalue;
 
+import io.vertx.core.json.DecodeException;
 import io.vertx.core.json.JsonArray;
 import io.vertx.core.json.JsonObject;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.Base64;
 import java.util.List;
+import java.util.OptionalLong;
+import org.tanagergap.runtime.json.JsonNumbers;
+import org.tanagergap.runtime.log.MalformedItemLog;
 
 /**
  * JSON messages of the etcd v3 gateway: keys and values are base64, 64-bit numbers are strings, and
@@ -45,16 +50,31 @@
         return objects(response, "kvs").stream().map(KeyValueJson::keyValue).toList();
     }
 
-    /** Parses the changes in a watch response. */
-    static List<KeyValue> changes(JsonObject result) {
-        return objects(result, "events").stream()
-                .map(event -> keyValue(event.getJsonObject("kv", new JsonObject())))
-                .toList();
+    /** Parses the changes in a watch response, without the malformed ones, which are logged. */
+    static List<KeyValue> changes(JsonObject result, MalformedItemLog malformed) {
+        List<KeyValue> changes = new ArrayList<>();
+        for (Object event : result.getJsonArray("events", new JsonArray())) {
+            try {
+                JsonObject kv = object(event).getJsonObject("kv", new JsonObject());
+                changes.add(keyValue(kv));
+            } catch (DecodeException | ClassCastException e) {
+                malformed.skipped("event", e.toString());
+            }
+        }
+        return changes;
     }
 
     static long number(JsonObject object, String field) {
         Object value = object.getValue(field, 0L);
-        return value instanceof Number n ? n.longValue() : Long.parseLong(value.toString());
+        OptionalLong number = JsonNumbers.whole(value, Long.MIN_VALUE, Long.MAX_VALUE);
+        if (number.isPresent()) {
+            return number.getAsLong();
+        }
+        try {
+            return Long.parseLong(String.valueOf(value));
+        } catch (NumberFormatException e) {
+            throw new DecodeException("field \"" + field + "\" is not a 64-bit number");
+        }
     }
 
     private static JsonObject comparison(Condition condition) {
@@ -87,10 +107,17 @@
 
     private static List<JsonObject> objects(JsonObject response, String field) {
         return response.getJsonArray(field, new JsonArray()).stream()
-                .map(JsonObject.class::cast)
+                .map(KeyValueJson::object)
                 .toList();
     }
 
+    private static JsonObject object(Object value) {
+        if (value instanceof JsonObject object) {
+            return object;
+        }
+        throw new DecodeException("a list contains a value that is not an object");
+    }
+
     /** Returns the exclusive upper bound of the keys with the prefix; keys are ASCII. */
     private static String endOfPrefix(String prefix) {
         int last = prefix.length() - 1;
@@ -102,6 +129,10 @@
     }
 
     private static String decode(String base64) {
-        return new String(Base64.getDecoder().decode(base64), StandardCharsets.UTF_8);
+        try {
+            return new String(Base64.getDecoder().decode(base64), StandardCharsets.UTF_8);
+        } catch (IllegalArgumentException e) {
+            throw new DecodeException("a key or value is not base64: " + e.getMessage());
+        }
     }
 }
--- a/tanagergap-standins/src/main/java/org/tanagergap/standins/keyvalue/KeyValueServer.java
+++ b/tanagergap-standins/src/main/java/org/tanagergap/standins/keyvalue/KeyValueServer.java
@@ -73,6 +73,7 @@
                 .handler(context -> admit(context, CallKind.WATCHES, () -> watch(context)));
         router.put("/faults").handler(this::changeFaults);
         router.get("/faults").handler(this::showFaults);
+        router.put("/watch-line").handler(this::sendWatchLine);
         router.get("/counts").handler(this::counts);
         mServer = mVertx.createHttpServer().requestHandler(router);
         Future<HttpServer> listening = mServer.listen(mAddress.port(), mAddress.host());
@@ -223,6 +224,14 @@
         response.write(new JsonObject().put("result", result).encode() + "\n");
     }
 
+    /** Sends the body as a line of every open watch, so that a test can send a malformed one. */
+    private void sendWatchLine(RoutingContext context) {
+        synchronized (mLock) {
+            mWatches.forEach(watch -> watch.write(context.body().asString() + "\n"));
+        }
+        context.json(new JsonObject());
+    }
+
     private void changeFaults(RoutingContext context) {
         JsonObject faults;
         try {
