Follow the configuration despite a malformed stored version

Seen: with a malformed value of another writer under the key of the version, a process that started never read the configuration and never became ready, unless the document changed. A stored version far above the document's made each of 350 entries read up to 1 MB every 2 s. The version was accepted; no later version can follow it.

Cause: the version was parsed with Long.parseLong, whose exception ended each poll before the document was read, and every greater number led to a read.

Change: the document is read once for each change of the stored version that is malformed or newer. Versions are limited to 1 to 2^53. A malformed version proves no loss, so it does not cause a repair. Both keys are logged once for each malformed value.

--- a/tanagergap-state/src/main/java/org/tanagergap/state/configuration/ConfigurationRepair.java
+++ b/tanagergap-state/src/main/java/org/tanagergap/state/configuration/ConfigurationRepair.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
 import java.util.random.RandomGenerator;
@@ -66,10 +67,16 @@
                         (written, failure) -> completed(lost, written, failure), mSerial);
     }
 
-    /** Returns true if the stored version is older than the configuration. */
+    /**
+     * Returns true if the stored version is older than the configuration. A malformed one proves no
+     * loss.
+     */
     static boolean isOlder(Optional<KeyValue> storedVersion, StoredConfiguration configuration) {
-        long stored = storedVersion.map(v -> Long.parseLong(v.value())).orElse(0L);
-        return stored < configuration.version();
+        if (storedVersion.isEmpty()) {
+            return configuration.version() > 0;
+        }
+        OptionalLong stored = ConfigurationValues.parseVersion(storedVersion.get().value());
+        return stored.isPresent() && stored.getAsLong() < configuration.version();
     }
 
     /** The condition fails if an operator or another instance has written in between. */
--- a/tanagergap-state/src/main/java/org/tanagergap/state/configuration/ConfigurationValues.java
+++ b/tanagergap-state/src/main/java/org/tanagergap/state/configuration/ConfigurationValues.java
@@ -1,6 +1,7 @@
 package org.tanagergap.state.configuration;
 
 import java.util.Optional;
+import java.util.OptionalLong;
 
 /**
  * Encodes the values stored under {@link ConfigurationKeys}. The current configuration is encoded
@@ -10,6 +11,10 @@
 final class ConfigurationValues {
 
     private static final String ACCEPTED = "accepted ";
+
+    /** No later version could follow the greatest long; this one takes 10^9 submissions a day. */
+    private static final long MAX_VERSION = 1L << 53;
+
     private static final String ABANDONED = "abandoned";
 
     private ConfigurationValues() {}
@@ -21,18 +26,35 @@
     /**
      * Parses the current configuration.
      *
-     * @throws IllegalStateException if the value has no version line
-     * @throws NumberFormatException if the version is not a number
+     * @throws IllegalStateException if the value has no line with a valid version
      */
     static StoredConfiguration parseCurrent(String value) {
         int end = value.indexOf('\n');
         if (end <= 0) {
             throw new IllegalStateException("the stored configuration has no version");
         }
-        long version = Long.parseLong(value.substring(0, end));
+        long version =
+                parseVersion(value.substring(0, end))
+                        .orElseThrow(
+                                () ->
+                                        new IllegalStateException(
+                                                "the stored configuration has a malformed"
+                                                        + " version"));
         return new StoredConfiguration(version, value.substring(end + 1));
     }
 
+    /** Parses the version of a configuration; empty if it is malformed. */
+    static OptionalLong parseVersion(String value) {
+        try {
+            long version = Long.parseLong(value);
+            return version >= 1 && version <= MAX_VERSION
+                    ? OptionalLong.of(version)
+                    : OptionalLong.empty();
+        } catch (NumberFormatException e) {
+            return OptionalLong.empty();
+        }
+    }
+
     static String accepted(long version) {
         return ACCEPTED + version;
     }
--- a/tanagergap-state/src/main/java/org/tanagergap/state/configuration/ConfigurationWatch.java
+++ b/tanagergap-state/src/main/java/org/tanagergap/state/configuration/ConfigurationWatch.java
@@ -6,12 +6,14 @@
 import io.smallrye.mutiny.subscription.MultiEmitter;
 import java.time.Duration;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
 import org.tanagergap.api.time.RuntimeClock;
 import org.tanagergap.platform.keyvalue.KeyValue;
 import org.tanagergap.platform.keyvalue.KeyValueStore;
+import org.tanagergap.runtime.log.MalformedItemLog;
 import org.tanagergap.runtime.time.PeriodicTask;
 
 /**
@@ -31,7 +33,12 @@
     private final Executor mSerial =
             MoreExecutors.newSequentialExecutor(MoreExecutors.directExecutor());
     private final ConfigurationRepair mRepair;
+    private final MalformedItemLog mMalformed = new MalformedItemLog("key-value service");
     private Optional<StoredConfiguration> mNewest = Optional.empty();
+
+    /** Version for which the document was read last. */
+    private Optional<KeyValue> mReadFor = Optional.empty();
+
     private boolean mWatching;
     private boolean mCancelled;
     private Cancellable mWatch = () -> {};
@@ -76,11 +83,32 @@
     private CompletableFuture<Optional<KeyValue>> readIfNewer(Optional<KeyValue> version) {
         mNewest.filter(newest -> ConfigurationRepair.isOlder(version, newest))
                 .ifPresent(mRepair::schedule);
-        boolean newer =
-                version.filter(v -> Long.parseLong(v.value()) > newestVersion()).isPresent();
-        return newer
-                ? mStore.read(ConfigurationKeys.CURRENT)
-                : CompletableFuture.completedFuture(Optional.empty());
+        if (version.filter(this::mayBeNewer).isEmpty()) {
+            return CompletableFuture.completedFuture(Optional.empty());
+        }
+        KeyValue read = version.get();
+        return mStore.read(ConfigurationKeys.CURRENT)
+                .thenApplyAsync(
+                        current -> {
+                            mReadFor = Optional.of(read);
+                            return current;
+                        },
+                        mSerial);
+    }
+
+    /**
+     * A malformed version may belong to a newer configuration. The document is read once for each
+     * change of the version, because both are written in one transaction.
+     */
+    private boolean mayBeNewer(KeyValue version) {
+        if (mReadFor.filter(version::equals).isPresent()) {
+            return false;
+        }
+        OptionalLong number = ConfigurationValues.parseVersion(version.value());
+        if (number.isEmpty()) {
+            mMalformed.skipped(version.key(), "it is not a version: " + version.value());
+        }
+        return number.isEmpty() || number.getAsLong() > newestVersion();
     }
 
     private void acceptRead(Optional<KeyValue> current, Throwable failure) {
@@ -104,10 +132,8 @@
         StoredConfiguration configuration;
         try {
             configuration = ConfigurationValues.parseCurrent(value.value());
-        } catch (IllegalArgumentException | IllegalStateException e) {
-            sLogger.atWarning().withCause(e).log(
-                    "the stored configuration at revision %d could not be parsed",
-                    value.modRevision());
+        } catch (IllegalStateException e) {
+            mMalformed.skipped(value.key() + " at revision " + value.modRevision(), e.getMessage());
             return;
         }
         if (configuration.version() > newestVersion()) {
