Skip values in the intent log that no writer creates

Seen: one value of another writer among the records of a shard, with a name that is no record number or with a text that is no JSON object (also a deeply nested one), stopped the shard for good: every agent refused all calls of that shard that must run at most once, and logged nothing above the level fine.

Cause: the number of each key and the text of each record were parsed without regard to their origin, and the exception failed each round.

Change: a key without 19 digits, or more than 10^9 ahead, is skipped and logged once. A text without a nonce, which every writer puts in its records, counts as a record without events. A damaged record with a nonce and a record after a gap still grant nothing, because their keys could be granted again after the call has run; this is now logged as a warning once a minute. Pages continue after the last key that was read, so that 16 skipped keys do not repeat a page for ever.

--- a/tanagergap-state/src/main/java/org/tanagergap/state/intent/IntentRecordJson.java
+++ b/tanagergap-state/src/main/java/org/tanagergap/state/intent/IntentRecordJson.java
@@ -1,5 +1,6 @@
 package org.tanagergap.state.intent;
 
+import io.vertx.core.json.DecodeException;
 import io.vertx.core.json.JsonArray;
 import io.vertx.core.json.JsonObject;
 import java.nio.charset.StandardCharsets;
@@ -35,6 +36,9 @@
     /** Decodes a record; throws an unchecked exception if the text is not a valid record. */
     static IntentRecord decode(String service, String text) {
         JsonObject json = new JsonObject(text);
+        if (!(json.getValue("nonce") instanceof String nonce)) {
+            throw new DecodeException("the record has no nonce");
+        }
         List<IntentEvent> events = new ArrayList<>();
         for (JsonObject item : objects(json, INTENTS)) {
             events.add(
@@ -50,7 +54,16 @@
         for (JsonObject item : objects(json, ABANDONED)) {
             events.add(new IntentEvent.Abandonment(key(service, item), attempt(item)));
         }
-        return new IntentRecord(json.getString("nonce"), json.getLong("written_at_ms"), events);
+        return new IntentRecord(nonce, json.getLong("written_at_ms"), events);
+    }
+
+    /** Returns true if the text is an object with a nonce, which every writer puts in a record. */
+    static boolean hasNonce(String text) {
+        try {
+            return new JsonObject(text).getValue("nonce") instanceof String;
+        } catch (DecodeException e) {
+            return false;
+        }
     }
 
     /** Returns the number of bytes that the event occupies in a record. */
--- a/tanagergap-state/src/main/java/org/tanagergap/state/intent/ShardKeys.java
+++ b/tanagergap-state/src/main/java/org/tanagergap/state/intent/ShardKeys.java
@@ -2,6 +2,8 @@
 
 import java.net.URLEncoder;
 import java.nio.charset.StandardCharsets;
+import java.util.OptionalLong;
+import java.util.regex.Pattern;
 import java.util.zip.CRC32;
 
 /**
@@ -12,6 +14,8 @@
  */
 record ShardKeys(String service, int shard) {
 
+    private static final Pattern NUMBER = Pattern.compile("[0-9]{19}");
+
     /** Returns the shard of a key. The hash must not differ between processes or versions. */
     static ShardKeys of(IntentKey key, int shardCount) {
         String text = key.service() + '\0' + key.workspace() + '\0' + key.idempotencyKey();
@@ -35,8 +39,17 @@
         return prefix() + "floor";
     }
 
-    long number(String recordKey) {
-        return Long.parseLong(recordKey.substring(prefix().length()));
+    /** Returns the number of a record; empty for a key that {@link #record} does not create. */
+    OptionalLong number(String key) {
+        String digits = key.startsWith(prefix()) ? key.substring(prefix().length()) : "";
+        if (!NUMBER.matcher(digits).matches()) {
+            return OptionalLong.empty();
+        }
+        try {
+            return OptionalLong.of(Long.parseLong(digits));
+        } catch (NumberFormatException e) {
+            return OptionalLong.empty();
+        }
     }
 
     private String prefix() {
--- a/tanagergap-state/src/main/java/org/tanagergap/state/intent/ShardReplica.java
+++ b/tanagergap-state/src/main/java/org/tanagergap/state/intent/ShardReplica.java
@@ -1,9 +1,12 @@
 package org.tanagergap.state.intent;
 
+import com.google.common.flogger.FluentLogger;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
+import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
 import org.tanagergap.api.time.RuntimeClock;
 import org.tanagergap.platform.keyvalue.Condition;
@@ -11,6 +14,7 @@
 import org.tanagergap.platform.keyvalue.KeyValueStore;
 import org.tanagergap.platform.keyvalue.Transaction;
 import org.tanagergap.platform.keyvalue.Write;
+import org.tanagergap.runtime.log.MalformedItemLog;
 
 /** In-memory replica of one shard's log; confined to a serial executor. */
 final class ShardReplica {
@@ -18,12 +22,18 @@
     private static final int RECORDS_PER_READ = 16;
     private static final long UNKNOWN = -1;
 
+    /** A store restored from a backup lacks fewer; the design has millions of records a day. */
+    private static final long MAX_LOST_RECORDS = 1_000_000_000;
+
+    private static final FluentLogger sLogger = FluentLogger.forEnclosingClass();
+
     private final ShardKeys mKeys;
     private final KeyValueStore mStore;
     private final RuntimeClock mClock;
     private final Executor mSerial;
     private final IntentTable mTable;
     private final BiConsumer<Long, IntentRecord> mObserver;
+    private final MalformedItemLog mMalformed = new MalformedItemLog("intent log");
     private long mFloor;
     private long mFloorRevision = UNKNOWN;
     private long mNextNumber;
@@ -134,27 +144,54 @@
     }
 
     private CompletableFuture<Void> readRecords() {
-        return mStore.readRange(mKeys.record(mNextNumber), mKeys.recordsEnd(), RECORDS_PER_READ)
+        return readRecords(mKeys.record(mNextNumber));
+    }
+
+    private CompletableFuture<Void> readRecords(String from) {
+        return mStore.readRange(from, mKeys.recordsEnd(), RECORDS_PER_READ)
                 .thenComposeAsync(this::acceptRecords, mSerial);
     }
 
     private CompletableFuture<Void> acceptRecords(List<KeyValue> values) {
         for (KeyValue value : values) {
-            long number = mKeys.number(value.key());
-            if (number != mNextNumber) {
-                return skipDeleted(number);
+            OptionalLong number = mKeys.number(value.key());
+            if (number.isEmpty() || number.getAsLong() - mNextNumber > MAX_LOST_RECORDS) {
+                mMalformed.skipped(value.key(), "the key is not that of a record");
+                continue;
+            }
+            if (number.getAsLong() != mNextNumber) {
+                return skipDeleted(number.getAsLong());
             }
-            IntentRecord record = decode(value);
-            append(number, record);
-            mObserver.accept(number, record);
+            IntentRecord record = decodeOrSkip(value);
+            append(number.getAsLong(), record);
+            mObserver.accept(number.getAsLong(), record);
         }
         if (values.size() == RECORDS_PER_READ) {
-            return readRecords();
+            // The smallest key after the last one, which need not be that of a record.
+            return readRecords(values.get(values.size() - 1).key() + '\0');
         }
         mReadOnce = true;
         return CompletableFuture.completedFuture(null);
     }
 
+    /**
+     * Decodes a record; a value that no writer creates counts as a record without events. A damaged
+     * record of a writer fails, because its key could be granted again after its call has run.
+     */
+    private IntentRecord decodeOrSkip(KeyValue value) {
+        try {
+            return decode(value);
+        } catch (RuntimeException e) {
+            if (IntentRecordJson.hasNonce(value.value())) {
+                sLogger.atWarning().atMostEvery(1, TimeUnit.MINUTES).log(
+                        "record %s is damaged; its shard grants no calls: %s", value.key(), e);
+                throw e;
+            }
+            mMalformed.skipped(value.key(), e.toString());
+            return new IntentRecord("", mClock.now().toEpochMilli(), List.of());
+        }
+    }
+
     /** Numbers can be missing only because another writer has raised the floor above them. */
     private CompletableFuture<Void> skipDeleted(long found) {
         long missing = mNextNumber;
