Limit the numbers in load hints of agents

Seen: a report age of 2^63-1 ms has no nanoseconds, to which routing converts it for each request, so that ArithmeticException would end every request of the service. Negative numbers of tokens, sums that overflow and a prefill rate that is infinite would give the agent the best prediction. The numbers were seen in HintReader; their effect on routing is read from FirstTokenPrediction, not run.

Cause: HintReader limited the number of ranks and prefixes, but no number.

Change: numbers are limited to ranges whose sums do not overflow; a rate that is no rate of an engine counts as not measured.

--- a/tanagergap-entry/src/main/java/org/tanagergap/entry/agent/HintReader.java
+++ b/tanagergap-entry/src/main/java/org/tanagergap/entry/agent/HintReader.java
@@ -24,6 +24,14 @@
 
     private static final int MAX_RANKS = 64;
 
+    /** Far above the memory of an engine; sums of such numbers do not overflow. */
+    private static final long MAX_TOKENS = 1_000_000_000_000L;
+
+    private static final int MAX_QUEUED = 1_000_000_000;
+
+    /** Longer than any report is worth; a {@code Duration} of 300 years has no nanoseconds. */
+    private static final long MAX_REPORT_AGE_MILLIS = Duration.ofDays(1).toMillis();
+
     private final Map<String, CachedPrefixes> mCachedPrefixes = new ConcurrentHashMap<>();
 
     /** Revision of the prefix hashes cached for the agent; 0 for none. */
@@ -46,16 +54,18 @@
                         r ->
                                 ranks.put(
                                         r.getRank(),
-                                        new RankLoad(r.getQueued(), r.getQueuedTokens())));
+                                        new RankLoad(
+                                                (int) limited(r.getQueued(), MAX_QUEUED),
+                                                tokens(r.getQueuedTokens()))));
         return new LoadHint(
-                hint.getMemoryTokensTotal(),
-                hint.getMemoryTokensFree(),
+                tokens(hint.getMemoryTokensTotal()),
+                tokens(hint.getMemoryTokensFree()),
                 backlog(hint),
-                hint.getPrefillTokensPerSecond(),
+                rate(hint.getPrefillTokensPerSecond()),
                 ranks,
                 hint.getDraining(),
                 hint.getUpstreamReady(),
-                Duration.ofMillis(Math.max(0, hint.getLoadReportAgeMs())),
+                Duration.ofMillis(limited(hint.getLoadReportAgeMs(), MAX_REPORT_AGE_MILLIS)),
                 prefixes(agent, hint),
                 hint.getConfigurationVersion());
     }
@@ -64,10 +74,23 @@
     private static PrefillBacklog backlog(Hint hint) {
         return hint.getPrefillTokensByBandCount() == LengthBand.values().length
                 ? new PrefillBacklog(
-                        hint.getPrefillTokensByBand(LengthBand.SHORT.ordinal()),
-                        hint.getPrefillTokensByBand(LengthBand.MEDIUM.ordinal()),
-                        hint.getPrefillTokensByBand(LengthBand.LONG.ordinal()))
-                : new PrefillBacklog(hint.getPrefillTokensQueued(), 0, 0);
+                        tokens(hint.getPrefillTokensByBand(LengthBand.SHORT.ordinal())),
+                        tokens(hint.getPrefillTokensByBand(LengthBand.MEDIUM.ordinal())),
+                        tokens(hint.getPrefillTokensByBand(LengthBand.LONG.ordinal())))
+                : new PrefillBacklog(tokens(hint.getPrefillTokensQueued()), 0, 0);
+    }
+
+    private static long tokens(long tokens) {
+        return limited(tokens, MAX_TOKENS);
+    }
+
+    private static long limited(long number, long max) {
+        return Math.max(0, Math.min(max, number));
+    }
+
+    /** Returns the rate, or 0 for not measured if it is not a rate of an engine. */
+    private static double rate(double tokensPerSecond) {
+        return tokensPerSecond >= 0 && tokensPerSecond <= MAX_TOKENS ? tokensPerSecond : 0;
     }
 
     private Set<String> prefixes(String agent, Hint hint) {
