Limit the retry time in failures of agents

Seen: a failure with retry_after_ms of 2^63-1 was read as a Duration whose conversion to nanoseconds throws ArithmeticException.

--- a/tanagergap-entry/src/main/java/org/tanagergap/entry/execution/WireFailures.java
+++ b/tanagergap-entry/src/main/java/org/tanagergap/entry/execution/WireFailures.java
@@ -9,6 +9,9 @@
 /** Converts failure messages of agents to request failures. */
 final class WireFailures {
 
+    /** A {@code Duration} of 300 years has no nanoseconds. */
+    private static final long MAX_RETRY_AFTER_MILLIS = Duration.ofDays(1).toMillis();
+
     private WireFailures() {}
 
     static RequestFailure read(Failed failed) {
@@ -22,7 +25,10 @@
                 };
         RequestFailure failure = RequestFailure.of(code, execution, failed.getMessage());
         if (failed.getRetryAfterMs() > 0) {
-            failure = failure.withRetryAfter(Duration.ofMillis(failed.getRetryAfterMs()));
+            failure =
+                    failure.withRetryAfter(
+                            Duration.ofMillis(
+                                    Math.min(MAX_RETRY_AFTER_MILLIS, failed.getRetryAfterMs())));
         }
         return failed.getField().isEmpty() ? failure : failure.withField(failed.getField());
     }
