Read the other items beside a malformed one of an engine

Seen: one run without an identifier, or with one or a size of another type, made the whole list of runs unreadable. The agent then never compared its attempts with the engine's runs, so its upstream did not become ready and no orphaned run was cancelled. A load report with one malformed number counted as a failed poll. A refusal with the body {"error":null} threw NullPointerException where the handler of the response makes the failure, so that none is passed on (the consequence is read from the code, not run).

Cause: the messages were cast and converted as a whole, with Number.longValue.

Change: runs are read one by one and a malformed one is skipped; a number that the rest does not depend on counts as not reported; both are logged once. The index of a token and the sequence of a cache event are required to be whole numbers from 0. An error of null is a body that is not an error.

--- a/tanagergap-agent/src/main/java/org/tanagergap/agent/engine/EngineMessages.java
+++ b/tanagergap-agent/src/main/java/org/tanagergap/agent/engine/EngineMessages.java
@@ -8,12 +8,15 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.regex.Pattern;
 import org.tanagergap.api.failure.Execution;
 import org.tanagergap.api.failure.FailureCode;
 import org.tanagergap.api.failure.RequestFailure;
 import org.tanagergap.api.request.AttemptId;
 import org.tanagergap.decisions.scheduling.EngineRun;
+import org.tanagergap.runtime.json.JsonNumbers;
+import org.tanagergap.runtime.log.MalformedItemLog;
 
 /** JSON messages of model engines. */
 final class EngineMessages {
@@ -25,6 +28,8 @@
     private static final Pattern SECONDS = Pattern.compile("[0-9]{1,9}(\\.[0-9]{1,9})?");
     private static final int SERVER_ERROR = 500;
 
+    private static final MalformedItemLog sMalformed = new MalformedItemLog("engine");
+
     private EngineMessages() {}
 
     static JsonObject completion(EngineCompletion completion) {
@@ -59,49 +64,67 @@
                 throw new DecodeException("event has neither index nor finish_reason");
             }
             return new EngineEvent.Token(
-                    requestId, json.getLong("index"), json.getString("text", ""));
+                    requestId, required(json, "index"), json.getString("text", ""));
         }
         JsonObject usage = json.getJsonObject("usage", new JsonObject());
         return new EngineEvent.Finish(
                 requestId,
                 json.getString("finish_reason"),
-                usage.getLong("prompt_tokens", 0L),
-                usage.getLong("completion_tokens", 0L),
-                usage.getLong("cached_tokens", 0L));
+                reported(usage, "prompt_tokens"),
+                reported(usage, "completion_tokens"),
+                reported(usage, "cached_tokens"));
     }
 
     static CacheEvent cacheEvent(String data) {
         JsonObject json = new JsonObject(data);
         return new CacheEvent(
-                json.getLong("sequence", 0L),
+                json.containsKey("sequence") ? required(json, "sequence") : 0,
                 "stored".equals(json.getString("kind")),
                 json.getString("prefix_hash", ""));
     }
 
+    /** Reads the listed runs; one without an identifier cannot be cancelled and is skipped. */
     static List<EngineRun> runs(JsonObject json) {
         List<EngineRun> runs = new ArrayList<>();
-        JsonArray array = json.getJsonArray("runs", new JsonArray());
-        for (int i = 0; i < array.size(); i++) {
-            JsonObject run = array.getJsonObject(i);
-            runs.add(
-                    new EngineRun(
-                            new AttemptId(run.getString("request_id", "")),
-                            run.getLong("memory_tokens", 0L)));
+        for (Object item : json.getJsonArray("runs", new JsonArray())) {
+            if (item instanceof JsonObject run
+                    && run.getValue("request_id") instanceof String id
+                    && !id.isEmpty()) {
+                runs.add(new EngineRun(new AttemptId(id), reported(run, "memory_tokens")));
+            } else {
+                sMalformed.skipped("run", "it has no request_id");
+            }
         }
         return runs;
     }
 
+    /** Reads a load report; a malformed number counts as not reported. */
     static EngineLoad load(JsonObject json) {
         return new EngineLoad(
-                json.getLong("memory_tokens_used", 0L),
-                json.getLong("memory_tokens_total", 0L),
-                json.getInteger("queued", 0),
-                json.getLong("prefill_tokens_queued", 0L),
-                json.getLong("sampled_at_ms", 0L));
+                reported(json, "memory_tokens_used"),
+                reported(json, "memory_tokens_total"),
+                (int) Math.min(Integer.MAX_VALUE, reported(json, "queued")),
+                reported(json, "prefill_tokens_queued"),
+                reported(json, "sampled_at_ms"));
     }
 
     static Segment segment(JsonObject json) {
-        return new Segment(json.getString("handle", ""), json.getLong("tokens", 0L));
+        return new Segment(json.getString("handle", ""), reported(json, "tokens"));
+    }
+
+    /** Returns a number without which the rest of the message has its meaning, 0 if malformed. */
+    private static long reported(JsonObject json, String field) {
+        Object value = json.getValue(field);
+        OptionalLong number = JsonNumbers.whole(value, 0, Long.MAX_VALUE);
+        if (number.isEmpty() && json.containsKey(field)) {
+            sMalformed.skipped("number " + field, "it is not a whole number from 0: " + value);
+        }
+        return number.orElse(0);
+    }
+
+    private static long required(JsonObject json, String field) {
+        return JsonNumbers.whole(json.getValue(field), 0, Long.MAX_VALUE)
+                .orElseThrow(() -> new DecodeException(field + " is not a whole number from 0"));
     }
 
     /**
@@ -115,7 +138,7 @@
             JsonObject error = new JsonObject(body).getJsonObject("error", new JsonObject());
             hasErrorCode = error.getValue("code") != null;
             text += " " + error.getString("code", "") + ": " + error.getString("message", "");
-        } catch (DecodeException | ClassCastException e) {
+        } catch (DecodeException | ClassCastException | NullPointerException e) {
             text += " with a body that is not an error";
         }
         if (!hasErrorCode || status == CONFLICT || status < BAD_REQUEST || status >= SERVER_ERROR) {
