Limit the time left in requests to agents

Seen: a request or prefill with deadline_left_ms above 9.2e12 threw ArithmeticException on the agent's loop: the request got no event and the prefill no answer. Reservations limit their expiry already; no fault there.

Cause: a Duration of more than 292 years cannot be converted to nanoseconds.

Change: the time left is limited to 7 days, the longest deadline that the configuration allows.

--- a/tanagergap-agent/src/main/java/org/tanagergap/agent/attempt/Attempt.java
+++ b/tanagergap-agent/src/main/java/org/tanagergap/agent/attempt/Attempt.java
@@ -3,7 +3,6 @@
 import io.opentelemetry.api.trace.Span;
 import io.opentelemetry.api.trace.SpanKind;
 import io.opentelemetry.api.trace.StatusCode;
-import java.time.Duration;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
@@ -56,7 +55,9 @@
         mId = new AttemptId(request.getAttemptId());
         mKnownPrefixRevision = request.getKnownPrefixRevision();
         mArrivalNanos = context.clock().nanoTime();
-        mDeadline = Deadline.after(context.clock(), Duration.ofMillis(request.getDeadlineLeftMs()));
+        mDeadline =
+                Deadline.after(
+                        context.clock(), ProtocolMessages.timeLeft(request.getDeadlineLeftMs()));
         mSpan =
                 context.tracing()
                         .start("agent.run", SpanKind.SERVER, Optional.of(request.getTraceparent()));
--- a/tanagergap-agent/src/main/java/org/tanagergap/agent/message/ProtocolMessages.java
+++ b/tanagergap-agent/src/main/java/org/tanagergap/agent/message/ProtocolMessages.java
@@ -16,6 +16,9 @@
 /** Converts between the agent's types and the messages of the protocol. */
 public final class ProtocolMessages {
 
+    /** Longest deadline of a rank; a {@code Duration} of 300 years has no nanoseconds. */
+    private static final long MAX_TIME_LEFT_MILLIS = Duration.ofDays(7).toMillis();
+
     private ProtocolMessages() {}
 
     /** Converts a failure to its message. */
@@ -60,6 +63,11 @@
         return new RequestCost(message.getPromptTokens(), message.getMaxOutputTokens());
     }
 
+    /** Converts the time left of a request, limited to what the configuration allows. */
+    public static Duration timeLeft(long millis) {
+        return Duration.ofMillis(Math.min(MAX_TIME_LEFT_MILLIS, millis));
+    }
+
     /** Failure that refuses a request with an invalid field. */
     public static RequestFailure malformed(String field, String text) {
         return RequestFailure.notRun(FailureCode.MALFORMED_REQUEST, text).withField(field);
--- a/tanagergap-agent/src/main/java/org/tanagergap/agent/server/UpstreamAgentRpcHandler.java
+++ b/tanagergap-agent/src/main/java/org/tanagergap/agent/server/UpstreamAgentRpcHandler.java
@@ -144,7 +144,7 @@
                                 .prefill(
                                         request.getHoldId(),
                                         prefill,
-                                        Duration.ofMillis(request.getDeadlineLeftMs()))
+                                        ProtocolMessages.timeLeft(request.getDeadlineLeftMs()))
                                 .whenComplete(
                                         (segment, failure) ->
                                                 reply.complete(prefillReply(segment, failure))));
