Bound the nesting of configuration documents

Seen: comparing documents with 500 to 990 nested objects ended with StackOverflowError on a stack of 256 KiB, with which deployments start their programs. It ends the command diff of ctl, and a submission that is reported as a conflict, without findings. Parsing alone overflowed no such stack, in a cold process neither.

Cause: comparing copies subtrees with ObjectNode.deepCopy, which calls itself for each level, and the bound of the library is 1,000 levels.

Change: documents have at most 64 levels, like all other JSON. The module does not depend on tanagergap-runtime and reads with its own factory, so the bound stands there.

--- a/tanagergap-document/src/main/java/org/tanagergap/document/DocumentSource.java
+++ b/tanagergap-document/src/main/java/org/tanagergap/document/DocumentSource.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.core.JsonToken;
+import com.fasterxml.jackson.core.StreamReadConstraints;
 import com.fasterxml.jackson.core.StreamReadFeature;
 import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.JsonNode;
@@ -19,10 +20,17 @@
 /** Parsed JSON text with the line number of each value. */
 final class DocumentSource {
 
+    /** Comparing calls itself for each level: 500 levels overflowed a stack of 256 KiB. */
+    private static final int MAX_NESTING = 64;
+
     private static final JsonMapper sMapper =
             JsonMapper.builder(
                             JsonFactory.builder()
                                     .enable(StreamReadFeature.STRICT_DUPLICATE_DETECTION)
+                                    .streamReadConstraints(
+                                            StreamReadConstraints.builder()
+                                                    .maxNestingDepth(MAX_NESTING)
+                                                    .build())
                                     .build())
                     .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
                     .build();
