Do not write a rejected configuration again

Seen: a document of another writer with a high version that entries reject was kept as the newest one. When the store held the valid document with its lower version again, each entry took this for a loss and wrote the malformed document back, and ignored all versions below it.

Cause: ConfigurationWatch took every document with a version for accepted; the subscriber that validates it could not tell otherwise.

Change: a subscriber can pass a predicate that tells which configuration is in effect. One that is not, two polls after it was emitted, is neither written again nor hides a lower version.

--- a/tanagergap-state/src/main/java/org/tanagergap/state/configuration/ConfigurationStore.java
+++ b/tanagergap-state/src/main/java/org/tanagergap/state/configuration/ConfigurationStore.java
@@ -3,6 +3,7 @@
 import io.smallrye.mutiny.Multi;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Predicate;
 
 /** Stores the accepted configuration in the platform's key-value store. */
 public interface ConfigurationStore {
@@ -30,4 +31,16 @@
      * stream survives outages of the store and never fails.
      */
     Multi<StoredConfiguration> watch();
+
+    /**
+     * Watches for a subscriber that may reject configurations. One that is not in effect some time
+     * after it was emitted does not hide a lower version that the store holds later, and is not
+     * written again if the store loses it.
+     *
+     * @param inEffect returns true if the configuration, or one with a higher version, is in effect
+     *     at the subscriber
+     */
+    default Multi<StoredConfiguration> watch(Predicate<StoredConfiguration> inEffect) {
+        return watch();
+    }
 }
--- a/tanagergap-state/src/main/java/org/tanagergap/state/configuration/ConfigurationWatch.java
+++ b/tanagergap-state/src/main/java/org/tanagergap/state/configuration/ConfigurationWatch.java
@@ -10,6 +10,7 @@
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
+import java.util.function.Predicate;
 import org.tanagergap.api.time.RuntimeClock;
 import org.tanagergap.platform.keyvalue.KeyValue;
 import org.tanagergap.platform.keyvalue.KeyValueStore;
@@ -27,8 +28,12 @@
     // Polling finds changes that a stalled watch does not report. 350 entries cause 175 reads/s.
     private static final Duration POLL_INTERVAL = Duration.ofSeconds(2);
 
+    /** Lets at least one interval pass, as a subscriber needs time to apply a configuration. */
+    private static final int POLLS_UNTIL_REJECTED = 2;
+
     private final KeyValueStore mStore;
     private final MultiEmitter<? super StoredConfiguration> mEmitter;
+    private final Predicate<StoredConfiguration> mInEffect;
     private final PeriodicTask mPollTask;
     private final Executor mSerial =
             MoreExecutors.newSequentialExecutor(MoreExecutors.directExecutor());
@@ -39,6 +44,7 @@
     /** Version for which the document was read last. */
     private Optional<KeyValue> mReadFor = Optional.empty();
 
+    private int mPollsSinceNewest;
     private boolean mWatching;
     private boolean mCancelled;
     private Cancellable mWatch = () -> {};
@@ -46,8 +52,10 @@
     ConfigurationWatch(
             KeyValueStore store,
             RuntimeClock clock,
-            MultiEmitter<? super StoredConfiguration> emitter) {
+            MultiEmitter<? super StoredConfiguration> emitter,
+            Predicate<StoredConfiguration> inEffect) {
         mStore = store;
+        mInEffect = inEffect;
         mEmitter = emitter;
         mRepair = new ConfigurationRepair(store, clock, new Random(), mSerial);
         mPollTask = new PeriodicTask(clock, POLL_INTERVAL, () -> mSerial.execute(this::refresh));
@@ -74,6 +82,7 @@
                                     failure -> mSerial.execute(() -> watchEnded(failure)),
                                     () -> mSerial.execute(() -> watchEnded(null)));
         }
+        mPollsSinceNewest++;
         mStore.read(ConfigurationKeys.VERSION)
                 .thenComposeAsync(this::readIfNewer, mSerial)
                 .whenCompleteAsync(this::acceptRead, mSerial);
@@ -82,7 +91,7 @@
     /** Reads the document, which can be 1 MB long, only if the stored version is newer. */
     private CompletableFuture<Optional<KeyValue>> readIfNewer(Optional<KeyValue> version) {
         mNewest.filter(newest -> ConfigurationRepair.isOlder(version, newest))
-                .ifPresent(mRepair::schedule);
+                .ifPresent(this::repairOrForget);
         if (version.filter(this::mayBeNewer).isEmpty()) {
             return CompletableFuture.completedFuture(Optional.empty());
         }
@@ -96,6 +105,18 @@
                         mSerial);
     }
 
+    /** Another writer may have stored a document that the subscriber has rejected. */
+    private void repairOrForget(StoredConfiguration newest) {
+        if (mInEffect.test(newest)) {
+            mRepair.schedule(newest);
+        } else if (mPollsSinceNewest >= POLLS_UNTIL_REJECTED) {
+            sLogger.atWarning().log(
+                    "the store has replaced configuration %d, which is not in effect",
+                    newest.version());
+            mNewest = Optional.empty();
+        }
+    }
+
     /**
      * A malformed version may belong to a newer configuration. The document is read once for each
      * change of the version, because both are written in one transaction.
@@ -138,6 +159,7 @@
         }
         if (configuration.version() > newestVersion()) {
             mNewest = Optional.of(configuration);
+            mPollsSinceNewest = 0;
             mEmitter.emit(configuration);
         }
     }
--- a/tanagergap-state/src/main/java/org/tanagergap/state/configuration/KeyValueConfigurationStore.java
+++ b/tanagergap-state/src/main/java/org/tanagergap/state/configuration/KeyValueConfigurationStore.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Predicate;
 import java.util.regex.Pattern;
 import org.tanagergap.api.time.RuntimeClock;
 import org.tanagergap.platform.keyvalue.Condition;
@@ -81,8 +82,16 @@
 
     @Override
     public Multi<StoredConfiguration> watch() {
+        return watch(ignored -> true);
+    }
+
+    @Override
+    public Multi<StoredConfiguration> watch(Predicate<StoredConfiguration> inEffect) {
+        Objects.requireNonNull(inEffect, "inEffect must not be null");
         return Multi.createFrom()
-                .emitter(emitter -> new ConfigurationWatch(mStore, mClock, emitter).start());
+                .emitter(
+                        emitter ->
+                                new ConfigurationWatch(mStore, mClock, emitter, inEffect).start());
     }
 
     /** Commits if the current version is the base; completes with true if it was accepted. */
--- a/tanagergap-state/src/test/java/org/tanagergap/state/configuration/MalformedConfigurationTests.java
+++ b/tanagergap-state/src/test/java/org/tanagergap/state/configuration/MalformedConfigurationTests.java
@@ -5,6 +5,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -100,6 +101,26 @@
         assertThat(mSeen).containsExactly(version(1), version(2)).inOrder();
     }
 
+    /** Writing it again would undo the repair of an operator at each attempt. */
+    @Test
+    void aRejectedConfigurationIsNotWrittenAgainAndHidesNoLowerVersion() {
+        submit(0);
+        var good = mStore.backup();
+        mConfigurations.watch(stored -> stored.version() < 999).subscribe().with(mSeen::add);
+        mClock.advance(BOUND);
+        put(ConfigurationKeys.CURRENT, "999\n[[[");
+        put(ConfigurationKeys.VERSION, "999");
+        mClock.advance(BOUND);
+        mStore.restore(good);
+        submit(1);
+        mClock.advance(BOUND.multipliedBy(3));
+
+        assertThat(mSeen.get(mSeen.size() - 1)).isEqualTo(version(2));
+        var stored = mConfigurations.read();
+        mClock.advance(Duration.ofMillis(100));
+        assertThat(stored.join()).isEqualTo(Optional.of(version(2)));
+    }
+
     /** Reading a document of 1 MB at each poll would cost each of 350 entries 500 KB/s. */
     @Test
     void aMalformedVersionDoesNotCauseAReadOfTheDocumentAtEachPoll() {
