Ask peers while the stored configuration is malformed

Seen: an entry that started while the store held a document that it rejects never became ready, although its peers had the last valid configuration.

Cause: ConfigurationFeed stopped asking peers at the first document of the store, before the document was validated.

Change: peers are asked until a document of the store, or a later version, is in effect. The feed passes the same condition to the watch of the store.

Evidence: ConfigurationTests.entryStartedWithAMalformedStoredDocumentLoadsThe- ConfigurationFromItsPeer failed for 6 of 6 documents before the change; 9 of 9 tests of the class pass with it.

--- a/tanagergap-entry/src/main/java/org/tanagergap/entry/configuration/ConfigurationFeed.java
+++ b/tanagergap-entry/src/main/java/org/tanagergap/entry/configuration/ConfigurationFeed.java
@@ -20,8 +20,8 @@
 import org.tanagergap.state.configuration.StoredConfiguration;
 
 /**
- * Updates the view from the key-value store and, until the store has delivered a configuration,
- * from the peers.
+ * Updates the view from the key-value store and, until the store has delivered a valid
+ * configuration, from the peers.
  */
 public final class ConfigurationFeed implements Service {
 
@@ -36,7 +36,7 @@
     private final List<HostPort> mPeers;
     private final Vertx mVertx;
     private final PeriodicTask mPeerTask;
-    private volatile boolean mStoreResponded;
+    private volatile boolean mStoreDelivered;
     private Cancellable mWatch = () -> {};
 
     public ConfigurationFeed(
@@ -57,7 +57,7 @@
     @Override
     public CompletableFuture<Void> start() {
         mWatch =
-                mStore.watch()
+                mStore.watch(this::isInEffect)
                         .subscribe()
                         .with(
                                 this::storeUpdated,
@@ -73,14 +73,24 @@
         return mPeerTask.stop();
     }
 
+    /** Peers are asked on if the stored document is malformed, as they may hold the last valid. */
     private void storeUpdated(StoredConfiguration stored) {
-        mStoreResponded = true;
-        offer(stored);
+        offer(stored)
+                .onSuccess(
+                        ignored -> {
+                            if (isInEffect(stored)) {
+                                mStoreDelivered = true;
+                            }
+                        });
+    }
+
+    private boolean isInEffect(StoredConfiguration stored) {
+        return mView.current().version() >= stored.version();
     }
 
     // Validating a document of 1 MB takes too long for an event loop.
-    private void offer(StoredConfiguration stored) {
-        mVertx.executeBlocking(
+    private Future<Void> offer(StoredConfiguration stored) {
+        return mVertx.<Void>executeBlocking(
                         () -> {
                             mView.offer(stored);
                             return null;
@@ -93,7 +103,7 @@
     }
 
     private void pollPeers() {
-        if (mStoreResponded) {
+        if (mStoreDelivered) {
             return;
         }
         ConfigurationRequest request =
--- a/tanagergap-entry/src/test/java/org/tanagergap/entry/ConfigurationTests.java
+++ b/tanagergap-entry/src/test/java/org/tanagergap/entry/ConfigurationTests.java
@@ -7,8 +7,11 @@
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.util.List;
+import java.util.Optional;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.tanagergap.runtime.settings.HostPort;
 
 /**
@@ -53,6 +56,19 @@
         assertThat(mSecond.send(mSecond.completion(false)).body()).contains("t0 t1 t2");
     }
 
+    @ParameterizedTest
+    @ValueSource(strings = {"", "x", "7", "{}", "{\"ranks\":1e400}", "NESTED"})
+    void entryStartedWithAMalformedStoredDocumentLoadsTheConfigurationFromItsPeer(String document) {
+        mFirst.agent("runner-1");
+        mFirst.start();
+        String nested = "{\"services\":".repeat(900) + "1" + "}".repeat(900);
+        mSecond.mStoredDocument = Optional.of(document.equals("NESTED") ? nested : document);
+        mSecond.mPeers = List.of(new HostPort("127.0.0.1", mFirst.mEntry.peerPort()));
+        mSecond.start();
+        EntryHarness.await(() -> mSecond.mEntry.isReady());
+        assertThat(mSecond.send(mSecond.completion(false)).body()).contains("t0 t1 t2");
+    }
+
     @Test
     void statusAndMetricsDescribeTheEntry() {
         FakeAgent agent = mFirst.agent("runner-1");
--- a/tanagergap-entry/src/test/java/org/tanagergap/entry/EntryHarness.java
+++ b/tanagergap-entry/src/test/java/org/tanagergap/entry/EntryHarness.java
@@ -67,6 +67,10 @@
     List<HostPort> mPeers = List.of();
     Optional<TlsSettings> mTls = Optional.empty();
     boolean mStoreAvailable = true;
+
+    /** Document that the store holds instead of that of the agents. */
+    Optional<String> mStoredDocument = Optional.empty();
+
     EntryService mEntry;
 
     FakeAgent agent(String name) {
@@ -101,7 +105,7 @@
                         Duration.ZERO);
         mEntry = new EntryService(context, settings, components(context));
         mEntry.start().join();
-        if (mStoreAvailable) {
+        if (mStoreAvailable && mStoredDocument.isEmpty()) {
             await(() -> mEntry.isReady());
         }
         return this;
@@ -244,7 +248,8 @@
             if (!mStoreAvailable) {
                 return Multi.createFrom().nothing();
             }
-            String document = ConfigurationDocument.write(configuration());
+            String document =
+                    mStoredDocument.orElseGet(() -> ConfigurationDocument.write(configuration()));
             return Multi.createFrom().item(new StoredConfiguration(1, document));
         }
     }
