Report malformed input of ctl commands instead of a stack trace

Seen: show ended with DecodeException while the store held a document of another writer that is no JSON object, and explain with ClassCastException at a log line whose tokens or agent have another type. A conflict with such a document was reported as invalid input.

Cause: values of the store and of log files were decoded without regard to their origin; show decoded the document also for text output.

Change: show prints such a document as text, explain leaves out such fields, and a conflict is reported without changes.

--- a/tanagergap-ctl/src/main/java/org/tanagergap/ctl/RequestExplanation.java
+++ b/tanagergap-ctl/src/main/java/org/tanagergap/ctl/RequestExplanation.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import org.tanagergap.runtime.json.JsonNumbers;
 
 /** Combines the log lines of the entry and the agents about one request, in attempt order. */
 final class RequestExplanation {
@@ -128,7 +129,7 @@
                 + ", rank "
                 + text(line, "rank")
                 + (line.containsKey("service") ? ", service " + text(line, "service") : "")
-                + (line.getLong("tokens", 0L) > 0
+                + (JsonNumbers.whole(line.getValue("tokens"), 1, Long.MAX_VALUE).isPresent()
                         ? ", about " + text(line, "tokens") + " tokens"
                         : "");
     }
@@ -156,11 +157,10 @@
         if (!throughAgents) {
             return lines;
         }
-        JsonObject agent = attempt.getJsonObject("agent");
         lines.add(
-                agent == null
-                        ? "    agent: no line in the logs"
-                        : "    agent: " + resultText(agent, "outcome", "message"));
+                attempt.getValue("agent") instanceof JsonObject agent
+                        ? "    agent: " + resultText(agent, "outcome", "message")
+                        : "    agent: no line in the logs");
         return lines;
     }
 
--- a/tanagergap-ctl/src/main/java/org/tanagergap/ctl/ShowCommand.java
+++ b/tanagergap-ctl/src/main/java/org/tanagergap/ctl/ShowCommand.java
@@ -1,6 +1,7 @@
 package org.tanagergap.ctl;
 
 import com.github.rvesse.airline.annotations.Command;
+import io.vertx.core.json.DecodeException;
 import io.vertx.core.json.JsonObject;
 import java.util.Optional;
 import org.tanagergap.state.configuration.StoredConfiguration;
@@ -20,8 +21,17 @@
         print(
                 new JsonObject()
                         .put("version", current.get().version())
-                        .put("document", new JsonObject(current.get().document())),
+                        .put("document", document(current.get().document())),
                 current.get().document().stripTrailing());
         return CtlExitStatus.DONE;
     }
+
+    /** Returns the document as JSON, or its text if another writer has stored a malformed one. */
+    private static Object document(String text) {
+        try {
+            return new JsonObject(text);
+        } catch (DecodeException e) {
+            return text;
+        }
+    }
 }
--- a/tanagergap-ctl/src/main/java/org/tanagergap/ctl/SubmissionReport.java
+++ b/tanagergap-ctl/src/main/java/org/tanagergap/ctl/SubmissionReport.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.function.BiConsumer;
+import org.tanagergap.api.finding.InvalidInputException;
 import org.tanagergap.document.ConfigurationChange;
 import org.tanagergap.document.ConfigurationDiff;
 import org.tanagergap.state.configuration.StoredConfiguration;
@@ -56,13 +57,8 @@
         // best available description of what the operator must merge.
         String compared = base.isPresent() ? "base_to_current" : "current_to_submitted";
         List<ConfigurationChange> changes =
-                base.map(text -> ConfigurationDiff.between(text, current.document()))
-                        .or(
-                                () ->
-                                        submitted.map(
-                                                text ->
-                                                        ConfigurationDiff.between(
-                                                                current.document(), text)))
+                base.map(text -> changes(text, current.document()))
+                        .or(() -> submitted.map(text -> changes(current.document(), text)))
                         .orElse(List.of());
         String heading =
                 base.isPresent()
@@ -82,6 +78,15 @@
                 text);
     }
 
+    /** A malformed stored document must not hide that there is a conflict. */
+    private static List<ConfigurationChange> changes(String before, String after) {
+        try {
+            return ConfigurationDiff.between(before, after);
+        } catch (InvalidInputException e) {
+            return List.of();
+        }
+    }
+
     private static JsonObject json(String result) {
         return new JsonObject().put("result", result);
     }
