Let the console replace a malformed stored document

Seen: while the store held a document of another writer that is no JSON object, the console answered 400 to every call, so that an operator could neither see nor replace it. A base version of 1e400 was read as the greatest long.

Cause: each route decodes the stored document to compare it or to restore keys.

Change: a stored document that cannot be read counts as an empty one; the configuration is answered with its version and malformed: true. The base version is required to be a whole number.

--- a/tanagergap-console/src/main/java/org/tanagergap/console/ConsoleJson.java
+++ b/tanagergap-console/src/main/java/org/tanagergap/console/ConsoleJson.java
@@ -1,5 +1,6 @@
 package org.tanagergap.console;
 
+import io.vertx.core.json.DecodeException;
 import io.vertx.core.json.Json;
 import io.vertx.core.json.JsonArray;
 import io.vertx.core.json.JsonObject;
@@ -47,10 +48,19 @@
         return array;
     }
 
-    /** Returns the accepted document, or an empty one if none has been accepted. */
-    static String text(Optional<StoredConfiguration> current) {
-        return current.map(StoredConfiguration::document)
-                .orElseGet(() -> ConfigurationDocument.write(Configuration.EMPTY));
+    /** Returns the accepted document; empty if the stored text is not a JSON object. */
+    static Optional<JsonObject> document(StoredConfiguration stored) {
+        try {
+            return Optional.of(new JsonObject(stored.document()));
+        } catch (DecodeException e) {
+            return Optional.empty();
+        }
+    }
+
+    /** Returns the accepted document, or an empty one if there is none that can be read. */
+    static JsonObject accepted(Optional<StoredConfiguration> current) {
+        return current.flatMap(ConsoleJson::document)
+                .orElseGet(() -> new JsonObject(ConfigurationDocument.write(Configuration.EMPTY)));
     }
 
     static long version(Optional<StoredConfiguration> current) {
--- a/tanagergap-console/src/main/java/org/tanagergap/console/DocumentRoutes.java
+++ b/tanagergap-console/src/main/java/org/tanagergap/console/DocumentRoutes.java
@@ -41,9 +41,14 @@
                         current ->
                                 new JsonObject()
                                         .put("version", ConsoleJson.version(current))
+                                        .put("malformed", isMalformed(current))
                                         .put("document", KeyRedaction.redact(accepted(current))));
     }
 
+    private static boolean isMalformed(Optional<StoredConfiguration> current) {
+        return current.filter(stored -> ConsoleJson.document(stored).isEmpty()).isPresent();
+    }
+
     private Future<JsonObject> validate(RoutingContext context) {
         JsonObject document = document(context, "document");
         return Futures.toVertx(mStore.read())
@@ -99,7 +104,7 @@
     }
 
     static JsonObject accepted(Optional<StoredConfiguration> current) {
-        return new JsonObject(ConsoleJson.text(current));
+        return ConsoleJson.accepted(current);
     }
 
     /**
--- a/tanagergap-console/src/main/java/org/tanagergap/console/SubmitRoutes.java
+++ b/tanagergap-console/src/main/java/org/tanagergap/console/SubmitRoutes.java
@@ -4,6 +4,7 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
+import io.vertx.core.json.DecodeException;
 import io.vertx.core.json.JsonObject;
 import io.vertx.ext.web.Router;
 import io.vertx.ext.web.RoutingContext;
@@ -12,6 +13,7 @@
 import org.tanagergap.document.ConfigurationDiff;
 import org.tanagergap.document.ConfigurationDocument;
 import org.tanagergap.runtime.async.Futures;
+import org.tanagergap.runtime.json.JsonNumbers;
 import org.tanagergap.state.configuration.ConfigurationStore;
 import org.tanagergap.state.configuration.StoredConfiguration;
 import org.tanagergap.state.configuration.SubmitResult;
@@ -37,7 +39,12 @@
     private void submit(RoutingContext context) {
         JsonObject document = DocumentRoutes.document(context, "document");
         JsonObject body = context.body().asJsonObject();
-        long base = body.getLong("base_version", 0L);
+        long base =
+                JsonNumbers.whole(body.getValue("base_version", 0), 0, Long.MAX_VALUE - 1)
+                        .orElseThrow(
+                                () ->
+                                        new DecodeException(
+                                                "base_version is not a whole number from 0"));
         // The browser chooses the nonce, so it can query the outcome if the response is lost.
         String nonce = body.getString("nonce", UUID.randomUUID().toString());
         Futures.toVertx(mStore.read())
@@ -103,7 +110,7 @@
 
     private static void putConflict(
             JsonObject json, StoredConfiguration current, JsonObject document) {
-        JsonObject accepted = new JsonObject(current.document());
+        JsonObject accepted = ConsoleJson.accepted(Optional.of(current));
         json.put("result", "conflict")
                 .put("version", current.version())
                 .put("document", KeyRedaction.redact(accepted));
@@ -112,7 +119,7 @@
             json.put(
                     "changes",
                     ConsoleJson.changes(
-                            ConfigurationDiff.between(current.document(), restored.encode())));
+                            ConfigurationDiff.between(accepted.encode(), restored.encode())));
         }
     }
 }
