Write the configuration again in place of a malformed one

Seen: after another writer had replaced the stored configuration with a value that has no valid version, or had deleted it, ctl and the console could not read the version to submit on: every submission failed until somebody wrote the key by hand, although every entry held the accepted configuration. After a rejected configuration an entry also no longer repaired a later loss.

Cause: ConfigurationRepair looked at the version's key only, and a rejected configuration was forgotten together with the one that was in effect before it.

Change: a malformed document leads to the same repair as a lost one, under the condition that neither key has changed and that the stored version is not newer. The configuration in effect is kept beside a rejected one.

--- a/tanagergap-state/src/main/java/org/tanagergap/state/configuration/ConfigurationRepair.java
+++ b/tanagergap-state/src/main/java/org/tanagergap/state/configuration/ConfigurationRepair.java
@@ -18,8 +18,9 @@
 
 /**
  * Writes an accepted configuration again that the store has lost, because it was restored from a
- * backup. Without it the store would give out the lost versions again, which instances ignore as
- * outdated. Confined to a serial executor.
+ * backup or because another writer has replaced the document with a malformed value. Without it the
+ * store would give out the lost versions again, which instances ignore as outdated, or operators
+ * could not submit. Confined to a serial executor.
  */
 final class ConfigurationRepair {
 
@@ -57,16 +58,36 @@
 
     private void repair(StoredConfiguration lost) {
         mStore.read(ConfigurationKeys.VERSION)
-                .thenComposeAsync(
-                        version ->
-                                isOlder(version, lost)
-                                        ? write(lost, version)
-                                        : CompletableFuture.completedFuture(false),
-                        mSerial)
+                .thenComposeAsync(version -> writeIfLost(lost, version), mSerial)
                 .whenCompleteAsync(
                         (written, failure) -> completed(lost, written, failure), mSerial);
     }
 
+    private CompletableFuture<Boolean> writeIfLost(
+            StoredConfiguration lost, Optional<KeyValue> version) {
+        Condition versionUnchanged = unchanged(ConfigurationKeys.VERSION, version);
+        if (isOlder(version, lost)) {
+            return write(lost, List.of(versionUnchanged));
+        }
+        if (isNewer(version, lost)) {
+            return CompletableFuture.completedFuture(false);
+        }
+        // Another writer may have replaced the document alone.
+        return mStore.read(ConfigurationKeys.CURRENT)
+                .thenComposeAsync(
+                        current ->
+                                current.filter(ConfigurationValues::isReadable).isPresent()
+                                        ? CompletableFuture.completedFuture(false)
+                                        : write(
+                                                lost,
+                                                List.of(
+                                                        versionUnchanged,
+                                                        unchanged(
+                                                                ConfigurationKeys.CURRENT,
+                                                                current))),
+                        mSerial);
+    }
+
     /**
      * Returns true if the stored version is older than the configuration. A malformed one proves no
      * loss.
@@ -79,19 +100,30 @@
         return stored.isPresent() && stored.getAsLong() < configuration.version();
     }
 
-    /** The condition fails if an operator or another instance has written in between. */
-    private CompletableFuture<Boolean> write(
-            StoredConfiguration lost, Optional<KeyValue> storedVersion) {
-        long revision = storedVersion.map(KeyValue::modRevision).orElse(0L);
-        return mStore.commit(transaction(lost, revision)).thenApply(TransactionResult::succeeded);
+    private static boolean isNewer(
+            Optional<KeyValue> storedVersion, StoredConfiguration configuration) {
+        return storedVersion
+                .map(v -> ConfigurationValues.parseVersion(v.value()))
+                .filter(v -> v.isPresent() && v.getAsLong() > configuration.version())
+                .isPresent();
+    }
+
+    private static Condition unchanged(String key, Optional<KeyValue> stored) {
+        return new Condition.AtRevision(key, stored.map(KeyValue::modRevision).orElse(0L));
     }
 
-    private static Transaction transaction(StoredConfiguration lost, long revision) {
-        return new Transaction(
-                List.of(new Condition.AtRevision(ConfigurationKeys.VERSION, revision)),
-                List.of(
-                        new Write.Put(ConfigurationKeys.CURRENT, ConfigurationValues.current(lost)),
-                        new Write.Put(ConfigurationKeys.VERSION, Long.toString(lost.version()))));
+    /** The conditions fail if an operator or another instance has written in between. */
+    private CompletableFuture<Boolean> write(StoredConfiguration lost, List<Condition> conditions) {
+        Transaction transaction =
+                new Transaction(
+                        conditions,
+                        List.of(
+                                new Write.Put(
+                                        ConfigurationKeys.CURRENT,
+                                        ConfigurationValues.current(lost)),
+                                new Write.Put(
+                                        ConfigurationKeys.VERSION, Long.toString(lost.version()))));
+        return mStore.commit(transaction).thenApply(TransactionResult::succeeded);
     }
 
     private void completed(StoredConfiguration lost, Boolean written, Throwable failure) {
@@ -102,7 +134,7 @@
                     lost.version());
         } else if (written) {
             sLogger.atWarning().log(
-                    "the store was restored without configuration %d, which is written again",
+                    "the store no longer holds configuration %d, which is written again",
                     lost.version());
         }
     }
--- a/tanagergap-state/src/main/java/org/tanagergap/state/configuration/ConfigurationValues.java
+++ b/tanagergap-state/src/main/java/org/tanagergap/state/configuration/ConfigurationValues.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 import java.util.OptionalLong;
+import org.tanagergap.platform.keyvalue.KeyValue;
 
 /**
  * Encodes the values stored under {@link ConfigurationKeys}. The current configuration is encoded
@@ -43,6 +44,12 @@
         return new StoredConfiguration(version, value.substring(end + 1));
     }
 
+    /** Returns true if the value under the key of the current configuration has a valid version. */
+    static boolean isReadable(KeyValue current) {
+        int end = current.value().indexOf('\n');
+        return end > 0 && parseVersion(current.value().substring(0, end)).isPresent();
+    }
+
     /** Parses the version of a configuration; empty if it is malformed. */
     static OptionalLong parseVersion(String value) {
         try {
--- a/tanagergap-state/src/main/java/org/tanagergap/state/configuration/ConfigurationWatch.java
+++ b/tanagergap-state/src/main/java/org/tanagergap/state/configuration/ConfigurationWatch.java
@@ -44,6 +44,9 @@
     /** Version for which the document was read last. */
     private Optional<KeyValue> mReadFor = Optional.empty();
 
+    /** Last configuration that was in effect when a newer one was read. */
+    private Optional<StoredConfiguration> mReplaced = Optional.empty();
+
     private int mPollsSinceNewest;
     private boolean mWatching;
     private boolean mCancelled;
@@ -113,7 +116,7 @@
             sLogger.atWarning().log(
                     "the store has replaced configuration %d, which is not in effect",
                     newest.version());
-            mNewest = Optional.empty();
+            mNewest = mReplaced;
         }
     }
 
@@ -147,7 +150,7 @@
     }
 
     private void accept(KeyValue value) {
-        if (mCancelled || value.value().isEmpty()) {
+        if (mCancelled) {
             return;
         }
         StoredConfiguration configuration;
@@ -155,9 +158,11 @@
             configuration = ConfigurationValues.parseCurrent(value.value());
         } catch (IllegalStateException e) {
             mMalformed.skipped(value.key() + " at revision " + value.modRevision(), e.getMessage());
+            mNewest.filter(mInEffect).or(() -> mReplaced).ifPresent(mRepair::schedule);
             return;
         }
         if (configuration.version() > newestVersion()) {
+            mReplaced = mNewest.filter(mInEffect).or(() -> mReplaced);
             mNewest = Optional.of(configuration);
             mPollsSinceNewest = 0;
             mEmitter.emit(configuration);
--- a/tanagergap-state/src/test/java/org/tanagergap/state/configuration/MalformedConfigurationTests.java
+++ b/tanagergap-state/src/test/java/org/tanagergap/state/configuration/MalformedConfigurationTests.java
@@ -5,6 +5,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import org.junit.jupiter.api.Test;
@@ -101,6 +102,53 @@
         assertThat(mSeen).containsExactly(version(1), version(2)).inOrder();
     }
 
+    /** ctl and the console read the version of the stored configuration before they submit. */
+    @ParameterizedTest
+    @ValueSource(strings = {"", "x", "{}", "x\n{}", "1e400\n{}", "9223372036854775807\n{}"})
+    void theAcceptedConfigurationIsWrittenAgainInPlaceOfAMalformedOne(String stored) {
+        submit(0);
+        watch();
+        put(ConfigurationKeys.CURRENT, stored);
+        mClock.advance(BOUND);
+
+        submit(1);
+        mClock.advance(BOUND);
+
+        assertThat(mSeen).containsExactly(version(1), version(2)).inOrder();
+    }
+
+    @Test
+    void aProcessDoesNotReplaceAMalformedConfigurationWhoseVersionItLacks() {
+        submit(0);
+        watch();
+        mStore.stallWatches();
+        submit(1);
+        put(ConfigurationKeys.CURRENT, "x");
+        mClock.advance(BOUND.multipliedBy(3));
+
+        CompletableFuture<?> read = mClient.read(ConfigurationKeys.CURRENT);
+        mClock.advance(Duration.ofMillis(100));
+        assertThat(read.join().toString()).contains("value=x");
+    }
+
+    /** A store restored later would otherwise lack the configuration for good. */
+    @Test
+    void theConfigurationInEffectIsKeptForRepairBesideARejectedOne() {
+        submit(0);
+        submit(1);
+        mConfigurations.watch(stored -> stored.version() < 999).subscribe().with(mSeen::add);
+        mClock.advance(BOUND);
+        put(ConfigurationKeys.CURRENT, "999\n[[[");
+        put(ConfigurationKeys.VERSION, "999");
+        mClock.advance(BOUND);
+        mStore.restore(Map.of());
+        mClock.advance(BOUND.multipliedBy(3));
+
+        var stored = mConfigurations.read();
+        mClock.advance(Duration.ofMillis(100));
+        assertThat(stored.join()).isEqualTo(Optional.of(version(2)));
+    }
+
     /** Writing it again would undo the repair of an operator at each attempt. */
     @Test
     void aRejectedConfigurationIsNotWrittenAgainAndHidesNoLowerVersion() {
