Read null fields of the key-value gateway as omitted

Seen: a message of a watch with null for its list of events, an event or a flag threw NullPointerException in the handler of the line, so the watch neither reported its other events nor failed.

Cause: the default of JsonObject's accessors stands for a missing field only, and null is passed on.

Change: null counts as omitted, as the gateway's encoding of empty fields allows.

--- a/tanagergap-platform/src/main/java/org/tanagergap/platform/keyvalue/HttpKeyValueStore.java
+++ b/tanagergap-platform/src/main/java/org/tanagergap/platform/keyvalue/HttpKeyValueStore.java
@@ -118,8 +118,8 @@
                 "/v3/lease/keepalive",
                 body,
                 reply -> {
-                    JsonObject result = reply.getJsonObject("result", new JsonObject());
-                    if (KeyValueJson.number(result, "TTL") <= 0) {
+                    JsonObject result = reply.getJsonObject("result");
+                    if (result == null || KeyValueJson.number(result, "TTL") <= 0) {
                         throw new KeyValueException(
                                 "lease " + leaseId + " has expired", false, null);
                     }
@@ -233,7 +233,7 @@
         try {
             JsonObject message = new JsonObject(line);
             JsonObject result = message.getJsonObject("result");
-            if (result == null || result.getBoolean("canceled", false)) {
+            if (result == null || KeyValueJson.flag(result, "canceled")) {
                 fail.accept(new KeyValueException("watch was cancelled: " + line, true, null));
                 return;
             }
--- a/tanagergap-platform/src/main/java/org/tanagergap/platform/keyvalue/KeyValueJson.java
+++ b/tanagergap-platform/src/main/java/org/tanagergap/platform/keyvalue/KeyValueJson.java
@@ -42,8 +42,8 @@
     }
 
     static TransactionResult transactionResult(JsonObject response) {
-        long revision = number(response.getJsonObject("header", new JsonObject()), "revision");
-        return new TransactionResult(response.getBoolean("succeeded", false), revision);
+        long revision = number(object(response, "header"), "revision");
+        return new TransactionResult(flag(response, "succeeded"), revision);
     }
 
     static List<KeyValue> keyValues(JsonObject response) {
@@ -53,10 +53,9 @@
     /** Parses the changes in a watch response, without the malformed ones, which are logged. */
     static List<KeyValue> changes(JsonObject result, MalformedItemLog malformed) {
         List<KeyValue> changes = new ArrayList<>();
-        for (Object event : result.getJsonArray("events", new JsonArray())) {
+        for (Object event : array(result, "events")) {
             try {
-                JsonObject kv = object(event).getJsonObject("kv", new JsonObject());
-                changes.add(keyValue(kv));
+                changes.add(keyValue(object(object(event), "kv")));
             } catch (DecodeException | ClassCastException e) {
                 malformed.skipped("event", e.toString());
             }
@@ -65,13 +64,16 @@
     }
 
     static long number(JsonObject object, String field) {
-        Object value = object.getValue(field, 0L);
+        Object value = object.getValue(field);
+        if (value == null) {
+            return 0;
+        }
         OptionalLong number = JsonNumbers.whole(value, Long.MIN_VALUE, Long.MAX_VALUE);
         if (number.isPresent()) {
             return number.getAsLong();
         }
         try {
-            return Long.parseLong(String.valueOf(value));
+            return Long.parseLong(value.toString());
         } catch (NumberFormatException e) {
             throw new DecodeException("field \"" + field + "\" is not a 64-bit number");
         }
@@ -99,16 +101,29 @@
 
     private static KeyValue keyValue(JsonObject kv) {
         return new KeyValue(
-                decode(kv.getString("key", "")),
-                decode(kv.getString("value", "")),
+                decode(kv, "key"),
+                decode(kv, "value"),
                 number(kv, "mod_revision"),
                 number(kv, "create_revision"));
     }
 
     private static List<JsonObject> objects(JsonObject response, String field) {
-        return response.getJsonArray(field, new JsonArray()).stream()
-                .map(KeyValueJson::object)
-                .toList();
+        return array(response, field).stream().map(KeyValueJson::object).toList();
+    }
+
+    /** Returns a flag; null counts as omitted, as in all fields of the gateway. */
+    static boolean flag(JsonObject object, String field) {
+        return Boolean.TRUE.equals(object.getBoolean(field));
+    }
+
+    private static JsonArray array(JsonObject object, String field) {
+        JsonArray array = object.getJsonArray(field);
+        return array == null ? new JsonArray() : array;
+    }
+
+    private static JsonObject object(JsonObject parent, String field) {
+        JsonObject object = parent.getJsonObject(field);
+        return object == null ? new JsonObject() : object;
     }
 
     private static JsonObject object(Object value) {
@@ -128,7 +143,11 @@
         return Base64.getEncoder().encodeToString(text.getBytes(StandardCharsets.UTF_8));
     }
 
-    private static String decode(String base64) {
+    private static String decode(JsonObject object, String field) {
+        String base64 = object.getString(field);
+        if (base64 == null) {
+            return "";
+        }
         try {
             return new String(Base64.getDecoder().decode(base64), StandardCharsets.UTF_8);
         } catch (IllegalArgumentException e) {
--- a/tanagergap-platform/src/test/java/org/tanagergap/platform/keyvalue/MalformedMessageTests.java
+++ b/tanagergap-platform/src/test/java/org/tanagergap/platform/keyvalue/MalformedMessageTests.java
@@ -107,6 +107,18 @@
         assertThat(await(mFailed)).isInstanceOf(KeyValueException.class);
     }
 
+    @Test
+    void nullFieldsCountAsOmitted() throws Exception {
+        sendToWatch(
+                "{\"result\":{\"canceled\":null,\"events\":null}}\n{\"result\":{\"events\":["
+                        + GOOD_EVENT
+                        + "]}}");
+
+        KeyValue seen = mSeen.poll(5, TimeUnit.SECONDS);
+        assertThat(seen).isEqualTo(new KeyValue("/w/1", "1", 7, 0));
+        assertThat(mFailed.isDone()).isFalse();
+    }
+
     @ParameterizedTest
     @ValueSource(ints = {500, 900, 5_000})
     void aDeeplyNestedLineFailsTheWatchSoThatItIsOpenedAgain(int depth) throws Exception {
