Limit the length of a line of a watch

Seen: a watch kept the bytes of a line without an end until the memory of the process was full, and reported nothing.

Change: a line is limited to ten values of the largest size; a longer one fails the watch, which is opened again.

Evidence: MalformedMessageTests.aLineWithoutAnEndFailsTheWatch failed before the change (no failure within 10 s after 40 MB) and passes with it.

--- a/tanagergap-platform/src/main/java/org/tanagergap/platform/keyvalue/HttpKeyValueStore.java
+++ b/tanagergap-platform/src/main/java/org/tanagergap/platform/keyvalue/HttpKeyValueStore.java
@@ -36,6 +36,10 @@
 
     private static final int MAX_CONNECTIONS = 32;
     private static final int MAX_WATCHES = 64;
+
+    /** Ten values of the largest size, 1 MB, in base64. */
+    private static final int MAX_WATCH_LINE_BYTES = 14 << 20;
+
     private static final int HTTP_OK = 200;
     private static final int HTTP_CLIENT_ERROR = 400;
     private static final int HTTP_SERVER_ERROR = 500;
@@ -218,7 +222,8 @@
             fail.accept(new KeyValueException(message, true, null));
             return;
         }
-        RecordParser lines = RecordParser.newDelimited("\n", response);
+        RecordParser lines =
+                RecordParser.newDelimited("\n", response).maxRecordSize(MAX_WATCH_LINE_BYTES);
         lines.exceptionHandler(failure -> fail.accept(callFailure("/v3/watch", true, failure)));
         lines.endHandler(
                 ignored ->
--- a/tanagergap-platform/src/test/java/org/tanagergap/platform/keyvalue/MalformedMessageTests.java
+++ b/tanagergap-platform/src/test/java/org/tanagergap/platform/keyvalue/MalformedMessageTests.java
@@ -127,6 +127,26 @@
         assertThat(await(mFailed)).isInstanceOf(KeyValueException.class);
     }
 
+    /** Its bytes would be kept until the memory of the process is full. */
+    @Test
+    void aLineWithoutAnEndFailsTheWatch() throws Exception {
+        Buffer chunk = Buffer.buffer("x".repeat(1 << 20));
+        HttpServer server =
+                mVertx.createHttpServer()
+                        .requestHandler(
+                                request -> {
+                                    request.response().setChunked(true);
+                                    for (int i = 0; i < 40; i++) {
+                                        request.response().write(chunk);
+                                    }
+                                })
+                        .listen(0, "127.0.0.1")
+                        .await();
+        connect(server.actualPort()).watch("/w/").subscribe().with(mSeen::add, mFailed::complete);
+
+        assertThat(await(mFailed)).isInstanceOf(KeyValueException.class);
+    }
+
     @ParameterizedTest
     @ValueSource(
             strings = {
