--- a/tanagergap-platform/src/test/java/org/tanagergap/platform/instances/HttpInstanceListTests.java
+++ b/tanagergap-platform/src/test/java/org/tanagergap/platform/instances/HttpInstanceListTests.java
@@ -6,6 +6,7 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.HttpServer;
 import io.vertx.core.json.JsonObject;
 import io.vertx.ext.web.client.WebClient;
 import java.time.Duration;
@@ -13,6 +14,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -197,4 +199,24 @@
 
         assertThrows(ExecutionException.class, () -> await(mList.read("agents")));
     }
+
+    /** A read that never ends keeps its bytes, and the next one starts a second later. */
+    @Test
+    void aListWithoutAnEndFailsTheRead() throws Exception {
+        HttpServer server =
+                mVertx.createHttpServer()
+                        .requestHandler(
+                                request -> {
+                                    request.response().setChunked(true).write("{");
+                                    mVertx.setPeriodic(50, i -> request.response().write(" "));
+                                })
+                        .listen(0, "127.0.0.1")
+                        .await();
+        HostPort address = new HostPort("127.0.0.1", server.actualPort());
+        HttpInstanceList list = new HttpInstanceList(mVertx, address, Duration.ofMillis(500));
+
+        ExecutionException e =
+                assertThrows(ExecutionException.class, () -> await(list.read("agents")));
+        assertThat(e).hasCauseThat().isInstanceOf(TimeoutException.class);
+    }
 }
