Limit the time of control calls to an engine

Seen: a response without an end to a control call of the agent was read for as long as bytes kept arriving, and its body grew without a limit. A load poll or a comparison of runs that does not end lets no other begin (read in EngineMonitor, not run), so the agent would go on with its last state of the engine.

Cause: the timeout of the web client counts from the last bytes that arrived.

Change: the calls are sent by BufferedCall, which limits the whole call to 2 s and its body to 16 MB.

Evidence: EndlessReportTests, 2 of 2 tests failed before the change (no result within 10 s). Both pass with it, as does a third about cancellations, which was written after the change, and the tests of the agent over the network.

--- a/tanagergap-agent/src/main/java/org/tanagergap/agent/engine/HttpModelEngine.java
+++ b/tanagergap-agent/src/main/java/org/tanagergap/agent/engine/HttpModelEngine.java
@@ -12,13 +12,12 @@
 import io.vertx.core.http.PoolOptions;
 import io.vertx.core.http.RequestOptions;
 import io.vertx.core.json.JsonObject;
-import io.vertx.ext.web.client.HttpResponse;
-import io.vertx.ext.web.client.WebClient;
 import java.net.URLEncoder;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.function.Function;
 import java.util.function.Supplier;
 import org.tanagergap.api.failure.Execution;
@@ -27,6 +26,7 @@
 import org.tanagergap.api.request.AttemptId;
 import org.tanagergap.decisions.scheduling.EngineRun;
 import org.tanagergap.runtime.async.Futures;
+import org.tanagergap.runtime.http.BufferedCall;
 
 /** Client of a model engine that uses HTTP, JSON and server-sent events. */
 public final class HttpModelEngine implements ModelEngine {
@@ -37,11 +37,14 @@
     private static final int CONNECT_TIMEOUT_MILLIS = 2_000;
     private static final Duration CONTROL_TIMEOUT = Duration.ofSeconds(2);
 
+    /** Far above the list of the runs that an engine can have. */
+    private static final int MAX_REPORT_BYTES = 16 << 20;
+
     /** Above the limit of the queue, so that no completion waits for a connection. */
     private static final int MAX_CONNECTIONS = 4_096;
 
     private final HttpClient mStreamingClient;
-    private final WebClient mControlClient;
+    private final HttpClient mControlClient;
     private final String mBaseUrl;
 
     /**
@@ -56,7 +59,7 @@
         PoolOptions pool = new PoolOptions().setHttp1MaxSize(MAX_CONNECTIONS);
         mStreamingClient = vertx.createHttpClient(options, pool);
         // Uses separate connections, so that cancellations never wait for completions.
-        mControlClient = WebClient.wrap(vertx.createHttpClient(new HttpClientOptions(options)));
+        mControlClient = vertx.createHttpClient(new HttpClientOptions(options));
     }
 
     @Override
@@ -71,14 +74,7 @@
     public Uni<Void> cancel(AttemptId attempt) {
         return deferCall(
                 () ->
-                        mControlClient
-                                .postAbs(
-                                        mBaseUrl
-                                                + "/v1/runs/"
-                                                + encode(attempt.value())
-                                                + "/cancel")
-                                .timeout(CONTROL_TIMEOUT.toMillis())
-                                .send()
+                        control(HttpMethod.POST, "/v1/runs/" + encode(attempt.value()) + "/cancel")
                                 .compose(HttpModelEngine::requireSuccessOrNotFound));
     }
 
@@ -123,10 +119,7 @@
     public Uni<Void> releaseSegment(String handle) {
         return deferCall(
                 () ->
-                        mControlClient
-                                .deleteAbs(mBaseUrl + "/kv/" + encode(handle))
-                                .timeout(CONTROL_TIMEOUT.toMillis())
-                                .send()
+                        control(HttpMethod.DELETE, "/kv/" + encode(handle))
                                 .compose(HttpModelEngine::requireSuccessOrNotFound));
     }
 
@@ -156,17 +149,29 @@
     }
 
     private Future<JsonObject> readJson(String path) {
-        return mControlClient
-                .getAbs(mBaseUrl + path)
-                .timeout(CONTROL_TIMEOUT.toMillis())
-                .send()
+        return control(HttpMethod.GET, path)
                 .compose(
                         response ->
-                                response.statusCode() == OK
-                                        ? Future.succeededFuture(response.bodyAsJsonObject())
+                                response.status() == OK
+                                        ? Future.succeededFuture(new JsonObject(response.body()))
                                         : Future.failedFuture(unexpectedStatus(response)));
     }
 
+    /** Sends a short call, whose whole response must arrive within the timeout. */
+    private Future<BufferedCall.Response> control(HttpMethod method, String path) {
+        RequestOptions options =
+                new RequestOptions().setMethod(method).setAbsoluteURI(mBaseUrl + path);
+        return mControlClient
+                .request(options)
+                .compose(
+                        request ->
+                                BufferedCall.send(
+                                        request,
+                                        Optional.empty(),
+                                        CONTROL_TIMEOUT,
+                                        MAX_REPORT_BYTES));
+    }
+
     private RequestOptions post(String path) {
         return new RequestOptions()
                 .setMethod(HttpMethod.POST)
@@ -174,19 +179,18 @@
                 .putHeader("Content-Type", "application/json");
     }
 
-    private static Future<Void> requireSuccessOrNotFound(HttpResponse<Buffer> response) {
-        boolean accepted =
-                response.statusCode() < REDIRECTION || response.statusCode() == NOT_FOUND;
+    private static Future<Void> requireSuccessOrNotFound(BufferedCall.Response response) {
+        boolean accepted = response.status() < REDIRECTION || response.status() == NOT_FOUND;
         return accepted
                 ? Future.succeededFuture()
                 : Future.failedFuture(unexpectedStatus(response));
     }
 
-    private static RequestFailure unexpectedStatus(HttpResponse<Buffer> response) {
+    private static RequestFailure unexpectedStatus(BufferedCall.Response response) {
         return RequestFailure.of(
                 FailureCode.UPSTREAM_FAILED,
                 Execution.UNKNOWN,
-                "engine answered " + response.statusCode());
+                "engine answered " + response.status());
     }
 
     private static String encode(String segment) {
