Reject the end of a completion with a malformed count of tokens

Only this count reveals that the last token was lost, so a shortened completion could pass as complete.

Change: a count that is present is required to be a whole number from 0.

Evidence: MalformedEngineMessageTests.anEndWithAMalformedCountOfTokensIsRejected failed for 6 of 6 values before the change; 45 of 45 tests of the class pass with it.

--- a/tanagergap-agent/src/main/java/org/tanagergap/agent/engine/EngineMessages.java
+++ b/tanagergap-agent/src/main/java/org/tanagergap/agent/engine/EngineMessages.java
@@ -71,7 +71,7 @@
                 requestId,
                 json.getString("finish_reason"),
                 reported(usage, "prompt_tokens"),
-                reported(usage, "completion_tokens"),
+                usage.containsKey("completion_tokens") ? required(usage, "completion_tokens") : 0,
                 reported(usage, "cached_tokens"));
     }
 
--- a/tanagergap-agent/src/test/java/org/tanagergap/agent/engine/MalformedEngineMessageTests.java
+++ b/tanagergap-agent/src/test/java/org/tanagergap/agent/engine/MalformedEngineMessageTests.java
@@ -72,6 +72,18 @@
                 () -> EngineMessages.event("{\"request_id\":\"a\",\"index\":" + index + "}"));
     }
 
+    /** Only the count of the engine reveals that the last token was lost. */
+    @ParameterizedTest
+    @ValueSource(strings = {"1e400", "9999999999999999999999", "-1", "\"5\"", "{}", "1.5"})
+    void anEndWithAMalformedCountOfTokensIsRejected(String count) {
+        String end =
+                "{\"request_id\":\"a\",\"finish_reason\":\"stop\",\"usage\":"
+                        + "{\"completion_tokens\":"
+                        + count
+                        + "}}";
+        assertThrows(DecodeException.class, () -> EngineMessages.event(end));
+    }
+
     @ParameterizedTest
     @ValueSource(strings = {"1e400", "9999999999999999999999", "-1", "\"5\"", "{}", "1.5"})
     void aCacheEventWithAMalformedSequenceIsRejected(String sequence) {
