Keep following the store after an error of a handler

Seen: after an Error while one item was applied, a gateway that starts never became ready, and later items of the same response were missing. An error of the store's client or of the request to a peer ended the polls for good.

Cause: an Error in the decoder or a listener of one item failed the whole response, while the item counted as read. The flag for the full read was cleared before its items were applied, so that nothing completed the start. A synchronous error in a poll, or before the next one was scheduled, left no timer.

Change: each item is applied on its own; one that fails is logged as severe and ignored. The full read counts once it is applied. A poll is a stage of a future, and the next poll is scheduled before a peer is asked. The log names the kind of the failure, which was "null" for such errors.

--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/membership/StoreSync.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/membership/StoreSync.java
@@ -102,7 +102,17 @@
         mAvailability = new StoreAvailability(clock);
     }
 
+    /** Applies an item; one that fails is ignored, so that the others still take effect. */
     private void itemChanged(KeyValue item) {
+        try {
+            apply(item);
+        } catch (RuntimeException | StackOverflowError e) {
+            sLogger.atSevere().withCause(e).log(
+                    "store item %s cannot be applied and is ignored", item.key());
+        }
+    }
+
+    private void apply(KeyValue item) {
         mListener.itemChanged(item);
         long before = mView.changes();
         mView.accept(mDecoder.decode(item), origin());
@@ -202,13 +212,17 @@
             return;
         }
         mView.removeExpired(mAvailability.storeServedPeers());
-        StorePosition requested = mReplica.position();
-        CompletableFuture<Void> completed =
-                mNeedsFullRead
-                        ? mReader.readAll().thenAccept(this::contentsReceived)
-                        : mFeed.changesAfter(requested.revision())
-                                .thenAccept(changes -> changesReceived(requested, changes));
-        completed.whenComplete((ignored, failure) -> pollCompleted(failure));
+        // As a stage, so that an error of the client is a failed poll and does not end the polls.
+        CompletableFuture.completedFuture(mReplica.position())
+                .thenCompose(this::readFrom)
+                .whenComplete((ignored, failure) -> pollCompleted(failure));
+    }
+
+    private CompletableFuture<Void> readFrom(StorePosition requested) {
+        return mNeedsFullRead
+                ? mReader.readAll().thenAccept(this::contentsReceived)
+                : mFeed.changesAfter(requested.revision())
+                        .thenAccept(changes -> changesReceived(requested, changes));
     }
 
     private void changesReceived(StorePosition requested, Changes changes) {
@@ -224,9 +238,9 @@
         recordStoreResponse();
         switch (ReplicaUpdate.forContents(mReplica.position(), contents.pages())) {
             case REPLACE -> {
-                mNeedsFullRead = false;
                 // Pages are not one snapshot: the next poll reads the changes since the first page.
                 replace(contents.items(), contents.position());
+                mNeedsFullRead = false;
                 mLoaded.complete(null);
             }
             case APPLY, IGNORE -> {
@@ -288,8 +302,9 @@
             return;
         }
         if (mAvailability.failed()) {
-            sLogger.atWarning().log("key-value store is unavailable: %s", root.getMessage());
+            sLogger.atWarning().log("key-value store is unavailable: %s", root);
         }
+        schedule(RETRY_INTERVAL);
         StorePosition requested = mReplica.position();
         mPeerReplicas
                 .changesAfter(requested)
@@ -297,7 +312,6 @@
                         response ->
                                 response.whenComplete(
                                         (c, f) -> fallbackChangesReceived(requested, c, f)));
-        schedule(RETRY_INTERVAL);
     }
 
     private void fallbackChangesReceived(
