Reject datagrams of peers with numbers out of range

Seen: a datagram with 1e400 or as a load, a remaining suspension, an age or a position was taken. The greatest long in ms overflows when it is turned into ns, in the handler of the datagram, and sums of such loads are negative.

Cause: numbers were narrowed without a check.

Change: PeerNumbers checks each number of the messages between instances; counts are whole from 0 to 1,000,000, times at most 30 days, rates finite. Amounts of work or memory are limited to 10^15 in place of a rejection, so that one huge request does not hide the rest of a report. A decoder may fail with any RuntimeException.

--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/peer/PeerDatagram.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/peer/PeerDatagram.java
@@ -1,7 +1,6 @@
 package org.tanagergap.gateway.peer;
 
 import io.vertx.core.buffer.Buffer;
-import io.vertx.core.json.DecodeException;
 import io.vertx.core.json.JsonObject;
 import java.util.Optional;
 
@@ -21,11 +20,7 @@
                     PermitMessage.matches(json)
                             ? PermitMessage.decode(json)
                             : PeerReport.decode(json));
-        } catch (DecodeException
-                | ClassCastException
-                | NullPointerException
-                | IllegalArgumentException
-                | IndexOutOfBoundsException e) {
+        } catch (RuntimeException e) {
             return Optional.empty();
         }
     }
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/peer/PeerReport.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/peer/PeerReport.java
@@ -74,7 +74,7 @@
         }
         Map<String, Long> suspended = new HashMap<>();
         for (Map.Entry<String, Object> entry : json.getJsonObject("suspended")) {
-            suspended.put(entry.getKey(), ((Number) entry.getValue()).longValue());
+            suspended.put(entry.getKey(), PeerNumbers.millis(entry.getValue()));
         }
         return new PeerReport(
                 json.getString("id"),
@@ -88,17 +88,20 @@
     /** Peers of earlier versions send no epoch. */
     private static ReplicaProgress progress(JsonObject json) {
         return new ReplicaProgress(
-                new StorePosition(json.getLong("epoch", 0L), json.getLong("revision")),
                 new StorePosition(
-                        json.getLong("last_change_epoch", 0L), json.getLong("last_change")));
+                        PeerNumbers.position(json.getValue("epoch", 0)),
+                        PeerNumbers.position(json.getValue("revision"))),
+                new StorePosition(
+                        PeerNumbers.position(json.getValue("last_change_epoch", 0)),
+                        PeerNumbers.position(json.getValue("last_change"))));
     }
 
     private static UpstreamLoad load(JsonArray values) {
         return new UpstreamLoad(
-                values.getInteger(0),
-                values.getInteger(1),
-                values.getInteger(2),
-                values.getLong(3),
-                values.getLong(4));
+                PeerNumbers.count(values.getValue(0)),
+                PeerNumbers.count(values.getValue(1)),
+                PeerNumbers.count(values.getValue(2)),
+                PeerNumbers.amount(values.getValue(3)),
+                PeerNumbers.amount(values.getValue(4)));
     }
 }
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/peer/PermitMessage.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/peer/PermitMessage.java
@@ -54,12 +54,16 @@
     static PermitMessage decode(JsonObject datagram) {
         Map<String, Integer> requested = new HashMap<>();
         for (Map.Entry<String, Object> entry : datagram.getJsonObject(REQUESTED)) {
-            requested.put(entry.getKey(), ((Number) entry.getValue()).intValue());
+            requested.put(entry.getKey(), PeerNumbers.count(entry.getValue()));
         }
         Map<String, PermitGrant> granted = new HashMap<>();
         for (Map.Entry<String, Object> entry : datagram.getJsonObject(GRANTED)) {
             JsonArray fields = (JsonArray) entry.getValue();
-            granted.put(entry.getKey(), new PermitGrant(fields.getInteger(0), fields.getDouble(1)));
+            granted.put(
+                    entry.getKey(),
+                    new PermitGrant(
+                            PeerNumbers.count(fields.getValue(0)),
+                            PeerNumbers.rate(fields.getValue(1))));
         }
         return new PermitMessage(datagram.getString(ID), requested, granted);
     }
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/peer/QuarantineUpdateCodec.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/peer/QuarantineUpdateCodec.java
@@ -54,7 +54,7 @@
             JsonArray crash = (JsonArray) element;
             List<String> parts = new ArrayList<>();
             crash.getJsonArray(3).forEach(part -> parts.add((String) part));
-            Duration age = Duration.ofMillis(crash.getLong(2));
+            Duration age = PeerNumbers.time(crash.getValue(2));
             crashes.add(new EngineCrash(crash.getString(0), crash.getString(1), parts, age));
         }
         return new QuarantineUpdate(
@@ -64,7 +64,7 @@
     private static Map<String, Duration> decodeTimes(String field, JsonObject report) {
         Map<String, Duration> times = new HashMap<>();
         for (Map.Entry<String, Object> entry : report.getJsonObject(field, new JsonObject())) {
-            times.put(entry.getKey(), Duration.ofMillis(((Number) entry.getValue()).longValue()));
+            times.put(entry.getKey(), PeerNumbers.time(entry.getValue()));
         }
         return times;
     }
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/peer/RateLimitCodec.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/peer/RateLimitCodec.java
@@ -2,7 +2,6 @@
 
 import io.vertx.core.json.JsonArray;
 import io.vertx.core.json.JsonObject;
-import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.OptionalDouble;
@@ -39,11 +38,11 @@
             JsonArray fields = (JsonArray) entry.getValue();
             OptionalDouble limit =
                     fields.size() > 1
-                            ? OptionalDouble.of(fields.getDouble(1))
+                            ? OptionalDouble.of(PeerNumbers.rate(fields.getValue(1)))
                             : OptionalDouble.empty();
             observations.put(
                     entry.getKey(),
-                    new RateLimitObservation(limit, Duration.ofMillis(fields.getLong(0))));
+                    new RateLimitObservation(limit, PeerNumbers.time(fields.getValue(0))));
         }
         return observations;
     }
