Ignore malformed registrations of peers

Seen: a registration of a gateway with the address null threw NullPointerException out of the directory.

Cause: only DecodeException and ClassCastException were expected, and the form of the address alone was checked.

Change: an address needs a host name or IP address and a port from 1. Others are logged in one bounded line without a stack trace.

Evidence: PeerDirectoryTests failed with that exception before and passes now.

--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/peer/PeerDirectory.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/peer/PeerDirectory.java
@@ -12,6 +12,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.regex.Pattern;
 import org.tanagergap.api.store.StorePosition;
 import org.tanagergap.api.time.RuntimeClock;
 import org.tanagergap.platform.keyvalue.KeyValue;
@@ -29,6 +30,9 @@
     /** A peer whose registration has expired is kept this long after its last report. */
     private static final Duration REPORT_LIFETIME = Duration.ofSeconds(10);
 
+    /** Characters of an IP address or host name. */
+    private static final Pattern HOST = Pattern.compile("[A-Za-z0-9.:\\[\\]_-]+");
+
     private static final FluentLogger sLogger = FluentLogger.forEnclosingClass();
 
     private final RuntimeClock mClock;
@@ -59,15 +63,22 @@
         mRegistered.remove(id);
         if (!id.equals(mId) && !item.value().isEmpty()) {
             try {
-                String address = new JsonObject(item.value()).getString("address", "");
-                HostPort.parse(address).ifPresent(a -> mRegistered.put(id, a));
-            } catch (DecodeException | ClassCastException e) {
-                sLogger.atWarning().withCause(e).log(
-                        "registration %s is invalid and is ignored", item.key());
+                mRegistered.put(id, address(new JsonObject(item.value())));
+            } catch (DecodeException | ClassCastException | IllegalArgumentException e) {
+                sLogger.atWarning().log(
+                        "registration %s is invalid and is ignored: %.200s", item.key(), e);
             }
         }
     }
 
+    private static HostPort address(JsonObject registration) {
+        return Optional.ofNullable(registration.getString("address"))
+                .flatMap(HostPort::parse)
+                .filter(address -> address.port() > 0)
+                .filter(address -> HOST.matcher(address.host()).matches())
+                .orElseThrow(() -> new IllegalArgumentException("it has no valid address"));
+    }
+
     /** Records the report of a peer. */
     public void reportReceived(String id, HostPort address, StorePosition position) {
         if (!id.equals(mId)) {
