Reject malformed responses of a peer to a full read

Change: keys and values are texts, and revisions whole numbers from 0. The response fails as a whole, and the next poll asks again.

--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/peer/PeerReplicaClient.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/peer/PeerReplicaClient.java
@@ -10,6 +10,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import org.tanagergap.api.store.StorePosition;
@@ -65,22 +66,23 @@
         return Optional.of(Futures.toCompletable(changes));
     }
 
-    private static PeerChanges decode(Buffer body) {
+    /** Throws a {@link RuntimeException} if the response or one of its items is malformed. */
+    static PeerChanges decode(Buffer body) {
         JsonObject json = new JsonObject(body);
         List<KeyValue> items = new ArrayList<>();
         for (Object element : json.getJsonArray(PeerReplicaServer.ITEMS)) {
             JsonArray item = (JsonArray) element;
             items.add(
                     new KeyValue(
-                            item.getString(0),
-                            item.getString(1),
-                            item.getLong(2),
-                            item.getLong(3)));
+                            Objects.requireNonNull((String) item.getValue(0)),
+                            Objects.requireNonNull((String) item.getValue(1)),
+                            PeerNumbers.position(item.getValue(2)),
+                            PeerNumbers.position(item.getValue(3))));
         }
         StorePosition position =
                 new StorePosition(
-                        json.getLong(PeerReplicaServer.EPOCH, 0L),
-                        json.getLong(PeerReplicaServer.REVISION));
+                        PeerNumbers.position(json.getValue(PeerReplicaServer.EPOCH, 0)),
+                        PeerNumbers.position(json.getValue(PeerReplicaServer.REVISION)));
         return new PeerChanges(
                 items, position, json.getBoolean(PeerReplicaServer.ALL_ITEMS, false));
     }
