Close the connection of a request whose handling fails

Seen: when the parsing of the headers, the resolution of the route or the handler of a request failed unexpectedly, the caller got neither a response nor a close and waited; the request counted as in flight for good, which also holds up a shutdown. The token count "," was such a case.

Cause: exceptions went to the event loop, which logs them only.

Change: such a failure is logged as severe and closes the connection, which promises nothing about the execution. The exchange then ends as after a disconnection.

Evidence: HandlerFailureTests: both tests ended in a TimeoutException after 5 s before; both pass now, with RequestPathTests and StreamTests.

--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/caller/GatewayCallerServer.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/caller/GatewayCallerServer.java
@@ -105,7 +105,7 @@
         mServer =
                 mVertx.createHttpServer(options)
                         .connectionHandler(mConnections::opened)
-                        .requestHandler(this::requestReceived);
+                        .requestHandler(r -> guarded(r, () -> requestReceived(r)));
         return Futures.toCompletable(
                         mServer.listen(mAddress.port(), mAddress.host()).<Void>mapEmpty())
                 .thenCompose(ignored -> mIdleCheck.start());
@@ -167,7 +167,27 @@
                 exchange,
                 body ->
                         serveWhenFleetLoaded(
-                                exchange, () -> serve(exchange, headers, body, arrivalNanos)));
+                                exchange,
+                                () ->
+                                        guarded(
+                                                request,
+                                                () ->
+                                                        serve(
+                                                                exchange,
+                                                                headers,
+                                                                body,
+                                                                arrivalNanos))));
+    }
+
+    /** Closes the connection if the action fails, as no response would follow. */
+    private static void guarded(HttpServerRequest request, Runnable action) {
+        try {
+            action.run();
+        } catch (RuntimeException | StackOverflowError e) {
+            sLogger.atSevere().withCause(e).log(
+                    "a request cannot be handled and its connection is closed");
+            request.connection().close();
+        }
     }
 
     private void onEnd(CallerExchange exchange, HttpServerRequest request) {
