Let stand-in engines be silent for a period and end streams early

Cause: the stand-in could withhold events, but not be silent on all connections and go on, end an event stream without its last events, put an error into one, or fail with a status, so that agents and entries were never tested with such engines. Change: EngineSilence delays all that the engine reads or sends for a period; faults for a stream that ends early, with or without an error event, and for a status.

--- a/tanagergap-standins/src/main/java/org/tanagergap/standins/engine/CompletionStream.java
+++ b/tanagergap-standins/src/main/java/org/tanagergap/standins/engine/CompletionStream.java
@@ -9,17 +9,42 @@
     private final String mRequestId;
     private final HttpServerResponse mResponse;
     private final EngineFaults mFaults;
+    private final EngineSilence mSilence;
     private long mTokensSent;
 
-    CompletionStream(String requestId, HttpServerResponse response, EngineFaults faults) {
+    CompletionStream(
+            String requestId,
+            HttpServerResponse response,
+            EngineFaults faults,
+            EngineSilence silence) {
         mRequestId = requestId;
         mResponse = response;
         mFaults = faults;
+        mSilence = silence;
     }
 
     @Override
     public void onToken(long index, String text) {
-        if (mFaults.withholdsEvents() || mResponse.closed() || mFaults.takeSkippedEvent()) {
+        mSilence.run(() -> sendToken(index, text));
+    }
+
+    @Override
+    public void onFinished(String finishReason, RunUsage usage) {
+        mSilence.run(() -> sendFinish(finishReason, usage));
+    }
+
+    @Override
+    public void onCancelled() {
+        if (!mResponse.closed()) {
+            mResponse.reset();
+        }
+    }
+
+    private void sendToken(long index, String text) {
+        if (mFaults.withholdsEvents()
+                || mResponse.closed()
+                || mResponse.ended()
+                || mFaults.takeSkippedEvent()) {
             return;
         }
         if (mFaults.takeCrossedEvent()) {
@@ -32,12 +57,22 @@
         mTokensSent++;
         if (mFaults.cutsAfter(mTokensSent)) {
             mResponse.reset();
+        } else if (mFaults.endsAfter(mTokensSent)) {
+            endEarly();
         }
+        mFaults.takeSilence(mTokensSent).ifPresent(mSilence::begin);
     }
 
-    @Override
-    public void onFinished(String finishReason, RunUsage usage) {
-        if (mFaults.withholdsEvents() || mResponse.closed()) {
+    private void endEarly() {
+        if (mFaults.endsWithError()) {
+            JsonObject error = new JsonObject().put("code", "internal").put("message", "no memory");
+            send(new JsonObject().put("error", error));
+        }
+        mResponse.end();
+    }
+
+    private void sendFinish(String finishReason, RunUsage usage) {
+        if (mFaults.withholdsEvents() || mResponse.closed() || mResponse.ended()) {
             return;
         }
         send(
@@ -53,13 +88,6 @@
         mResponse.end("data: [DONE]\n\n");
     }
 
-    @Override
-    public void onCancelled() {
-        if (!mResponse.closed()) {
-            mResponse.reset();
-        }
-    }
-
     private void send(JsonObject event) {
         if (!mResponse.closed()) {
             mResponse.write("data: " + event.encode() + "\n\n");
--- a/tanagergap-standins/src/main/java/org/tanagergap/standins/engine/EngineFaults.java
+++ b/tanagergap-standins/src/main/java/org/tanagergap/standins/engine/EngineFaults.java
@@ -1,6 +1,8 @@
 package org.tanagergap.standins.engine;
 
 import io.vertx.core.json.JsonObject;
+import java.time.Duration;
+import java.util.Optional;
 
 /** Faults that a test switches on in a running stand-in engine. Confined to the event loop. */
 final class EngineFaults {
@@ -12,6 +14,11 @@
     private int mCrossedEvents;
     private int mDuplicatedEvents;
     private int mSkippedEvents;
+    private int mErrorStatus;
+    private int mEndAfterTokens;
+    private boolean mEndsWithError;
+    private Optional<Duration> mSilence = Optional.empty();
+    private int mSilentAfterTokens;
 
     /** Replaces all faults; absent fields switch their fault off. */
     void replace(JsonObject json) {
@@ -22,6 +29,11 @@
         mCrossedEvents = json.getInteger("crossed", 0);
         mDuplicatedEvents = json.getInteger("duplicated", 0);
         mSkippedEvents = json.getInteger("skipped", 0);
+        mErrorStatus = json.getInteger("error_status", 0);
+        mEndAfterTokens = json.getInteger("end_after_tokens", 0);
+        mEndsWithError = json.getBoolean("end_with_error", false);
+        mSilence = Optional.ofNullable(json.getLong("silence_ms")).map(Duration::ofMillis);
+        mSilentAfterTokens = json.getInteger("silent_after_tokens", 0);
     }
 
     /** Returns true if no events are sent although runs continue. */
@@ -44,6 +56,31 @@
         return mCutAfterTokens > 0 && tokensSent >= mCutAfterTokens;
     }
 
+    /** Returns the status with which every completion fails; 0 if they do not fail. */
+    int errorStatus() {
+        return mErrorStatus;
+    }
+
+    /** Returns true if the stream ends without its last events after this many tokens. */
+    boolean endsAfter(long tokensSent) {
+        return mEndAfterTokens > 0 && tokensSent >= mEndAfterTokens;
+    }
+
+    /** Returns true if a stream that ends early ends with an event that contains an error. */
+    boolean endsWithError() {
+        return mEndsWithError;
+    }
+
+    /** Consumes one silence that begins once a stream has sent this many tokens. */
+    Optional<Duration> takeSilence(long tokensSent) {
+        if (tokensSent < mSilentAfterTokens) {
+            return Optional.empty();
+        }
+        Optional<Duration> silence = mSilence;
+        mSilence = Optional.empty();
+        return silence;
+    }
+
     /** Consumes one fault that sends an event of another request before the next event. */
     boolean takeCrossedEvent() {
         return mCrossedEvents > 0 && mCrossedEvents-- > 0;
--- a/tanagergap-standins/src/main/java/org/tanagergap/standins/engine/EngineServer.java
+++ b/tanagergap-standins/src/main/java/org/tanagergap/standins/engine/EngineServer.java
@@ -33,6 +33,7 @@
     private final EngineModel mEngine;
     private final CacheEventFeed mCacheEvents;
     private final EngineFaults mFaults = new EngineFaults();
+    private final EngineSilence mSilence;
     private final RequestParser mParser;
     private final WebClient mClient;
     private final PeriodicTask mLoadSampler;
@@ -52,7 +53,10 @@
         mCacheEvents =
                 new CacheEventFeed(
                         clock, serverSettings.cacheEventDelay(), serverSettings.dropEveryEvent());
-        mEngine = new EngineModel(clock, settings, mCacheEvents::publish);
+        mSilence = new EngineSilence(clock);
+        mEngine =
+                new EngineModel(
+                        clock, settings, event -> mSilence.run(() -> mCacheEvents.publish(event)));
         mParser = new RequestParser(settings);
         mClient = WebClient.create(vertx);
         mSampledLoad = mEngine.load();
@@ -99,6 +103,7 @@
 
     private Router router() {
         Router router = Router.router(mVertx);
+        router.route().handler(this::readUnlessSilent);
         router.route().handler(BodyHandler.create(false).setBodyLimit(MAX_BODY_BYTES));
         router.get("/health").handler(context -> context.end("ok\n"));
         router.post("/v1/completions").handler(this::complete);
@@ -115,6 +120,15 @@
         return router;
     }
 
+    private void readUnlessSilent(RoutingContext context) {
+        context.request().pause();
+        mSilence.run(
+                () -> {
+                    context.request().resume();
+                    context.next();
+                });
+    }
+
     private void complete(RoutingContext context) {
         JsonObject json = context.body().asJsonObject();
         if (refuseIfInvalid(context, json)) {
@@ -129,7 +143,8 @@
             RoutingContext context, JsonObject json, List<ImportedSegment> imported) {
         EngineRequest request = mParser.completion(json, imported);
         HttpServerResponse response = context.response();
-        CompletionStream stream = new CompletionStream(request.requestId(), response, mFaults);
+        CompletionStream stream =
+                new CompletionStream(request.requestId(), response, mFaults, mSilence);
         if (submitOrRefuse(context, request, stream)) {
             response.setChunked(true).putHeader("Content-Type", "text/event-stream");
             response.write(": accepted\n\n");
@@ -173,6 +188,10 @@
             refuse(context, 429, "refused", "the engine refuses all requests");
             return true;
         }
+        if (mFaults.errorStatus() > 0) {
+            context.response().setStatusCode(mFaults.errorStatus()).end("engine error: no memory");
+            return true;
+        }
         if (!mServerSettings.model().equals(json.getString("model"))) {
             refuse(context, 404, "unknown_model", "model is not loaded");
             return true;
@@ -275,6 +294,7 @@
     private void setFaults(RoutingContext context) {
         Buffer body = context.body().buffer();
         mFaults.replace(body == null ? new JsonObject() : body.toJsonObject());
+        mFaults.takeSilence(0).ifPresent(mSilence::begin);
         context.response().setStatusCode(204).end();
     }
 
--- a/tanagergap-standins/src/test/java/org/tanagergap/standins/engine/EngineServerTests.java
+++ b/tanagergap-standins/src/test/java/org/tanagergap/standins/engine/EngineServerTests.java
@@ -84,6 +84,47 @@
         assertThat(response.statusCode()).isEqualTo(404);
     }
 
+    @Test
+    void isSilentOnAllConnectionsForAPeriodAndThenGoesOn() throws Exception {
+        faults(new JsonObject().put("silence_ms", 400).put("silent_after_tokens", 2));
+        long start = System.nanoTime();
+        String events =
+                post(mFirst, "/v1/completions", completion("r1", "lid 38", 4)).bodyAsString();
+        Duration duration = Duration.ofNanos(System.nanoTime() - start);
+
+        assertThat(duration).isAtLeast(Duration.ofMillis(400));
+        assertThat(events).contains("\"index\":3");
+        assertThat(events).endsWith("data: [DONE]\n\n");
+
+        faults(new JsonObject().put("silence_ms", 400));
+        start = System.nanoTime();
+        assertThat(get("/load").statusCode()).isEqualTo(200);
+        assertThat(Duration.ofNanos(System.nanoTime() - start)).isAtLeast(Duration.ofMillis(300));
+    }
+
+    @Test
+    void endsAStreamWithoutItsLastEvents() throws Exception {
+        faults(new JsonObject().put("end_after_tokens", 2));
+        String events =
+                post(mFirst, "/v1/completions", completion("r1", "lid 38", 4)).bodyAsString();
+        assertThat(events).contains("\"index\":1");
+        assertThat(events).doesNotContain("\"index\":2");
+        assertThat(events).doesNotContain("finish_reason");
+        assertThat(events).doesNotContain("[DONE]");
+
+        faults(new JsonObject().put("end_after_tokens", 2).put("end_with_error", true));
+        events = post(mFirst, "/v1/completions", completion("r2", "lid 38", 4)).bodyAsString();
+        assertThat(events).endsWith("\"message\":\"no memory\"}}\n\n");
+    }
+
+    @Test
+    void failsCompletionsWithAStatus() throws Exception {
+        faults(new JsonObject().put("error_status", 500));
+        HttpResponse<Buffer> response =
+                post(mFirst, "/v1/completions", completion("r", "lid 38", 1));
+        assertThat(response.statusCode()).isEqualTo(500);
+    }
+
     @Test
     void refusesAdministrativeRequestsWithAnOldFencingNumber() throws Exception {
         assertThat(sendAdministrativeRequest(7).statusCode()).isEqualTo(204);
@@ -91,6 +132,17 @@
         assertThat(sendAdministrativeRequest(7).statusCode()).isEqualTo(204);
     }
 
+    private void faults(JsonObject faults) throws Exception {
+        Futures.toCompletable(
+                        mClient.put(mFirst.port(), "127.0.0.1", "/faults").sendJsonObject(faults))
+                .get(10, TimeUnit.SECONDS);
+    }
+
+    private HttpResponse<Buffer> get(String path) throws Exception {
+        return Futures.toCompletable(mClient.get(mFirst.port(), "127.0.0.1", path).send())
+                .get(10, TimeUnit.SECONDS);
+    }
+
     private HttpResponse<Buffer> sendAdministrativeRequest(long fencingNumber) throws Exception {
         return post(
                 mFirst,
