Keep a stalled attempt at an agent until another one makes progress

Callers of the entry got an error event in the middle of their stream, or a 502, though their agent was silent for 3 s and went on: 2 s after its last token the attempt was ended, and the next agent refused, broke the call, failed or was silent. Calls that may not be repeated got a 502 with execution unknown for the same reason. Cause: AgentAttempt.stalled ended the attempt on silence alone and RequestRun then depended on the next attempt. Another attempt starts beside those that are silent, within the limit on attempts and the retry budget, at another agent; the first one with a token, a response head or an end is kept and the others are cancelled. Silence alone ends no attempt, except one that holds memory of several engines. Work that may not be repeated is sent elsewhere only as long as it has not been sent. The log line of a request shows the stalls of each attempt and what followed from them; an agent that goes on counts as reachable again. The agent that is named in the response is the one that answered. A stream whose agent is silent for good continues elsewhere after 2 s, as before. With no other agent the caller now waits until its deadline (504) instead of 2 s (502).

--- a/tanagergap-decisions/src/main/java/org/tanagergap/decisions/retry/RetryPolicy.java
+++ b/tanagergap-decisions/src/main/java/org/tanagergap/decisions/retry/RetryPolicy.java
@@ -56,4 +56,19 @@
                 && !deadline.hasPassed(mClock)
                 && mBudget.trySpend();
     }
+
+    /**
+     * Returns true if another attempt may start beside open ones on which nothing arrives. Spends
+     * no token of the budget.
+     *
+     * @param repeatable true if the call may run more than once, or has not been sent
+     * @param attempts number of attempts made so far, at least 1
+     * @param deadline deadline of the request
+     */
+    public boolean mayStartBeside(boolean repeatable, int attempts, Deadline deadline) {
+        if (attempts < 1) {
+            throw new IllegalArgumentException("attempts must be at least 1: " + attempts);
+        }
+        return repeatable && attempts <= mMaxRetries && !deadline.hasPassed(mClock);
+    }
 }
--- a/tanagergap-decisions/src/test/java/org/tanagergap/decisions/retry/RetryPolicyTests.java
+++ b/tanagergap-decisions/src/test/java/org/tanagergap/decisions/retry/RetryPolicyTests.java
@@ -44,6 +44,18 @@
         assertThat(mPolicy.mayRetry(failure, true, 1, mDeadline)).isFalse();
     }
 
+    /**
+     * Guards against a second run of work that may not be repeated, and against more than three.
+     */
+    @Test
+    void anotherAttemptStartsOnlyBesideRepeatableOnesAndWithinTheLimits() {
+        assertThat(mPolicy.mayStartBeside(false, 1, mDeadline)).isFalse();
+        assertThat(mPolicy.mayStartBeside(true, 2, mDeadline)).isTrue();
+        assertThat(mPolicy.mayStartBeside(true, 3, mDeadline)).isFalse();
+        mClock.advance(Duration.ofSeconds(1));
+        assertThat(mPolicy.mayStartBeside(true, 1, mDeadline)).isFalse();
+    }
+
     /** Guards against retries of requests that fail the same way everywhere. */
     @Test
     void errorsOfTheRequestItselfAreNotRetried() {
--- a/tanagergap-entry/src/main/java/org/tanagergap/entry/execution/AgentAttempt.java
+++ b/tanagergap-entry/src/main/java/org/tanagergap/entry/execution/AgentAttempt.java
@@ -1,6 +1,5 @@
 package org.tanagergap.entry.execution;
 
-import com.google.common.flogger.FluentLogger;
 import io.opentelemetry.api.trace.Span;
 import io.opentelemetry.api.trace.SpanKind;
 import io.opentelemetry.api.trace.StatusCode;
@@ -9,6 +8,7 @@
 import io.vertx.grpc.client.GrpcClientResponse;
 import io.vertx.grpc.common.GrpcStatus;
 import java.time.Duration;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.tanagergap.api.failure.Execution;
 import org.tanagergap.api.failure.FailureCode;
@@ -17,15 +17,13 @@
 import org.tanagergap.api.time.Timer;
 import org.tanagergap.decisions.routing.AgentEndpoint;
 import org.tanagergap.decisions.routing.LoadHint;
+import org.tanagergap.protocol.v1.Admitted;
 import org.tanagergap.protocol.v1.RunEvent;
 import org.tanagergap.protocol.v1.RunRequest;
-import org.tanagergap.runtime.log.LogKeys;
 
 /** One attempt of a request on one agent. Confined to the event loop of the request. */
 final class AgentAttempt {
 
-    private static final FluentLogger sLogger = FluentLogger.forEnclosingClass();
-
     /** Two exchange intervals; a live agent sends at least one message within this time. */
     private static final Duration ACTIVITY_WINDOW = Duration.ofSeconds(4);
 
@@ -42,6 +40,7 @@
     private final Span mSpan;
     private final AttemptLogRecord mLogRecord;
     private final long mStartNanos;
+    private final StallTimer mStallTimer;
 
     private GrpcClientRequest<RunRequest, RunEvent> mCall;
     private GrpcClientResponse<RunRequest, RunEvent> mStream;
@@ -49,7 +48,8 @@
     private boolean mResponseStarted;
     private boolean mPaused;
     private boolean mEnded;
-    private Timer mStallTimer = () -> {};
+    private boolean mStalled;
+    private Optional<Admitted> mAdmitted = Optional.empty();
     private Timer mStreamEndTimer = () -> {};
 
     AgentAttempt(
@@ -69,6 +69,7 @@
         mLogRecord = logRecord;
         mStartNanos = context.clock().nanoTime();
         mListener = listener;
+        mStallTimer = new StallTimer(context.clock(), eventLoop, this::stalled);
         mChecker = new EventChecker(id, firstIndex);
         mSpan = context.tracing().startChild("attempt", SpanKind.CLIENT, request.span());
         mSpan.setAttribute("attempt_id", id.value());
@@ -84,6 +85,11 @@
         return mExecution;
     }
 
+    /** Message of the agent that it sends the attempt to its upstream, if one has arrived. */
+    Optional<Admitted> admitted() {
+        return mAdmitted;
+    }
+
     void start(Resumption resumption, SpanningPromptReservation reservation) {
         mContext.metrics().attemptStarted();
         armStallTimer();
@@ -103,6 +109,11 @@
         closeCall();
     }
 
+    /** Fails the attempt, for which memory of other engines may be reserved no longer. */
+    void giveUp() {
+        failAndCancel("agent " + mAgent.name() + " sent nothing for too long");
+    }
+
     /** Stops reading from the agent, because the caller reads too slowly. */
     void pause() {
         if (mEnded) {
@@ -191,6 +202,10 @@
     }
 
     private void accept(RunEvent event) {
+        if (mStalled) {
+            mStalled = false;
+            mContext.router().connectionSucceeded(mAgent.name());
+        }
         boolean completion = mRequest.payload() instanceof RequestPayload.Completion;
         if (completion ? event.hasHead() || event.hasBody() : event.hasToken()) {
             mContext.metrics().eventDropped("unexpected");
@@ -209,6 +224,7 @@
                 mListener.event(this, event);
             }
             case ADMITTED -> {
+                mAdmitted = Optional.of(event.getAdmitted());
                 mLogRecord.admitted(event.getAdmitted());
                 armStallTimer();
                 mListener.event(this, event);
@@ -243,11 +259,7 @@
             return;
         }
         mContext.router().connectionFailed(mAgent.name());
-        fail(
-                RequestFailure.notRun(
-                                FailureCode.UNAVAILABLE,
-                                "agent " + mAgent.name() + " cannot be reached")
-                        .withCause(cause));
+        fail(AgentFailures.unreachable(mAgent.name(), cause));
     }
 
     private void streamFailed(Throwable cause) {
@@ -255,12 +267,7 @@
             return;
         }
         mContext.router().connectionFailed(mAgent.name());
-        RequestFailure failure =
-                RequestFailure.of(
-                        FailureCode.UPSTREAM_FAILED,
-                        mExecution,
-                        "the connection to agent " + mAgent.name() + " broke");
-        fail(failure.withCause(cause));
+        fail(AgentFailures.broken(mAgent.name(), mExecution, cause));
         mCall.cancel();
     }
 
@@ -268,17 +275,20 @@
         if (mEnded || mPaused) {
             return;
         }
+        armStallTimer();
         // An agent that responds to other calls is live; the attempt waits in its queue. Response
         // headers come with the first event, so an attempt in the queue has no stream yet.
         if (!mResponseStarted
                 && mCall != null
                 && mContext.activity().wasActiveWithin(mAgent.name(), ACTIVITY_WINDOW)) {
-            armStallTimer();
             return;
         }
-        mContext.metrics().stalled();
-        mContext.router().connectionFailed(mAgent.name());
-        failAndCancel("agent " + mAgent.name() + " sent nothing for too long");
+        if (!mStalled) {
+            mStalled = true;
+            mContext.metrics().stalled();
+            mContext.router().connectionFailed(mAgent.name());
+        }
+        mLogRecord.stalled(mListener.stalled(this));
     }
 
     private void failAndCancel(String message) {
@@ -306,13 +316,7 @@
         mExecution = failure.execution();
         mLogRecord.failed(failure, elapsedMillis());
         end(StatusCode.ERROR);
-        sLogger.atFine()
-                .with(LogKeys.REQUEST_ID, mRequest.id().value())
-                .with(LogKeys.ATTEMPT_ID, mId.value())
-                .with(LogKeys.UPSTREAM, mAgent.name())
-                .with(LogKeys.CODE, failure.code().wireName())
-                .withCause(failure.getCause())
-                .log("attempt failed: %s", failure.getMessage());
+        AgentFailures.log(mRequest.id(), mId, mAgent.name(), failure);
         mListener.failed(this, failure);
     }
 
@@ -329,17 +333,13 @@
     }
 
     private void armStallTimer() {
-        mStallTimer.cancel();
         if (mPaused) {
             return;
         }
-        Duration timeout =
+        mStallTimer.restart(
                 mResponseStarted
                         ? StallTimeout.BASE
                         : StallTimeout.beforeResponse(
-                                mContext.router().hint(mAgent.name()), mRequest.payload());
-        mStallTimer =
-                mContext.clock()
-                        .schedule(timeout, () -> mEventLoop.runOnContext(ignored -> stalled()));
+                                mContext.router().hint(mAgent.name()), mRequest.payload()));
     }
 }
--- a/tanagergap-entry/src/main/java/org/tanagergap/entry/execution/AttemptLogRecord.java
+++ b/tanagergap-entry/src/main/java/org/tanagergap/entry/execution/AttemptLogRecord.java
@@ -6,6 +6,7 @@
 import org.tanagergap.api.failure.Execution;
 import org.tanagergap.api.failure.RequestFailure;
 import org.tanagergap.api.request.AttemptId;
+import org.tanagergap.decisions.stall.StallDecision;
 import org.tanagergap.protocol.v1.Admitted;
 
 /**
@@ -19,6 +20,7 @@
     private static final String CANCELLED = "cancelled";
 
     private final Map<String, Object> mFields = new LinkedHashMap<>();
+    private int mStalls;
 
     AttemptLogRecord(
             AttemptId id, String upstream, String failureDomain, OptionalDouble predicted) {
@@ -39,6 +41,12 @@
         mFields.put("queued_ms", admitted.getQueuedMs());
     }
 
+    /** Records that nothing has arrived for the idle timeout, and what followed from it. */
+    void stalled(StallDecision decision) {
+        mFields.put("stalls", ++mStalls);
+        mFields.put("stall_decision", decision.description());
+    }
+
     void finished(long durationMillis) {
         mFields.put("code", "finished");
         mFields.put("execution", Execution.RAN.wireName());
--- a/tanagergap-entry/src/main/java/org/tanagergap/entry/execution/RequestRun.java
+++ b/tanagergap-entry/src/main/java/org/tanagergap/entry/execution/RequestRun.java
@@ -2,7 +2,6 @@
 
 import io.vertx.core.Context;
 import io.vertx.core.buffer.Buffer;
-import java.time.Duration;
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.OptionalDouble;
@@ -13,18 +12,17 @@
 import org.tanagergap.api.request.AttemptId;
 import org.tanagergap.api.time.Timer;
 import org.tanagergap.decisions.routing.AgentEndpoint;
-import org.tanagergap.decisions.routing.RoutingRequest;
+import org.tanagergap.decisions.stall.StallDecision;
 import org.tanagergap.protocol.v1.Finished;
 import org.tanagergap.protocol.v1.RunEvent;
 
 /**
- * Executes the attempts of one request, from its acceptance to its end. Confined to one event loop.
+ * Executes the attempts of one request, from its acceptance to its end. An attempt that receives
+ * nothing for a while stays open beside the next one; the first one that makes progress is kept.
+ * Confined to one event loop.
  */
 final class RequestRun implements AgentAttemptListener, SpanningPromptListener {
 
-    /** Retry delay that is suggested to callers when no agent is reachable. */
-    private static final Duration NO_AGENT_RETRY_AFTER = Duration.ofMillis(500);
-
     /** Upstream in the log record of an attempt that failed while it reserved several upstreams. */
     private static final String SPANNING_PROMPT_UPSTREAM = "several";
 
@@ -35,7 +33,12 @@
     private final Set<String> mExcluded = new HashSet<>();
     private final StringBuilder mGeneratedText = new StringBuilder();
 
-    private AgentAttempt mCurrent;
+    private final AgentChoice mChoice;
+    private final OpenAttempts mOpen = new OpenAttempts();
+
+    /** Attempt whose upstream was last named to the caller. */
+    private AgentAttempt mNamed;
+
     private AttemptId mAttemptId;
     private SpanningPromptSession mSpanningPrompt;
     private RequestFailure mLastFailure;
@@ -53,6 +56,7 @@
         mRequest = request;
         mSink = sink;
         mEventLoop = eventLoop;
+        mChoice = new AgentChoice(context, request);
     }
 
     void start() {
@@ -72,14 +76,18 @@
 
     @Override
     public void event(AgentAttempt attempt, RunEvent event) {
-        if (mEnded || attempt != mCurrent) {
+        if (mEnded) {
             mContext.metrics().eventDropped(EventVerdict.LATE.label());
             return;
         }
         switch (event.getEventCase()) {
-            case ADMITTED -> mSink.admitted(event.getAdmitted());
-            case TOKEN -> token(event.getToken().getText());
+            case ADMITTED -> nameUpstream(attempt);
+            case TOKEN -> {
+                progressed(attempt);
+                token(event.getToken().getText());
+            }
             case HEAD -> {
+                progressed(attempt);
                 mHeadSent = true;
                 mSink.head(event.getHead());
             }
@@ -88,6 +96,7 @@
                 applyBackPressure();
             }
             case FINISHED -> {
+                progressed(attempt);
                 boolean singleRun = mSpanningPrompt == null && mAttempts == 1;
                 end();
                 mSink.finished(withTotalOutputTokens(event.getFinished()), singleRun);
@@ -98,9 +107,10 @@
 
     @Override
     public void failed(AgentAttempt attempt, RequestFailure failure) {
-        if (mEnded || attempt != mCurrent) {
+        if (mEnded) {
             return;
         }
+        mOpen.ended(attempt);
         if (mSpanningPrompt == null) {
             // A spanning prompt may need every agent, so it excludes none.
             mExcluded.add(attempt.agent().name());
@@ -108,6 +118,17 @@
         attemptFailed(failure);
     }
 
+    @Override
+    public StallDecision stalled(AgentAttempt attempt) {
+        mOpen.stalled(attempt);
+        if (mSpanningPrompt != null) {
+            // Memory of other engines is reserved for it, and another attempt would need as much.
+            attempt.giveUp();
+            return StallDecision.NOT_REPEATABLE;
+        }
+        return startAnother();
+    }
+
     @Override
     public void segmentsPrefilled(
             AgentEndpoint agent,
@@ -134,45 +155,83 @@
     private void attemptFailed(RequestFailure failure) {
         closeSpanningPrompt();
         mLastFailure = failure;
-        if (failure.execution() != Execution.NOT_RUN && mExecution != Execution.RAN) {
-            mExecution = failure.execution();
+        mExecution = OpenAttempts.strongest(mExecution, failure.execution());
+        if (!mOpen.isEmpty()) {
+            startAnother();
+            return;
         }
         // The caller already has the head of the first response, which another cannot continue.
         if (mHeadSent || !mayRetry(failure)) {
             fail(failure);
             return;
         }
+        countRetry();
+        startAttempt();
+    }
+
+    /** Starts another attempt beside the open ones if nothing arrives on any of them. */
+    private StallDecision startAnother() {
+        if (!mOpen.allStalled()) {
+            return StallDecision.ANOTHER_RUNS;
+        }
+        boolean idempotent = mRequest.payload().idempotent();
+        boolean unsent = mOpen.execution() == Execution.NOT_RUN;
+        if (mHeadSent
+                || !mContext.retryPolicy()
+                        .mayStartBeside(idempotent || unsent, mAttempts, mRequest.deadline())) {
+            return StallDecision.NOT_REPEATABLE;
+        }
+        AttemptId id = mRequest.id().attempt(mAttempts + 1);
+        Optional<AgentEndpoint> agent = mChoice.choose(id, mOpen.agentsAnd(mExcluded));
+        if (agent.isEmpty()) {
+            return StallDecision.NO_UPSTREAM;
+        }
+        if (!mContext.retryBudget().trySpend()) {
+            mContext.router().attemptEnded(id);
+            return StallDecision.NO_BUDGET;
+        }
+        if (!idempotent) {
+            mOpen.cancel();
+        }
+        mAttempts++;
+        mAttemptId = id;
+        countRetry();
+        startAttempt(agent.get(), mRequest, SpanningPromptReservation.NONE);
+        return StallDecision.STARTED_ANOTHER;
+    }
+
+    private void countRetry() {
         mContext.metrics().retried();
         if (mNextIndex > 0) {
             mContext.metrics().resumed();
         }
-        startAttempt();
+    }
+
+    private void progressed(AgentAttempt attempt) {
+        mOpen.progressed(attempt);
+        if (attempt != mNamed) {
+            nameUpstream(attempt);
+        }
+    }
+
+    private void nameUpstream(AgentAttempt attempt) {
+        mNamed = attempt;
+        attempt.admitted().ifPresent(mSink::admitted);
     }
 
     private void startAttempt() {
         mAttemptId = mRequest.id().attempt(++mAttempts);
         if (mRequest.payload() instanceof RequestPayload.Completion completion
-                && exceedsLargestEngine(completion)) {
-            mCurrent = null;
+                && mChoice.exceedsLargestEngine(completion)) {
             mSpanningPrompt =
                     new SpanningPromptSession(
                             mContext, mEventLoop, mRequest, completion, mAttemptId, this);
             mSpanningPrompt.start();
             return;
         }
-        Optional<AgentEndpoint> agent =
-                mContext.router()
-                        .choose(
-                                new RoutingRequest(
-                                        mAttemptId,
-                                        mRequest.service(),
-                                        mRequest.policy().rankPriority(),
-                                        mRequest.payload().cost(),
-                                        mRequest.payload().prefixHash(),
-                                        mRequest.payload().affinityKey(),
-                                        mExcluded));
+        Optional<AgentEndpoint> agent = mChoice.choose(mAttemptId, mExcluded);
         if (agent.isEmpty()) {
-            fail(noAgentFailure());
+            fail(mLastFailure == null ? mChoice.noAgentFailure() : mLastFailure);
             return;
         }
         startAttempt(agent.get(), mRequest, SpanningPromptReservation.NONE);
@@ -187,7 +246,7 @@
                         agent.failureDomain(),
                         mContext.router().predictedSeconds(mAttemptId));
         mSink.attemptStarted(logRecord);
-        mCurrent =
+        AgentAttempt attempt =
                 new AgentAttempt(
                         mContext,
                         mEventLoop,
@@ -197,17 +256,13 @@
                         mNextIndex,
                         logRecord,
                         this);
-        mCurrent.start(new Resumption(mNextIndex, mGeneratedText.toString()), reservation);
+        mOpen.started(attempt);
+        attempt.start(new Resumption(mNextIndex, mGeneratedText.toString()), reservation);
         if (mWaitingForDrain) {
-            mCurrent.pause();
+            attempt.pause();
         }
     }
 
-    private boolean exceedsLargestEngine(RequestPayload.Completion completion) {
-        long largest = mContext.router().largestMemoryTokens(mRequest.service());
-        return largest > 0 && completion.cost().memoryTokens() > largest;
-    }
-
     private void closeSpanningPrompt() {
         if (mSpanningPrompt != null) {
             mSpanningPrompt.close();
@@ -220,16 +275,6 @@
                 .mayRetry(failure, mRequest.payload().idempotent(), mAttempts, mRequest.deadline());
     }
 
-    private RequestFailure noAgentFailure() {
-        if (mLastFailure != null) {
-            return mLastFailure;
-        }
-        return RequestFailure.notRun(
-                        FailureCode.UNAVAILABLE,
-                        "service \"" + mRequest.service() + "\" has no reachable upstream")
-                .withRetryAfter(NO_AGENT_RETRY_AFTER);
-    }
-
     private void token(String text) {
         mNextIndex++;
         mGeneratedText.append(text);
@@ -242,13 +287,11 @@
             return;
         }
         mWaitingForDrain = true;
-        mCurrent.pause();
+        mOpen.pause();
         mSink.onDrain(
                 () -> {
                     mWaitingForDrain = false;
-                    if (mCurrent != null) {
-                        mCurrent.resume();
-                    }
+                    mOpen.resume();
                 });
     }
 
@@ -256,10 +299,10 @@
         if (mEnded) {
             return;
         }
-        if (mExecution != Execution.RAN) {
-            Execution current = currentExecution();
-            mExecution = current == Execution.NOT_RUN ? mExecution : current;
+        if (mSpanningPrompt != null) {
+            mExecution = OpenAttempts.strongest(mExecution, mSpanningPrompt.execution());
         }
+        mExecution = OpenAttempts.strongest(mExecution, mOpen.execution());
         fail(
                 RequestFailure.of(
                         FailureCode.DEADLINE_EXCEEDED, mExecution, "the deadline has passed"));
@@ -270,13 +313,6 @@
         return finished.toBuilder().setOutputTokens(mNextIndex).build();
     }
 
-    private Execution currentExecution() {
-        Execution spanningPrompt =
-                mSpanningPrompt == null ? Execution.NOT_RUN : mSpanningPrompt.execution();
-        Execution attempt = mCurrent == null ? Execution.NOT_RUN : mCurrent.execution();
-        return attempt == Execution.NOT_RUN ? spanningPrompt : attempt;
-    }
-
     private void fail(RequestFailure failure) {
         end();
         mSink.failed(WireFailures.withExecution(failure, mExecution));
@@ -288,9 +324,7 @@
         }
         mEnded = true;
         mDeadlineTimer.cancel();
-        if (mCurrent != null) {
-            mCurrent.cancel();
-        }
+        mOpen.cancel();
         closeSpanningPrompt();
     }
 }
