Let agents of a spanning prompt be silent for 2.5 s

A prompt that spans several engines was prefilled again from its start, which can take longer than its deadline allows, after one silent period of an agent. Cause: one extension of a reservation without a response within 2 s ended the prompt, although the design allows two lost extensions; and the attempt of the last segment ended after 2 s of silence. Evidence: SpanningPromptTests.oneLaterSilentPeriodOfAnAgentEndsNoReservation (2.3 s of silence; answered after a retry, 11.5 s) and oneSilentPeriodDuringTheLastSegmentEndsNoAttempt (2.2 s) failed before with one retry. Change: an extension that times out is repeated once; a refused or broken connection still ends the prompt at once. Extensions are sent every 2 s instead of 3 s, so that an agent that is silent for good is still found within 5 s. The attempt of the last segment ends after 2.5 s of silence, since memory of the other engines is reserved for it, as in the gateway. A last segment whose agent is silent for good is found 0.5 s later than before.

--- a/tanagergap-entry/src/main/java/org/tanagergap/entry/execution/AgentAttempt.java
+++ b/tanagergap-entry/src/main/java/org/tanagergap/entry/execution/AgentAttempt.java
@@ -49,6 +49,7 @@
     private boolean mPaused;
     private boolean mEnded;
     private boolean mStalled;
+    private Duration mStallTimeout = StallTimeout.BASE;
     private Optional<Admitted> mAdmitted = Optional.empty();
     private Timer mStreamEndTimer = () -> {};
 
@@ -92,6 +93,9 @@
 
     void start(Resumption resumption, SpanningPromptReservation reservation) {
         mContext.metrics().attemptStarted();
+        if (reservation != SpanningPromptReservation.NONE) {
+            mStallTimeout = StallTimeout.BASE_WITH_RESERVATION;
+        }
         armStallTimer();
         mContext.clients()
                 .connectForRun(mAgent.address())
@@ -336,10 +340,10 @@
         if (mPaused) {
             return;
         }
+        Optional<LoadHint> hint = mContext.router().hint(mAgent.name());
         mStallTimer.restart(
                 mResponseStarted
-                        ? StallTimeout.BASE
-                        : StallTimeout.beforeResponse(
-                                mContext.router().hint(mAgent.name()), mRequest.payload()));
+                        ? mStallTimeout
+                        : StallTimeout.beforeResponse(mStallTimeout, hint, mRequest.payload()));
     }
 }
--- a/tanagergap-entry/src/main/java/org/tanagergap/entry/execution/SpanningPromptSession.java
+++ b/tanagergap-entry/src/main/java/org/tanagergap/entry/execution/SpanningPromptSession.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import org.tanagergap.api.failure.Execution;
 import org.tanagergap.api.failure.FailureCode;
 import org.tanagergap.api.failure.RequestFailure;
@@ -38,14 +39,17 @@
     /** Unless extended, a reservation expires after this time (design page, section 7.4). */
     private static final Duration RESERVATION_EXPIRY = Duration.ofSeconds(10);
 
-    /** Two extensions in a row can be lost before a reservation expires. */
-    private static final Duration EXTENSION_INTERVAL = Duration.ofSeconds(3);
+    /** An extension is repeated once, so that an agent may be silent for 3 s. */
+    private static final Duration EXTENSION_INTERVAL = Duration.ofSeconds(2);
 
     /** Agents update their hints every 2 s or with each response. */
     private static final Duration MEMORY_POLL_INTERVAL = Duration.ofMillis(250);
 
     private static final long RESERVATION_TIMEOUT_MILLIS = 2_000;
 
+    /** With the interval and the first timeout, an agent that is silent for good costs 5 s. */
+    private static final long REPEATED_EXTENSION_TIMEOUT_MILLIS = 1_000;
+
     private final ExecutorContext mContext;
     private final Context mEventLoop;
     private final CallerRequest mRequest;
@@ -152,12 +156,12 @@
         }
         // A reservation whose reply is lost may exist, so it is released like a confirmed one.
         mReservedCount = index + 1;
-        sendReservation(mSegments.get(index))
+        sendReservation(mSegments.get(index), RESERVATION_TIMEOUT_MILLIS)
                 .onComplete(
                         reply -> reservationReplied(index, reply), failure -> reservationRefused());
     }
 
-    private Future<HoldReply> sendReservation(PromptSegment segment) {
+    private Future<HoldReply> sendReservation(PromptSegment segment, long timeoutMillis) {
         HoldRequest request =
                 HoldRequest.newBuilder()
                         .setHoldId(mAttempt.value())
@@ -168,7 +172,7 @@
         return mContext.clients()
                 .agent(address(segment))
                 .compose(client -> client.hold(request))
-                .timeout(RESERVATION_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+                .timeout(timeoutMillis, TimeUnit.MILLISECONDS);
     }
 
     long elapsedMillis() {
@@ -256,17 +260,30 @@
         }
         int count = mPrefillComplete ? mSegments.size() - 1 : mSegments.size();
         for (PromptSegment segment : mSegments.subList(0, count)) {
-            sendReservation(segment)
-                    .onFailure(
-                            failure -> {
-                                if (!mPrefillComplete) {
-                                    agentFailed(segment, failure);
-                                }
-                            });
+            sendReservation(segment, RESERVATION_TIMEOUT_MILLIS)
+                    .onFailure(failure -> extensionFailed(segment, failure));
         }
         schedule(EXTENSION_INTERVAL, this::extendReservations);
     }
 
+    /** An agent that was silent once may go on; a refused or broken connection is a failure. */
+    private void extensionFailed(PromptSegment segment, Throwable failure) {
+        if (mClosed || mPrefillComplete) {
+            return;
+        }
+        if (!(failure instanceof TimeoutException)) {
+            agentFailed(segment, failure);
+            return;
+        }
+        sendReservation(segment, REPEATED_EXTENSION_TIMEOUT_MILLIS)
+                .onFailure(
+                        repeated -> {
+                            if (!mPrefillComplete) {
+                                agentFailed(segment, repeated);
+                            }
+                        });
+    }
+
     private void agentFailed(PromptSegment segment, Throwable cause) {
         if (mClosed) {
             return;
--- a/tanagergap-entry/src/test/java/org/tanagergap/entry/FakeAgent.java
+++ b/tanagergap-entry/src/test/java/org/tanagergap/entry/FakeAgent.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.BiConsumer;
 import org.tanagergap.protocol.v1.Admitted;
@@ -42,11 +43,14 @@
 
     volatile Hint mHint = Hint.newBuilder().setUpstreamReady(true).build();
     volatile boolean mRepliesToExchange = true;
+    volatile long mReservationsSilentUntilNanos = Long.MIN_VALUE;
+    volatile long mPrefillDelayMillis;
     final BlockingQueue<RunRequest> mRuns = new LinkedBlockingQueue<>();
     final BlockingQueue<String> mCancelled = new LinkedBlockingQueue<>();
     final BlockingQueue<ExchangeRequest> mExchanges = new LinkedBlockingQueue<>();
     private final List<String> mCalls;
     private final String mName;
+    private Vertx mVertx;
     private HttpServer mServer;
 
     FakeAgent(String name, List<String> calls) {
@@ -55,6 +59,7 @@
     }
 
     FakeAgent start(Vertx vertx, TlsReloader tls) {
+        mVertx = vertx;
         GrpcServer grpc =
                 GrpcServer.server(
                         vertx, new GrpcServerOptions().setMaxMessageSize(32L * 1024 * 1024));
@@ -115,7 +120,11 @@
     public Future<HoldReply> hold(HoldRequest request) {
         mCalls.add(mName + " hold " + request.getTokens());
         boolean held = request.getTokens() <= mHint.getMemoryTokensFree();
-        return Future.succeededFuture(
+        long silentNanos = mReservationsSilentUntilNanos - System.nanoTime();
+        return after(
+                mReservationsSilentUntilNanos == Long.MIN_VALUE || silentNanos <= 0
+                        ? 0
+                        : TimeUnit.NANOSECONDS.toMillis(silentNanos) + 1,
                 HoldReply.newBuilder().setHeld(held).setUpstreamUrl("http://" + mName).build());
     }
 
@@ -128,12 +137,19 @@
     @Override
     public Future<PrefillSegmentReply> prefillSegment(PrefillSegmentRequest request) {
         mCalls.add(mName + " prefill " + request.getPrompt().length());
-        return Future.succeededFuture(
+        return after(
+                mPrefillDelayMillis,
                 PrefillSegmentReply.newBuilder()
                         .setSegment(SegmentHandle.newBuilder().setUrl("http://" + mName))
                         .build());
     }
 
+    private <T> Future<T> after(long millis, T reply) {
+        return millis == 0
+                ? Future.succeededFuture(reply)
+                : mVertx.timer(millis, TimeUnit.MILLISECONDS).map(reply);
+    }
+
     /** Writes the events of one run. */
     static final class Stream {
         private final RunRequest mRequest;
--- a/tanagergap-entry/src/test/java/org/tanagergap/entry/SpanningPromptTests.java
+++ b/tanagergap-entry/src/test/java/org/tanagergap/entry/SpanningPromptTests.java
@@ -4,7 +4,9 @@
 
 import java.net.http.HttpRequest.BodyPublishers;
 import java.net.http.HttpResponse;
+import java.time.Duration;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -95,4 +97,55 @@
         assertThat(List.copyOf(mHarness.mCalls).subList(2, 4))
                 .containsExactly("runner-1 release", "runner-2 release");
     }
+
+    /** Guards against a prompt lost because one of its agents is silent while it is prefilled. */
+    @Test
+    void oneSilentPeriodOfAnAgentEndsNoReservation() {
+        assertNoReservationEndsWhenTheSecondAgentIsSilent(1_900);
+    }
+
+    /** Guards against the same with a period that begins later. */
+    @Test
+    void oneLaterSilentPeriodOfAnAgentEndsNoReservation() {
+        assertNoReservationEndsWhenTheSecondAgentIsSilent(2_900);
+    }
+
+    private void assertNoReservationEndsWhenTheSecondAgentIsSilent(long afterMillis) {
+        startEntry();
+        mFirst.mPrefillDelayMillis = 6_000;
+        mHarness.mVertx.setTimer(afterMillis, ignored -> silence(2_300));
+        assertThat(send(1_500).body()).contains("t0 t1 t2");
+        assertThat(mHarness.counter("retries")).isEqualTo(0);
+    }
+
+    private void silence(long millis) {
+        mSecond.mReservationsSilentUntilNanos =
+                System.nanoTime() + Duration.ofMillis(millis).toNanos();
+    }
+
+    /** Guards against memory that stays reserved for an agent that is silent for good. */
+    @Test
+    void anAgentThatIsSilentForGoodEndsThePromptDuringItsPrefill() {
+        startEntry();
+        mFirst.mPrefillDelayMillis = 15_000;
+        mHarness.mVertx.setTimer(1_000, ignored -> silence(60_000));
+        long start = System.nanoTime();
+        CompletableFuture.runAsync(() -> send(1_500));
+        EntryHarness.await(() -> mHarness.counter("retries") == 1);
+        assertThat(Duration.ofNanos(System.nanoTime() - start))
+                .isLessThan(Duration.ofMillis(5_500));
+    }
+
+    /** Guards against a prompt that is prefilled again, or lost, after a silence of its agent. */
+    @Test
+    void oneSilentPeriodDuringTheLastSegmentEndsNoAttempt() {
+        startEntry();
+        mSecond.mScript =
+                (request, stream) -> {
+                    stream.tokens(0, 1);
+                    mHarness.mVertx.setTimer(2_200, ignored -> stream.tokens(1, 3).finish(3));
+                };
+        assertThat(send(1_500).body()).contains("t0 t1 t2");
+        assertThat(mHarness.counter("retries")).isEqualTo(0);
+    }
 }
