Test orders while the store of intents is silent

A stand-in of the key-value service can be silent for a period: it applies all calls at its end, also those whose clients have given up. Orders at such times are placed once and answered after 1.4 s of silence, before the send as well as before the outcome is recorded. In 3.5 s of silence an order is refused as not run and can be placed once afterwards.

--- a/tanagergap-agent/src/test/java/org/tanagergap/agent/OrdersOverNetworkTests.java
+++ b/tanagergap-agent/src/test/java/org/tanagergap/agent/OrdersOverNetworkTests.java
@@ -4,6 +4,8 @@
 
 import io.vertx.core.json.JsonObject;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -90,6 +92,38 @@
         assertThat(sink.last().hasFinished()).isTrue();
     }
 
+    @Test
+    void aSilenceOfTheKeyValueServiceLosesAndRepeatsNoOrder() {
+        silenceKeyValue(1_400);
+        assertThat(order("a.1", "k1").mEvents.get(1).getHead().getStatus()).isEqualTo(201);
+        assertThat(order("a.2", "k1").mEvents.get(0).getHead().getReplayed()).isTrue();
+        assertThat(mOrders.book().counts()).containsExactly("k1", 1);
+    }
+
+    @Test
+    void aSilenceOfTheKeyValueServiceLosesNoOutcome() {
+        mFixture.faults(mOrders.port(), new JsonObject().put("delay_ms", 800));
+        CompletableFuture.delayedExecutor(400, TimeUnit.MILLISECONDS)
+                .execute(() -> silenceKeyValue(1_400));
+        assertThat(order("a.1", "k1").mEvents.get(1).getHead().getStatus()).isEqualTo(201);
+        assertThat(order("a.2", "k1").mEvents.get(0).getHead().getReplayed()).isTrue();
+        assertThat(mOrders.book().counts()).containsExactly("k1", 1);
+    }
+
+    @Test
+    void anOrderRefusedInALongSilenceOfTheKeyValueServiceCanRunOnceAfterwards() {
+        silenceKeyValue(3_500);
+        assertThat(order("a.1", "k1").failure()).isEqualTo("unavailable/NOT_RUN");
+        assertThat(mOrders.book().counts()).isEmpty();
+        mFixture.awaitTrue(() -> order("a.2", "k1").last().hasFinished());
+        assertThat(order("a.3", "k1").mEvents.get(0).getHead().getReplayed()).isTrue();
+        assertThat(mOrders.book().counts()).containsExactly("k1", 1);
+    }
+
+    private void silenceKeyValue(long millis) {
+        mFixture.faults(mKeyValue.port(), new JsonObject().put("silence_ms", millis));
+    }
+
     private RecordingSink order(String attempt, String key) {
         return mFixture.run(AgentFixture.order(attempt, key).build());
     }
--- a/tanagergap-standins/src/main/java/org/tanagergap/standins/keyvalue/FaultSwitches.java
+++ b/tanagergap-standins/src/main/java/org/tanagergap/standins/keyvalue/FaultSwitches.java
@@ -1,19 +1,25 @@
 package org.tanagergap.standins.keyvalue;
 
 import io.vertx.core.json.JsonObject;
+import java.time.Duration;
 
 /** Faults that a test switches on in the stand-in; not thread-safe. */
 final class FaultSwitches {
 
     private boolean mOutage;
     private long mDelayMillis;
+    private long mSilentUntilNanos = Long.MIN_VALUE;
     private long mRepliesToLose;
     private long mRepliesToKeep;
 
     /** Sets the faults that the object contains; the others keep their values. */
-    void update(JsonObject faults) {
+    void update(JsonObject faults, long nowNanos) {
         mOutage = faults.getBoolean("outage", mOutage);
         mDelayMillis = faults.getLong("delay_ms", mDelayMillis);
+        if (faults.containsKey("silence_ms")) {
+            mSilentUntilNanos =
+                    nowNanos + Duration.ofMillis(faults.getLong("silence_ms")).toNanos();
+        }
         mRepliesToLose = faults.getLong("lose_replies", mRepliesToLose);
         mRepliesToKeep = faults.getLong("keep_replies", mRepliesToKeep);
     }
@@ -30,8 +36,11 @@
         return mOutage;
     }
 
-    long delayMillis() {
-        return mDelayMillis;
+    /** Returns the time after which a call is applied: a fixed delay, or the rest of a silence. */
+    Duration delay(long nowNanos) {
+        Duration delay = Duration.ofMillis(mDelayMillis);
+        boolean silent = mSilentUntilNanos != Long.MIN_VALUE && mSilentUntilNanos > nowNanos;
+        return silent ? delay.plusNanos(mSilentUntilNanos - nowNanos) : delay;
     }
 
     /** Returns true if the reply to the write that was just applied must not be sent. */
--- a/tanagergap-standins/src/main/java/org/tanagergap/standins/keyvalue/KeyValueServer.java
+++ b/tanagergap-standins/src/main/java/org/tanagergap/standins/keyvalue/KeyValueServer.java
@@ -98,7 +98,7 @@
 
     /** Counts the call, then applies outage, rate limit and delay before running the action. */
     private void admit(RoutingContext context, CallKind kind, Runnable action) {
-        long delayMillis;
+        Duration delay;
         synchronized (mLock) {
             mCounts.merge(kind, 1L, Long::sum);
             if (mFaults.outage()) {
@@ -111,12 +111,12 @@
                 refuse(context, RefusedCallException.tooManyRequests());
                 return;
             }
-            delayMillis = mFaults.delayMillis();
+            delay = mFaults.delay(mClock.nanoTime());
         }
-        if (delayMillis > 0) {
-            mClock.schedule(Duration.ofMillis(delayMillis), action);
-        } else {
+        if (delay.isZero()) {
             action.run();
+        } else {
+            mClock.schedule(delay, action);
         }
     }
 
@@ -232,7 +232,7 @@
             return;
         }
         synchronized (mLock) {
-            mFaults.update(faults);
+            mFaults.update(faults, mClock.nanoTime());
             if (faults.getBoolean("backup", false)) {
                 mBackup = Optional.of(mState.backup());
             }
