Do not take an error of an engine for the end of a completion

A stream that was resumed at another engine could look complete to its caller although that engine had failed: its first event had the finish_reason error, with or without an error object, and no token. Cause: EngineMessages.event accepted every finish_reason and took a missing count of tokens as 0, which is the number of tokens that a run without output has received. An error object beside an index was ignored.

--- a/tanagergap-agent/src/main/java/org/tanagergap/agent/engine/EngineMessages.java
+++ b/tanagergap-agent/src/main/java/org/tanagergap/agent/engine/EngineMessages.java
@@ -8,6 +8,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.regex.Pattern;
 import org.tanagergap.api.failure.Execution;
 import org.tanagergap.api.failure.FailureCode;
@@ -18,6 +19,7 @@
 /** JSON messages of model engines. */
 final class EngineMessages {
 
+    private static final Set<String> FINISH_REASONS = Set.of("stop", "length");
     private static final int BAD_REQUEST = 400;
     private static final int NOT_FOUND = 404;
     private static final int CONFLICT = 409;
@@ -50,11 +52,18 @@
                 .put("cache_salt", prefill.cacheSalt());
     }
 
-    /** Parses an event of a completion; throws a {@code DecodeException} if the JSON is not one. */
+    /**
+     * Parses an event of a completion; throws a {@code DecodeException} if the JSON is not one, so
+     * that an error is never taken for a token or for the end of the completion.
+     */
     static EngineEvent event(String data) {
         JsonObject json = new JsonObject(data);
+        if (json.getValue("error") != null) {
+            throw new DecodeException("event contains an error");
+        }
         String requestId = json.getString("request_id", "");
-        if (json.getValue("finish_reason") == null) {
+        String finishReason = json.getString("finish_reason");
+        if (finishReason == null) {
             if (json.getValue("index") == null) {
                 throw new DecodeException("event has neither index nor finish_reason");
             }
@@ -62,11 +71,14 @@
                     requestId, json.getLong("index"), json.getString("text", ""));
         }
         JsonObject usage = json.getJsonObject("usage", new JsonObject());
+        if (!FINISH_REASONS.contains(finishReason) || usage.getValue("completion_tokens") == null) {
+            throw new DecodeException("last event has no valid finish_reason or no token count");
+        }
         return new EngineEvent.Finish(
                 requestId,
-                json.getString("finish_reason"),
+                finishReason,
                 usage.getLong("prompt_tokens", 0L),
-                usage.getLong("completion_tokens", 0L),
+                usage.getLong("completion_tokens"),
                 usage.getLong("cached_tokens", 0L));
     }
 
--- a/tanagergap-agent/src/test/java/org/tanagergap/agent/StalledEngineTests.java
+++ b/tanagergap-agent/src/test/java/org/tanagergap/agent/StalledEngineTests.java
@@ -123,6 +123,16 @@
         assertThat(sink.failure()).isEqualTo("upstream_failed/RAN");
     }
 
+    @Test
+    void aResumedRunThatEndsWithAnErrorIsNotComplete() {
+        mFixture.faults(mEngine.port(), new JsonObject().put("finish_with_error", true));
+        RunRequest.Builder request = AgentFixture.completion("a.2");
+        request.getCompletionBuilder().setResumeFrom(2).setGeneratedText("t0 t1 ");
+        RecordingSink sink = mFixture.run(request.build());
+        assertThat(sink.tokens()).isEmpty();
+        assertThat(sink.failure()).isEqualTo("upstream_failed/UNKNOWN");
+    }
+
     @Test
     void anErrorStatusDoesNotSayThatTheRequestDidNotRun() {
         mFixture.faults(mEngine.port(), new JsonObject().put("error_status", 500));
--- a/tanagergap-standins/src/main/java/org/tanagergap/standins/engine/CompletionStream.java
+++ b/tanagergap-standins/src/main/java/org/tanagergap/standins/engine/CompletionStream.java
@@ -47,6 +47,11 @@
                 || mFaults.takeSkippedEvent()) {
             return;
         }
+        if (mFaults.finishesWithError()) {
+            send(error().put("request_id", mRequestId).put("finish_reason", "error"));
+            mResponse.end("data: [DONE]\n\n");
+            return;
+        }
         if (mFaults.takeCrossedEvent()) {
             send(token("other-request", index, " crossed"));
         }
@@ -65,8 +70,7 @@
 
     private void endEarly() {
         if (mFaults.endsWithError()) {
-            JsonObject error = new JsonObject().put("code", "internal").put("message", "no memory");
-            send(new JsonObject().put("error", error));
+            send(error());
         }
         mResponse.end();
     }
@@ -94,6 +98,11 @@
         }
     }
 
+    private static JsonObject error() {
+        JsonObject error = new JsonObject().put("code", "internal").put("message", "no memory");
+        return new JsonObject().put("error", error);
+    }
+
     private static JsonObject token(String requestId, long index, String text) {
         return new JsonObject().put("request_id", requestId).put("index", index).put("text", text);
     }
--- a/tanagergap-standins/src/main/java/org/tanagergap/standins/engine/EngineFaults.java
+++ b/tanagergap-standins/src/main/java/org/tanagergap/standins/engine/EngineFaults.java
@@ -17,6 +17,7 @@
     private int mErrorStatus;
     private int mEndAfterTokens;
     private boolean mEndsWithError;
+    private boolean mFinishesWithError;
     private Optional<Duration> mSilence = Optional.empty();
     private int mSilentAfterTokens;
 
@@ -32,6 +33,7 @@
         mErrorStatus = json.getInteger("error_status", 0);
         mEndAfterTokens = json.getInteger("end_after_tokens", 0);
         mEndsWithError = json.getBoolean("end_with_error", false);
+        mFinishesWithError = json.getBoolean("finish_with_error", false);
         mSilence = Optional.ofNullable(json.getLong("silence_ms")).map(Duration::ofMillis);
         mSilentAfterTokens = json.getInteger("silent_after_tokens", 0);
     }
@@ -71,6 +73,11 @@
         return mEndsWithError;
     }
 
+    /** Returns true if a last event with an error replaces all tokens. */
+    boolean finishesWithError() {
+        return mFinishesWithError;
+    }
+
     /** Consumes one silence that begins once a stream has sent this many tokens. */
     Optional<Duration> takeSilence(long tokensSent) {
         if (tokensSent < mSilentAfterTokens) {
