Test stalled attempts without retry budget and runs cancelled in a silence

Neither shows a fault: without retry budget no other attempt starts and the stream is whole; 20 runs that are cancelled in 3 s of silence of their engine leave no memory reserved on either side.

--- a/tanagergap-agent/src/test/java/org/tanagergap/agent/StalledEngineTests.java
+++ b/tanagergap-agent/src/test/java/org/tanagergap/agent/StalledEngineTests.java
@@ -3,7 +3,10 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import io.vertx.core.json.JsonObject;
+import io.vertx.core.net.SocketAddress;
+import io.vertx.grpc.client.GrpcClientRequest;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.stream.LongStream;
@@ -14,7 +17,9 @@
 import org.tanagergap.protocol.v1.PolicyStamp;
 import org.tanagergap.protocol.v1.PrefillSegmentReply;
 import org.tanagergap.protocol.v1.PrefillSegmentRequest;
+import org.tanagergap.protocol.v1.RunEvent;
 import org.tanagergap.protocol.v1.RunRequest;
+import org.tanagergap.protocol.v1.UpstreamAgentGrpcClient;
 import org.tanagergap.standins.engine.EngineServer;
 import org.tanagergap.standins.engine.EngineServerSettings;
 import org.tanagergap.standins.engine.EngineSettings;
@@ -78,6 +83,30 @@
         assertThat(sink.last().hasFinished()).isTrue();
     }
 
+    @Test
+    void runsThatAreCancelledInASilenceLeaveNoMemoryReserved() {
+        List<GrpcClientRequest<RunRequest, RunEvent>> calls = new ArrayList<>();
+        for (int i = 0; i < 20; i++) {
+            RunRequest.Builder request = AgentFixture.completion("a." + i);
+            request.getCompletionBuilder().getCostBuilder().setMaxOutputTokens(10_000);
+            GrpcClientRequest<RunRequest, RunEvent> call =
+                    NetworkFixture.await(
+                            mFixture.mGrpc.request(
+                                    SocketAddress.inetSocketAddress(
+                                            mFixture.mAgent.port(), "127.0.0.1"),
+                                    UpstreamAgentGrpcClient.Run));
+            call.send(request.build());
+            calls.add(call);
+        }
+        mFixture.awaitTrue(() -> engineRuns() == 20);
+        mFixture.faults(mEngine.port(), new JsonObject().put("silence_ms", 3_000));
+        calls.forEach(GrpcClientRequest::cancel);
+        mFixture.awaitTrue(() -> mFixture.status().getReservedTokens() == 0);
+        assertThat(run("b.1", 10).last().hasFinished()).isTrue();
+        // Orphaned runs would be found by the next reconciliation only.
+        assertThat(engineRuns()).isEqualTo(0);
+    }
+
     @Test
     void aSegmentSurvivesASilenceOfItsEngine() {
         NetworkFixture.await(
--- a/tanagergap-entry/src/test/java/org/tanagergap/entry/StalledAgentTests.java
+++ b/tanagergap-entry/src/test/java/org/tanagergap/entry/StalledAgentTests.java
@@ -207,6 +207,14 @@
         assertThat(mRuns.get()).isEqualTo(1);
     }
 
+    @Test
+    void noOtherAttemptStartsWithoutRetryBudget() {
+        while (mHarness.mRetryBudget.trySpend()) {}
+        runs(this::stallInTheStream, (request, stream) -> stream.complete(6));
+        assertThat(text(mHarness.send(mHarness.completion(true)))).isEqualTo(WHOLE);
+        assertThat(mRuns.get()).isEqualTo(1);
+    }
+
     @Test
     void requestOfAgentsThatAreSilentForGoodEndsAtItsDeadline() {
         runs((request, stream) -> stream.tokens(0, 1), (request, stream) -> {});
