--- a/tanagergap-entry/src/test/java/org/tanagergap/entry/StalledAgentTests.java
+++ b/tanagergap-entry/src/test/java/org/tanagergap/entry/StalledAgentTests.java
@@ -6,6 +6,10 @@
 import java.net.http.HttpRequest.BodyPublishers;
 import java.net.http.HttpResponse;
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BiConsumer;
 import java.util.regex.Matcher;
@@ -207,6 +211,40 @@
         assertThat(mRuns.get()).isEqualTo(1);
     }
 
+    /** Guards against the loss of calls to an agent that accepts connections and is silent. */
+    @Test
+    void callsThatMayNotBeRepeatedRunOnceWhenOneAgentOnlyAcceptsConnections() throws Exception {
+        runs((request, stream) -> respond(stream, 201), (request, stream) -> respond(stream, 201));
+        FakeAgent silent = mHarness.mAgents.get("orders-1");
+        int port = Integer.parseInt(silent.address().split(":")[1]);
+        silent.stop();
+        mHarness.mVertx.createNetServer().connectHandler(s -> {}).listen(port, "127.0.0.1").await();
+        List<CompletableFuture<HttpResponse<String>>> responses = new ArrayList<>();
+        for (int i = 0; i < 8; i++) {
+            responses.add(
+                    mHarness.mClient.sendAsync(
+                            mHarness.request("/services/orders/place")
+                                    .header("Idempotency-Key", "k" + i)
+                                    .header("Tanagergap-Deadline-Ms", "6000")
+                                    .POST(BodyPublishers.ofString("two pallets"))
+                                    .build(),
+                            HttpResponse.BodyHandlers.ofString()));
+        }
+        int answered = 0;
+        for (CompletableFuture<HttpResponse<String>> future : responses) {
+            HttpResponse<String> response = future.get(30, TimeUnit.SECONDS);
+            if (response.statusCode() == 201) {
+                answered++;
+            } else {
+                // The first call on a connection is written before the agent has responded at all.
+                assertThat(response.body()).contains("\"execution\":\"unknown\"");
+            }
+        }
+        assertThat(mRuns.get()).isEqualTo(answered);
+        assertThat(answered).isAtLeast(7);
+        assertThat(mHarness.counter("retries")).isAtLeast(1);
+    }
+
     @Test
     void noOtherAttemptStartsWithoutRetryBudget() {
         while (mHarness.mRetryBudget.trySpend()) {}
