--- a/tanagergap-entry/src/main/java/org/tanagergap/entry/execution/AgentAttempt.java
+++ b/tanagergap-entry/src/main/java/org/tanagergap/entry/execution/AgentAttempt.java
@@ -14,7 +14,6 @@
 import org.tanagergap.api.failure.FailureCode;
 import org.tanagergap.api.failure.RequestFailure;
 import org.tanagergap.api.request.AttemptId;
-import org.tanagergap.api.time.Timer;
 import org.tanagergap.decisions.routing.AgentEndpoint;
 import org.tanagergap.decisions.routing.LoadHint;
 import org.tanagergap.protocol.v1.Admitted;
@@ -27,11 +26,7 @@
     /** Two exchange intervals; a live agent sends at least one message within this time. */
     private static final Duration ACTIVITY_WINDOW = Duration.ofSeconds(4);
 
-    /** Time for an agent to end a stream after its last event, before the call is reset. */
-    private static final Duration STREAM_END_TIMEOUT = Duration.ofSeconds(1);
-
     private final ExecutorContext mContext;
-    private final Context mEventLoop;
     private final CallerRequest mRequest;
     private final AttemptId mId;
     private final AgentEndpoint mAgent;
@@ -41,9 +36,8 @@
     private final AttemptLogRecord mLogRecord;
     private final long mStartNanos;
     private final StallTimer mStallTimer;
+    private final AgentCall mCall;
 
-    private GrpcClientRequest<RunRequest, RunEvent> mCall;
-    private GrpcClientResponse<RunRequest, RunEvent> mStream;
     private Execution mExecution = Execution.NOT_RUN;
     private boolean mResponseStarted;
     private boolean mPaused;
@@ -51,7 +45,6 @@
     private boolean mStalled;
     private Duration mStallTimeout = StallTimeout.BASE;
     private Optional<Admitted> mAdmitted = Optional.empty();
-    private Timer mStreamEndTimer = () -> {};
 
     AgentAttempt(
             ExecutorContext context,
@@ -63,7 +56,6 @@
             AttemptLogRecord logRecord,
             AgentAttemptListener listener) {
         mContext = context;
-        mEventLoop = eventLoop;
         mRequest = request;
         mId = id;
         mAgent = agent;
@@ -71,6 +63,7 @@
         mStartNanos = context.clock().nanoTime();
         mListener = listener;
         mStallTimer = new StallTimer(context.clock(), eventLoop, this::stalled);
+        mCall = new AgentCall(context, eventLoop, agent.address(), id);
         mChecker = new EventChecker(id, firstIndex);
         mSpan = context.tracing().startChild("attempt", SpanKind.CLIENT, request.span());
         mSpan.setAttribute("attempt_id", id.value());
@@ -110,7 +103,7 @@
             return;
         }
         end(StatusCode.ERROR);
-        closeCall();
+        mCall.close();
     }
 
     /** Fails the attempt, for which memory of other engines may be reserved no longer. */
@@ -125,9 +118,7 @@
         }
         mPaused = true;
         mStallTimer.cancel();
-        if (mStream != null) {
-            mStream.pause();
-        }
+        mCall.pause();
     }
 
     void resume() {
@@ -136,9 +127,7 @@
             return;
         }
         armStallTimer();
-        if (mStream != null) {
-            mStream.resume();
-        }
+        mCall.resume();
     }
 
     private void connected(
@@ -149,7 +138,7 @@
             call.cancel();
             return;
         }
-        mCall = call;
+        mCall.connected(call);
         long timeToDeadlineMillis = mRequest.deadline().remaining(mContext.clock()).toMillis();
         if (timeToDeadlineMillis <= 0) {
             fail(RequestFailure.notRun(FailureCode.DEADLINE_EXCEEDED, "the deadline has passed"));
@@ -171,7 +160,7 @@
     }
 
     private void streamOpened(GrpcClientResponse<RunRequest, RunEvent> stream) {
-        mStream = stream;
+        mCall.opened(stream);
         mContext.router().connectionSucceeded(mAgent.name());
         stream.exceptionHandler(this::streamFailed);
         stream.invalidMessageHandler(this::streamFailed);
@@ -217,13 +206,13 @@
         }
         switch (event.getEventCase()) {
             case FAILED -> {
-                awaitStreamEnd();
+                mCall.awaitEnd();
                 fail(WireFailures.read(event.getFailed()));
             }
             case FINISHED -> {
                 mExecution = Execution.RAN;
                 mLogRecord.finished(elapsedMillis());
-                awaitStreamEnd();
+                mCall.awaitEnd();
                 end(StatusCode.OK);
                 mListener.event(this, event);
             }
@@ -243,16 +232,8 @@
         }
     }
 
-    private void awaitStreamEnd() {
-        mStreamEndTimer =
-                mContext.clock()
-                        .schedule(
-                                STREAM_END_TIMEOUT,
-                                () -> mEventLoop.runOnContext(ignored -> mCall.cancel()));
-    }
-
     private void streamEnded(GrpcStatus status) {
-        mStreamEndTimer.cancel();
+        mCall.ended();
         if (!mEnded) {
             streamFailed(new IllegalStateException("stream ended early with status " + status));
         }
@@ -272,7 +253,7 @@
         }
         mContext.router().connectionFailed(mAgent.name());
         fail(AgentFailures.broken(mAgent.name(), mExecution, cause));
-        mCall.cancel();
+        mCall.reset();
     }
 
     private void stalled() {
@@ -283,7 +264,7 @@
         // An agent that responds to other calls is live; the attempt waits in its queue. Response
         // headers come with the first event, so an attempt in the queue has no stream yet.
         if (!mResponseStarted
-                && mCall != null
+                && mCall.isConnected()
                 && mContext.activity().wasActiveWithin(mAgent.name(), ACTIVITY_WINDOW)) {
             return;
         }
@@ -297,23 +278,7 @@
 
     private void failAndCancel(String message) {
         fail(RequestFailure.of(FailureCode.UPSTREAM_FAILED, mExecution, message));
-        closeCall();
-    }
-
-    /**
-     * Requests the end of the call from the agent and resets the call only on a timeout. HTTP/2
-     * closes a connection with all its streams after 200 resets within 30 s of streams that still
-     * receive frames; many callers that disconnect together would reach this limit.
-     */
-    private void closeCall() {
-        if (mCall == null) {
-            return;
-        }
-        mContext.clients().cancel(mAgent.address(), mId);
-        if (mStream != null) {
-            mStream.resume();
-        }
-        awaitStreamEnd();
+        mCall.close();
     }
 
     private void fail(RequestFailure failure) {
