Do not report a stall when something has just arrived

An attempt could be reported as stalled right after a token: the timeout had passed, but waited for the event loop while the token was processed. An attempt of a spanning prompt would then end. Seen by reading only; no request is known to have met it. Change: a timeout that was cancelled or restarted since is ignored.

--- a/tanagergap-entry/src/main/java/org/tanagergap/entry/execution/StallTimer.java
+++ b/tanagergap-entry/src/main/java/org/tanagergap/entry/execution/StallTimer.java
@@ -13,6 +13,9 @@
     private final Runnable mOnStall;
     private Timer mTimer = () -> {};
 
+    /** Tells a timeout that waits for the event loop whether it has been cancelled since. */
+    private long mStarts;
+
     /**
      * Creates a timer that is not started.
      *
@@ -26,11 +29,22 @@
 
     /** Starts to measure again. */
     void restart(Duration timeout) {
-        mTimer.cancel();
-        mTimer = mClock.schedule(timeout, () -> mEventLoop.runOnContext(ignored -> mOnStall.run()));
+        cancel();
+        long start = mStarts;
+        mTimer =
+                mClock.schedule(
+                        timeout,
+                        () ->
+                                mEventLoop.runOnContext(
+                                        ignored -> {
+                                            if (start == mStarts) {
+                                                mOnStall.run();
+                                            }
+                                        }));
     }
 
     void cancel() {
+        mStarts++;
         mTimer.cancel();
     }
 }
