Leave silences of an engine out of the time per output token

After one silence of an engine its agent refused sound requests as overloaded. Cause: the time per output token follows increases at once and was measured from the first to the last token of a run, so a silence of 1.4 s in a run of 10 tokens counted as 0.16 s per token. It falls by 2% per sample only, and work that is refused adds none. Evidence: StalledEngineTests.aSilenceOfTheEngineDoesNotMakeTheAgentRefuseLaterWork failed before: 200 tokens with a deadline of 20 s were refused, predicted time of 40,728 ms. Found by ModelFailureTests after a silence of all engines, the same with 64,141 ms. Change: times of 1 s and more without a token are left out of the measurement. Result: the test passes, with the other tests of StalledEngineTests (10), the tests of runs, cancellations, back-pressure and the scheduler.

--- a/tanagergap-agent/src/main/java/org/tanagergap/agent/attempt/ModelAttempt.java
+++ b/tanagergap-agent/src/main/java/org/tanagergap/agent/attempt/ModelAttempt.java
@@ -29,6 +29,9 @@
      */
     public static final Duration STALL_TIMEOUT = Duration.ofSeconds(10);
 
+    /** Longer times between tokens are pauses; engines take less than 0.1 s per token. */
+    private static final Duration MIN_OUTPUT_PAUSE = Duration.ofSeconds(1);
+
     /** Time that the engine has to confirm a cancellation before the memory is released anyway. */
     static final Duration CANCEL_TIMEOUT = Duration.ofSeconds(1);
 
@@ -43,6 +46,7 @@
     private Span mUpstreamSpan = Span.getInvalid();
     private long mStallDeadlineNanos;
     private long mNextIndex;
+    private long mLastTokenNanos;
     private boolean mEngineResponded;
     private boolean mStreamEnded;
 
@@ -86,6 +90,7 @@
 
     @Override
     protected void stopUpstream() {
+        reportPause();
         endUpstreamCall();
         if (mStreamEnded) {
             release(mNextIndex - mWork.getResumeFrom());
@@ -171,7 +176,10 @@
         if (!mEngineResponded) {
             mEngineResponded = true;
             mListener.firstToken(id(), mWork);
+        } else {
+            reportPause();
         }
+        mLastTokenNanos = mContext.clock().nanoTime();
         mNextIndex++;
         resetStallDeadline();
         send(
@@ -194,6 +202,7 @@
                                     + received));
             return;
         }
+        reportPause();
         mStreamEnded = true;
         endUpstreamCall();
         mListener.finished(mWork, finish.promptTokens());
@@ -223,6 +232,13 @@
         fail(upstreamFailure(knownExecution(), "engine stream ended before its last event"));
     }
 
+    private void reportPause() {
+        Duration gap = Duration.ofNanos(mContext.clock().nanoTime() - mLastTokenNanos);
+        if (mNextIndex > mWork.getResumeFrom() && gap.compareTo(MIN_OUTPUT_PAUSE) >= 0) {
+            mListener.outputPaused(id(), gap);
+        }
+    }
+
     private void scheduleStallCheck() {
         Duration remaining = Duration.ofNanos(mStallDeadlineNanos - mContext.clock().nanoTime());
         if (remaining.isNegative() || remaining.isZero()) {
--- a/tanagergap-agent/src/main/java/org/tanagergap/agent/attempt/ModelAttemptFactory.java
+++ b/tanagergap-agent/src/main/java/org/tanagergap/agent/attempt/ModelAttemptFactory.java
@@ -72,6 +72,11 @@
         mPrefixes.recordPrefill(work.getPrefixHash());
     }
 
+    @Override
+    public void outputPaused(AttemptId attempt, Duration pause) {
+        mScheduler.outputPaused(attempt, pause);
+    }
+
     @Override
     public void overloaded(Duration retryAfter) {
         sLogger.atInfo().log(
--- a/tanagergap-agent/src/main/java/org/tanagergap/agent/attempt/ModelAttemptListener.java
+++ b/tanagergap-agent/src/main/java/org/tanagergap/agent/attempt/ModelAttemptListener.java
@@ -10,6 +10,9 @@
     /** Called at the first token, when the prefill of an attempt is finished. */
     void firstToken(AttemptId attempt, CompletionWork work);
 
+    /** Called when no token has arrived for a time that is far above the time between tokens. */
+    void outputPaused(AttemptId attempt, Duration pause);
+
     /** Called when the engine has refused a request and takes others only after the time. */
     void overloaded(Duration retryAfter);
 
--- a/tanagergap-agent/src/test/java/org/tanagergap/agent/StalledEngineTests.java
+++ b/tanagergap-agent/src/test/java/org/tanagergap/agent/StalledEngineTests.java
@@ -75,6 +75,19 @@
         assertThat(sink.last().hasFinished()).isTrue();
     }
 
+    @Test
+    void aSilenceOfTheEngineDoesNotMakeTheAgentRefuseLaterWork() {
+        mFixture.faults(
+                mEngine.port(),
+                new JsonObject().put("silence_ms", 1_400).put("silent_after_tokens", 3));
+        assertThat(run("a.1", 10).last().hasFinished()).isTrue();
+        RunRequest.Builder request = AgentFixture.completion("b.1").setDeadlineLeftMs(20_000);
+        request.getCompletionBuilder().getCostBuilder().setMaxOutputTokens(OUTPUT_TOKENS);
+        RecordingSink sink = mFixture.run(request.build());
+        assertThat(sink.failure()).isEmpty();
+        assertThat(sink.tokens()).isEqualTo(WHOLE);
+    }
+
     @Test
     void aRunThatIsSentToASilentEngineSurvives() {
         mFixture.faults(mEngine.port(), new JsonObject().put("silence_ms", 3_000));
--- a/tanagergap-decisions/src/main/java/org/tanagergap/decisions/scheduling/FairUpstreamScheduler.java
+++ b/tanagergap-decisions/src/main/java/org/tanagergap/decisions/scheduling/FairUpstreamScheduler.java
@@ -72,6 +72,11 @@
         mLock.run(() -> prefillFinishedLocked(attempt, promptTokens, mClock.nanoTime()));
     }
 
+    @Override
+    public void outputPaused(AttemptId attempt, Duration pause) {
+        mLock.run(() -> mRunning.outputPaused(attempt, pause.toNanos()));
+    }
+
     @Override
     public boolean release(AttemptId attempt, long outputTokens) {
         return mLock.call(() -> releaseLocked(attempt, outputTokens, mClock.nanoTime()));
--- a/tanagergap-decisions/src/main/java/org/tanagergap/decisions/scheduling/RunningItem.java
+++ b/tanagergap-decisions/src/main/java/org/tanagergap/decisions/scheduling/RunningItem.java
@@ -19,7 +19,7 @@
     private double mPrefillLeft;
     private double mServedBefore;
     private boolean mStartedAlone;
-    private long mFirstTokenNanos;
+    private long mOutputStartNanos;
     private boolean mPrefilling = true;
     private int mMissingLists;
 
@@ -86,11 +86,16 @@
 
     void endPrefill(long nowNanos) {
         mPrefilling = false;
-        mFirstTokenNanos = nowNanos;
+        mOutputStartNanos = nowNanos;
     }
 
-    long firstTokenNanos() {
-        return mFirstTokenNanos;
+    /** Returns the time of the first token, moved by the pauses in the output. */
+    long outputStartNanos() {
+        return mOutputStartNanos;
+    }
+
+    void outputPaused(long pauseNanos) {
+        mOutputStartNanos += pauseNanos;
     }
 
     void seenInList() {
--- a/tanagergap-decisions/src/main/java/org/tanagergap/decisions/scheduling/RunningTable.java
+++ b/tanagergap-decisions/src/main/java/org/tanagergap/decisions/scheduling/RunningTable.java
@@ -92,6 +92,14 @@
         return Optional.of(run);
     }
 
+    /** Leaves a time without tokens out of the time per output token. */
+    void outputPaused(AttemptId attempt, long pauseNanos) {
+        RunningItem run = mRunning.get(attempt);
+        if (run != null && !run.isPrefilling()) {
+            run.outputPaused(pauseNanos);
+        }
+    }
+
     Optional<RunningItem> remove(AttemptId attempt, long outputTokens, long nowNanos) {
         RunningItem run = mRunning.remove(attempt);
         if (run == null) {
@@ -100,7 +108,7 @@
         if (run.isPrefilling()) {
             endPrefill(run, nowNanos);
         } else {
-            mTokenTime.released(run.firstTokenNanos(), nowNanos, outputTokens);
+            mTokenTime.released(run.outputStartNanos(), nowNanos, outputTokens);
         }
         return Optional.of(run);
     }
--- a/tanagergap-decisions/src/main/java/org/tanagergap/decisions/scheduling/UpstreamScheduler.java
+++ b/tanagergap-decisions/src/main/java/org/tanagergap/decisions/scheduling/UpstreamScheduler.java
@@ -30,6 +30,12 @@
      */
     void prefillFinished(AttemptId attempt, long promptTokens);
 
+    /**
+     * Records that no token of an attempt arrived for a time in which the engine was silent or the
+     * caller did not read. The time does not count as time per output token.
+     */
+    default void outputPaused(AttemptId attempt, Duration pause) {}
+
     /**
      * Releases a queued or running attempt. May be called again for the same attempt.
      *
