--- a/tanagergap-entry/src/main/java/org/tanagergap/entry/execution/AgentAttempt.java
+++ b/tanagergap-entry/src/main/java/org/tanagergap/entry/execution/AgentAttempt.java
@@ -1,6 +1,5 @@
 package org.tanagergap.entry.execution;
 
-import com.google.common.flogger.FluentLogger;
 import io.opentelemetry.api.trace.Span;
 import io.opentelemetry.api.trace.SpanKind;
 import io.opentelemetry.api.trace.StatusCode;
@@ -9,31 +8,25 @@
 import io.vertx.grpc.client.GrpcClientResponse;
 import io.vertx.grpc.common.GrpcStatus;
 import java.time.Duration;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.tanagergap.api.failure.Execution;
 import org.tanagergap.api.failure.FailureCode;
 import org.tanagergap.api.failure.RequestFailure;
 import org.tanagergap.api.request.AttemptId;
-import org.tanagergap.api.time.Timer;
 import org.tanagergap.decisions.routing.AgentEndpoint;
 import org.tanagergap.decisions.routing.LoadHint;
+import org.tanagergap.protocol.v1.Admitted;
 import org.tanagergap.protocol.v1.RunEvent;
 import org.tanagergap.protocol.v1.RunRequest;
-import org.tanagergap.runtime.log.LogKeys;
 
 /** One attempt of a request on one agent. Confined to the event loop of the request. */
 final class AgentAttempt {
 
-    private static final FluentLogger sLogger = FluentLogger.forEnclosingClass();
-
     /** Two exchange intervals; a live agent sends at least one message within this time. */
     private static final Duration ACTIVITY_WINDOW = Duration.ofSeconds(4);
 
-    /** Time for an agent to end a stream after its last event, before the call is reset. */
-    private static final Duration STREAM_END_TIMEOUT = Duration.ofSeconds(1);
-
     private final ExecutorContext mContext;
-    private final Context mEventLoop;
     private final CallerRequest mRequest;
     private final AttemptId mId;
     private final AgentEndpoint mAgent;
@@ -42,15 +35,16 @@
     private final Span mSpan;
     private final AttemptLogRecord mLogRecord;
     private final long mStartNanos;
+    private final StallTimer mStallTimer;
+    private final AgentCall mCall;
 
-    private GrpcClientRequest<RunRequest, RunEvent> mCall;
-    private GrpcClientResponse<RunRequest, RunEvent> mStream;
     private Execution mExecution = Execution.NOT_RUN;
     private boolean mResponseStarted;
     private boolean mPaused;
     private boolean mEnded;
-    private Timer mStallTimer = () -> {};
-    private Timer mStreamEndTimer = () -> {};
+    private boolean mStalled;
+    private Duration mStallTimeout = StallTimeout.BASE;
+    private Optional<Admitted> mAdmitted = Optional.empty();
 
     AgentAttempt(
             ExecutorContext context,
@@ -62,13 +56,14 @@
             AttemptLogRecord logRecord,
             AgentAttemptListener listener) {
         mContext = context;
-        mEventLoop = eventLoop;
         mRequest = request;
         mId = id;
         mAgent = agent;
         mLogRecord = logRecord;
         mStartNanos = context.clock().nanoTime();
         mListener = listener;
+        mStallTimer = new StallTimer(context.clock(), eventLoop, this::stalled);
+        mCall = new AgentCall(context, eventLoop, agent.address(), id);
         mChecker = new EventChecker(id, firstIndex);
         mSpan = context.tracing().startChild("attempt", SpanKind.CLIENT, request.span());
         mSpan.setAttribute("attempt_id", id.value());
@@ -84,8 +79,16 @@
         return mExecution;
     }
 
+    /** Message of the agent that it sends the attempt to its upstream, if one has arrived. */
+    Optional<Admitted> admitted() {
+        return mAdmitted;
+    }
+
     void start(Resumption resumption, SpanningPromptReservation reservation) {
         mContext.metrics().attemptStarted();
+        if (reservation != SpanningPromptReservation.NONE) {
+            mStallTimeout = StallTimeout.BASE_WITH_RESERVATION;
+        }
         armStallTimer();
         mContext.clients()
                 .connectForRun(mAgent.address())
@@ -100,7 +103,12 @@
             return;
         }
         end(StatusCode.ERROR);
-        closeCall();
+        mCall.close();
+    }
+
+    /** Fails the attempt, for which memory of other engines may be reserved no longer. */
+    void giveUp() {
+        failAndCancel("agent " + mAgent.name() + " sent nothing for too long");
     }
 
     /** Stops reading from the agent, because the caller reads too slowly. */
@@ -110,9 +118,7 @@
         }
         mPaused = true;
         mStallTimer.cancel();
-        if (mStream != null) {
-            mStream.pause();
-        }
+        mCall.pause();
     }
 
     void resume() {
@@ -121,9 +127,7 @@
             return;
         }
         armStallTimer();
-        if (mStream != null) {
-            mStream.resume();
-        }
+        mCall.resume();
     }
 
     private void connected(
@@ -134,7 +138,7 @@
             call.cancel();
             return;
         }
-        mCall = call;
+        mCall.connected(call);
         long timeToDeadlineMillis = mRequest.deadline().remaining(mContext.clock()).toMillis();
         if (timeToDeadlineMillis <= 0) {
             fail(RequestFailure.notRun(FailureCode.DEADLINE_EXCEEDED, "the deadline has passed"));
@@ -156,7 +160,7 @@
     }
 
     private void streamOpened(GrpcClientResponse<RunRequest, RunEvent> stream) {
-        mStream = stream;
+        mCall.opened(stream);
         mContext.router().connectionSucceeded(mAgent.name());
         stream.exceptionHandler(this::streamFailed);
         stream.invalidMessageHandler(this::streamFailed);
@@ -191,6 +195,10 @@
     }
 
     private void accept(RunEvent event) {
+        if (mStalled) {
+            mStalled = false;
+            mContext.router().connectionSucceeded(mAgent.name());
+        }
         boolean completion = mRequest.payload() instanceof RequestPayload.Completion;
         if (completion ? event.hasHead() || event.hasBody() : event.hasToken()) {
             mContext.metrics().eventDropped("unexpected");
@@ -198,17 +206,18 @@
         }
         switch (event.getEventCase()) {
             case FAILED -> {
-                awaitStreamEnd();
+                mCall.awaitEnd();
                 fail(WireFailures.read(event.getFailed()));
             }
             case FINISHED -> {
                 mExecution = Execution.RAN;
                 mLogRecord.finished(elapsedMillis());
-                awaitStreamEnd();
+                mCall.awaitEnd();
                 end(StatusCode.OK);
                 mListener.event(this, event);
             }
             case ADMITTED -> {
+                mAdmitted = Optional.of(event.getAdmitted());
                 mLogRecord.admitted(event.getAdmitted());
                 armStallTimer();
                 mListener.event(this, event);
@@ -223,16 +232,8 @@
         }
     }
 
-    private void awaitStreamEnd() {
-        mStreamEndTimer =
-                mContext.clock()
-                        .schedule(
-                                STREAM_END_TIMEOUT,
-                                () -> mEventLoop.runOnContext(ignored -> mCall.cancel()));
-    }
-
     private void streamEnded(GrpcStatus status) {
-        mStreamEndTimer.cancel();
+        mCall.ended();
         if (!mEnded) {
             streamFailed(new IllegalStateException("stream ended early with status " + status));
         }
@@ -243,11 +244,7 @@
             return;
         }
         mContext.router().connectionFailed(mAgent.name());
-        fail(
-                RequestFailure.notRun(
-                                FailureCode.UNAVAILABLE,
-                                "agent " + mAgent.name() + " cannot be reached")
-                        .withCause(cause));
+        fail(AgentFailures.unreachable(mAgent.name(), cause));
     }
 
     private void streamFailed(Throwable cause) {
@@ -255,64 +252,40 @@
             return;
         }
         mContext.router().connectionFailed(mAgent.name());
-        RequestFailure failure =
-                RequestFailure.of(
-                        FailureCode.UPSTREAM_FAILED,
-                        mExecution,
-                        "the connection to agent " + mAgent.name() + " broke");
-        fail(failure.withCause(cause));
-        mCall.cancel();
+        fail(AgentFailures.broken(mAgent.name(), mExecution, cause));
+        mCall.reset();
     }
 
     private void stalled() {
         if (mEnded || mPaused) {
             return;
         }
+        armStallTimer();
         // An agent that responds to other calls is live; the attempt waits in its queue. Response
         // headers come with the first event, so an attempt in the queue has no stream yet.
         if (!mResponseStarted
-                && mCall != null
+                && mCall.isConnected()
                 && mContext.activity().wasActiveWithin(mAgent.name(), ACTIVITY_WINDOW)) {
-            armStallTimer();
             return;
         }
-        mContext.metrics().stalled();
-        mContext.router().connectionFailed(mAgent.name());
-        failAndCancel("agent " + mAgent.name() + " sent nothing for too long");
+        if (!mStalled) {
+            mStalled = true;
+            mContext.metrics().stalled();
+            mContext.router().connectionFailed(mAgent.name());
+        }
+        mLogRecord.stalled(mListener.stalled(this));
     }
 
     private void failAndCancel(String message) {
         fail(RequestFailure.of(FailureCode.UPSTREAM_FAILED, mExecution, message));
-        closeCall();
-    }
-
-    /**
-     * Requests the end of the call from the agent and resets the call only on a timeout. HTTP/2
-     * closes a connection with all its streams after 200 resets within 30 s of streams that still
-     * receive frames; many callers that disconnect together would reach this limit.
-     */
-    private void closeCall() {
-        if (mCall == null) {
-            return;
-        }
-        mContext.clients().cancel(mAgent.address(), mId);
-        if (mStream != null) {
-            mStream.resume();
-        }
-        awaitStreamEnd();
+        mCall.close();
     }
 
     private void fail(RequestFailure failure) {
         mExecution = failure.execution();
         mLogRecord.failed(failure, elapsedMillis());
         end(StatusCode.ERROR);
-        sLogger.atFine()
-                .with(LogKeys.REQUEST_ID, mRequest.id().value())
-                .with(LogKeys.ATTEMPT_ID, mId.value())
-                .with(LogKeys.UPSTREAM, mAgent.name())
-                .with(LogKeys.CODE, failure.code().wireName())
-                .withCause(failure.getCause())
-                .log("attempt failed: %s", failure.getMessage());
+        AgentFailures.log(mRequest.id(), mId, mAgent.name(), failure);
         mListener.failed(this, failure);
     }
 
@@ -329,17 +302,13 @@
     }
 
     private void armStallTimer() {
-        mStallTimer.cancel();
         if (mPaused) {
             return;
         }
-        Duration timeout =
+        Optional<LoadHint> hint = mContext.router().hint(mAgent.name());
+        mStallTimer.restart(
                 mResponseStarted
-                        ? StallTimeout.BASE
-                        : StallTimeout.beforeResponse(
-                                mContext.router().hint(mAgent.name()), mRequest.payload());
-        mStallTimer =
-                mContext.clock()
-                        .schedule(timeout, () -> mEventLoop.runOnContext(ignored -> stalled()));
+                        ? mStallTimeout
+                        : StallTimeout.beforeResponse(mStallTimeout, hint, mRequest.payload()));
     }
 }
--- a/tanagergap-standins/src/main/java/org/tanagergap/standins/engine/CompletionStream.java
+++ b/tanagergap-standins/src/main/java/org/tanagergap/standins/engine/CompletionStream.java
@@ -9,19 +9,46 @@
     private final String mRequestId;
     private final HttpServerResponse mResponse;
     private final EngineFaults mFaults;
+    private final EngineSilence mSilence;
     private long mTokensSent;
 
-    CompletionStream(String requestId, HttpServerResponse response, EngineFaults faults) {
+    CompletionStream(
+            String requestId,
+            HttpServerResponse response,
+            EngineFaults faults,
+            EngineSilence silence) {
         mRequestId = requestId;
         mResponse = response;
         mFaults = faults;
+        mSilence = silence;
     }
 
     @Override
     public void onToken(long index, String text) {
+        mSilence.run(() -> sendToken(index, text));
+    }
+
+    @Override
+    public void onFinished(String finishReason, RunUsage usage) {
+        mSilence.run(() -> sendFinish(finishReason, usage));
+    }
+
+    @Override
+    public void onCancelled() {
+        if (!isOver()) {
+            mResponse.reset();
+        }
+    }
+
+    private void sendToken(long index, String text) {
         if (mFaults.withholdsEvents() || isOver() || mFaults.takeSkippedEvent()) {
             return;
         }
+        if (mFaults.finishesWithError()) {
+            send(error().put("request_id", mRequestId).put("finish_reason", "error"));
+            mResponse.end("data: [DONE]\n\n");
+            return;
+        }
         if (mFaults.takeCrossedEvent()) {
             send(token("other-request", index, " crossed"));
         }
@@ -32,11 +59,20 @@
         mTokensSent++;
         if (mFaults.cutsAfter(mTokensSent)) {
             mResponse.reset();
+        } else if (mFaults.endsAfter(mTokensSent)) {
+            endEarly();
         }
+        mFaults.takeSilence(mTokensSent).ifPresent(mSilence::begin);
     }
 
-    @Override
-    public void onFinished(String finishReason, RunUsage usage) {
+    private void endEarly() {
+        if (mFaults.endsWithError()) {
+            send(error());
+        }
+        mResponse.end();
+    }
+
+    private void sendFinish(String finishReason, RunUsage usage) {
         if (mFaults.withholdsEvents() || isOver()) {
             return;
         }
@@ -53,13 +89,6 @@
         mResponse.end("data: [DONE]\n\n");
     }
 
-    @Override
-    public void onCancelled() {
-        if (!isOver()) {
-            mResponse.reset();
-        }
-    }
-
     private void send(JsonObject event) {
         if (!isOver()) {
             mResponse.write("data: " + event.encode() + "\n\n");
@@ -71,6 +100,11 @@
         return mResponse.closed() || mResponse.ended();
     }
 
+    private static JsonObject error() {
+        JsonObject error = new JsonObject().put("code", "internal").put("message", "no memory");
+        return new JsonObject().put("error", error);
+    }
+
     private static JsonObject token(String requestId, long index, String text) {
         return new JsonObject().put("request_id", requestId).put("index", index).put("text", text);
     }
--- a/tanagergap-standins/src/main/java/org/tanagergap/standins/keyvalue/FaultSwitches.java
+++ b/tanagergap-standins/src/main/java/org/tanagergap/standins/keyvalue/FaultSwitches.java
@@ -1,20 +1,26 @@
 package org.tanagergap.standins.keyvalue;
 
 import io.vertx.core.json.JsonObject;
+import java.time.Duration;
 
 /** Faults that a test switches on in the stand-in; not thread-safe. */
 final class FaultSwitches {
 
     private boolean mOutage;
     private long mDelayMillis;
+    private long mSilentUntilNanos = Long.MIN_VALUE;
     private long mRepliesToLose;
     private long mRepliesToKeep;
     private boolean mRepeatsRefusals;
 
     /** Sets the faults that the object contains; the others keep their values. */
-    void update(JsonObject faults) {
+    void update(JsonObject faults, long nowNanos) {
         mOutage = faults.getBoolean("outage", mOutage);
         mDelayMillis = faults.getLong("delay_ms", mDelayMillis);
+        if (faults.containsKey("silence_ms")) {
+            mSilentUntilNanos =
+                    nowNanos + Duration.ofMillis(faults.getLong("silence_ms")).toNanos();
+        }
         mRepliesToLose = faults.getLong("lose_replies", mRepliesToLose);
         mRepliesToKeep = faults.getLong("keep_replies", mRepliesToKeep);
         mRepeatsRefusals = faults.getBoolean("repeat_refusals", mRepeatsRefusals);
@@ -33,8 +39,11 @@
         return mOutage;
     }
 
-    long delayMillis() {
-        return mDelayMillis;
+    /** Returns the time after which a call is applied: a fixed delay, or the rest of a silence. */
+    Duration delay(long nowNanos) {
+        Duration delay = Duration.ofMillis(mDelayMillis);
+        boolean silent = mSilentUntilNanos != Long.MIN_VALUE && mSilentUntilNanos > nowNanos;
+        return silent ? delay.plusNanos(mSilentUntilNanos - nowNanos) : delay;
     }
 
     /** Returns true if calls are answered with an earlier refusal of their connection. */
