Count a silent engine as crashed only after a bounded silence

Callers got 503 prompt_quarantined for a prompt part that crashes no engine, for ten minutes, after engines had lost connections and been silent for a second or so. Cause: CrashDetector sent one probe with a timeout of 500 ms after a lost connection and took a probe without a response for a crash. Evidence: StalledEngineQuarantineTests.enginesThatRespondAgainAfterASilenceQuarantineNothing failed before: after four engines were silent for 1.4 s each the fifth request with the part was refused. Change: CrashConfirmation decides from repeated probes.

--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/CrashDetector.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/CrashDetector.java
@@ -1,13 +1,17 @@
 package org.tanagergap.gateway.forward;
 
-import java.net.ConnectException;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.concurrent.TimeoutException;
 import java.util.function.Consumer;
+import org.tanagergap.api.time.RuntimeClock;
+import org.tanagergap.decisions.quarantine.CrashConfirmation;
+import org.tanagergap.decisions.quarantine.CrashConfirmation.Probe;
+import org.tanagergap.decisions.quarantine.CrashConfirmation.Verdict;
 import org.tanagergap.gateway.membership.Upstream;
+import org.tanagergap.runtime.http.BufferedCall;
 
 /**
  * Finds out whether an upstream that lost the connection of a request has crashed. A lost
@@ -16,14 +20,19 @@
  */
 final class CrashDetector {
 
+    /** Time from a probe without a response to the next one. */
+    private static final Duration PROBE_INTERVAL = Duration.ofMillis(250);
+
+    private final RuntimeClock mClock;
     private final EngineAdminClient mEngineAdmin;
     private final Map<Upstream, List<Consumer<Upstream>>> mWaiting = new HashMap<>();
 
-    CrashDetector(EngineAdminClient engineAdmin) {
+    CrashDetector(RuntimeClock clock, EngineAdminClient engineAdmin) {
+        mClock = clock;
         mEngineAdmin = engineAdmin;
     }
 
-    /** Probes the upstream and calls the action if it accepts no connection or is silent. */
+    /** Probes the upstream and calls the action if it has crashed. */
     void connectionLost(Upstream upstream, Consumer<Upstream> onCrash) {
         List<Consumer<Upstream>> waiting = mWaiting.get(upstream);
         if (waiting != null) {
@@ -31,22 +40,38 @@
             return;
         }
         mWaiting.put(upstream, new ArrayList<>(List.of(onCrash)));
+        probe(upstream, new CrashConfirmation(mClock.nanoTime()));
+    }
+
+    private void probe(Upstream upstream, CrashConfirmation confirmation) {
         mEngineAdmin
                 .status(upstream.address())
                 .onComplete(
-                        ignored -> mWaiting.remove(upstream),
-                        failure -> probeFailed(upstream, failure));
+                        response -> probed(upstream, confirmation, result(upstream, response)),
+                        failure -> probed(upstream, confirmation, result(failure)));
     }
 
-    private void probeFailed(Upstream upstream, Throwable failure) {
+    private void probed(Upstream upstream, CrashConfirmation confirmation, Probe probe) {
+        Verdict verdict = confirmation.probed(probe, mClock.nanoTime());
+        if (verdict == Verdict.UNDECIDED) {
+            mClock.schedule(PROBE_INTERVAL, () -> probe(upstream, confirmation));
+            return;
+        }
         List<Consumer<Upstream>> waiting = mWaiting.remove(upstream);
-        if (isGone(failure)) {
+        if (verdict == Verdict.CRASHED) {
             waiting.forEach(onCrash -> onCrash.accept(upstream));
         }
     }
 
+    private Probe result(Upstream upstream, BufferedCall.Response response) {
+        return mEngineAdmin.hasRestarted(upstream, response) ? Probe.GONE : Probe.RUNNING;
+    }
+
     /** A running engine may reset a connection, when it has too many, or respond with damage. */
-    private static boolean isGone(Throwable failure) {
-        return failure instanceof ConnectException || failure instanceof TimeoutException;
+    private static Probe result(Throwable failure) {
+        if (EngineAdminClient.isRefused(failure)) {
+            return Probe.GONE;
+        }
+        return EngineAdminClient.isSilent(failure) ? Probe.SILENT : Probe.RUNNING;
     }
 }
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/EngineAdminClient.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/EngineAdminClient.java
@@ -1,12 +1,17 @@
 package org.tanagergap.gateway.forward;
 
+import io.netty.channel.ConnectTimeoutException;
 import io.vertx.core.Future;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.RequestOptions;
+import java.net.ConnectException;
 import java.time.Duration;
 import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.concurrent.TimeoutException;
+import org.tanagergap.gateway.membership.Upstream;
 import org.tanagergap.gateway.wire.MemoryReservationRequest;
 import org.tanagergap.gateway.wire.WireFormat;
 import org.tanagergap.runtime.http.BufferedCall;
@@ -31,6 +36,24 @@
         return send(engine, HttpMethod.GET, mWire.livenessPath(), Optional.empty());
     }
 
+    /** Returns true if the engine that reported its status has started after it was registered. */
+    boolean hasRestarted(Upstream engine, BufferedCall.Response status) {
+        OptionalLong startedAt = mWire.startedAtMillis(status.body());
+        return engine.hasStartTime()
+                && startedAt.isPresent()
+                && startedAt.getAsLong() != engine.startedAtMillis();
+    }
+
+    /** Returns true if nothing listens at the address of the engine. */
+    static boolean isRefused(Throwable failure) {
+        return failure instanceof ConnectException && !(failure instanceof ConnectTimeoutException);
+    }
+
+    /** Returns true if the engine has neither responded nor closed the connection. */
+    static boolean isSilent(Throwable failure) {
+        return failure instanceof TimeoutException || failure instanceof ConnectTimeoutException;
+    }
+
     /** Sends a request for a memory reservation and returns the status of the response. */
     Future<Integer> reservation(HostPort engine, MemoryReservationRequest request) {
         return send(engine, HttpMethod.POST, request.path(), Optional.of(request.body()))
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/LivenessCheck.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/LivenessCheck.java
@@ -1,9 +1,6 @@
 package org.tanagergap.gateway.forward;
 
-import io.netty.channel.ConnectTimeoutException;
-import java.net.ConnectException;
 import java.time.Duration;
-import java.util.OptionalLong;
 import java.util.function.Consumer;
 import org.tanagergap.api.time.Timer;
 import org.tanagergap.decisions.stall.EngineLiveness;
@@ -106,20 +103,12 @@
 
     /** An engine that restarts between two probes leaves its connections open. */
     private Probe result(BufferedCall.Response response) {
-        OptionalLong startedAt = mContext.wire().startedAtMillis(response.body());
-        boolean restarted =
-                mEngine.hasStartTime()
-                        && startedAt.isPresent()
-                        && startedAt.getAsLong() != mEngine.startedAtMillis();
+        boolean restarted = mContext.engineAdmin().hasRestarted(mEngine, response);
         return restarted ? Probe.RESTARTED : Probe.ALIVE;
     }
 
-    /** A connection that times out is also reported as a {@link ConnectException}. */
     private static Probe result(Throwable failure) {
-        boolean refused =
-                failure instanceof ConnectException
-                        && !(failure instanceof ConnectTimeoutException);
-        return refused ? Probe.REFUSED : Probe.NO_RESPONSE;
+        return EngineAdminClient.isRefused(failure) ? Probe.REFUSED : Probe.NO_RESPONSE;
     }
 
     private static String reason(Probe probe) {
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/QuarantineGate.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/QuarantineGate.java
@@ -35,7 +35,7 @@
             RuntimeClock clock, MetricRegistry metrics, EngineAdminClient engineAdmin) {
         mClock = clock;
         mMetrics = metrics;
-        mCrashes = new CrashDetector(engineAdmin);
+        mCrashes = new CrashDetector(clock, engineAdmin);
     }
 
     /** Decides on the crashes known by now and returns what peers should know. */
