Keep the idle timeout of a connection that became idle under a longer one

Callers that reused a kept connection beside a change of the configuration found it closed without a response, although it had been idle for less than the limit that they knew. Evidence: KeptConnectionTests.aLowerIdleTimeoutIsNotAppliedToConnectionsThatAreIdleAlready failed before: 4 s after a change from 15 s to 1 s the request got no byte. Change: IdleLimits gives the longest limit that the caller has been able to go by, from 4 s before the connection became idle; IdleConnections applies it. Result: it passes; connectionsAreClosedAfterTheIdleTimeout passes before and after.

--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/caller/CallerConnections.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/caller/CallerConnections.java
@@ -3,10 +3,6 @@
 import com.google.common.flogger.FluentLogger;
 import io.vertx.core.http.HttpConnection;
 import java.time.Duration;
-import java.util.ArrayList;
-import java.util.HashMap;
-import java.util.List;
-import java.util.Map;
 import org.tanagergap.api.time.RuntimeClock;
 
 /** Tracks the open connections of callers and the requests on them. Confined to the event loop. */
@@ -14,58 +10,40 @@
 
     private static final FluentLogger sLogger = FluentLogger.forEnclosingClass();
 
-    private final RuntimeClock mClock;
-    private final Map<HttpConnection, ConnectionState> mStates = new HashMap<>();
-
-    private static final class ConnectionState {
-        private int mRequests;
-        private long mLastUsedNanos;
-    }
+    private final IdleConnections<HttpConnection> mConnections;
 
     CallerConnections(RuntimeClock clock) {
-        mClock = clock;
+        mConnections = new IdleConnections<>(clock, HttpConnection::close);
     }
 
     void opened(HttpConnection connection) {
-        ConnectionState state = new ConnectionState();
-        state.mLastUsedNanos = mClock.nanoTime();
-        mStates.put(connection, state);
+        mConnections.opened(connection);
         // Callers may reset connections at any time; the handlers of the requests end those.
         connection.exceptionHandler(
                 failure -> sLogger.atFine().log("caller connection failed: %s", failure));
-        connection.closeHandler(ignored -> mStates.remove(connection));
+        connection.closeHandler(ignored -> mConnections.closed(connection));
     }
 
     void requestStarted(HttpConnection connection) {
-        ConnectionState state = mStates.get(connection);
-        if (state != null) {
-            state.mRequests++;
-        }
+        mConnections.requestStarted(connection);
     }
 
     void requestEnded(HttpConnection connection) {
-        ConnectionState state = mStates.get(connection);
-        if (state != null) {
-            state.mRequests--;
-            state.mLastUsedNanos = mClock.nanoTime();
-        }
+        mConnections.requestEnded(connection);
+    }
+
+    /** Records the idle timeout of the configuration that is in force from now on. */
+    void limitInForce(Duration limit) {
+        mConnections.limitInForce(limit);
+    }
+
+    /** Closes the connections that have been idle for the timeout that their callers know. */
+    void closeIdle() {
+        mConnections.closeIdle();
     }
 
-    /** Closes the connections that have had no request for the given time. */
-    void closeIdle(Duration idle) {
-        long now = mClock.nanoTime();
-        List<HttpConnection> idleConnections = new ArrayList<>();
-        mStates.forEach(
-                (connection, state) -> {
-                    if (state.mRequests == 0 && now - state.mLastUsedNanos >= idle.toNanos()) {
-                        idleConnections.add(connection);
-                    }
-                });
-        if (!idleConnections.isEmpty()) {
-            sLogger.atInfo().log(
-                    "closing %d connections of callers that were idle for %d ms",
-                    idleConnections.size(), idle.toMillis());
-        }
-        idleConnections.forEach(HttpConnection::close);
+    /** Closes the connections that have been idle for the given time. */
+    void closeIdle(Duration limit) {
+        mConnections.closeIdle(limit);
     }
 }
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/caller/GatewayCallerServer.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/caller/GatewayCallerServer.java
@@ -141,7 +141,12 @@
     }
 
     private void closeIdle() {
-        mConnections.closeIdle(mStopping ? SHUTDOWN_IDLE_TIMEOUT : limits().idleTimeout());
+        if (mStopping) {
+            mConnections.closeIdle(SHUTDOWN_IDLE_TIMEOUT);
+        } else {
+            mConnections.limitInForce(limits().idleTimeout());
+            mConnections.closeIdle();
+        }
     }
 
     private CallerLimits limits() {
@@ -257,8 +262,9 @@
         serveAllWaiting();
     }
 
-    /** Serves the requests that have waited for a configuration. */
+    /** Applies the limits of a configuration and serves the requests that have waited for one. */
     public void configurationChanged() {
+        mConnections.limitInForce(limits().idleTimeout());
         serveAllWaiting();
     }
 
--- /dev/null
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/caller/IdleConnections.java
@@ -0,0 +1,99 @@
+package org.tanagergap.gateway.caller;
+
+import com.google.common.flogger.FluentLogger;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import java.util.function.Function;
+import org.tanagergap.api.time.RuntimeClock;
+
+/**
+ * Closes the connections on which no request has arrived for their idle timeout. Confined to the
+ * event loop.
+ *
+ * @param <C> connection, compared by identity
+ */
+final class IdleConnections<C> {
+
+    private static final FluentLogger sLogger = FluentLogger.forEnclosingClass();
+
+    private final RuntimeClock mClock;
+    private final Consumer<C> mClose;
+    private final IdleLimits mLimits = new IdleLimits();
+    private final Map<C, State> mStates = new HashMap<>();
+
+    private static final class State {
+        private int mRequests;
+        private long mLastUsedNanos;
+    }
+
+    IdleConnections(RuntimeClock clock, Consumer<C> close) {
+        mClock = clock;
+        mClose = close;
+    }
+
+    void opened(C connection) {
+        State state = new State();
+        state.mLastUsedNanos = mClock.nanoTime();
+        mStates.put(connection, state);
+    }
+
+    void closed(C connection) {
+        mStates.remove(connection);
+    }
+
+    void requestStarted(C connection) {
+        State state = mStates.get(connection);
+        if (state != null) {
+            state.mRequests++;
+        }
+    }
+
+    void requestEnded(C connection) {
+        State state = mStates.get(connection);
+        if (state != null) {
+            state.mRequests--;
+            state.mLastUsedNanos = mClock.nanoTime();
+        }
+    }
+
+    /** Records the idle timeout of the configuration that is in force from now on. */
+    void limitInForce(Duration limit) {
+        mLimits.inForce(limit, mClock.nanoTime());
+    }
+
+    /** Closes the connections that have been idle for the timeout that their callers know. */
+    void closeIdle() {
+        close(idle(state -> mLimits.limitFor(state.mLastUsedNanos)), mLimits.current());
+    }
+
+    /** Closes the connections that have been idle for the given time. */
+    void closeIdle(Duration limit) {
+        close(idle(state -> limit), limit);
+    }
+
+    private List<C> idle(Function<State, Duration> limit) {
+        long now = mClock.nanoTime();
+        List<C> idle = new ArrayList<>();
+        mStates.forEach(
+                (connection, state) -> {
+                    long idleNanos = now - state.mLastUsedNanos;
+                    if (state.mRequests == 0 && idleNanos >= limit.apply(state).toNanos()) {
+                        idle.add(connection);
+                    }
+                });
+        return idle;
+    }
+
+    private void close(List<C> connections, Duration limit) {
+        if (!connections.isEmpty()) {
+            sLogger.atInfo().log(
+                    "closing %d connections of callers that were idle for %d ms",
+                    connections.size(), limit.toMillis());
+        }
+        connections.forEach(mClose);
+    }
+}
