Read what has arrived before an idle connection is closed

A caller whose request had arrived at a busy gateway, but was not read yet, found its connection closed without a response. Change: a connection that is found idle is closed 200 ms later unless a request has begun on it. The line in the log counts those that were used or closed meanwhile. Result: they pass, also KeptConnectionTests, RequestPathTests and StreamTests. A request whose head has arrived only in part is still not seen, because Vert.x reports a request when its head is complete.

--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/caller/IdleConnections.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/caller/IdleConnections.java
@@ -18,6 +18,12 @@
  */
 final class IdleConnections<C> {
 
+    /**
+     * Time from finding a connection idle to closing it. The event loop reads what has arrived by
+     * then, also when it was busy before.
+     */
+    private static final Duration CLOSE_DELAY = Duration.ofMillis(200);
+
     private static final FluentLogger sLogger = FluentLogger.forEnclosingClass();
 
     private final RuntimeClock mClock;
@@ -28,6 +34,7 @@
     private static final class State {
         private int mRequests;
         private long mLastUsedNanos;
+        private boolean mClosing;
     }
 
     IdleConnections(RuntimeClock clock, Consumer<C> close) {
@@ -49,6 +56,7 @@
         State state = mStates.get(connection);
         if (state != null) {
             state.mRequests++;
+            state.mClosing = false;
         }
     }
 
@@ -67,33 +75,48 @@
 
     /** Closes the connections that have been idle for the timeout that their callers know. */
     void closeIdle() {
-        close(idle(state -> mLimits.limitFor(state.mLastUsedNanos)), mLimits.current());
+        closeLater(idle(state -> mLimits.limitFor(state.mLastUsedNanos)), mLimits.current());
     }
 
     /** Closes the connections that have been idle for the given time. */
     void closeIdle(Duration limit) {
-        close(idle(state -> limit), limit);
+        closeLater(idle(state -> limit), limit);
     }
 
+    /** Returns the idle connections that are not about to be closed. */
     private List<C> idle(Function<State, Duration> limit) {
         long now = mClock.nanoTime();
         List<C> idle = new ArrayList<>();
         mStates.forEach(
                 (connection, state) -> {
                     long idleNanos = now - state.mLastUsedNanos;
-                    if (state.mRequests == 0 && idleNanos >= limit.apply(state).toNanos()) {
+                    if (state.mRequests == 0
+                            && !state.mClosing
+                            && idleNanos >= limit.apply(state).toNanos()) {
                         idle.add(connection);
                     }
                 });
         return idle;
     }
 
-    private void close(List<C> connections, Duration limit) {
+    private void closeLater(List<C> connections, Duration limit) {
         if (!connections.isEmpty()) {
-            sLogger.atInfo().log(
-                    "closing %d connections of callers that were idle for %d ms",
-                    connections.size(), limit.toMillis());
+            connections.forEach(connection -> mStates.get(connection).mClosing = true);
+            mClock.schedule(CLOSE_DELAY, () -> closeUnlessUsed(connections, limit));
         }
-        connections.forEach(mClose);
+    }
+
+    private void closeUnlessUsed(List<C> connections, Duration limit) {
+        List<C> unused = connections.stream().filter(this::isClosing).toList();
+        sLogger.atInfo().log(
+                "closing %d connections of callers that were idle for %d ms; %d others were used or"
+                        + " closed since",
+                unused.size(), limit.toMillis(), connections.size() - unused.size());
+        unused.forEach(mClose);
+    }
+
+    private boolean isClosing(C connection) {
+        State state = mStates.get(connection);
+        return state != null && state.mClosing;
     }
 }
