--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/AttemptLoad.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/AttemptLoad.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.BooleanSupplier;
 import org.tanagergap.decisions.fleet.EngineProfile;
 import org.tanagergap.decisions.fleet.InFlightRequest;
 import org.tanagergap.decisions.fleet.Placement;
@@ -16,12 +17,14 @@
 
     private final ForwardingContext mContext;
     private final List<InFlightRequest> mInFlight = new ArrayList<>();
+    private Runnable mBegin = () -> {};
 
     AttemptLoad(ForwardingContext context) {
         mContext = context;
     }
 
     void begin(Placement placement, PlacementRequest request, Optional<EngineProfile> engine) {
+        mBegin = () -> begin(placement, request, engine);
         double promptPrefillMillis =
                 engine.map(e -> e.prefillMillis(request.cost().promptTokens())).orElse(0.0);
         double enginePrefillMillis = promptPrefillMillis / (1 + placement.helpers().size());
@@ -55,5 +58,14 @@
 
     void end() {
         mInFlight.forEach(mContext.load()::end);
+        mInFlight.clear();
+    }
+
+    /** Returns the result of an action that does not count this load. */
+    boolean without(BooleanSupplier action) {
+        end();
+        boolean result = action.getAsBoolean();
+        mBegin.run();
+        return result;
     }
 }
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/HelperMemoryReservation.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/HelperMemoryReservation.java
@@ -24,6 +24,12 @@
  */
 final class HelperMemoryReservation {
 
+    /**
+     * Time in which a reservation without a response is repeated if no other engine has the memory.
+     * A running engine may be silent for a second or so, and this is more than twice that.
+     */
+    private static final Duration MAX_ACQUISITION = Duration.ofMillis(2500);
+
     private static final Duration TIME_TO_LIVE = Duration.ofMillis(3500);
     private static final Duration EXTENSION_INTERVAL = Duration.ofMillis(1200);
 
@@ -47,6 +53,7 @@
     private final List<Upstream> mHelpers;
     private final long mTokens;
     private final List<Upstream> mContacted = new ArrayList<>();
+    private final List<Upstream> mReserved = new ArrayList<>();
     private final Set<String> mWithoutResponse = new HashSet<>();
     private final Set<String> mReleaseScheduled = new HashSet<>();
     private final Map<String, Timer> mExtending = new HashMap<>();
@@ -78,6 +85,9 @@
     /** Receives the outcome of a reservation. */
     interface Outcome {
 
+        /** Returns true if the request can be placed without the engine, which does not respond. */
+        boolean isReplaceable(Upstream helper);
+
         /** Called when all engines have reserved the memory. */
         void reserved(List<HelperAddress> helpers);
 
@@ -182,13 +192,16 @@
             return;
         }
         if (index == mHelpers.size()) {
-            mTimer = mContext.clock().schedule(EXTENSION_INTERVAL, this::extend);
             mOutcome.reserved(addresses());
             return;
         }
         Upstream helper = mHelpers.get(index);
         // A request without a response may have been accepted, so it is released as well.
         mContacted.add(helper);
+        acquire(helper, index);
+    }
+
+    private void acquire(Upstream helper, int index) {
         mContext.engineAdmin()
                 .reservation(
                         helper.address(),
@@ -196,6 +209,7 @@
                 .onComplete(
                         status -> {
                             if (status == HTTP_OK) {
+                                acquired(helper);
                                 acquireNext(index + 1);
                             } else {
                                 refused(helper, "status " + status);
@@ -203,10 +217,31 @@
                         },
                         failure -> {
                             recordNoResponse(helper, "reservation", failure);
-                            refused(helper, "no answer");
+                            if (mayRepeat(helper, failure)) {
+                                acquire(helper, index);
+                            } else {
+                                refused(helper, "no answer");
+                            }
                         });
     }
 
+    /** Extends the memory from the first engine on, because another one may respond late. */
+    private void acquired(Upstream helper) {
+        mReserved.add(helper);
+        if (mReserved.size() == 1 && !mReleased) {
+            mTimer = mContext.clock().schedule(EXTENSION_INTERVAL, this::extend);
+        }
+    }
+
+    /** The same identifier reserves no further memory if the engine carries out both requests. */
+    private boolean mayRepeat(Upstream helper, Throwable failure) {
+        long elapsedNanos = mContext.clock().nanoTime() - mStartNanos;
+        return !mReleased
+                && EngineAdminClient.isSilent(failure)
+                && elapsedNanos < MAX_ACQUISITION.toNanos()
+                && !mOutcome.isReplaceable(helper);
+    }
+
     private void refused(Upstream helper, String reason) {
         sLogger.atInfo().log(
                 "%d tokens for %s are not to be had at %s: %s", mTokens, mId, helper.id(), reason);
@@ -225,9 +260,9 @@
             return;
         }
         if (mUse.needsCheck(now)) {
-            checkUse(mHelpers.get(mExtensions % mHelpers.size()));
+            checkUse(mReserved.get(mExtensions % mReserved.size()));
         }
-        mContacted.stream()
+        mReserved.stream()
                 .filter(helper -> !mExtending.containsKey(helper.id()))
                 .forEach(this::extendUntilAnswered);
         mExtensions++;
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/OpenAttempts.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/OpenAttempts.java
@@ -108,6 +108,14 @@
         mRace.open().forEach(UpstreamAttempt::resume);
     }
 
+    /** Returns true if the request can be placed without the engine and those that have failed. */
+    boolean canPlaceWithout(String engine) {
+        Set<String> excluded = new HashSet<>(mRetries.failedUpstreams());
+        // After an earlier failure the request may be repeated at the engine, but not for longer.
+        return !excluded.add(engine)
+                || mDispatcher.chooseElsewhere(mLifecycle, excluded).isPresent();
+    }
+
     private StallDecision startAnother(boolean free) {
         if (!mRace.allStalled()) {
             return StallDecision.ANOTHER_RUNS;
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/RequestLifecycle.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/RequestLifecycle.java
@@ -228,6 +228,11 @@
         }
     }
 
+    @Override
+    public boolean canPlaceWithout(String engine) {
+        return mAttempts.canPlaceWithout(engine);
+    }
+
     /** Returns true if another run may go on with the response. */
     boolean resumable() {
         return !mStreaming || mLastEventId.isPresent();
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/UpstreamAttempt.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/UpstreamAttempt.java
@@ -227,6 +227,11 @@
         mReservation = Optional.of(reservation);
         reservation.acquire(
                 new HelperMemoryReservation.Outcome() {
+                    @Override
+                    public boolean isReplaceable(Upstream helper) {
+                        return mLoad.without(() -> mListener.canPlaceWithout(helper.id()));
+                    }
+
                     @Override
                     public void reserved(List<HelperAddress> helpers) {
                         if (!mEnded) {
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/UpstreamAttemptListener.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/UpstreamAttemptListener.java
@@ -37,4 +37,7 @@
 
     /** Returns true if a stream without any event is the response to the request. */
     boolean acceptsEmptyStream();
+
+    /** Returns true if the request can be placed without using the engine. */
+    boolean canPlaceWithout(String engine);
 }
