Use an upstream again when the peer that suspended it does

Requests of other instances waited or went elsewhere for up to 4 s after an upstream had gone on, because only the instance that saw it stall and go on used it again. Cause: a suspension reported by a peer was kept to its end, although reports of that peer no longer had it. Evidence: PeerSuspensionTests.anUpstreamIsUsableAgainWhenItsPeerNoLongerSuspendsIt and aSuspensionOfAnotherPeerStays failed before, with the reports applied as before. Change: UpstreamHealth keeps the suspensions of each peer and replaces them with each of its reports. Result: they pass, as do FleetStateTests, PeerDatagramTests and StalledUpstreamTests.

--- a/tanagergap-decisions/src/main/java/org/tanagergap/decisions/fleet/UpstreamHealth.java
+++ b/tanagergap-decisions/src/main/java/org/tanagergap/decisions/fleet/UpstreamHealth.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Set;
 
 /**
  * Health of each upstream as observed by requests: failures suspend it for a time that doubles with
@@ -20,6 +21,7 @@
     private static final double MAX_SLOWNESS = 10;
 
     private final Map<String, State> mStates = new HashMap<>();
+    private final Map<String, Set<String>> mSuspendedByPeer = new HashMap<>();
 
     private static final class State {
         private int mFailures;
@@ -29,6 +31,7 @@
         private boolean mStalled;
         private int mFailuresBeforeStall;
         private double mSlowness = 1;
+        private final Map<String, Long> mPeersUntilNanos = new HashMap<>();
     }
 
     /** Records a complete response. */
@@ -38,6 +41,7 @@
             state.mFailures = 0;
             state.mStalled = false;
             state.mSuspended = false;
+            state.mPeersUntilNanos.clear();
         }
     }
 
@@ -79,10 +83,11 @@
             state.mStalled = false;
             state.mFailures = state.mFailuresBeforeStall;
             state.mSuspended = false;
+            state.mPeersUntilNanos.clear();
         }
     }
 
-    /** Suspends an upstream that requested a pause or that a peer has suspended. */
+    /** Suspends an upstream for another reason than a failure, such as a pause it requested. */
     public void suspend(String upstream, Duration duration, long nowNanos) {
         State state = state(upstream);
         long until = nowNanos + duration.toNanos();
@@ -93,6 +98,26 @@
         }
     }
 
+    /**
+     * Replaces the upstreams that a peer suspends because of failures that it observed, with the
+     * remaining time.
+     */
+    public void peerReported(String peer, Map<String, Duration> suspended, long nowNanos) {
+        for (String upstream : mSuspendedByPeer.getOrDefault(peer, Set.of())) {
+            State state = mStates.get(upstream);
+            if (state != null && !suspended.containsKey(upstream)) {
+                state.mPeersUntilNanos.remove(peer);
+            }
+        }
+        suspended.forEach(
+                (id, left) -> state(id).mPeersUntilNanos.put(peer, nowNanos + left.toNanos()));
+        if (suspended.isEmpty()) {
+            mSuspendedByPeer.remove(peer);
+        } else {
+            mSuspendedByPeer.put(peer, Set.copyOf(suspended.keySet()));
+        }
+    }
+
     /** Records the ratio of an observed time to the first token to its prediction. */
     public void firstTokenObserved(String upstream, double ratio) {
         State state = state(upstream);
@@ -103,7 +128,12 @@
     /** Returns true if requests may be sent to the upstream now. */
     public boolean isUsable(String upstream, long nowNanos) {
         State state = mStates.get(upstream);
-        return state == null || !state.mSuspended || nowNanos - state.mSuspendedUntilNanos >= 0;
+        if (state == null) {
+            return true;
+        }
+        boolean suspended = state.mSuspended && nowNanos - state.mSuspendedUntilNanos < 0;
+        return !suspended
+                && state.mPeersUntilNanos.values().stream().allMatch(u -> nowNanos - u >= 0);
     }
 
     /**
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/peer/PeerExchange.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/peer/PeerExchange.java
@@ -147,8 +147,10 @@
         mDirectory.reportReceived(report.id(), sender, report.progress().position());
         mPeerProgress.accept(report.progress());
         mLoad.peerReported(report.id(), report.loads(), now);
+        Map<String, Duration> suspended = new HashMap<>();
         report.suspendedMillis()
-                .forEach((id, remaining) -> mHealth.suspend(id, Duration.ofMillis(remaining), now));
+                .forEach((id, remaining) -> suspended.put(id, Duration.ofMillis(remaining)));
+        mHealth.peerReported(report.id(), suspended, now);
         mQuarantine.accept(report.quarantine());
         mRateLimits.accept(report.rateLimits());
     }
