Guard the fleet view against a store that is silent for a while

No fault was found: after polls without a response for 1.4 s the view has its upstreams, the instance stays ready, and the store is polled again without a full read.

--- a/tanagergap-gateway/src/test/java/org/tanagergap/gateway/membership/StoreSyncTests.java
+++ b/tanagergap-gateway/src/test/java/org/tanagergap/gateway/membership/StoreSyncTests.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeoutException;
 import org.junit.jupiter.api.Test;
 import org.tanagergap.api.store.StorePosition;
 import org.tanagergap.platform.keyvalue.ChangeFeed;
@@ -20,6 +21,7 @@
 final class StoreSyncTests {
 
     private static final String PREFIX = "upstreams/";
+    private static final Duration POLL_TIMEOUT = Duration.ofMillis(700);
 
     private final PausedClock mClock = new PausedClock();
     private final FleetView mView = new FleetView(mClock);
@@ -29,6 +31,7 @@
     private long mEpoch = 1;
     private long mRevision = 10;
     private boolean mHistoryLost;
+    private boolean mSilent;
     private int mRestores;
     private int mInstances = 4;
 
@@ -45,6 +48,13 @@
         @Override
         public CompletableFuture<Changes> changesAfter(long revision) {
             mPolls++;
+            if (mSilent) {
+                CompletableFuture<Changes> timedOut = new CompletableFuture<>();
+                mClock.schedule(
+                        POLL_TIMEOUT,
+                        () -> timedOut.completeExceptionally(new TimeoutException("no response")));
+                return timedOut;
+            }
             if (mHistoryLost) {
                 return CompletableFuture.failedFuture(new HistoryLostException(revision));
             }
@@ -249,4 +259,20 @@
         mClock.advance(Duration.ofMillis(2900));
         assertThat(mView.usable("s")).hasSize(1);
     }
+
+    @Test
+    void aStoreThatIsSilentForAWhileKeepsTheFleetAndIsPolledAgain() {
+        StoreSync sync = started();
+        mSilent = true;
+        mClock.advance(Duration.ofMillis(1400));
+        assertThat(mView.usable("s")).hasSize(1);
+        mSilent = false;
+        long before = mPolls;
+        mClock.advance(Duration.ofSeconds(3));
+
+        assertThat(mPolls).isAtLeast(before + 3);
+        assertThat(mReads).isEqualTo(1);
+        assertThat(mView.usable("s")).hasSize(1);
+        assertThat(sync.loaded().isDone()).isTrue();
+    }
 }
