Check for a crash when an engine is silent in a prefill

Prompts that make engines silent for good in their prefill, without a closed connection, were not put into quarantine and reached one engine after the other. A request is counted once for each check.

--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/AttemptObservations.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/AttemptObservations.java
@@ -2,6 +2,7 @@
 
 import com.google.common.flogger.FluentLogger;
 import java.time.Duration;
+import java.util.function.Consumer;
 import org.tanagergap.api.request.AttemptId;
 import org.tanagergap.decisions.fleet.Placement;
 import org.tanagergap.decisions.stall.IdleTimeout;
@@ -112,6 +113,17 @@
         return upstream;
     }
 
+    /**
+     * Returns a consumer of the time since an engine last responded to a probe, which also checks
+     * whether the engine has crashed: a machine that crashes closes no connection.
+     */
+    Consumer<Duration> checkingForCrash(Consumer<Duration> onStall) {
+        return silence -> {
+            reportLostConnection();
+            onStall.accept(silence);
+        };
+    }
+
     /** A request that has received tokens is not the cause if its engine crashes later. */
     private void reportLostConnection() {
         if (!mHasEvent && !mLifecycle.responseStarted()) {
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/CrashDetector.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/CrashDetector.java
@@ -1,9 +1,8 @@
 package org.tanagergap.gateway.forward;
 
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.List;
+import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.function.Consumer;
 import org.tanagergap.api.time.RuntimeClock;
@@ -25,22 +24,24 @@
 
     private final RuntimeClock mClock;
     private final EngineAdminClient mEngineAdmin;
-    private final Map<Upstream, List<Consumer<Upstream>>> mWaiting = new HashMap<>();
+    private final Map<Upstream, Map<String, Consumer<Upstream>>> mWaiting = new HashMap<>();
 
     CrashDetector(RuntimeClock clock, EngineAdminClient engineAdmin) {
         mClock = clock;
         mEngineAdmin = engineAdmin;
     }
 
-    /** Probes the upstream and calls the action if it has crashed. */
-    void connectionLost(Upstream upstream, Consumer<Upstream> onCrash) {
-        List<Consumer<Upstream>> waiting = mWaiting.get(upstream);
-        if (waiting != null) {
-            waiting.add(onCrash);
-            return;
+    /**
+     * Probes the upstream and calls the action if it has crashed, once for a request that is
+     * reported several times meanwhile.
+     */
+    void connectionLost(Upstream upstream, String request, Consumer<Upstream> onCrash) {
+        boolean probing = mWaiting.containsKey(upstream);
+        mWaiting.computeIfAbsent(upstream, ignored -> new LinkedHashMap<>())
+                .putIfAbsent(request, onCrash);
+        if (!probing) {
+            probe(upstream, new CrashConfirmation(mClock.nanoTime()));
         }
-        mWaiting.put(upstream, new ArrayList<>(List.of(onCrash)));
-        probe(upstream, new CrashConfirmation(mClock.nanoTime()));
     }
 
     private void probe(Upstream upstream, CrashConfirmation confirmation) {
@@ -57,9 +58,9 @@
             mClock.schedule(PROBE_INTERVAL, () -> probe(upstream, confirmation));
             return;
         }
-        List<Consumer<Upstream>> waiting = mWaiting.remove(upstream);
+        Map<String, Consumer<Upstream>> waiting = mWaiting.remove(upstream);
         if (verdict == Verdict.CRASHED) {
-            waiting.forEach(onCrash -> onCrash.accept(upstream));
+            waiting.values().forEach(onCrash -> onCrash.accept(upstream));
         }
     }
 
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/QuarantineGate.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/QuarantineGate.java
@@ -87,12 +87,13 @@
         mQuarantine.tokensGenerated(request.sharedPromptParts(), mClock.nanoTime());
     }
 
-    /** Records that the connection to the upstream was lost before it generated a token. */
+    /** Records that the upstream was lost or is silent before it generated a token. */
     void connectionLost(Upstream upstream, RequestLifecycle lifecycle) {
         List<String> parts = lifecycle.request().sharedPromptParts();
         if (!parts.isEmpty()) {
             String request = lifecycle.exchange().id().value();
-            mCrashes.connectionLost(upstream, crashed -> engineCrashed(crashed, request, parts));
+            mCrashes.connectionLost(
+                    upstream, request, crashed -> engineCrashed(crashed, request, parts));
         }
     }
 
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/UpstreamAttempt.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/UpstreamAttempt.java
@@ -7,6 +7,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.Consumer;
 import org.tanagergap.api.failure.Execution;
 import org.tanagergap.api.request.AttemptId;
 import org.tanagergap.decisions.fleet.Placement;
@@ -305,9 +306,9 @@
     private void startLivenessCheck(Upstream engine) {
         boolean hasReservation = mReservation.isPresent();
         if (hasReservation || mPlacement.firstTokenMillis() > MIN_CHECKED_PREFILL_MILLIS) {
+            Consumer<Duration> onStall = mObservations.checkingForCrash(this::stalled);
             LivenessCheck check =
-                    new LivenessCheck(
-                            mContext, engine, hasReservation, this::engineLost, this::stalled);
+                    new LivenessCheck(mContext, engine, hasReservation, this::engineLost, onStall);
             mLiveness = Optional.of(check);
             check.start();
         }
