--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/QuarantineGate.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/QuarantineGate.java
@@ -35,7 +35,7 @@
             RuntimeClock clock, MetricRegistry metrics, EngineAdminClient engineAdmin) {
         mClock = clock;
         mMetrics = metrics;
-        mCrashes = new CrashDetector(engineAdmin);
+        mCrashes = new CrashDetector(clock, engineAdmin);
     }
 
     /** Decides on the crashes known by now and returns what peers should know. */
@@ -87,12 +87,13 @@
         mQuarantine.tokensGenerated(request.sharedPromptParts(), mClock.nanoTime());
     }
 
-    /** Records that the connection to the upstream was lost before it generated a token. */
+    /** Records that the upstream was lost or is silent before it generated a token. */
     void connectionLost(Upstream upstream, RequestLifecycle lifecycle) {
         List<String> parts = lifecycle.request().sharedPromptParts();
         if (!parts.isEmpty()) {
             String request = lifecycle.exchange().id().value();
-            mCrashes.connectionLost(upstream, crashed -> engineCrashed(crashed, request, parts));
+            mCrashes.connectionLost(
+                    upstream, request, crashed -> engineCrashed(crashed, request, parts));
         }
     }
 
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/UpstreamAttempt.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/UpstreamAttempt.java
@@ -7,6 +7,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.Consumer;
 import org.tanagergap.api.failure.Execution;
 import org.tanagergap.api.request.AttemptId;
 import org.tanagergap.decisions.fleet.Placement;
@@ -211,6 +212,11 @@
         mReservation = Optional.of(reservation);
         reservation.acquire(
                 new HelperMemoryReservation.Outcome() {
+                    @Override
+                    public boolean isReplaceable(Upstream helper) {
+                        return mLoad.without(() -> mListener.canPlaceWithout(helper.id()));
+                    }
+
                     @Override
                     public void reserved(List<HelperAddress> helpers) {
                         if (!mEnded) {
@@ -267,9 +273,9 @@
     private void startLivenessCheck(Upstream engine) {
         boolean hasReservation = mReservation.isPresent();
         if (hasReservation || mPlacement.firstTokenMillis() > MIN_CHECKED_PREFILL_MILLIS) {
+            Consumer<Duration> onStall = mObservations.checkingForCrash(this::stalled);
             LivenessCheck check =
-                    new LivenessCheck(
-                            mContext, engine, hasReservation, this::engineLost, this::stalled);
+                    new LivenessCheck(mContext, engine, hasReservation, this::engineLost, onStall);
             mLiveness = Optional.of(check);
             check.start();
         }
