Keep a run in a reservation that its engine does not list yet

Callers lost the last part of a spanning prompt when its engine was silent after the segments were prefilled. Cause: AttemptTable.reconcile adds attempts that were just sent to the engine's list, so that they are not taken for lost, but also those that run in a reservation, of which the scheduler has no record. It returned them as orphans and the agent cancelled them. Change: attempts in reservations are left out. The log names the runs it cancels.

--- a/tanagergap-agent/src/main/java/org/tanagergap/agent/attempt/AttemptTable.java
+++ b/tanagergap-agent/src/main/java/org/tanagergap/agent/attempt/AttemptTable.java
@@ -137,9 +137,11 @@
             }
         }
         for (Attempt attempt : mAttempts.values()) {
-            // A run that was only just sent may not be in the engine's list yet.
+            // A run that was only just sent may not be in the engine's list yet. The scheduler has
+            // no record of one that runs in a reservation.
             if (attempt.hasLeftQueue()
                     && attempt.isDispatchUnconfirmed()
+                    && !reservedAttempts.contains(attempt.id())
                     && listedAttempts.add(attempt.id())) {
                 runs.add(new EngineRun(attempt.id(), 0));
             }
--- a/tanagergap-agent/src/main/java/org/tanagergap/agent/load/EngineMonitor.java
+++ b/tanagergap-agent/src/main/java/org/tanagergap/agent/load/EngineMonitor.java
@@ -159,7 +159,7 @@
         }
         mMetrics.counter("agent_orphan_runs_total").inc(orphans.size());
         sLogger.atWarning().log(
-                "cancelling %d engine runs that have no attempt on this agent", orphans.size());
+                "cancelling engine runs that have no attempt on this agent: %s", orphans);
         // If a cancellation fails, the next reconciliation finds the orphan again.
         List<Uni<Void>> cancellations =
                 orphans.stream().map(o -> mEngine.cancel(o).onFailure().recoverWithNull()).toList();
