Do not take closed probes for silence, nor a stream with events for stalled

Callers lost a stream with reserved memory after some seconds although its events arrived: its engine closed the connections of probes, as engines do beyond their limit of connections. Cause: any failed probe except a refused connection counted as silence, and events of the request did not count as a sign of life. Change: only a probe without response and without close is silence, as in CrashDetector; an event resets the failures; a released reservation ends the limit of 2.5 s.

--- a/tanagergap-decisions/src/main/java/org/tanagergap/decisions/stall/EngineLiveness.java
+++ b/tanagergap-decisions/src/main/java/org/tanagergap/decisions/stall/EngineLiveness.java
@@ -19,20 +19,20 @@
      */
     static final Duration MAX_SILENCE_WITH_RESERVATION = Duration.ofMillis(2500);
 
-    private final boolean mHoldsReservation;
+    private boolean mHoldsReservation;
     private int mConsecutiveFailures;
     private int mConsecutiveRefusals;
     private Optional<Long> mFirstFailureNanos = Optional.empty();
 
     /** Result of a probe. */
     public enum Probe {
-        /** The engine has responded and has not restarted. */
+        /** The engine has responded and has not restarted, or it has closed the connection. */
         ALIVE,
         /** The engine has responded and has started after the request was sent. */
         RESTARTED,
         /** Nothing listens at the address of the engine. */
         REFUSED,
-        /** The engine has not responded, or its response was lost. */
+        /** The engine has neither responded nor closed the connection. */
         NO_RESPONSE
     }
 
@@ -66,9 +66,7 @@
             return Verdict.LOST;
         }
         if (probe == Probe.ALIVE) {
-            mConsecutiveFailures = 0;
-            mConsecutiveRefusals = 0;
-            mFirstFailureNanos = Optional.empty();
+            responded();
             return Verdict.ALIVE;
         }
         mConsecutiveFailures++;
@@ -79,6 +77,18 @@
         return verdict(nowNanos - mFirstFailureNanos.get());
     }
 
+    /** Records data of the request, which shows as much as a response to a probe. */
+    public void responded() {
+        mConsecutiveFailures = 0;
+        mConsecutiveRefusals = 0;
+        mFirstFailureNanos = Optional.empty();
+    }
+
+    /** Records that no memory on other engines is reserved for the request any more. */
+    public void reservationReleased() {
+        mHoldsReservation = false;
+    }
+
     /** Number of probes in a row that have failed. */
     public int consecutiveFailures() {
         return mConsecutiveFailures;
--- a/tanagergap-decisions/src/test/java/org/tanagergap/decisions/stall/EngineLivenessTests.java
+++ b/tanagergap-decisions/src/test/java/org/tanagergap/decisions/stall/EngineLivenessTests.java
@@ -50,6 +50,26 @@
         assertThat(noResponse(mLiveness, 3250)).isEqualTo(Verdict.ALIVE);
     }
 
+    /** A stream that was delivering events was ended because the probes of its engine failed. */
+    @Test
+    void anEngineThatSendsDataOfTheRequestIsNotLost() {
+        noResponse(mWithReservation, 1000);
+        noResponse(mWithReservation, 1500);
+        mWithReservation.responded();
+
+        assertThat(noResponse(mWithReservation, 3500)).isEqualTo(Verdict.ALIVE);
+        assertThat(noResponse(mWithReservation, 4000)).isEqualTo(Verdict.STALLED);
+    }
+
+    @Test
+    void anEngineMayStaySilentAfterTheReservationIsReleased() {
+        noResponse(mWithReservation, 1000);
+        noResponse(mWithReservation, 1500);
+        mWithReservation.reservationReleased();
+
+        assertThat(noResponse(mWithReservation, 9000)).isEqualTo(Verdict.STALLED);
+    }
+
     @Test
     void anEngineThatHasRestartedIsLost() {
         assertThat(probed(mLiveness, Probe.RESTARTED, 1000, 1)).isEqualTo(Verdict.LOST);
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/LivenessCheck.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/LivenessCheck.java
@@ -25,6 +25,7 @@
     private final Upstream mEngine;
     private final Consumer<String> mOnLost;
     private final Consumer<Duration> mOnStall;
+    private final Runnable mOnResponse;
     private final EngineLiveness mLiveness;
     private Timer mTimer = () -> {};
     private boolean mStopped;
@@ -36,17 +37,20 @@
      * @param holdsReservation whether memory on other engines is reserved for the request
      * @param onLost receives the reason when the engine has lost its requests
      * @param onStall receives the time since its last response when the engine does not respond
+     * @param onResponse called when the engine responds to a probe
      */
     LivenessCheck(
             ForwardingContext context,
             Upstream engine,
             boolean holdsReservation,
             Consumer<String> onLost,
-            Consumer<Duration> onStall) {
+            Consumer<Duration> onStall,
+            Runnable onResponse) {
         mContext = context;
         mEngine = engine;
         mOnLost = onLost;
         mOnStall = onStall;
+        mOnResponse = onResponse;
         mLiveness = new EngineLiveness(holdsReservation);
     }
 
@@ -60,6 +64,17 @@
         mTimer.cancel();
     }
 
+    /** Records that data of the request has arrived. */
+    void dataArrived() {
+        mLiveness.responded();
+        mLastResponseNanos = now();
+    }
+
+    /** Records that no memory on other engines is reserved for the request any more. */
+    void reservationReleased() {
+        mLiveness.reservationReleased();
+    }
+
     private void schedule(Duration delay) {
         mTimer = mContext.clock().schedule(delay, this::probe);
     }
@@ -88,6 +103,7 @@
                 if (probe == Probe.ALIVE) {
                     mLastResponseNanos = now;
                     schedule(INTERVAL);
+                    mOnResponse.run();
                 } else {
                     schedule(repeatDelay());
                 }
@@ -108,7 +124,11 @@
     }
 
     private static Probe result(Throwable failure) {
-        return EngineAdminClient.isRefused(failure) ? Probe.REFUSED : Probe.NO_RESPONSE;
+        if (EngineAdminClient.isRefused(failure)) {
+            return Probe.REFUSED;
+        }
+        // A running engine closes connections beyond its limit.
+        return EngineAdminClient.isSilent(failure) ? Probe.NO_RESPONSE : Probe.ALIVE;
     }
 
     private static String reason(Probe probe) {
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/UpstreamAttempt.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/UpstreamAttempt.java
@@ -175,6 +175,7 @@
     private void recordEvent() {
         Duration gap = mIdleCheck.eventArrived();
         mObservations.progressed();
+        mLiveness.ifPresent(LivenessCheck::dataArrived);
         if (mStalled) {
             mStalled = false;
             logStall(gap, "the upstream goes on");
@@ -237,6 +238,7 @@
                     public void unused() {
                         // The memory is free again, also for the next attempt.
                         mLoad.end();
+                        mLiveness.ifPresent(LivenessCheck::reservationReleased);
                         stalled(mIdleCheck.silence());
                     }
                 });
@@ -275,7 +277,13 @@
         if (hasReservation || mPlacement.firstTokenMillis() > MIN_CHECKED_PREFILL_MILLIS) {
             Consumer<Duration> onStall = mObservations.checkingForCrash(this::stalled);
             LivenessCheck check =
-                    new LivenessCheck(mContext, engine, hasReservation, this::engineLost, onStall);
+                    new LivenessCheck(
+                            mContext,
+                            engine,
+                            hasReservation,
+                            this::engineLost,
+                            onStall,
+                            mObservations::progressed);
             mLiveness = Optional.of(check);
             check.start();
         }
