Suspend a stalled upstream once for all requests that stall together

Cause: each stalled request doubled the suspension, so five of them suspended an upstream that was silent for a second for 4 s, also at peers. A failure left the mark of a stall, so that later progress ended a suspension it had not caused. Evidence: FleetStateTests.requestsThatStallTogetherSuspendTheUpstreamOnce failed before. Result: it passes.

--- a/tanagergap-decisions/src/main/java/org/tanagergap/decisions/fleet/UpstreamHealth.java
+++ b/tanagergap-decisions/src/main/java/org/tanagergap/decisions/fleet/UpstreamHealth.java
@@ -48,6 +48,7 @@
     /** Records a failure of a reachable upstream. */
     public void failed(String upstream, long nowNanos) {
         State state = state(upstream);
+        state.mStalled = false;
         state.mFailures++;
         if (state.mFailures >= TOLERATED_FAILURES) {
             suspend(state, state.mFailures - TOLERATED_FAILURES, nowNanos);
@@ -68,6 +69,10 @@
      */
     public void stalled(String upstream, long nowNanos) {
         State state = state(upstream);
+        if (state.mStalled && state.mSuspended && nowNanos - state.mSuspendedUntilNanos < 0) {
+            // Several requests see the same silence.
+            return;
+        }
         if (!state.mStalled) {
             state.mStalled = true;
             state.mFailuresBeforeStall = state.mFailures;
--- a/tanagergap-decisions/src/test/java/org/tanagergap/decisions/fleet/FleetStateTests.java
+++ b/tanagergap-decisions/src/test/java/org/tanagergap/decisions/fleet/FleetStateTests.java
@@ -115,6 +115,17 @@
             assertThat(mHealth.isUsable("e1", 1_300 * MILLI)).isTrue();
         }
 
+        /** Five requests that stalled together suspended their upstream for 4 s. */
+        @Test
+        void requestsThatStallTogetherSuspendTheUpstreamOnce() {
+            for (int i = 0; i < 5; i++) {
+                mHealth.stalled("e1", i * MILLI);
+            }
+
+            assertThat(mHealth.isUsable("e1", 399 * MILLI)).isFalse();
+            assertThat(mHealth.isUsable("e1", 400 * MILLI)).isTrue();
+        }
+
         @Test
         void progressDoesNotEndASuspensionForAnotherReason() {
             mHealth.stalled("e1", 0);
