Release memory again that was reserved after its release

Cause: requests to an engine use separate connections, so a release can overtake the reservation or extension before it. A successful response after the release was not looked at, and the memory stayed reserved until it expired, 3.5 s later. Evidence: ReservationTests.aReservationThatIsMadeAfterItsReleaseIsReleasedAgain failed before: one release and no second one within 10 s. Result: it passes.

--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/HelperMemoryReservation.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/HelperMemoryReservation.java
@@ -176,6 +176,13 @@
         release(helper);
     }
 
+    /** Another connection may have carried the release to the engine before this request. */
+    private void releaseIfLate(Upstream helper) {
+        if (mReleased) {
+            scheduleRelease(helper);
+        }
+    }
+
     private void recordNoResponse(Upstream helper, String operation, Throwable failure) {
         sLogger.atInfo().log(
                 "%s of %d tokens for attempt %s at %s got no response: %s",
@@ -208,6 +215,7 @@
                         mContext.wire().reservationRequest(mId, mTokens, TIME_TO_LIVE))
                 .onComplete(
                         status -> {
+                            releaseIfLate(helper);
                             if (status == HTTP_OK) {
                                 acquired(helper);
                                 acquireNext(index + 1);
@@ -307,6 +315,7 @@
 
     private void recordExtension(Upstream helper, int status) {
         Optional.ofNullable(mExtending.remove(helper.id())).ifPresent(Timer::cancel);
+        releaseIfLate(helper);
         if (status != HTTP_OK) {
             sLogger.atInfo().log(
                     "extension of %d tokens for attempt %s at %s got status %d",
