Prefer other upstreams after one has reported a failure

Cause: an upstream that responded with 5xx was not among the failed ones of its request, so the next attempt could go there at once. Read in the review; a regression test was not written. Result: StalledUpstreamTests, ReservationTests and RequestPathTests pass.

--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/RequestLifecycle.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/RequestLifecycle.java
@@ -176,15 +176,16 @@
     public void responseReceived(
             UpstreamAttempt attempt, UpstreamResponseHead head, MultiMap headers, Buffer body) {
         mAttempts.ended(attempt);
-        mRetries.answered();
         if (mResponse.hasEnded()) {
             return;
         }
         if (!responseStarted() && head.status() < MIN_SERVER_ERROR_STATUS) {
+            mRetries.answered();
             mAttempts.cancel();
             mResponse.send(head, headers, body);
             return;
         }
+        mRetries.answeredWithFailure(attempt.upstream());
         mResponse.keepFailure(head, headers, body);
         if (!mAttempts.continueAfterFailure(false)) {
             attemptFailed("status " + head.status(), Execution.RAN, false);
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/RequestRetries.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/RequestRetries.java
@@ -38,6 +38,12 @@
         mPossibleRuns++;
     }
 
+    /** Records an attempt whose upstream reported a failure of its own. */
+    void answeredWithFailure(String upstream) {
+        mFailedUpstreams.add(upstream);
+        answered();
+    }
+
     /** Records an attempt that was cancelled and may have run. */
     void cancelled() {
         mPossibleRuns++;
