Answer a request whose handling fails

Cause: an unexpected failure while a request was handled closed its connection, also before any response, so that its caller learnt nothing. A failure while queued requests were placed also ended the timer that places them. Evidence: HandlerFailureTests.aRequestWhoseHandlerFailsIsAnsweredAndStopsBeingForwarded failed before: the connection was closed. Change: the caller gets 502, unknown whether it has run; a response that has begun is broken off. Reading the body is a class of its own.

--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/caller/CallerExchange.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/caller/CallerExchange.java
@@ -44,6 +44,11 @@
         return mRequest;
     }
 
+    /** Returns true if the response is complete or the caller has disconnected. */
+    boolean hasEnded() {
+        return mEnded;
+    }
+
     /** Sets the action to run if the caller disconnects before the response is complete. */
     public void onDisconnect(Runnable action) {
         mOnDisconnect = Optional.of(action);
@@ -110,6 +115,21 @@
         }
     }
 
+    /**
+     * Ends a request whose handling has failed: with the failure, or in the middle of a response.
+     */
+    void handlingFailed(RequestFailure failure) {
+        if (mEnded) {
+            return;
+        }
+        mOnDisconnect.ifPresent(Runnable::run);
+        if (mResponse.headWritten()) {
+            abort();
+        } else {
+            sendFailure(failure);
+        }
+    }
+
     /** Sends an error response of the gateway itself. */
     public void sendFailure(RequestFailure failure) {
         if (mEnded) {
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/caller/GatewayCallerServer.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/caller/GatewayCallerServer.java
@@ -3,7 +3,6 @@
 import com.google.common.flogger.FluentLogger;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
-import io.vertx.core.http.HttpHeaders;
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.http.HttpServerRequest;
@@ -15,13 +14,12 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicLong;
-import java.util.function.Consumer;
+import org.tanagergap.api.failure.Execution;
 import org.tanagergap.api.failure.FailureCode;
 import org.tanagergap.api.failure.RequestFailure;
 import org.tanagergap.api.lifecycle.Service;
 import org.tanagergap.api.request.RequestId;
 import org.tanagergap.api.time.RuntimeClock;
-import org.tanagergap.api.time.Timer;
 import org.tanagergap.decisions.fleet.DurationEstimate;
 import org.tanagergap.gateway.configuration.CallerLimits;
 import org.tanagergap.gateway.configuration.GatewayConfiguration;
@@ -63,6 +61,7 @@
     private final RequestResolver mResolver;
     private final CallerHandler mHandler;
     private final CallerConnections mConnections;
+    private final RequestBodyReader mBodyReader;
     private final PeriodicTask mIdleCheck;
     private final AtomicLong mSequence = new AtomicLong();
     private final Set<CallerExchange> mExchanges = new HashSet<>();
@@ -90,6 +89,7 @@
         mResolver = resolver;
         mHandler = handler;
         mConnections = new CallerConnections(clock);
+        mBodyReader = new RequestBodyReader(clock);
         mIdleCheck = new PeriodicTask(clock, IDLE_CHECK_INTERVAL, this::closeIdle);
     }
 
@@ -167,21 +167,14 @@
         if (mDraining) {
             exchange.closeAfterResponse();
         }
-        readBody(
+        mBodyReader.read(
                 request,
                 exchange,
+                limits(),
                 body ->
                         serveWhenFleetLoaded(
                                 exchange,
-                                () ->
-                                        guarded(
-                                                request,
-                                                () ->
-                                                        serve(
-                                                                exchange,
-                                                                headers,
-                                                                body,
-                                                                arrivalNanos))));
+                                () -> serveGuarded(exchange, headers, body, arrivalNanos)));
     }
 
     /** Closes the connection if the action fails, as no response would follow. */
@@ -195,6 +188,22 @@
         }
     }
 
+    /** Answers a request whose handling fails, as no other response would follow. */
+    private void serveGuarded(
+            CallerExchange exchange, GatewayCallerHeaders headers, Buffer body, long arrivalNanos) {
+        try {
+            serve(exchange, headers, body, arrivalNanos);
+        } catch (RuntimeException | StackOverflowError e) {
+            sLogger.atSevere().withCause(e).log(
+                    "request %s cannot be handled", exchange.id().value());
+            exchange.handlingFailed(
+                    RequestFailure.of(
+                            FailureCode.UPSTREAM_FAILED,
+                            Execution.UNKNOWN,
+                            "the request could not be handled"));
+        }
+    }
+
     private void onEnd(CallerExchange exchange, HttpServerRequest request) {
         mExchanges.remove(exchange);
         mWaitingForFleet.remove(exchange);
@@ -208,53 +217,6 @@
         }
     }
 
-    private void readBody(
-            HttpServerRequest request, CallerExchange exchange, Consumer<Buffer> consumer) {
-        CallerLimits limits = limits();
-        Buffer body = Buffer.buffer();
-        Timer timer =
-                mClock.schedule(
-                        limits.headerTimeout(),
-                        () ->
-                                reject(
-                                        exchange,
-                                        FailureCode.REQUEST_TIMEOUT,
-                                        "the body did not arrive in time"));
-        if (declaredBytes(request) > limits.maxBodyBytes()) {
-            timer.cancel();
-            reject(exchange, FailureCode.BODY_TOO_LARGE, "the body is too large");
-            return;
-        }
-        request.handler(
-                bytes -> {
-                    body.appendBuffer(bytes);
-                    if (body.length() > limits.maxBodyBytes()) {
-                        timer.cancel();
-                        reject(exchange, FailureCode.BODY_TOO_LARGE, "the body is too large");
-                    }
-                });
-        request.exceptionHandler(ignored -> timer.cancel());
-        request.endHandler(
-                ignored -> {
-                    timer.cancel();
-                    consumer.accept(body);
-                });
-    }
-
-    private static long declaredBytes(HttpServerRequest request) {
-        String length = request.getHeader(HttpHeaders.CONTENT_LENGTH);
-        try {
-            return length == null ? 0 : Long.parseLong(length);
-        } catch (NumberFormatException e) {
-            return 0;
-        }
-    }
-
-    private static void reject(CallerExchange exchange, FailureCode code, String message) {
-        exchange.closeAfterResponse();
-        exchange.sendFailure(RequestFailure.notRun(code, message).withField("body"));
-    }
-
     /** Serves the request, which waits for the fleet view if this instance has just started. */
     private void serveWhenFleetLoaded(CallerExchange exchange, Runnable serve) {
         if (isFleetLoaded()) {
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/Dispatcher.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/Dispatcher.java
@@ -198,9 +198,12 @@
 
     private void recheck() {
         mTimer = Optional.empty();
-        placeWaiting();
-        if (mQueue.size() > 0) {
-            startTimer();
+        try {
+            placeWaiting();
+        } finally {
+            if (mQueue.size() > 0) {
+                startTimer();
+            }
         }
     }
 }
