Do not forward a request after its refusal for size or time

Callers were told 413 or 408, not run, for a request that was then sent to an upstream. Cause: the end of the body was handled although the request had been refused. Evidence: RequestPathTests.aRequestThatIsRefusedForItsSizeReachesNoUpstream failed before. Result: it passes.

--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/caller/RequestBodyReader.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/caller/RequestBodyReader.java
@@ -54,7 +54,9 @@
         request.endHandler(
                 ignored -> {
                     timer.cancel();
-                    consumer.accept(body);
+                    if (!exchange.hasEnded()) {
+                        consumer.accept(body);
+                    }
                 });
     }
 
