--- a/tanagergap-gateway/src/test/java/org/tanagergap/gateway/caller/HandlerFailureTests.java
+++ b/tanagergap-gateway/src/test/java/org/tanagergap/gateway/caller/HandlerFailureTests.java
@@ -12,12 +12,10 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.ExecutionException;
-import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
-import org.tanagergap.api.time.RuntimeClock;
 import org.tanagergap.gateway.configuration.CallerLimits;
 import org.tanagergap.gateway.configuration.GatewayConfiguration;
 import org.tanagergap.gateway.configuration.Route;
@@ -27,7 +25,7 @@
 import org.tanagergap.gateway.membership.ChangeOrigin;
 import org.tanagergap.gateway.membership.FleetChange;
 import org.tanagergap.gateway.membership.FleetView;
-import org.tanagergap.gateway.wire.WireFormat;
+import org.tanagergap.runtime.settings.FreeAddresses;
 import org.tanagergap.runtime.settings.HostPort;
 import org.tanagergap.runtime.time.VertxRuntimeClock;
 
@@ -35,9 +33,6 @@
 final class HandlerFailureTests {
 
     private static final String HOST = "127.0.0.1";
-    private static final int MIN_PORT = 20_000;
-    private static final int MAX_PORT = 32_000;
-    private static final int MAX_TRIES = 20;
 
     private final Vertx mVertx = Vertx.vertx();
     private final AtomicInteger mDisconnected = new AtomicInteger();
@@ -76,33 +71,23 @@
                 Optional.empty());
     }
 
-    /** Starts the server on a port that no outgoing connection takes. */
-    private int start(RuntimeClock clock, FleetView view, WireFormat wire, CallerHandler handler)
-            throws Exception {
-        for (int i = 1; ; i++) {
-            int port = ThreadLocalRandom.current().nextInt(MIN_PORT, MAX_PORT);
-            HostPort address = new HostPort(HOST, port);
-            RequestResolver resolver = new RequestResolver(new Random(1));
-            mServer =
-                    new GatewayCallerServer(mVertx, clock, address, view, wire, resolver, handler);
-            try {
-                mServer.start().get(5, TimeUnit.SECONDS);
-                return port;
-            } catch (ExecutionException e) {
-                if (i == MAX_TRIES) {
-                    throw e;
-                }
-            }
-        }
-    }
-
     private int start(Runnable parsing, CallerHandler handler) throws Exception {
         VertxRuntimeClock clock = new VertxRuntimeClock(mVertx);
         FleetView view = new FleetView(clock);
         view.accept(new FleetChange.ConfigurationAccepted(configuration()), ChangeOrigin.WRITE);
-        int port = start(clock, view, new FakeWireFormat(parsing), handler);
+        HostPort address = FreeAddresses.find(1).get(0);
+        mServer =
+                new GatewayCallerServer(
+                        mVertx,
+                        clock,
+                        address,
+                        view,
+                        new FakeWireFormat(parsing),
+                        new RequestResolver(new Random(1)),
+                        handler);
+        mServer.start().get(5, TimeUnit.SECONDS);
         mServer.fleetLoaded();
-        return port;
+        return address.port();
     }
 
     private int status(int port) throws Exception {
