--- a/review/standins/LeavingCase.java
+++ b/review/standins/LeavingCase.java
@@ -128,6 +128,18 @@
         mArrivals.put(id, new Arrival(runner, Recorder.now()));
         mSite.record.line("runner %s: request %s, helpers %s", runner.id, id, head.get("Tanagergap-Helpers"));
         OutputStream out = socket.getOutputStream();
+        if (!Runner.useTickets(head.get("Tanagergap-Helpers"), true)) {
+            Runner.send(out, "503 Service Unavailable", "Tanagergap-Not-Run: 1\r\nTanagergap-Request-Id: " + id + "\r\n", new byte[0]);
+            return;
+        }
+        try {
+            write(runner, head, out);
+        } finally {
+            Runner.useTickets(head.get("Tanagergap-Helpers"), false);
+        }
+    }
+
+    private void write(Runner runner, Http.Head head, OutputStream out) throws IOException, InterruptedException {
         Thread.sleep(600);
         out.write(("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n" + Runner.stamp(runner, head) + "Transfer-Encoding: chunked\r\n\r\n")
                 .getBytes(StandardCharsets.ISO_8859_1));
--- a/review/standins/Runner.java
+++ b/review/standins/Runner.java
@@ -6,6 +6,9 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicLong;
@@ -16,6 +19,18 @@
  */
 final class Runner {
 
+    private static final long MEMORY_TOKENS = 232_000;
+    private static final long MAX_HOLD_MS = 20_000;
+    private static final Map<String, Runner> ALL = new ConcurrentHashMap<>();
+
+    /** Memory that is set aside. */
+    private static final class Ticket {
+        private long mTokens;
+        private long mSince;
+        private long mUntil;
+        private boolean mUsed;
+    }
+
     /** What the runner does with a request. */
     interface Work {
         void run(Runner runner, Http.Head head, byte[] body, Socket socket) throws IOException, InterruptedException;
@@ -32,6 +47,7 @@
     private final AtomicLong mSeq = new AtomicLong();
     private final AtomicLong mRunning = new AtomicLong();
     private final Set<Socket> mSockets = ConcurrentHashMap.newKeySet();
+    private final Map<String, Ticket> mTickets = new LinkedHashMap<>();
     private volatile String mState = "ready";
     private volatile boolean mRegistered = true;
     private volatile boolean mEnded;
@@ -48,6 +64,7 @@
         mWork = work;
         mServer = new ServerSocket();
         mServer.bind(new InetSocketAddress(InetAddress.getByName("127.0.0.1"), 0), 512);
+        ALL.put(address(), this);
         thread(this::accept);
         thread(this::beat);
     }
@@ -160,12 +177,81 @@
     }
 
     private void administer(Http.Head head, String body, OutputStream out) throws IOException {
-        mRecord.line("runner %s: %s %s", id, head.target(), body);
-        String answer = head.target().startsWith("/-/report")
-                ? "{\"Stage\":\"both\",\"Busy\":false,\"Seq\":0,\"Queued\":0,\"Running\":" + mRunning.get()
-                        + ",\"KvUsed\":0,\"KvTotal\":232000,\"Handles\":0,\"pace\":1.0,\"Tickets\":[],\"born\":" + mBorn + "}"
-                : "{\"Free\":200000,\"born\":" + mBorn + "}";
-        send(out, "200 OK", "Content-Type: application/json\r\n", answer.getBytes(StandardCharsets.UTF_8));
+        boolean report = head.target().startsWith("/-/report");
+        String[] answer = report ? new String[] {"200 OK", report()} : order(Json.object(body));
+        mRecord.line("runner %s: %s %s: %s", id, head.target(), body, answer[0]);
+        send(out, answer[0], "Content-Type: application/json\r\n", answer[1].getBytes(StandardCharsets.UTF_8));
+    }
+
+    private String report() {
+        synchronized (mTickets) {
+            expireTickets();
+            StringBuilder tickets = new StringBuilder();
+            mTickets.forEach((ticket, held) -> tickets.append(tickets.length() == 0 ? "" : ",").append("{\"Id\":").append(Json.quote(ticket))
+                    .append(",\"Tokens\":").append(held.mTokens).append(",\"State\":\"").append(held.mUsed ? "used" : "held")
+                    .append("\",\"AgeMs\":").append((System.nanoTime() - held.mSince) / 1_000_000).append('}'));
+            return "{\"Stage\":\"both\",\"Models\":[{\"Name\":\"m\",\"Version\":1,\"Adapters\":[]}],\"Busy\":false,\"Seq\":0,\"Queued\":0,"
+                    + "\"Running\":" + mRunning.get() + ",\"KvUsed\":" + (MEMORY_TOKENS - freeTokens()) + ",\"KvTotal\":" + MEMORY_TOKENS
+                    + ",\"Handles\":0,\"pace\":1.0,\"Tickets\":[" + tickets + "],\"born\":" + mBorn + "}";
+        }
+    }
+
+    private String[] order(Map<String, Object> order) {
+        synchronized (mTickets) {
+            expireTickets();
+            String ticket = String.valueOf(order.get("Id"));
+            String status = "400 Bad Request";
+            if ("release".equals(order.get("Op"))) {
+                mTickets.remove(ticket);
+                status = "200 OK";
+            } else if ("reserve".equals(order.get("Op"))) {
+                Ticket held = mTickets.get(ticket);
+                long tokens = (Long) order.get("Tokens");
+                if (held == null && freeTokens() < tokens) {
+                    status = tokens > MEMORY_TOKENS ? "400 Bad Request" : "409 Conflict";
+                } else {
+                    if (held == null) {
+                        held = new Ticket();
+                        held.mSince = System.nanoTime();
+                        mTickets.put(ticket, held);
+                    }
+                    held.mTokens = tokens;
+                    held.mUntil = System.nanoTime() + Math.min(MAX_HOLD_MS, (Long) order.get("HoldMs")) * 1_000_000;
+                    status = "200 OK";
+                }
+            }
+            return new String[] {status, "{\"Free\":" + freeTokens() + ",\"born\":" + mBorn + "}"};
+        }
+    }
+
+    private long freeTokens() {
+        return MEMORY_TOKENS - mTickets.values().stream().mapToLong(held -> held.mTokens).sum();
+    }
+
+    private void expireTickets() {
+        mTickets.values().removeIf(held -> System.nanoTime() > held.mUntil);
+    }
+
+    /** Uses the tickets of the header, or ends their use; false if a helper is gone, is leaving or lacks the ticket. */
+    static boolean useTickets(String helpers, boolean used) {
+        boolean all = true;
+        for (String entry : helpers == null ? List.<String>of() : List.of(helpers.split(","))) {
+            String[] parts = entry.split("/", 2);
+            Runner helper = ALL.get(parts[0]);
+            if (helper == null || helper.hasEnded() || !helper.mState.equals("ready")) {
+                all = false;
+            } else if (parts.length > 1) {
+                synchronized (helper.mTickets) {
+                    helper.expireTickets();
+                    Ticket held = helper.mTickets.get(parts[1]);
+                    all &= held != null;
+                    if (held != null) {
+                        held.mUsed = used;
+                    }
+                }
+            }
+        }
+        return all;
     }
 
     private void request(Http.Head head, byte[] body, Socket socket) throws IOException, InterruptedException {
