Do not send a request to an upstream that leaves before it is sent

Cause: an attempt was placed once and then kept its upstream until it was sent. The gateway knew of the notice and did not compare it with what it was about to send, so a late poll of the store is not the cause.

Change: attempts that are placed and not sent (reserving memory or opening their connection) are kept in UnsentAttempts.

--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/GatewayFleetListener.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/GatewayFleetListener.java
@@ -31,8 +31,9 @@
 
     @Override
     public void upstreamUnavailable(Upstream upstream) {
-        // Requests in flight there continue; only new ones go to other upstreams.
         rateLimits.remove(upstream);
+        // Requests that were sent there continue; all others go to other upstreams.
+        forwarder.upstreamUnavailable(upstream);
     }
 
     @Override
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/GatewayService.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/GatewayService.java
@@ -26,6 +26,7 @@
 import org.tanagergap.gateway.forward.QuarantineGate;
 import org.tanagergap.gateway.forward.RateLimitGate;
 import org.tanagergap.gateway.forward.RetryBudgets;
+import org.tanagergap.gateway.forward.UnsentAttempts;
 import org.tanagergap.gateway.membership.FleetView;
 import org.tanagergap.gateway.membership.StoreSync;
 import org.tanagergap.gateway.peer.PeerDirectory;
@@ -111,6 +112,7 @@
                                         mClock, mSettings.retryBudget(), directory::instanceCount),
                                 quarantine,
                                 rateLimits,
+                                new UnsentAttempts(),
                                 context.metrics(),
                                 context.tracing(),
                                 exchange::announce),
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/AttemptObservations.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/AttemptObservations.java
@@ -106,8 +106,8 @@
             }
             case REFUSED -> mContext.health().suspend(upstream, REFUSED_SUSPENSION, now);
             case OTHER_UPSTREAM -> mContext.health().suspend(upstream, REPLACED_SUSPENSION, now);
-            case NOT_RESERVED -> {
-                // An engine without free memory is healthy.
+            case NOT_RESERVED, UPSTREAM_LEFT -> {
+                // An engine without free memory or about to leave is healthy.
             }
         }
         return upstream;
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/CallFailure.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/CallFailure.java
@@ -18,6 +18,8 @@
     enum Kind {
         /** No connection could be opened, so nothing was sent. */
         NOT_CONNECTED(Execution.NOT_RUN),
+        /** The upstream or a helper engine left before the request was sent. */
+        UPSTREAM_LEFT(Execution.NOT_RUN),
         /** The upstream refused the request without running it. */
         REFUSED(Execution.NOT_RUN),
         /** The address now belongs to another upstream. */
@@ -38,7 +40,10 @@
          * retry.
          */
         boolean sent() {
-            return this != NOT_CONNECTED && this != NOT_RESERVED;
+            return switch (this) {
+                case NOT_CONNECTED, UPSTREAM_LEFT, NOT_RESERVED -> false;
+                case REFUSED, OTHER_UPSTREAM, BROKEN -> true;
+            };
         }
 
         /** Returns the name that log lines contain. */
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/Forwarder.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/Forwarder.java
@@ -10,6 +10,7 @@
 import org.tanagergap.gateway.caller.CallerHandler;
 import org.tanagergap.gateway.caller.GatewayRequest;
 import org.tanagergap.gateway.configuration.ServiceTarget;
+import org.tanagergap.gateway.membership.Upstream;
 
 /** Forwards the requests of callers to upstreams. Confined to the event loop. */
 public final class Forwarder implements CallerHandler {
@@ -40,6 +41,11 @@
         mDispatchers.values().forEach(Dispatcher::capacityChanged);
     }
 
+    /** Places the requests again that were about to be sent to an upstream that is leaving. */
+    public void upstreamUnavailable(Upstream upstream) {
+        mContext.unsentAttempts().upstreamUnavailable(upstream.id());
+    }
+
     private Dispatcher dispatcher(ServiceTarget service) {
         PlacementPolicy policy = service.engine().isPresent() ? mEnginePolicy : mPlainPolicy;
         return new Dispatcher(mContext, mCandidates, policy);
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/ForwardingContext.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/ForwardingContext.java
@@ -25,6 +25,7 @@
  * @param retryBudgets retries that are still allowed
  * @param quarantine requests that engines must not run, and the crashes behind it
  * @param rateLimits rate limits that upstreams advertise
+ * @param unsentAttempts attempts that are placed and not sent yet
  * @param metrics counters and histograms
  * @param tracing creates a span for each request and each attempt
  * @param announceLoad sends a load report to the peers ahead of schedule
@@ -42,6 +43,7 @@
         RetryBudgets retryBudgets,
         QuarantineGate quarantine,
         RateLimitGate rateLimits,
+        UnsentAttempts unsentAttempts,
         MetricRegistry metrics,
         Tracing tracing,
         Runnable announceLoad) {}
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/UpstreamAttempt.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/UpstreamAttempt.java
@@ -81,6 +81,7 @@
                 .logRecord()
                 .attemptStarted(
                         AttemptRecord.started(mContext, mRequest, mId, mPlacement, mStartNanos));
+        mContext.unsentAttempts().add(this);
         mLoad.begin(mPlacement, mLifecycle.times().placementRequest(), mRequest.service().engine());
         if (mPlacement.reservedTokensPerHelper() > 0) {
             reserve();
@@ -94,6 +95,21 @@
         return mPlacement.upstream();
     }
 
+    /** Returns true if the attempt uses the upstream, also as a helper engine. */
+    boolean needs(String upstream) {
+        return mPlacement.upstream().equals(upstream) || mPlacement.helpers().contains(upstream);
+    }
+
+    /** Fails the attempt before it is sent, because one of its upstreams is leaving. */
+    void upstreamUnavailable(String upstream) {
+        mCall.ifPresent(UpstreamCall::cancel);
+        CallFailure failure =
+                new CallFailure(CallFailure.Kind.UPSTREAM_LEFT, upstream + " is leaving");
+        if (end(failure.kind().code(), failure.execution(), failure.reason())) {
+            mListener.failed(this, upstream, failure);
+        }
+    }
+
     /** Cancels the attempt and closes the connection to the upstream. */
     void cancel() {
         if (end("cancelled", Execution.UNKNOWN, "")) {
@@ -117,6 +133,11 @@
         mObservations.logStall(mId, silence, decision);
     }
 
+    @Override
+    public void requestSent() {
+        mContext.unsentAttempts().remove(this);
+    }
+
     @Override
     public void headReceived(UpstreamResponseHead head) {
         mUpstream.ifPresent(u -> mContext.rateLimits().responseReceived(u, head.rateLimit()));
@@ -247,7 +268,7 @@
     private void call(List<HelperAddress> helpers) {
         Optional<Upstream> upstream = mContext.view().upstream(mPlacement.upstream());
         if (upstream.isEmpty()) {
-            failed(new CallFailure(CallFailure.Kind.NOT_CONNECTED, "the upstream has left"));
+            failed(new CallFailure(CallFailure.Kind.UPSTREAM_LEFT, "the upstream has left"));
             return;
         }
         UpstreamCall call =
@@ -307,6 +328,7 @@
             return false;
         }
         mEnded = true;
+        mContext.unsentAttempts().remove(this);
         mIdleCheck.stop();
         mLiveness.ifPresent(LivenessCheck::stop);
         mLifecycle.logRecord().attemptEnded(mId, new AttemptRecord.End(code, execution, reason));
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/UpstreamCall.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/UpstreamCall.java
@@ -105,6 +105,7 @@
                 .onFailure(failure -> fail(CallFailure.Kind.BROKEN, "no answer: " + failure));
         request.exceptionHandler(
                 failure -> fail(CallFailure.Kind.BROKEN, "connection failed: " + failure));
+        mListener.requestSent();
         if (body.length() > 0) {
             request.putHeader(HttpHeaders.CONTENT_LENGTH, Integer.toString(body.length()));
             request.end(body);
