Stop the gateway only after its last caller connection is closed

Cause: the server counted as stopped at the first instant without a request in flight, but kept its port and connections open and went on to pass requests on while the process exited. A close of the connection by the idle check, the other hypothesis, had not happened.

Change: after the last response, and after idle connections had their time to be closed, the port and all remaining connections are shut down gracefully, and only then does the server count as stopped. Nothing can arrive after that.

--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/caller/CallerConnections.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/caller/CallerConnections.java
@@ -3,6 +3,7 @@
 import com.google.common.flogger.FluentLogger;
 import io.vertx.core.http.HttpConnection;
 import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
 import org.tanagergap.api.time.RuntimeClock;
 
 /** Tracks the open connections of callers and the requests on them. Confined to the event loop. */
@@ -42,8 +43,8 @@
         mConnections.closeIdle();
     }
 
-    /** Closes the connections that have been idle for the given time. */
-    void closeIdle(Duration limit) {
-        mConnections.closeIdle(limit);
+    /** Closes the connections that have been idle for the given time; completes afterwards. */
+    CompletableFuture<Void> closeIdle(Duration limit) {
+        return mConnections.closeIdle(limit);
     }
 }
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/caller/GatewayCallerServer.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/caller/GatewayCallerServer.java
@@ -13,6 +13,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import org.tanagergap.api.failure.Execution;
 import org.tanagergap.api.failure.FailureCode;
@@ -66,11 +67,13 @@
     private final AtomicLong mSequence = new AtomicLong();
     private final Set<CallerExchange> mExchanges = new HashSet<>();
     private final Map<CallerExchange, Runnable> mWaitingForFleet = new LinkedHashMap<>();
-    private final CompletableFuture<Void> mDrained = new CompletableFuture<>();
+    private final CompletableFuture<Void> mClosed = new CompletableFuture<>();
     private boolean mFleetLoaded;
     private boolean mDraining;
     private long mShutdownDeadlineNanos;
     private boolean mStopping;
+    private boolean mIdleClosed;
+    private boolean mClosing;
     private HttpServer mServer;
 
     public GatewayCallerServer(
@@ -123,7 +126,10 @@
         mExchanges.forEach(CallerExchange::closeAfterResponse);
     }
 
-    /** Closes idle connections; completes when the last request has ended. */
+    /**
+     * Closes idle connections, and the port and all others after the last response. Completes when
+     * no connection is left on which a request could arrive.
+     */
     @Override
     public CompletableFuture<Void> stop() {
         if (!mDraining) {
@@ -131,8 +137,19 @@
         }
         mStopping = true;
         mConnections.closeIdle(SHUTDOWN_IDLE_TIMEOUT);
-        completeWhenDrained();
-        return mDrained;
+        // Connections that were in use until now become idle in the meantime.
+        mClock.schedule(
+                SHUTDOWN_IDLE_TIMEOUT,
+                () ->
+                        mConnections
+                                .closeIdle(SHUTDOWN_IDLE_TIMEOUT)
+                                .thenRun(this::idleConnectionsClosed));
+        return mClosed;
+    }
+
+    private void idleConnectionsClosed() {
+        mIdleClosed = true;
+        closeAfterLastResponse();
     }
 
     /** Number of requests without a complete response. */
@@ -208,15 +225,28 @@
         mExchanges.remove(exchange);
         mWaitingForFleet.remove(exchange);
         mConnections.requestEnded(request.connection());
-        completeWhenDrained();
+        closeAfterLastResponse();
     }
 
-    private void completeWhenDrained() {
-        if (mStopping && mExchanges.isEmpty()) {
-            mDrained.complete(null);
+    private void closeAfterLastResponse() {
+        if (mIdleClosed && !mClosing && mExchanges.isEmpty()) {
+            mClosing = true;
+            close();
         }
     }
 
+    /** Requests that have been read by now are still served before their connections are closed. */
+    private void close() {
+        long remainingNanos = Math.max(0, mShutdownDeadlineNanos - mClock.nanoTime());
+        sLogger.atInfo().log("closing the port and the connections of callers");
+        Futures.toCompletable(mServer.shutdown(remainingNanos, TimeUnit.NANOSECONDS))
+                .whenComplete(
+                        (ignored, failure) -> {
+                            sLogger.atInfo().log("all connections of callers are closed");
+                            mClosed.complete(null);
+                        });
+    }
+
     /** Serves the request, which waits for the fleet view if this instance has just started. */
     private void serveWhenFleetLoaded(CallerExchange exchange, Runnable serve) {
         if (isFleetLoaded()) {
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/caller/IdleConnections.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/caller/IdleConnections.java
@@ -6,6 +6,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
 import java.util.function.Function;
 import org.tanagergap.api.time.RuntimeClock;
@@ -78,9 +79,9 @@
         closeLater(idle(state -> mLimits.limitFor(state.mLastUsedNanos)), mLimits.current());
     }
 
-    /** Closes the connections that have been idle for the given time. */
-    void closeIdle(Duration limit) {
-        closeLater(idle(state -> limit), limit);
+    /** Closes the connections that have been idle for the given time; completes afterwards. */
+    CompletableFuture<Void> closeIdle(Duration limit) {
+        return closeLater(idle(state -> limit), limit);
     }
 
     /** Returns the idle connections that are not about to be closed. */
@@ -99,11 +100,20 @@
         return idle;
     }
 
-    private void closeLater(List<C> connections, Duration limit) {
-        if (!connections.isEmpty()) {
-            connections.forEach(connection -> mStates.get(connection).mClosing = true);
-            mClock.schedule(CLOSE_DELAY, () -> closeUnlessUsed(connections, limit));
+    private CompletableFuture<Void> closeLater(List<C> connections, Duration limit) {
+        CompletableFuture<Void> closed = new CompletableFuture<>();
+        if (connections.isEmpty()) {
+            closed.complete(null);
+            return closed;
         }
+        connections.forEach(connection -> mStates.get(connection).mClosing = true);
+        mClock.schedule(
+                CLOSE_DELAY,
+                () -> {
+                    closeUnlessUsed(connections, limit);
+                    closed.complete(null);
+                });
+        return closed;
     }
 
     private void closeUnlessUsed(List<C> connections, Duration limit) {
--- /dev/null
+++ b/tanagergap-gateway/src/test/java/org/tanagergap/gateway/caller/CallerServerHarness.java
@@ -0,0 +1,94 @@
+package org.tanagergap.gateway.caller;
+
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpMethod;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.concurrent.TimeUnit;
+import org.tanagergap.gateway.configuration.CallerLimits;
+import org.tanagergap.gateway.configuration.GatewayConfiguration;
+import org.tanagergap.gateway.configuration.Route;
+import org.tanagergap.gateway.configuration.RouteKind;
+import org.tanagergap.gateway.configuration.ServiceShare;
+import org.tanagergap.gateway.configuration.ServiceTarget;
+import org.tanagergap.gateway.membership.ChangeOrigin;
+import org.tanagergap.gateway.membership.FleetChange;
+import org.tanagergap.gateway.membership.FleetView;
+import org.tanagergap.runtime.settings.FreeAddresses;
+import org.tanagergap.runtime.settings.HostPort;
+import org.tanagergap.runtime.time.VertxRuntimeClock;
+
+/** A server for callers whose requests a test handles itself, over real connections. */
+final class CallerServerHarness implements AutoCloseable {
+
+    static final String HOST = "127.0.0.1";
+
+    final Vertx mVertx = Vertx.vertx();
+    final GatewayCallerServer mServer;
+    private final HostPort mAddress;
+
+    CallerServerHarness(RouteKind kind, Runnable parsing, CallerHandler handler) throws Exception {
+        VertxRuntimeClock clock = new VertxRuntimeClock(mVertx);
+        FleetView view = new FleetView(clock);
+        view.accept(new FleetChange.ConfigurationAccepted(configuration(kind)), ChangeOrigin.WRITE);
+        mAddress = FreeAddresses.find(1).get(0);
+        mServer =
+                new GatewayCallerServer(
+                        mVertx,
+                        clock,
+                        mAddress,
+                        view,
+                        new FakeWireFormat(parsing),
+                        new RequestResolver(new Random(1)),
+                        handler);
+        mServer.start().get(5, TimeUnit.SECONDS);
+        mServer.fleetLoaded();
+    }
+
+    private static GatewayConfiguration configuration(RouteKind kind) {
+        Route route =
+                new Route(
+                        "r",
+                        HOST,
+                        "/",
+                        kind,
+                        Duration.ofSeconds(20),
+                        Duration.ofSeconds(2),
+                        Optional.empty(),
+                        Optional.empty(),
+                        0,
+                        List.of(new ServiceShare("s", 1)),
+                        1,
+                        true,
+                        false);
+        return new GatewayConfiguration(
+                1,
+                List.of(route),
+                Map.of("s", new ServiceTarget("s", Optional.empty())),
+                CallerLimits.DEFAULT,
+                Optional.empty());
+    }
+
+    int port() {
+        return mAddress.port();
+    }
+
+    /** Sends a request on a new connection and returns the status of the response. */
+    int status() throws Exception {
+        return mVertx.createHttpClient()
+                .request(HttpMethod.GET, port(), HOST, "/x")
+                .compose(request -> request.send())
+                .map(response -> response.statusCode())
+                .toCompletionStage()
+                .toCompletableFuture()
+                .get(5, TimeUnit.SECONDS);
+    }
+
+    @Override
+    public void close() throws Exception {
+        mVertx.close().toCompletionStage().toCompletableFuture().get(10, TimeUnit.SECONDS);
+    }
+}
