--- a/tanagergap-gateway/src/test/java/org/tanagergap/gateway/caller/CallerServerShutdownTests.java
+++ b/tanagergap-gateway/src/test/java/org/tanagergap/gateway/caller/CallerServerShutdownTests.java
@@ -23,6 +23,10 @@
 final class CallerServerShutdownTests {
 
     private static final int SOCKET_TIMEOUT_MILLIS = 5000;
+
+    /** More than the buffers of a connection hold. */
+    private static final int LARGE_BODY_BYTES = 24 << 20;
+
     private static final Duration GRACE = Duration.ofSeconds(8);
 
     private final LinkedBlockingQueue<CallerExchange> mHeld = new LinkedBlockingQueue<>();
@@ -78,6 +82,14 @@
                                 Buffer.buffer(body)));
     }
 
+    private void awaitRequestInFlight() throws Exception {
+        long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(5);
+        while (mHarness.mServer.requestsInFlight() == 0) {
+            assertThat(System.nanoTime()).isLessThan(end);
+            TimeUnit.MILLISECONDS.sleep(10);
+        }
+    }
+
     /** Reads until the server closes the connection. */
     private static String readAll(Socket socket) throws Exception {
         return new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
@@ -137,7 +149,7 @@
     void aRequestOfWhichOnlyTheHeadHasArrivedGetsItsResponse() throws Exception {
         Socket slow = connect();
         send(slow, "POST /x HTTP/1.1\r\nHost: 127.0.0.1\r\nContent-Length: 2\r\n\r\n");
-        TimeUnit.MILLISECONDS.sleep(100);
+        awaitRequestInFlight();
         CompletableFuture<Void> stopped = stop();
         TimeUnit.MILLISECONDS.sleep(600);
 
@@ -148,4 +160,21 @@
         assertThat(readAll(slow)).endsWith("late");
         stopped.get(10, TimeUnit.SECONDS);
     }
+
+    /** Megabytes wait in the process while the caller reads slowly. */
+    @Test
+    void aResponseThatIsNotWrittenYetIsNotBrokenOff() throws Exception {
+        String body = "x".repeat(LARGE_BODY_BYTES);
+        Socket slow = connect();
+        sendRequest(slow);
+        respond(received(), body);
+        TimeUnit.MILLISECONDS.sleep(100);
+
+        CompletableFuture<Void> stopped = stop();
+        TimeUnit.MILLISECONDS.sleep(1500);
+
+        assertThat(stopped.isDone()).isFalse();
+        assertThat(readAll(slow)).endsWith(body);
+        stopped.get(10, TimeUnit.SECONDS);
+    }
 }
