Answer the requests that are left at the end of the grace period

What other operators saw: in a planned stop, requests that came late in the grace period were passed on and then cut without an answer, among them requests that must not be repeated.

Cause: at the end of the grace period the process exited with its requests in flight, and a request was accepted if its estimated time fitted, which is no bound for an order at a slow upstream.

Change: requests that are left get 502 if an upstream may have run them and 503 if not, and the server closes after these responses are written. Once the load balancer has had its time to notice, a plain call that must not run twice is accepted only if its deadline is before the exit.

A stream that has begun can still only be broken off at that time.

--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/GatewayService.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/GatewayService.java
@@ -48,6 +48,9 @@
      */
     private static final Duration EXIT_RESERVE = Duration.ofMillis(400);
 
+    /** Part of the reserve in which the last responses are written. */
+    private static final Duration LAST_RESPONSES_TIMEOUT = Duration.ofMillis(100);
+
     private static final int MAX_CONNECTIONS = 4096;
 
     private static final FluentLogger sLogger = FluentLogger.forEnclosingClass();
@@ -263,7 +266,8 @@
         if (!stopped.isDone()) {
             sLogger.atWarning().log(
                     "grace period ended with %d requests in flight", mCallers.requestsInFlight());
-            stopped.complete(null);
+            mCallers.endRequests();
+            mClock.schedule(LAST_RESPONSES_TIMEOUT, () -> stopped.complete(null));
         }
     }
 
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/caller/CallerExchange.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/caller/CallerExchange.java
@@ -7,6 +7,7 @@
 import io.vertx.core.http.HttpServerResponse;
 import java.util.Locale;
 import java.util.Optional;
+import java.util.function.Consumer;
 import org.tanagergap.api.failure.RequestFailure;
 import org.tanagergap.api.request.RequestId;
 import org.tanagergap.runtime.http.ConnectionHeaders;
@@ -23,6 +24,7 @@
     private final RequestId mId;
     private final Runnable mOnEnd;
     private Optional<Runnable> mOnDisconnect = Optional.empty();
+    private Optional<Consumer<RequestFailure>> mOnShutdown = Optional.empty();
     private boolean mEnded;
     private boolean mDisconnected;
     private boolean mCloseAfterResponse;
@@ -57,6 +59,20 @@
         }
     }
 
+    /**
+     * Sets the action to run if the process is about to exit before the response is complete. It
+     * receives the refusal of a request that has not run.
+     */
+    public void onShutdown(Consumer<RequestFailure> action) {
+        mOnShutdown = Optional.of(action);
+    }
+
+    /** Ends the request, because the process is about to exit. */
+    void shutDown(RequestFailure refusal) {
+        closeAfterResponse();
+        mOnShutdown.ifPresentOrElse(action -> action.accept(refusal), () -> sendFailure(refusal));
+    }
+
     /** Closes the connection after the response. */
     public void closeAfterResponse() {
         mCloseAfterResponse = true;
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/caller/GatewayCallerServer.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/caller/GatewayCallerServer.java
@@ -24,6 +24,7 @@
 import org.tanagergap.decisions.fleet.DurationEstimate;
 import org.tanagergap.gateway.configuration.CallerLimits;
 import org.tanagergap.gateway.configuration.GatewayConfiguration;
+import org.tanagergap.gateway.configuration.RouteKind;
 import org.tanagergap.gateway.membership.FleetView;
 import org.tanagergap.gateway.wire.GatewayCallerHeaders;
 import org.tanagergap.gateway.wire.WireFormat;
@@ -44,6 +45,9 @@
     /** Connections that are idle this long during a shutdown are closed. */
     private static final Duration SHUTDOWN_IDLE_TIMEOUT = Duration.ofMillis(150);
 
+    /** Responses that were sent at the end of the grace period are written within this time. */
+    private static final Duration MIN_CLOSE_TIMEOUT = Duration.ofMillis(100);
+
     /** An instance that has just started loads the fleet view within a fraction of this time. */
     private static final Duration MAX_FLEET_WAIT = Duration.ofMillis(800);
 
@@ -152,6 +156,11 @@
         closeAfterLastResponse();
     }
 
+    /** Ends the requests that are left, so that their callers learn whether they may have run. */
+    public void endRequests() {
+        List.copyOf(mExchanges).forEach(exchange -> exchange.shutDown(SHUTTING_DOWN));
+    }
+
     /** Number of requests without a complete response. */
     public int requestsInFlight() {
         return mExchanges.size();
@@ -237,7 +246,8 @@
 
     /** Requests that have been read by now are still served before their connections are closed. */
     private void close() {
-        long remainingNanos = Math.max(0, mShutdownDeadlineNanos - mClock.nanoTime());
+        long remainingNanos =
+                Math.max(MIN_CLOSE_TIMEOUT.toNanos(), mShutdownDeadlineNanos - mClock.nanoTime());
         sLogger.atInfo().log("closing the port and the connections of callers");
         Futures.toCompletable(mServer.shutdown(remainingNanos, TimeUnit.NANOSECONDS))
                 .whenComplete(
@@ -306,8 +316,15 @@
         mHandler.serve(exchange, resolved);
     }
 
-    /** Returns true if the request will probably have ended before the process is killed. */
+    /**
+     * Returns true if the request will probably have ended before the process is killed. When the
+     * load balancer has noticed the shutdown, a plain call that must not run twice needs all of its
+     * time, because its caller could not repeat it after a late failure.
+     */
     private boolean canFinishInTime(GatewayRequest request) {
+        if (mStopping && request.route().kind() == RouteKind.NON_IDEMPOTENT) {
+            return request.deadlineNanos() < mShutdownDeadlineNanos;
+        }
         Duration remaining = Duration.ofNanos(mShutdownDeadlineNanos - mClock.nanoTime());
         Duration needed =
                 request.service()
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/RequestLifecycle.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/RequestLifecycle.java
@@ -116,6 +116,7 @@
         long remaining = mRequest.deadlineNanos() - now();
         mDeadline = mContext.clock().schedule(Duration.ofNanos(remaining), this::deadlinePassed);
         mExchange.onDisconnect(this::callerDisconnected);
+        mExchange.onShutdown(this::end);
         mDispatcher.submit(this, mRetries.failedUpstreams());
     }
 
@@ -246,18 +247,22 @@
 
     /** Ends the request, unless an engine has generated tokens for it. */
     void promptQuarantined(RequestFailure refusal) {
-        if (mResponse.hasEnded() || responseStarted()) {
+        if (!responseStarted()) {
+            end(refusal);
+        }
+    }
+
+    /** Ends the request with the refusal, or as failed if an upstream may have run it. */
+    private void end(RequestFailure refusal) {
+        if (mResponse.hasEnded()) {
             return;
         }
         boolean sent = mayHaveRun();
         stopForwarding();
-        mResponse.fail(
-                sent
-                        ? RequestFailure.of(
-                                FailureCode.UPSTREAM_FAILED,
-                                Execution.UNKNOWN,
-                                refusal.getMessage())
-                        : refusal);
+        RequestFailure possiblyRun =
+                RequestFailure.of(
+                        FailureCode.UPSTREAM_FAILED, Execution.UNKNOWN, refusal.getMessage());
+        mResponse.giveUp(BROKEN_OFF, refusal.getMessage(), sent ? possiblyRun : refusal);
     }
 
     private boolean mayHaveRun() {
--- a/tanagergap-gateway/src/test/java/org/tanagergap/gateway/caller/CallerServerHarness.java
+++ b/tanagergap-gateway/src/test/java/org/tanagergap/gateway/caller/CallerServerHarness.java
@@ -55,7 +55,7 @@
                         HOST,
                         "/",
                         kind,
-                        Duration.ofSeconds(20),
+                        Duration.ofSeconds(5),
                         Duration.ofSeconds(2),
                         Optional.empty(),
                         Optional.empty(),
