Limit the memory of all upstream responses together

What other operators saw: a faulty upstream sent bytes without end, the machine that had called it ran out of memory, and the requests of other clients ended with it.

Cause here: a response that is buffered until it is complete was bounded by 8 MiB for itself, but nothing bounded the sum. Evidence: ResponseMemoryTests on the parent commit, a gateway process with the deployed heap of 96 MB and 24 calls at once; with bodies without end an order at another upstream got no response within 30 s, and with bodies of 7 MB the process logged OutOfMemoryError. Events without end were bounded already.

Change: SharedMemoryLimit (decisions) counts all buffered responses until they are written to the caller. Beyond a third of the heap the largest incomplete one is given up, so that a response without end goes before the sound ones beside it. The gauge gateway_response_bytes shows the sum.

--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/GatewayService.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/GatewayService.java
@@ -1,5 +1,7 @@
 package org.tanagergap.gateway;
 
+import com.codahale.metrics.Gauge;
+import com.codahale.metrics.MetricRegistry;
 import com.google.common.flogger.FluentLogger;
 import io.vertx.core.Context;
 import io.vertx.core.Vertx;
@@ -16,6 +18,7 @@
 import org.tanagergap.api.time.RuntimeClock;
 import org.tanagergap.decisions.fleet.FleetLoad;
 import org.tanagergap.decisions.fleet.UpstreamHealth;
+import org.tanagergap.decisions.memory.SharedMemoryLimit;
 import org.tanagergap.gateway.caller.GatewayCallerServer;
 import org.tanagergap.gateway.caller.ReadinessServer;
 import org.tanagergap.gateway.caller.RequestResolver;
@@ -51,6 +54,9 @@
     /** Part of the reserve in which the last responses are written. */
     private static final Duration LAST_RESPONSES_TIMEOUT = Duration.ofMillis(100);
 
+    /** Buffers of responses may take up to twice their bytes, and other state needs the rest. */
+    private static final long HEAP_PER_RESPONSE_MEMORY = 3;
+
     private static final int MAX_CONNECTIONS = 4096;
 
     private static final FluentLogger sLogger = FluentLogger.forEnclosingClass();
@@ -116,6 +122,7 @@
                                 quarantine,
                                 rateLimits,
                                 new UnsentAttempts(),
+                                responseMemory(context.metrics()),
                                 context.metrics(),
                                 context.tracing(),
                                 exchange::announce),
@@ -147,6 +154,13 @@
         mServices = services(vertx, exchange);
     }
 
+    private static SharedMemoryLimit responseMemory(MetricRegistry metrics) {
+        SharedMemoryLimit limit =
+                new SharedMemoryLimit(Runtime.getRuntime().maxMemory() / HEAP_PER_RESPONSE_MEMORY);
+        metrics.register("gateway_response_bytes", (Gauge<Long>) limit::usedBytes);
+        return limit;
+    }
+
     private PeerRegistration registration(GatewayPlatform platform) {
         return new PeerRegistration(
                 mClock,
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/caller/CallerExchange.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/caller/CallerExchange.java
@@ -5,6 +5,8 @@
 import io.vertx.core.http.HttpHeaders;
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.http.HttpServerResponse;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
 import java.util.function.Consumer;
@@ -25,10 +27,17 @@
     private final Runnable mOnEnd;
     private Optional<Runnable> mOnDisconnect = Optional.empty();
     private Optional<Consumer<RequestFailure>> mOnShutdown = Optional.empty();
+    private final List<Runnable> mOnRelease = new ArrayList<>();
     private boolean mEnded;
+    private boolean mReleased;
     private boolean mDisconnected;
     private boolean mCloseAfterResponse;
 
+    /**
+     * Creates an exchange without a response.
+     *
+     * @param onEnd called once when the response is written or the connection is closed
+     */
     CallerExchange(HttpServerRequest request, RequestId id, Runnable onEnd) {
         mRequest = request;
         mResponse = request.response();
@@ -59,6 +68,15 @@
         }
     }
 
+    /** Adds an action to run when the response is written or the connection is closed. */
+    public void onRelease(Runnable action) {
+        if (mReleased) {
+            action.run();
+        } else {
+            mOnRelease.add(action);
+        }
+    }
+
     /**
      * Sets the action to run if the process is about to exit before the response is complete. It
      * receives the refusal of a request that has not run.
@@ -127,7 +145,7 @@
         if (!mEnded) {
             mEnded = true;
             mRequest.connection().close();
-            mOnEnd.run();
+            release();
         }
     }
 
@@ -186,17 +204,24 @@
                             if (mCloseAfterResponse) {
                                 mRequest.connection().close();
                             }
+                            release();
                         });
-        mOnEnd.run();
     }
 
     private void disconnected() {
-        if (mEnded || mDisconnected) {
-            return;
+        if (!mEnded) {
+            mDisconnected = true;
+            mEnded = true;
+            mOnDisconnect.ifPresent(Runnable::run);
+        }
+        release();
+    }
+
+    private void release() {
+        if (!mReleased) {
+            mReleased = true;
+            mOnRelease.forEach(Runnable::run);
+            mOnEnd.run();
         }
-        mDisconnected = true;
-        mEnded = true;
-        mOnDisconnect.ifPresent(Runnable::run);
-        mOnEnd.run();
     }
 }
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/ForwardingContext.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/ForwardingContext.java
@@ -6,6 +6,7 @@
 import org.tanagergap.api.time.RuntimeClock;
 import org.tanagergap.decisions.fleet.FleetLoad;
 import org.tanagergap.decisions.fleet.UpstreamHealth;
+import org.tanagergap.decisions.memory.SharedMemoryLimit;
 import org.tanagergap.gateway.membership.FleetView;
 import org.tanagergap.gateway.wire.WireFormat;
 import org.tanagergap.runtime.trace.Tracing;
@@ -26,6 +27,7 @@
  * @param quarantine requests that engines must not run, and the crashes behind it
  * @param rateLimits rate limits that upstreams advertise
  * @param unsentAttempts attempts that are placed and not sent yet
+ * @param responseMemory limits the responses that are buffered until they are complete and written
  * @param metrics counters and histograms
  * @param tracing creates a span for each request and each attempt
  * @param announceLoad sends a load report to the peers ahead of schedule
@@ -44,6 +46,7 @@
         QuarantineGate quarantine,
         RateLimitGate rateLimits,
         UnsentAttempts unsentAttempts,
+        SharedMemoryLimit responseMemory,
         MetricRegistry metrics,
         Tracing tracing,
         Runnable announceLoad) {}
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/UpstreamAttempt.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/UpstreamAttempt.java
@@ -174,7 +174,9 @@
     }
 
     @Override
-    public void responseReceived(UpstreamResponseHead head, MultiMap headers, Buffer body) {
+    public void responseReceived(
+            UpstreamResponseHead head, MultiMap headers, Buffer body, Runnable release) {
+        mLifecycle.exchange().onRelease(release);
         if (end("status_" + head.status(), Execution.RAN, "")) {
             mObservations.succeeded();
             mListener.responseReceived(this, head, headers, body);
@@ -274,6 +276,7 @@
         UpstreamCall call =
                 new UpstreamCall(
                         mContext.client(),
+                        mContext.responseMemory(),
                         mContext.wire(),
                         mLifecycle.exchange().id().value(),
                         mLifecycle.isStream(),
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/UpstreamCall.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/UpstreamCall.java
@@ -10,6 +10,7 @@
 import io.vertx.core.http.RequestOptions;
 import java.time.Duration;
 import java.util.Locale;
+import org.tanagergap.decisions.memory.SharedMemoryLimit;
 import org.tanagergap.gateway.wire.UpstreamResponseHead;
 import org.tanagergap.gateway.wire.WireFormat;
 import org.tanagergap.runtime.settings.HostPort;
@@ -35,19 +36,27 @@
     private final boolean mStream;
     private final boolean mRetryable;
     private final UpstreamCallListener mListener;
-    private final Buffer mBody = Buffer.buffer();
+    private final SharedMemoryLimit.Share mMemory;
+    private Buffer mBody = Buffer.buffer();
     private HttpClientRequest mRequest;
     private HttpClientResponse mResponse;
     private boolean mEnded;
 
+    /**
+     * Creates a call that is not started.
+     *
+     * @param memory limits the response, which belongs to the listener when it is complete
+     */
     UpstreamCall(
             HttpClient client,
+            SharedMemoryLimit memory,
             WireFormat wire,
             String requestId,
             boolean stream,
             boolean retryable,
             UpstreamCallListener listener) {
         mClient = client;
+        mMemory = memory.open(this::evicted);
         mWire = wire;
         mRequestId = requestId;
         mStream = stream;
@@ -76,7 +85,8 @@
 
     /** Cancels the call and closes the connection to the upstream. */
     void cancel() {
-        mEnded = true;
+        end();
+        discardBody();
         reset();
     }
 
@@ -161,6 +171,7 @@
                     if (splitter.hasPartialEvent()) {
                         fail(CallFailure.Kind.BROKEN, "the stream ended inside an event");
                     } else if (end()) {
+                        mMemory.close();
                         mListener.streamEnded(head, headers);
                     }
                 });
@@ -170,7 +181,11 @@
             HttpClientResponse response, UpstreamResponseHead head, MultiMap headers) {
         response.handler(
                 bytes -> {
+                    if (mEnded) {
+                        return;
+                    }
                     mBody.appendBuffer(bytes);
+                    mMemory.add(bytes.length());
                     if (mBody.length() > MAX_RESPONSE_BYTES) {
                         fail(
                                 CallFailure.Kind.BROKEN,
@@ -180,7 +195,8 @@
         response.endHandler(
                 ignored -> {
                     if (end()) {
-                        mListener.responseReceived(head, headers, mBody);
+                        mMemory.completed();
+                        mListener.responseReceived(head, headers, mBody, mMemory::close);
                     }
                 });
     }
@@ -209,11 +225,21 @@
 
     private void fail(CallFailure failure) {
         if (end()) {
+            discardBody();
             reset();
             mListener.failed(failure);
         }
     }
 
+    private void evicted() {
+        fail(CallFailure.Kind.BROKEN, "the answers of all upstreams exceed the memory for them");
+    }
+
+    private void discardBody() {
+        mBody = Buffer.buffer();
+        mMemory.close();
+    }
+
     private boolean end() {
         boolean first = !mEnded;
         mEnded = true;
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/UpstreamCallListener.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/UpstreamCallListener.java
@@ -23,8 +23,13 @@
     /** Called when the stream has ended after its last event. */
     void streamEnded(UpstreamResponseHead head, MultiMap headers);
 
-    /** Called when a complete response that is not a stream has arrived. */
-    void responseReceived(UpstreamResponseHead head, MultiMap headers, Buffer body);
+    /**
+     * Called when a complete response that is not a stream has arrived.
+     *
+     * @param release to be run when the body is no longer in use
+     */
+    void responseReceived(
+            UpstreamResponseHead head, MultiMap headers, Buffer body, Runnable release);
 
     /** Called when the call has failed. */
     void failed(CallFailure failure);
