Guard responses that are cut in their head

Reported by other operators: an upstream stopped in the middle of the head, and callers got a 200 with an empty body.

--- /dev/null
+++ b/tanagergap-agent/src/test/java/org/tanagergap/agent/TruncatedHeadTests.java
@@ -0,0 +1,102 @@
+package org.tanagergap.agent;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import com.google.protobuf.ByteString;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.net.NetServer;
+import io.vertx.core.net.NetSocket;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.tanagergap.agent.engine.HttpModelEngine;
+import org.tanagergap.agent.engine.SegmentPrefill;
+import org.tanagergap.agent.plain.HttpPlainUpstream;
+import org.tanagergap.agent.plain.PlainCall;
+import org.tanagergap.api.failure.Execution;
+import org.tanagergap.api.failure.RequestFailure;
+import org.tanagergap.api.request.AttemptId;
+
+/** Guards calls of an agent against a response that is cut in its head and taken for complete. */
+final class TruncatedHeadTests {
+
+    private static final Duration TIMEOUT = Duration.ofSeconds(10);
+
+    private final Vertx mVertx = Vertx.vertx();
+    private volatile String mResponse = "";
+    private NetServer mUpstream;
+
+    @BeforeEach
+    void start() throws Exception {
+        mUpstream =
+                mVertx.createNetServer()
+                        .connectHandler(this::connected)
+                        .listen(0, "127.0.0.1")
+                        .toCompletionStage()
+                        .toCompletableFuture()
+                        .get(5, TimeUnit.SECONDS);
+    }
+
+    @AfterEach
+    void close() throws Exception {
+        mVertx.close().toCompletionStage().toCompletableFuture().get(10, TimeUnit.SECONDS);
+    }
+
+    private void connected(NetSocket socket) {
+        socket.handler(ignored -> socket.end(Buffer.buffer(mResponse)));
+    }
+
+    private String url() {
+        return "http://127.0.0.1:" + mUpstream.actualPort();
+    }
+
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "HTTP",
+                "HTTP/1.1 200",
+                "HTTP/1.1 200 OK\r\n",
+                "HTTP/1.1 200 OK\r\nContent-Length: 2",
+                "HTTP/1.1 200 OK\r\nContent-Length: 20\r\n",
+                "HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r"
+            })
+    void aResponseThatEndsInItsHeadIsAFailure(String response) {
+        mResponse = response;
+        PlainCall call =
+                new PlainCall(
+                        new AttemptId("a.1"),
+                        "POST",
+                        "/orders",
+                        List.of(),
+                        ByteString.copyFromUtf8("lids"),
+                        "key-1",
+                        "");
+        SegmentPrefill prefill = new SegmentPrefill(new AttemptId("a.2"), "m1", "p", List.of(), "");
+
+        RequestFailure ofCall =
+                assertThrows(
+                        RequestFailure.class,
+                        () ->
+                                new HttpPlainUpstream(mVertx, url(), 2)
+                                        .send(call)
+                                        .await()
+                                        .atMost(TIMEOUT));
+        RequestFailure ofPrefill =
+                assertThrows(
+                        RequestFailure.class,
+                        () ->
+                                new HttpModelEngine(mVertx, url())
+                                        .prefill(prefill)
+                                        .await()
+                                        .atMost(TIMEOUT));
+
+        assertThat(ofCall.execution()).isEqualTo(Execution.UNKNOWN);
+        assertThat(ofPrefill.execution()).isEqualTo(Execution.UNKNOWN);
+    }
+}
