Limit the memory of all plain responses that an agent reads

The same cause as in the gateway: each response of a plain service was bounded by 16 MiB, and their sum by nothing.

A response that is complete and on its way to the entry is not counted.

--- a/tanagergap-agent/src/main/java/org/tanagergap/agent/AgentService.java
+++ b/tanagergap-agent/src/main/java/org/tanagergap/agent/AgentService.java
@@ -10,6 +10,7 @@
 import org.tanagergap.agent.plain.HttpPlainUpstream;
 import org.tanagergap.agent.server.GrpcEndpoint;
 import org.tanagergap.api.lifecycle.Service;
+import org.tanagergap.decisions.memory.SharedMemoryLimit;
 import org.tanagergap.decisions.scheduling.FairUpstreamScheduler;
 import org.tanagergap.decisions.scheduling.SchedulerSettings;
 import org.tanagergap.decisions.scheduling.UpstreamScheduler;
@@ -55,7 +56,10 @@
                                 program.tracing(),
                                 scheduler,
                                 new HttpPlainUpstream(
-                                        mVertx, settings.upstreamUrl(), settings.concurrency()),
+                                        mVertx,
+                                        settings.upstreamUrl(),
+                                        settings.concurrency(),
+                                        SharedMemoryLimit.ofHeap()),
                                 IntentLogs.of(settings, program));
         mTls = new TlsReloader(mVertx, program.clock(), settings.tls());
         mGrpc = new GrpcEndpoint(mVertx, settings.listen(), mCore.rpcHandler(), mTls);
--- a/tanagergap-agent/src/main/java/org/tanagergap/agent/http/ResponseBody.java
+++ b/tanagergap-agent/src/main/java/org/tanagergap/agent/http/ResponseBody.java
@@ -7,6 +7,7 @@
 import org.tanagergap.api.failure.Execution;
 import org.tanagergap.api.failure.FailureCode;
 import org.tanagergap.api.failure.RequestFailure;
+import org.tanagergap.decisions.memory.SharedMemoryLimit;
 
 /** Reads the body of a response into memory. */
 public final class ResponseBody {
@@ -18,22 +19,37 @@
      * limit. The caller closes the connection then.
      */
     public static Future<Buffer> read(HttpClientResponse response, int maxBytes) {
+        return read(response, maxBytes, new SharedMemoryLimit(maxBytes));
+    }
+
+    /**
+     * Returns the complete body like {@link #read(HttpClientResponse, int)}; also fails if the
+     * bodies that are read at the same time exceed the memory for them.
+     */
+    public static Future<Buffer> read(
+            HttpClientResponse response, int maxBytes, SharedMemoryLimit memory) {
         Promise<Buffer> bodyPromise = Promise.promise();
+        SharedMemoryLimit.Share share =
+                memory.open(() -> bodyPromise.tryFail(tooLarge("answers exceed their memory")));
         Buffer body = Buffer.buffer();
         response.exceptionHandler(bodyPromise::tryFail);
         response.endHandler(ignored -> bodyPromise.tryComplete(body));
         response.handler(
                 part -> {
+                    if (bodyPromise.future().isComplete()) {
+                        return;
+                    }
                     if (body.length() + part.length() <= maxBytes) {
                         body.appendBuffer(part);
+                        share.add(part.length());
                     } else {
-                        bodyPromise.tryFail(
-                                RequestFailure.of(
-                                        FailureCode.UPSTREAM_FAILED,
-                                        Execution.RAN,
-                                        "answer exceeds " + maxBytes + " bytes"));
+                        bodyPromise.tryFail(tooLarge("answer exceeds " + maxBytes + " bytes"));
                     }
                 });
-        return bodyPromise.future();
+        return bodyPromise.future().onComplete(ignored -> share.close());
+    }
+
+    private static RequestFailure tooLarge(String message) {
+        return RequestFailure.of(FailureCode.UPSTREAM_FAILED, Execution.RAN, message);
     }
 }
--- a/tanagergap-agent/src/main/java/org/tanagergap/agent/plain/HttpPlainUpstream.java
+++ b/tanagergap-agent/src/main/java/org/tanagergap/agent/plain/HttpPlainUpstream.java
@@ -22,6 +22,7 @@
 import org.tanagergap.api.failure.Execution;
 import org.tanagergap.api.failure.FailureCode;
 import org.tanagergap.api.failure.RequestFailure;
+import org.tanagergap.decisions.memory.SharedMemoryLimit;
 import org.tanagergap.protocol.v1.Header;
 
 /** HTTP client of a plain service. */
@@ -52,6 +53,7 @@
                     "traceparent");
 
     private final HttpClient mClient;
+    private final SharedMemoryLimit mMemory;
     private final String mBaseUrl;
 
     /**
@@ -59,8 +61,11 @@
      *
      * @param baseUrl URL without a final slash
      * @param concurrency maximum number of calls in flight
+     * @param memory limit for the responses that are being read
      */
-    public HttpPlainUpstream(Vertx vertx, String baseUrl, int concurrency) {
+    public HttpPlainUpstream(
+            Vertx vertx, String baseUrl, int concurrency, SharedMemoryLimit memory) {
+        mMemory = Objects.requireNonNull(memory, "memory must not be null");
         mBaseUrl = Objects.requireNonNull(baseUrl, "baseUrl must not be null");
         // One connection for each call: a late or duplicate response has no identifier by which it
         // could be told from that of the next call on a kept connection.
@@ -141,7 +146,7 @@
             request.send(Buffer.buffer(mCall.body().toByteArray()))
                     .compose(
                             response ->
-                                    ResponseBody.read(response, MAX_RESPONSE_BYTES)
+                                    ResponseBody.read(response, MAX_RESPONSE_BYTES, mMemory)
                                             .map(body -> serviceResponse(response, body)))
                     .onSuccess(
                             serviceResponse -> {
--- a/tanagergap-agent/src/test/java/org/tanagergap/agent/TruncatedHeadTests.java
+++ b/tanagergap-agent/src/test/java/org/tanagergap/agent/TruncatedHeadTests.java
@@ -22,6 +22,7 @@
 import org.tanagergap.api.failure.Execution;
 import org.tanagergap.api.failure.RequestFailure;
 import org.tanagergap.api.request.AttemptId;
+import org.tanagergap.decisions.memory.SharedMemoryLimit;
 
 /** Guards calls of an agent against a response that is cut in its head and taken for complete. */
 final class TruncatedHeadTests {
@@ -83,7 +84,7 @@
                 assertThrows(
                         RequestFailure.class,
                         () ->
-                                new HttpPlainUpstream(mVertx, url(), 2)
+                                new HttpPlainUpstream(mVertx, url(), 2, SharedMemoryLimit.ofHeap())
                                         .send(call)
                                         .await()
                                         .atMost(TIMEOUT));
--- a/tanagergap-agent/src/test/java/org/tanagergap/agent/plain/HttpPlainUpstreamTests.java
+++ b/tanagergap-agent/src/test/java/org/tanagergap/agent/plain/HttpPlainUpstreamTests.java
@@ -16,6 +16,7 @@
 import org.tanagergap.api.failure.Execution;
 import org.tanagergap.api.failure.RequestFailure;
 import org.tanagergap.api.request.AttemptId;
+import org.tanagergap.decisions.memory.SharedMemoryLimit;
 import org.tanagergap.protocol.v1.Header;
 
 /**
@@ -90,7 +91,8 @@
                         ByteString.copyFromUtf8("lids"),
                         "key-1",
                         "");
-        return new HttpPlainUpstream(mVertx, "http://127.0.0.1:" + port, 2)
+        return new HttpPlainUpstream(
+                        mVertx, "http://127.0.0.1:" + port, 2, SharedMemoryLimit.ofHeap())
                 .send(call)
                 .await()
                 .atMost(TIMEOUT);
--- a/tanagergap-decisions/src/main/java/org/tanagergap/decisions/memory/SharedMemoryLimit.java
+++ b/tanagergap-decisions/src/main/java/org/tanagergap/decisions/memory/SharedMemoryLimit.java
@@ -1,15 +1,17 @@
 package org.tanagergap.decisions.memory;
 
+import java.util.ArrayList;
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Objects;
-import java.util.Optional;
 import java.util.Set;
 
 /**
  * Bounds the memory of all messages that are buffered at the same time. When they need more, the
  * largest incomplete message is evicted: one that grows without end goes before the small ones
- * beside it. Not thread-safe.
+ * beside it. Thread-safe.
  */
 public final class SharedMemoryLimit {
 
@@ -25,6 +27,14 @@
         mMaxBytes = maxBytes;
     }
 
+    /**
+     * Creates a limit of a third of the heap: a buffer may take up to twice its bytes while it
+     * grows, and other state needs the rest.
+     */
+    public static SharedMemoryLimit ofHeap() {
+        return new SharedMemoryLimit(Runtime.getRuntime().maxMemory() / 3);
+    }
+
     /** Memory of one message. */
     public final class Share {
 
@@ -38,25 +48,25 @@
 
         /** Counts a further part of the message, and evicts messages if it does not fit. */
         public void add(long bytes) {
-            if (mClosed) {
-                return;
-            }
-            mBytes += bytes;
-            mUsedBytes += bytes;
-            evictWhileFull();
+            // The actions may close connections and are called without the lock.
+            addAndTakeEvicted(this, bytes).forEach(evicted -> evicted.mOnEvict.run());
         }
 
         /** Records that the message is complete, so that it is not evicted any more. */
         public void completed() {
-            mIncomplete.remove(this);
+            synchronized (SharedMemoryLimit.this) {
+                mIncomplete.remove(this);
+            }
         }
 
         /** Records that the message no longer uses memory; further calls have no effect. */
         public void close() {
-            if (!mClosed) {
-                mClosed = true;
-                mIncomplete.remove(this);
-                mUsedBytes -= mBytes;
+            synchronized (SharedMemoryLimit.this) {
+                if (!mClosed) {
+                    mClosed = true;
+                    mIncomplete.remove(this);
+                    mUsedBytes -= mBytes;
+                }
             }
         }
     }
@@ -66,29 +76,33 @@
      *
      * @param onEvict called when the message must be given up; its memory is no longer counted
      */
-    public Share open(Runnable onEvict) {
+    public synchronized Share open(Runnable onEvict) {
         Share share = new Share(onEvict);
         mIncomplete.add(share);
         return share;
     }
 
     /** Total size of the messages. */
-    public long usedBytes() {
+    public synchronized long usedBytes() {
         return mUsedBytes;
     }
 
-    private void evictWhileFull() {
-        while (mUsedBytes > mMaxBytes) {
-            Optional<Share> largest = largestIncomplete();
-            if (largest.isEmpty()) {
-                return;
-            }
-            largest.get().close();
-            largest.get().mOnEvict.run();
+    private synchronized List<Share> addAndTakeEvicted(Share share, long bytes) {
+        List<Share> evicted = new ArrayList<>();
+        if (share.mClosed) {
+            return evicted;
+        }
+        share.mBytes += bytes;
+        mUsedBytes += bytes;
+        while (mUsedBytes > mMaxBytes && !mIncomplete.isEmpty()) {
+            Share largest = largestIncomplete();
+            largest.close();
+            evicted.add(largest);
         }
+        return evicted;
     }
 
-    private Optional<Share> largestIncomplete() {
-        return mIncomplete.stream().max(Comparator.comparingLong(share -> share.mBytes));
+    private Share largestIncomplete() {
+        return Collections.max(mIncomplete, Comparator.comparingLong(share -> share.mBytes));
     }
 }
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/GatewayService.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/GatewayService.java
@@ -54,9 +54,6 @@
     /** Part of the reserve in which the last responses are written. */
     private static final Duration LAST_RESPONSES_TIMEOUT = Duration.ofMillis(100);
 
-    /** Buffers of responses may take up to twice their bytes, and other state needs the rest. */
-    private static final long HEAP_PER_RESPONSE_MEMORY = 3;
-
     private static final int MAX_CONNECTIONS = 4096;
 
     private static final FluentLogger sLogger = FluentLogger.forEnclosingClass();
@@ -155,8 +152,7 @@
     }
 
     private static SharedMemoryLimit responseMemory(MetricRegistry metrics) {
-        SharedMemoryLimit limit =
-                new SharedMemoryLimit(Runtime.getRuntime().maxMemory() / HEAP_PER_RESPONSE_MEMORY);
+        SharedMemoryLimit limit = SharedMemoryLimit.ofHeap();
         metrics.register("gateway_response_bytes", (Gauge<Long>) limit::usedBytes);
         return limit;
     }
