Move the wait for the fleet and the admission at shutdown out of the server

FleetWait keeps the requests that arrive before the first fleet view, and ShutdownAdmission decides which ones are still accepted before the exit.

--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/caller/GatewayCallerServer.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/caller/GatewayCallerServer.java
@@ -8,9 +8,8 @@
 import io.vertx.core.http.HttpServerRequest;
 import java.time.Duration;
 import java.util.HashSet;
-import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -21,10 +20,8 @@
 import org.tanagergap.api.lifecycle.Service;
 import org.tanagergap.api.request.RequestId;
 import org.tanagergap.api.time.RuntimeClock;
-import org.tanagergap.decisions.fleet.DurationEstimate;
 import org.tanagergap.gateway.configuration.CallerLimits;
 import org.tanagergap.gateway.configuration.GatewayConfiguration;
-import org.tanagergap.gateway.configuration.RouteKind;
 import org.tanagergap.gateway.membership.FleetView;
 import org.tanagergap.gateway.wire.GatewayCallerHeaders;
 import org.tanagergap.gateway.wire.WireFormat;
@@ -48,9 +45,6 @@
     /** Responses that were sent at the end of the grace period are written within this time. */
     private static final Duration MIN_CLOSE_TIMEOUT = Duration.ofMillis(100);
 
-    /** An instance that has just started loads the fleet view within a fraction of this time. */
-    private static final Duration MAX_FLEET_WAIT = Duration.ofMillis(800);
-
     /** The delay is short because another instance takes the request at once. */
     private static final RequestFailure SHUTTING_DOWN =
             RequestFailure.notRun(FailureCode.UNAVAILABLE, "this instance is shutting down")
@@ -70,11 +64,9 @@
     private final PeriodicTask mIdleCheck;
     private final AtomicLong mSequence = new AtomicLong();
     private final Set<CallerExchange> mExchanges = new HashSet<>();
-    private final Map<CallerExchange, Runnable> mWaitingForFleet = new LinkedHashMap<>();
+    private final FleetWait mFleetWait;
     private final CompletableFuture<Void> mClosed = new CompletableFuture<>();
-    private boolean mFleetLoaded;
-    private boolean mDraining;
-    private long mShutdownDeadlineNanos;
+    private Optional<ShutdownAdmission> mShutdown = Optional.empty();
     private boolean mStopping;
     private boolean mIdleClosed;
     private boolean mClosing;
@@ -97,6 +89,7 @@
         mHandler = handler;
         mConnections = new CallerConnections(clock);
         mBodyReader = new RequestBodyReader(clock);
+        mFleetWait = new FleetWait(clock, () -> view.configuration().isPresent());
         mIdleCheck = new PeriodicTask(clock, IDLE_CHECK_INTERVAL, this::closeIdle);
     }
 
@@ -125,8 +118,7 @@
      * @param grace time until the process is killed
      */
     public void beginDrain(Duration grace) {
-        mDraining = true;
-        mShutdownDeadlineNanos = mClock.nanoTime() + grace.toNanos();
+        mShutdown = Optional.of(new ShutdownAdmission(mClock, grace));
         mExchanges.forEach(CallerExchange::closeAfterResponse);
     }
 
@@ -136,9 +128,10 @@
      */
     @Override
     public CompletableFuture<Void> stop() {
-        if (!mDraining) {
+        if (mShutdown.isEmpty()) {
             beginDrain(Duration.ZERO);
         }
+        mShutdown.ifPresent(ShutdownAdmission::balancerHasNoticed);
         mStopping = true;
         mConnections.closeIdle(SHUTDOWN_IDLE_TIMEOUT);
         // Connections that were in use until now become idle in the meantime.
@@ -190,7 +183,7 @@
         CallerExchange exchange = new CallerExchange(request, id, () -> onEnd(holder[0], request));
         holder[0] = exchange;
         mExchanges.add(exchange);
-        if (mDraining) {
+        if (mShutdown.isPresent()) {
             exchange.closeAfterResponse();
         }
         mBodyReader.read(
@@ -198,7 +191,7 @@
                 exchange,
                 limits(),
                 body ->
-                        serveWhenFleetLoaded(
+                        mFleetWait.serveWhenLoaded(
                                 exchange,
                                 () -> serveGuarded(exchange, headers, body, arrivalNanos)));
     }
@@ -232,7 +225,7 @@
 
     private void onEnd(CallerExchange exchange, HttpServerRequest request) {
         mExchanges.remove(exchange);
-        mWaitingForFleet.remove(exchange);
+        mFleetWait.remove(exchange);
         mConnections.requestEnded(request.connection());
         closeAfterLastResponse();
     }
@@ -246,10 +239,10 @@
 
     /** Requests that have been read by now are still served before their connections are closed. */
     private void close() {
-        long remainingNanos =
-                Math.max(MIN_CLOSE_TIMEOUT.toNanos(), mShutdownDeadlineNanos - mClock.nanoTime());
+        Duration remaining = mShutdown.map(ShutdownAdmission::remaining).orElse(MIN_CLOSE_TIMEOUT);
+        long timeoutMillis = Math.max(MIN_CLOSE_TIMEOUT.toMillis(), remaining.toMillis());
         sLogger.atInfo().log("closing the port and the connections of callers");
-        Futures.toCompletable(mServer.shutdown(remainingNanos, TimeUnit.NANOSECONDS))
+        Futures.toCompletable(mServer.shutdown(timeoutMillis, TimeUnit.MILLISECONDS))
                 .whenComplete(
                         (ignored, failure) -> {
                             sLogger.atInfo().log("all connections of callers are closed");
@@ -257,43 +250,15 @@
                         });
     }
 
-    /** Serves the request, which waits for the fleet view if this instance has just started. */
-    private void serveWhenFleetLoaded(CallerExchange exchange, Runnable serve) {
-        if (isFleetLoaded()) {
-            serve.run();
-            return;
-        }
-        mWaitingForFleet.put(exchange, serve);
-        mClock.schedule(MAX_FLEET_WAIT, () -> serveWaiting(exchange));
-    }
-
-    private boolean isFleetLoaded() {
-        return mFleetLoaded && mView.configuration().isPresent();
-    }
-
-    private void serveWaiting(CallerExchange exchange) {
-        Runnable serve = mWaitingForFleet.remove(exchange);
-        if (serve != null) {
-            serve.run();
-        }
-    }
-
     /** Serves the requests that have waited for the first complete fleet view. */
     public void fleetLoaded() {
-        mFleetLoaded = true;
-        serveAllWaiting();
+        mFleetWait.fleetLoaded();
     }
 
     /** Applies the limits of a configuration and serves the requests that have waited for one. */
     public void configurationChanged() {
         mConnections.limitInForce(limits().idleTimeout());
-        serveAllWaiting();
-    }
-
-    private void serveAllWaiting() {
-        if (isFleetLoaded()) {
-            List.copyOf(mWaitingForFleet.keySet()).forEach(this::serveWaiting);
-        }
+        mFleetWait.configurationChanged();
     }
 
     private void serve(
@@ -308,7 +273,7 @@
             exchange.sendFailure(failure);
             return;
         }
-        if (mDraining && !canFinishInTime(resolved)) {
+        if (mShutdown.filter(shutdown -> !shutdown.canFinishInTime(resolved)).isPresent()) {
             log(exchange, SHUTTING_DOWN);
             exchange.sendFailure(SHUTTING_DOWN);
             return;
@@ -316,27 +281,6 @@
         mHandler.serve(exchange, resolved);
     }
 
-    /**
-     * Returns true if the request will probably have ended before the process is killed. When the
-     * load balancer has noticed the shutdown, a plain call that must not run twice needs all of its
-     * time, because its caller could not repeat it after a late failure.
-     */
-    private boolean canFinishInTime(GatewayRequest request) {
-        if (mStopping && request.route().kind() == RouteKind.NON_IDEMPOTENT) {
-            return request.deadlineNanos() < mShutdownDeadlineNanos;
-        }
-        Duration remaining = Duration.ofNanos(mShutdownDeadlineNanos - mClock.nanoTime());
-        Duration needed =
-                request.service()
-                        .engine()
-                        .map(engine -> DurationEstimate.ofCompletion(request.cost(), engine))
-                        .orElseGet(
-                                () ->
-                                        DurationEstimate.ofPlainCall(
-                                                request.route().latencyTarget()));
-        return needed.compareTo(remaining) < 0;
-    }
-
     private void log(CallerExchange exchange, RequestFailure failure) {
         sLogger.atInfo()
                 .with(LogKeys.REQUEST_ID, exchange.id().value())
