--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/HelperMemoryReservation.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/HelperMemoryReservation.java
@@ -4,12 +4,10 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.tanagergap.api.time.Timer;
 import org.tanagergap.decisions.fleet.ReservationUse;
@@ -33,11 +31,6 @@
     private static final Duration TIME_TO_LIVE = Duration.ofMillis(3500);
     private static final Duration EXTENSION_INTERVAL = Duration.ofMillis(1200);
 
-    /** Administrative requests without a response are carried out at most this much later. */
-    private static final Duration LATE_EXECUTION_WINDOW = Duration.ofSeconds(13);
-
-    private static final Duration RELEASE_INTERVAL = Duration.ofMillis(500);
-
     /**
      * Time from an extension without a response so far to the next one. An engine that loses what
      * arrives during a silence must get an extension before the time to live ends.
@@ -54,16 +47,13 @@
     private final long mTokens;
     private final List<Upstream> mContacted = new ArrayList<>();
     private final List<Upstream> mReserved = new ArrayList<>();
-    private final Set<String> mWithoutResponse = new HashSet<>();
-    private final Set<String> mReleaseScheduled = new HashSet<>();
+    private final ReservationRelease mRelease;
     private final Map<String, Timer> mExtending = new HashMap<>();
     private final long mStartNanos;
     private final ReservationUse mUse;
-    private long mReleasedNanos;
     private OptionalLong mFirstTokenNanos = OptionalLong.empty();
     private Outcome mOutcome;
     private int mExtensions;
-    private boolean mReleased;
     private Timer mTimer = () -> {};
 
     /**
@@ -78,6 +68,7 @@
         mId = id;
         mHelpers = List.copyOf(helpers);
         mTokens = tokens;
+        mRelease = new ReservationRelease(context, id);
         mStartNanos = context.clock().nanoTime();
         mUse = new ReservationUse(context.maxUnusedReservation(), TIME_TO_LIVE, mStartNanos);
     }
@@ -115,18 +106,17 @@
 
     /** Releases the reserved memory; further calls have no effect. */
     void release() {
-        if (mReleased) {
+        if (mRelease.hasBegun()) {
             return;
         }
-        mReleased = true;
-        mReleasedNanos = mContext.clock().nanoTime();
         mTimer.cancel();
-        mContacted.forEach(this::release);
+        mRelease.begin(mContacted);
         recordRelease();
     }
 
     private void recordRelease() {
-        long unusedNanos = mFirstTokenNanos.orElse(mReleasedNanos) - mStartNanos;
+        long now = mContext.clock().nanoTime();
+        long unusedNanos = mFirstTokenNanos.orElse(now) - mStartNanos;
         mContext.metrics()
                 .histogram("gateway_reservation_before_first_token_ms")
                 .update(millis(unusedNanos));
@@ -136,7 +126,7 @@
                 mTokens,
                 mContacted.size(),
                 mId,
-                millis(mReleasedNanos - mStartNanos),
+                millis(now - mStartNanos),
                 mExtensions,
                 mFirstTokenNanos.isPresent()
                         ? "first token after " + millis(unusedNanos) + " ms"
@@ -147,55 +137,15 @@
         return TimeUnit.NANOSECONDS.toMillis(nanos);
     }
 
-    private void release(Upstream helper) {
-        mContext.engineAdmin()
-                .reservation(helper.address(), mContext.wire().releaseRequest(mId))
-                .onComplete(
-                        ignored -> {
-                            if (mWithoutResponse.contains(helper.id())) {
-                                scheduleRelease(helper);
-                            }
-                        },
-                        failure -> scheduleRelease(helper));
-    }
-
-    /**
-     * A reservation request without a response may be carried out seconds later and reserve the
-     * memory again, so the release is repeated until that can no longer happen.
-     */
-    private void scheduleRelease(Upstream helper) {
-        boolean mayTakeEffect =
-                mContext.clock().nanoTime() - mReleasedNanos < LATE_EXECUTION_WINDOW.toNanos();
-        if (mayTakeEffect && mReleaseScheduled.add(helper.id())) {
-            mContext.clock().schedule(RELEASE_INTERVAL, () -> repeatRelease(helper));
-        }
-    }
-
-    private void repeatRelease(Upstream helper) {
-        mReleaseScheduled.remove(helper.id());
-        release(helper);
-    }
-
-    /** Another connection may have carried the release to the engine before this request. */
-    private void releaseIfLate(Upstream helper) {
-        if (mReleased) {
-            scheduleRelease(helper);
-        }
-    }
-
     private void recordNoResponse(Upstream helper, String operation, Throwable failure) {
         sLogger.atInfo().log(
                 "%s of %d tokens for attempt %s at %s got no response: %s",
                 operation, mTokens, mId, helper.id(), failure.getMessage());
-        mWithoutResponse.add(helper.id());
-        if (mReleased) {
-            // The release may have been answered before this failure was known.
-            scheduleRelease(helper);
-        }
+        mRelease.requestUnanswered(helper);
     }
 
     private void acquireNext(int index) {
-        if (mReleased) {
+        if (mRelease.hasBegun()) {
             return;
         }
         if (index == mHelpers.size()) {
@@ -215,7 +165,7 @@
                         mContext.wire().reservationRequest(mId, mTokens, TIME_TO_LIVE))
                 .onComplete(
                         status -> {
-                            releaseIfLate(helper);
+                            mRelease.repeatIfBegun(helper);
                             if (status == HTTP_OK) {
                                 acquired(helper);
                                 acquireNext(index + 1);
@@ -236,7 +186,7 @@
     /** Extends the memory from the first engine on, because another one may respond late. */
     private void acquired(Upstream helper) {
         mReserved.add(helper);
-        if (mReserved.size() == 1 && !mReleased) {
+        if (mReserved.size() == 1 && !mRelease.hasBegun()) {
             mTimer = mContext.clock().schedule(EXTENSION_INTERVAL, this::extend);
         }
     }
@@ -244,7 +194,7 @@
     /** The same identifier reserves no further memory if the engine carries out both requests. */
     private boolean mayRepeat(Upstream helper, Throwable failure) {
         long elapsedNanos = mContext.clock().nanoTime() - mStartNanos;
-        return !mReleased
+        return !mRelease.hasBegun()
                 && EngineAdminClient.isSilent(failure)
                 && elapsedNanos < MAX_ACQUISITION.toNanos()
                 && !mOutcome.isReplaceable(helper);
@@ -258,7 +208,7 @@
     }
 
     private void extend() {
-        if (mReleased) {
+        if (mRelease.hasBegun()) {
             return;
         }
         long now = mContext.clock().nanoTime();
@@ -278,7 +228,7 @@
     }
 
     private void extendUntilAnswered(Upstream helper) {
-        if (mReleased || !mUse.mayExtend(mContext.clock().nanoTime())) {
+        if (mRelease.hasBegun() || !mUse.mayExtend(mContext.clock().nanoTime())) {
             mExtending.remove(helper.id());
             return;
         }
@@ -315,7 +265,7 @@
 
     private void recordExtension(Upstream helper, int status) {
         Optional.ofNullable(mExtending.remove(helper.id())).ifPresent(Timer::cancel);
-        releaseIfLate(helper);
+        mRelease.repeatIfBegun(helper);
         if (status != HTTP_OK) {
             sLogger.atInfo().log(
                     "extension of %d tokens for attempt %s at %s got status %d",
