--- a/tanagergap-agent/src/test/java/org/tanagergap/agent/EndlessEngineResponseTests.java
+++ b/tanagergap-agent/src/test/java/org/tanagergap/agent/EndlessEngineResponseTests.java
@@ -3,8 +3,6 @@
 import static com.google.common.truth.Truth.assertThat;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
-import io.vertx.core.Vertx;
-import io.vertx.core.net.NetServer;
 import io.vertx.core.net.NetSocket;
 import java.time.Duration;
 import java.util.List;
@@ -30,26 +28,19 @@
 
     private static final Duration TIMEOUT = Duration.ofSeconds(10);
 
-    private final Vertx mVertx = Vertx.vertx();
     private final AtomicLong mBytes = new AtomicLong();
     private final CountDownLatch mClosed = new CountDownLatch(1);
     private volatile String mHead = "";
-    private NetServer mEngine;
+    private RawUpstream mUpstream;
 
     @BeforeEach
     void start() throws Exception {
-        mEngine =
-                mVertx.createNetServer()
-                        .connectHandler(this::connected)
-                        .listen(0, "127.0.0.1")
-                        .toCompletionStage()
-                        .toCompletableFuture()
-                        .get(5, TimeUnit.SECONDS);
+        mUpstream = new RawUpstream(this::connected);
     }
 
     @AfterEach
     void close() throws Exception {
-        mVertx.close().toCompletionStage().toCompletableFuture().get(10, TimeUnit.SECONDS);
+        mUpstream.close();
     }
 
     private void connected(NetSocket socket) {
@@ -75,8 +66,7 @@
     @ValueSource(strings = {"200 OK", "500 Failed"})
     void aSegmentPrefillFailsAndItsConnectionIsClosed(String status) throws Exception {
         mHead = "HTTP/1.1 " + status + "\r\n\r\n";
-        HttpModelEngine engine =
-                new HttpModelEngine(mVertx, "http://127.0.0.1:" + mEngine.actualPort());
+        HttpModelEngine engine = new HttpModelEngine(mUpstream.vertx(), mUpstream.url());
         SegmentPrefill prefill = new SegmentPrefill(new AttemptId("a.1"), "m1", "p", List.of(), "");
 
         assertThrows(RequestFailure.class, () -> engine.prefill(prefill).await().atMost(TIMEOUT));
--- a/tanagergap-agent/src/test/java/org/tanagergap/agent/TruncatedHeadTests.java
+++ b/tanagergap-agent/src/test/java/org/tanagergap/agent/TruncatedHeadTests.java
@@ -4,13 +4,10 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import com.google.protobuf.ByteString;
-import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
-import io.vertx.core.net.NetServer;
 import io.vertx.core.net.NetSocket;
 import java.time.Duration;
 import java.util.List;
-import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -29,34 +26,23 @@
 
     private static final Duration TIMEOUT = Duration.ofSeconds(10);
 
-    private final Vertx mVertx = Vertx.vertx();
     private volatile String mResponse = "";
-    private NetServer mUpstream;
+    private RawUpstream mUpstream;
 
     @BeforeEach
     void start() throws Exception {
-        mUpstream =
-                mVertx.createNetServer()
-                        .connectHandler(this::connected)
-                        .listen(0, "127.0.0.1")
-                        .toCompletionStage()
-                        .toCompletableFuture()
-                        .get(5, TimeUnit.SECONDS);
+        mUpstream = new RawUpstream(this::connected);
     }
 
     @AfterEach
     void close() throws Exception {
-        mVertx.close().toCompletionStage().toCompletableFuture().get(10, TimeUnit.SECONDS);
+        mUpstream.close();
     }
 
     private void connected(NetSocket socket) {
         socket.handler(ignored -> socket.end(Buffer.buffer(mResponse)));
     }
 
-    private String url() {
-        return "http://127.0.0.1:" + mUpstream.actualPort();
-    }
-
     @ParameterizedTest
     @ValueSource(
             strings = {
@@ -84,7 +70,11 @@
                 assertThrows(
                         RequestFailure.class,
                         () ->
-                                new HttpPlainUpstream(mVertx, url(), 2, SharedMemoryLimit.ofHeap())
+                                new HttpPlainUpstream(
+                                                mUpstream.vertx(),
+                                                mUpstream.url(),
+                                                2,
+                                                SharedMemoryLimit.ofHeap())
                                         .send(call)
                                         .await()
                                         .atMost(TIMEOUT));
@@ -92,7 +82,7 @@
                 assertThrows(
                         RequestFailure.class,
                         () ->
-                                new HttpModelEngine(mVertx, url())
+                                new HttpModelEngine(mUpstream.vertx(), mUpstream.url())
                                         .prefill(prefill)
                                         .await()
                                         .atMost(TIMEOUT));
--- a/tanagergap-agent/src/test/java/org/tanagergap/agent/plain/PlainResponseMemoryTests.java
+++ b/tanagergap-agent/src/test/java/org/tanagergap/agent/plain/PlainResponseMemoryTests.java
@@ -4,8 +4,6 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import com.google.protobuf.ByteString;
-import io.vertx.core.Vertx;
-import io.vertx.core.net.NetServer;
 import io.vertx.core.net.NetSocket;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -16,6 +14,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.tanagergap.agent.RawUpstream;
 import org.tanagergap.api.failure.RequestFailure;
 import org.tanagergap.api.request.AttemptId;
 import org.tanagergap.decisions.memory.SharedMemoryLimit;
@@ -31,24 +30,17 @@
 
     private static final Duration TIMEOUT = Duration.ofSeconds(20);
 
-    private final Vertx mVertx = Vertx.vertx();
     private final SharedMemoryLimit mMemory = new SharedMemoryLimit(MAX_MEMORY);
-    private NetServer mUpstream;
+    private RawUpstream mUpstream;
 
     @BeforeEach
     void start() throws Exception {
-        mUpstream =
-                mVertx.createNetServer()
-                        .connectHandler(this::connected)
-                        .listen(0, "127.0.0.1")
-                        .toCompletionStage()
-                        .toCompletableFuture()
-                        .get(5, TimeUnit.SECONDS);
+        mUpstream = new RawUpstream(this::connected);
     }
 
     @AfterEach
     void close() throws Exception {
-        mVertx.close().toCompletionStage().toCompletableFuture().get(10, TimeUnit.SECONDS);
+        mUpstream.close();
     }
 
     private void connected(NetSocket socket) {
@@ -86,8 +78,7 @@
     @Test
     void responsesWithoutEndAreGivenUpBeforeTheyFillTheMemory() {
         HttpPlainUpstream upstream =
-                new HttpPlainUpstream(
-                        mVertx, "http://127.0.0.1:" + mUpstream.actualPort(), CALLS, mMemory);
+                new HttpPlainUpstream(mUpstream.vertx(), mUpstream.url(), CALLS, mMemory);
         List<CompletableFuture<PlainServiceResponse>> calls = new ArrayList<>();
         for (int i = 0; i < CALLS; i++) {
             calls.add(send(upstream, i).orTimeout(TIMEOUT.toSeconds(), TimeUnit.SECONDS));
