Refuse streams that may not end before the exit

The same fault as with orders: a stream that must not run twice and arrived late in the grace period was passed on, although its deadline was after the exit, and could only be broken off there.

Once the load balancer has had its time to notice, every request that must not run twice needs all of its time, and any other one twice its estimate.

Measured: GracePeriodTests, the case of a stream failed before (502 instead of 503) and passes now.

--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/caller/ShutdownAdmission.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/caller/ShutdownAdmission.java
@@ -3,7 +3,6 @@
 import java.time.Duration;
 import org.tanagergap.api.time.RuntimeClock;
 import org.tanagergap.decisions.fleet.DurationEstimate;
-import org.tanagergap.gateway.configuration.RouteKind;
 
 /** Decides which requests are still accepted before the process exits. */
 final class ShutdownAdmission {
@@ -34,14 +33,18 @@
 
     /**
      * Returns true if the request will probably have ended before the process exits. When the load
-     * balancer has noticed the shutdown, a plain call that must not run twice needs all of its
-     * time, because its caller could not repeat it after a late failure.
+     * balancer has noticed the shutdown, few requests still arrive here and another instance can
+     * serve them: one that must not run twice then needs all of its time, because its caller could
+     * not repeat it after a late failure, and any other one twice its estimated time.
      */
     boolean canFinishInTime(GatewayRequest request) {
-        if (mBalancerHasNoticed && request.route().kind() == RouteKind.NON_IDEMPOTENT) {
+        if (!mBalancerHasNoticed) {
+            return estimate(request).compareTo(remaining()) < 0;
+        }
+        if (!request.route().retryable()) {
             return request.deadlineNanos() < mExitNanos;
         }
-        return estimate(request).compareTo(remaining()) < 0;
+        return estimate(request).multipliedBy(2).compareTo(remaining()) < 0;
     }
 
     private static Duration estimate(GatewayRequest request) {
