--- a/tanagergap-entry/src/main/java/org/tanagergap/entry/execution/SpanningPromptSession.java
+++ b/tanagergap-entry/src/main/java/org/tanagergap/entry/execution/SpanningPromptSession.java
@@ -321,23 +321,7 @@
     }
 
     private String segmentText(int index) {
-        int from = offset(mSegments.get(index).firstToken());
-        boolean last = index == mSegments.size() - 1;
-        int to = last ? mPayload.prompt().length() : offset(mSegments.get(index + 1).firstToken());
-        return mPayload.prompt().substring(from, to);
-    }
-
-    /** Estimated character index of a token; never within a surrogate pair. */
-    private int offset(long token) {
-        String prompt = mPayload.prompt();
-        long tokens = Math.max(1, mPayload.cost().promptTokens());
-        int offset = (int) (prompt.length() * token / tokens);
-        boolean splitsPair =
-                offset > 0
-                        && offset < prompt.length()
-                        && Character.isLowSurrogate(prompt.charAt(offset))
-                        && Character.isHighSurrogate(prompt.charAt(offset - 1));
-        return splitsPair ? offset + 1 : offset;
+        return SegmentText.of(mPayload, mSegments, index);
     }
 
     private void schedule(Duration delay, Runnable task) {
