Stop the entry of a test only after it has run a call

The log shows that the entry read its first call after the stop and refused all 80, each as not run, which is right; the check that some call ran had nothing to see. The test waits for the first run before it stops the entry; all checks stay.

--- a/tanagergap-entry/src/test/java/org/tanagergap/entry/EntryShutdownTests.java
+++ b/tanagergap-entry/src/test/java/org/tanagergap/entry/EntryShutdownTests.java
@@ -94,6 +94,8 @@
         CompletableFuture<Void> stopped = new CompletableFuture<>();
         for (int i = 0; i < CONNECTIONS; i++) {
             if (i == CONNECTIONS / 2) {
+                // On a busy machine the entry may not have read any of the calls yet.
+                EntryHarness.await(() -> !mRan.isEmpty());
                 mHarness.mEntry.stop().thenAccept(stopped::complete);
             }
             try {
