Log how late the idle check closes connections

The line said how many connections were closed, not when they had been found idle, so that a late timer and a short limit looked the same.

--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/caller/IdleConnections.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/caller/IdleConnections.java
@@ -107,21 +107,25 @@
             return closed;
         }
         connections.forEach(connection -> mStates.get(connection).mClosing = true);
+        long foundNanos = mClock.nanoTime();
         mClock.schedule(
                 CLOSE_DELAY,
                 () -> {
-                    closeUnlessUsed(connections, limit);
+                    closeUnlessUsed(connections, limit, foundNanos);
                     closed.complete(null);
                 });
         return closed;
     }
 
-    private void closeUnlessUsed(List<C> connections, Duration limit) {
+    private void closeUnlessUsed(List<C> connections, Duration limit, long foundNanos) {
         List<C> unused = connections.stream().filter(this::isClosing).toList();
         sLogger.atInfo().log(
-                "closing %d connections of callers that were idle for %d ms; %d others were used or"
-                        + " closed since",
-                unused.size(), limit.toMillis(), connections.size() - unused.size());
+                "closing %d connections of callers that were idle for %d ms, %d ms after they were"
+                        + " found; %d others were used or closed since",
+                unused.size(),
+                limit.toMillis(),
+                Duration.ofNanos(mClock.nanoTime() - foundNanos).toMillis(),
+                connections.size() - unused.size());
         unused.forEach(mClose);
     }
 
