Read what has arrived before closing an idle connection

Callers saw the connection close without an answer although the request was sent whole 0.2 s or more before; no upstream ran it.

Cause: a pass of the event loop reads what had arrived when the pass began and then runs the timers that are due. A long pass therefore closed connections whose requests arrived during it. The delay of 200 ms after the idle check does not help, as it ends in the same pass.

PendingReads runs the close in a pass that began 50 ms before at most, so that what had arrived earlier is read; a request that has been read keeps its connection. The shutdown closes idle connections by the same code.

The harness has one event loop now, as deployed: with more, the timers ran on another thread than the reads.

--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/caller/IdleConnections.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/caller/IdleConnections.java
@@ -10,6 +10,7 @@
 import java.util.function.Consumer;
 import java.util.function.Function;
 import org.tanagergap.api.time.RuntimeClock;
+import org.tanagergap.runtime.time.PendingReads;
 
 /**
  * Closes the connections on which no request has arrived for their idle timeout. Confined to the
@@ -19,15 +20,13 @@
  */
 final class IdleConnections<C> {
 
-    /**
-     * Time from finding a connection idle to closing it. The event loop reads what has arrived by
-     * then, also when it was busy before.
-     */
+    /** Time from finding a connection idle to closing it, for requests that are on their way. */
     private static final Duration CLOSE_DELAY = Duration.ofMillis(200);
 
     private static final FluentLogger sLogger = FluentLogger.forEnclosingClass();
 
     private final RuntimeClock mClock;
+    private final PendingReads mReads;
     private final Consumer<C> mClose;
     private final IdleLimits mLimits = new IdleLimits();
     private final Map<C, State> mStates = new HashMap<>();
@@ -40,6 +39,7 @@
 
     IdleConnections(RuntimeClock clock, Consumer<C> close) {
         mClock = clock;
+        mReads = new PendingReads(clock);
         mClose = close;
     }
 
@@ -110,10 +110,12 @@
         long foundNanos = mClock.nanoTime();
         mClock.schedule(
                 CLOSE_DELAY,
-                () -> {
-                    closeUnlessUsed(connections, limit, foundNanos);
-                    closed.complete(null);
-                });
+                () ->
+                        mReads.thenRun(
+                                () -> {
+                                    closeUnlessUsed(connections, limit, foundNanos);
+                                    closed.complete(null);
+                                }));
         return closed;
     }
 
--- a/tanagergap-gateway/src/test/java/org/tanagergap/gateway/caller/CallerServerHarness.java
+++ b/tanagergap-gateway/src/test/java/org/tanagergap/gateway/caller/CallerServerHarness.java
@@ -1,6 +1,7 @@
 package org.tanagergap.gateway.caller;
 
 import io.vertx.core.Vertx;
+import io.vertx.core.VertxOptions;
 import io.vertx.core.http.HttpMethod;
 import java.time.Duration;
 import java.util.List;
@@ -26,14 +27,24 @@
 
     static final String HOST = "127.0.0.1";
 
-    final Vertx mVertx = Vertx.vertx();
+    /** One event loop, as in the deployed program. */
+    final Vertx mVertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1));
+
     final GatewayCallerServer mServer;
     private final HostPort mAddress;
 
     CallerServerHarness(RouteKind kind, Runnable parsing, CallerHandler handler) throws Exception {
+        this(kind, CallerLimits.DEFAULT, parsing, handler);
+    }
+
+    CallerServerHarness(
+            RouteKind kind, CallerLimits limits, Runnable parsing, CallerHandler handler)
+            throws Exception {
         VertxRuntimeClock clock = new VertxRuntimeClock(mVertx);
         FleetView view = new FleetView(clock);
-        view.accept(new FleetChange.ConfigurationAccepted(configuration(kind)), ChangeOrigin.WRITE);
+        view.accept(
+                new FleetChange.ConfigurationAccepted(configuration(kind, limits)),
+                ChangeOrigin.WRITE);
         mAddress = FreeAddresses.find(1).get(0);
         mServer =
                 new GatewayCallerServer(
@@ -48,7 +59,7 @@
         mServer.fleetLoaded();
     }
 
-    private static GatewayConfiguration configuration(RouteKind kind) {
+    private static GatewayConfiguration configuration(RouteKind kind, CallerLimits limits) {
         Route route =
                 new Route(
                         "r",
@@ -68,7 +79,7 @@
                 1,
                 List.of(route),
                 Map.of("s", new ServiceTarget("s", Optional.empty())),
-                CallerLimits.DEFAULT,
+                limits,
                 Optional.empty());
     }
 
--- a/tanagergap-gateway/src/test/java/org/tanagergap/gateway/caller/IdleConnectionsTests.java
+++ b/tanagergap-gateway/src/test/java/org/tanagergap/gateway/caller/IdleConnectionsTests.java
@@ -51,6 +51,18 @@
         assertThat(mClosed).isEmpty();
     }
 
+    @Test
+    void aRequestThatArrivesWhileTheEventLoopIsBusyKeepsItsConnection() {
+        mClock.advance(LIMIT);
+        mConnections.closeIdle();
+        mClock.advanceWhileBusy(READ_TIME);
+        mClock.advance(Duration.ZERO);
+        mConnections.requestStarted("c");
+        mClock.advance(READ_TIME);
+
+        assertThat(mClosed).isEmpty();
+    }
+
     @Test
     void anIdleConnectionIsClosedOnce() {
         mClock.advance(LIMIT);
--- /dev/null
+++ b/tanagergap-runtime/src/test/java/org/tanagergap/runtime/time/PendingReadsTests.java
@@ -0,0 +1,54 @@
+package org.tanagergap.runtime.time;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.time.Duration;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.Test;
+import org.tanagergap.testing.PausedClock;
+
+/** Guards tasks that must not run before the event loop has read what has arrived. */
+final class PendingReadsTests {
+
+    private static final Duration STEP = Duration.ofMillis(1);
+
+    private final PausedClock mClock = new PausedClock();
+    private final PendingReads mReads = new PendingReads(mClock);
+    private final AtomicInteger mRuns = new AtomicInteger();
+
+    @Test
+    void aTaskRunsInTheNextPass() {
+        mReads.thenRun(mRuns::incrementAndGet);
+        assertThat(mRuns.get()).isEqualTo(0);
+
+        mClock.advance(STEP);
+
+        assertThat(mRuns.get()).isEqualTo(1);
+    }
+
+    @Test
+    void aTaskDoesNotRunInALongPass() {
+        mReads.thenRun(mRuns::incrementAndGet);
+        mClock.advanceWhileBusy(PendingReads.MAX_AGE.plus(STEP));
+        mClock.advance(Duration.ZERO);
+        assertThat(mRuns.get()).isEqualTo(0);
+
+        mClock.advance(STEP);
+
+        assertThat(mRuns.get()).isEqualTo(1);
+    }
+
+    @Test
+    void aTaskWaitsUntilThePassesAreShort() {
+        mReads.thenRun(mRuns::incrementAndGet);
+        for (int i = 0; i < 10; i++) {
+            mClock.advanceWhileBusy(PendingReads.MAX_AGE.multipliedBy(2));
+            mClock.advance(Duration.ZERO);
+        }
+        assertThat(mRuns.get()).isEqualTo(0);
+
+        mClock.advance(STEP);
+
+        assertThat(mRuns.get()).isEqualTo(1);
+    }
+}
--- a/tanagergap-testing/src/main/java/org/tanagergap/testing/PausedClock.java
+++ b/tanagergap-testing/src/main/java/org/tanagergap/testing/PausedClock.java
@@ -55,6 +55,14 @@
         }
     }
 
+    /**
+     * Advances the time without running tasks, as while their thread is busy; those that become due
+     * run late, with the next advance.
+     */
+    public synchronized void advanceWhileBusy(Duration duration) {
+        mNanos += duration.toNanos();
+    }
+
     /**
      * Advances to the next task and runs it.
      *
