Accept bodies that arrived in time while the event loop was busy

The timer for the body of a request ran before the bytes that had arrived in the same pass were read, and the caller got 408.

The state of a body that is being read is a class of its own.

--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/caller/RequestBodyReader.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/caller/RequestBodyReader.java
@@ -9,14 +9,17 @@
 import org.tanagergap.api.time.RuntimeClock;
 import org.tanagergap.api.time.Timer;
 import org.tanagergap.gateway.configuration.CallerLimits;
+import org.tanagergap.runtime.time.PendingReads;
 
 /** Reads the bodies of requests within the configured limits. Confined to the event loop. */
 final class RequestBodyReader {
 
     private final RuntimeClock mClock;
+    private final PendingReads mReads;
 
     RequestBodyReader(RuntimeClock clock) {
         mClock = clock;
+        mReads = new PendingReads(clock);
     }
 
     /**
@@ -28,36 +31,7 @@
             CallerExchange exchange,
             CallerLimits limits,
             Consumer<Buffer> consumer) {
-        Buffer body = Buffer.buffer();
-        Timer timer =
-                mClock.schedule(
-                        limits.headerTimeout(),
-                        () ->
-                                reject(
-                                        exchange,
-                                        FailureCode.REQUEST_TIMEOUT,
-                                        "the body did not arrive in time"));
-        if (declaredBytes(request) > limits.maxBodyBytes()) {
-            timer.cancel();
-            reject(exchange, FailureCode.BODY_TOO_LARGE, "the body is too large");
-            return;
-        }
-        request.handler(
-                bytes -> {
-                    body.appendBuffer(bytes);
-                    if (body.length() > limits.maxBodyBytes()) {
-                        timer.cancel();
-                        reject(exchange, FailureCode.BODY_TOO_LARGE, "the body is too large");
-                    }
-                });
-        request.exceptionHandler(ignored -> timer.cancel());
-        request.endHandler(
-                ignored -> {
-                    timer.cancel();
-                    if (!exchange.hasEnded()) {
-                        consumer.accept(body);
-                    }
-                });
+        new Reading(exchange, limits, consumer).start(request);
     }
 
     private static long declaredBytes(HttpServerRequest request) {
@@ -69,8 +43,71 @@
         }
     }
 
-    private static void reject(CallerExchange exchange, FailureCode code, String message) {
-        exchange.closeAfterResponse();
-        exchange.sendFailure(RequestFailure.notRun(code, message).withField("body"));
+    /** The body of one request. */
+    private final class Reading {
+
+        private final CallerExchange mExchange;
+        private final CallerLimits mLimits;
+        private final Consumer<Buffer> mConsumer;
+        private final Buffer mBody = Buffer.buffer();
+        private Timer mTimer = () -> {};
+        private boolean mEnded;
+
+        private Reading(CallerExchange exchange, CallerLimits limits, Consumer<Buffer> consumer) {
+            mExchange = exchange;
+            mLimits = limits;
+            mConsumer = consumer;
+        }
+
+        private void start(HttpServerRequest request) {
+            if (declaredBytes(request) > mLimits.maxBodyBytes()) {
+                rejectAsTooLarge();
+                return;
+            }
+            mTimer =
+                    mClock.schedule(
+                            mLimits.headerTimeout(), () -> mReads.thenRun(this::rejectAsTooLate));
+            request.handler(this::received);
+            request.exceptionHandler(ignored -> end());
+            request.endHandler(ignored -> complete());
+        }
+
+        private void received(Buffer bytes) {
+            if (mEnded) {
+                return;
+            }
+            mBody.appendBuffer(bytes);
+            if (mBody.length() > mLimits.maxBodyBytes()) {
+                rejectAsTooLarge();
+            }
+        }
+
+        private void complete() {
+            if (end() && !mExchange.hasEnded()) {
+                mConsumer.accept(mBody);
+            }
+        }
+
+        private void rejectAsTooLarge() {
+            reject(FailureCode.BODY_TOO_LARGE, "the body is too large");
+        }
+
+        private void rejectAsTooLate() {
+            reject(FailureCode.REQUEST_TIMEOUT, "the body did not arrive in time");
+        }
+
+        private void reject(FailureCode code, String message) {
+            if (end()) {
+                mExchange.closeAfterResponse();
+                mExchange.sendFailure(RequestFailure.notRun(code, message).withField("body"));
+            }
+        }
+
+        private boolean end() {
+            boolean first = !mEnded;
+            mEnded = true;
+            mTimer.cancel();
+            return first;
+        }
     }
 }
--- a/tanagergap-gateway/src/test/java/org/tanagergap/gateway/caller/BusyEventLoopTests.java
+++ b/tanagergap-gateway/src/test/java/org/tanagergap/gateway/caller/BusyEventLoopTests.java
@@ -155,4 +155,17 @@
 
         assertThat(statusLine(unused)).isEqualTo("HTTP/1.1 200");
     }
+
+    /** The time allowed for the body ended in the same pass. */
+    @Test
+    void aBodyThatArrivesInTimeIsAccepted() throws Exception {
+        Socket slow = connect();
+        send(slow, "POST /x HTTP/1.1\r\nHost: 127.0.0.1\r\nContent-Length: 2\r\n\r\n{");
+        sleep(200);
+
+        beginSlowRequest();
+        send(slow, "}");
+
+        assertThat(statusLine(slow)).isEqualTo("HTTP/1.1 200");
+    }
 }
