Keep idle connections of callers that an instance has not yet informed

An instance that started after IdleTimeoutMs had been lowered closed connections after the lower timeout at once, though their callers may go by the earlier one for up to 4 s: it had not seen that one. The callers' requests crossed the close.

Until 4 s after its first configuration an instance now keeps idle connections for a minute. anInstanceThatHasJustStartedDoesNotKnowWhatItsCallersGoBy got the lower timeout before.

--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/caller/IdleLimits.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/caller/IdleLimits.java
@@ -14,8 +14,14 @@
     /** Gateways apply a new configuration within 2 s; callers are given twice that time. */
     static final Duration CALLER_DELAY = Duration.ofSeconds(4);
 
+    /**
+     * Timeout of an instance that has just started. Its callers may go by an earlier configuration,
+     * which it has not seen.
+     */
+    static final Duration UNKNOWN = Duration.ofMinutes(1);
+
     private final Deque<Limit> mPrevious = new ArrayDeque<>();
-    private Duration mCurrent = Duration.ZERO;
+    private Duration mCurrent = UNKNOWN;
 
     private record Limit(Duration duration, long endNanos) {}
 
--- a/tanagergap-gateway/src/test/java/org/tanagergap/gateway/caller/IdleConnectionsTests.java
+++ b/tanagergap-gateway/src/test/java/org/tanagergap/gateway/caller/IdleConnectionsTests.java
@@ -25,6 +25,7 @@
     @BeforeEach
     void open() {
         mConnections.limitInForce(LIMIT);
+        mClock.advance(IdleLimits.CALLER_DELAY);
         mConnections.opened("c");
     }
 
--- a/tanagergap-gateway/src/test/java/org/tanagergap/gateway/caller/IdleLimitsTests.java
+++ b/tanagergap-gateway/src/test/java/org/tanagergap/gateway/caller/IdleLimitsTests.java
@@ -34,6 +34,15 @@
         assertThat(mLimits.limitFor(seconds(104))).isEqualTo(SHORT);
     }
 
+    /** An instance started after the limit had been lowered and closed connections in use. */
+    @Test
+    void anInstanceThatHasJustStartedDoesNotKnowWhatItsCallersGoBy() {
+        mLimits.inForce(SHORT, seconds(100));
+
+        assertThat(mLimits.limitFor(seconds(103))).isEqualTo(IdleLimits.UNKNOWN);
+        assertThat(mLimits.limitFor(seconds(104))).isEqualTo(SHORT);
+    }
+
     @Test
     void aHigherLimitAppliesToIdleConnectionsAtOnce() {
         mLimits.inForce(SHORT, seconds(0));
