Handle signals before the port of callers is open

A process that got SIGTERM or SIGHUP right after its start ended at once, and the requests that it had accepted ended without an answer. The port of callers opens first, so that a restarted instance serves as soon as possible, while the shutdown hook was added after the start and the SIGHUP handler by its last step.

The hook is added before the service starts and waits up to 3 s for the start; the gateway handles SIGHUP before it opens the port.

The time from the start of the JVM to the handler remains.

--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/GatewayService.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/GatewayService.java
@@ -218,6 +218,8 @@
 
     @Override
     public CompletableFuture<Void> start() {
+        // Before the port of callers is open, so that no signal ends their requests.
+        mSettingsWatch.handleSignal();
         return onEventLoop(
                 () -> {
                     CompletableFuture<Void> started = mCallers.start();
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/SettingsWatch.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/SettingsWatch.java
@@ -24,14 +24,18 @@
         mCheck = new PeriodicTask(clock, CHECK_INTERVAL, settings::reloadIfChanged);
     }
 
-    @Override
-    public CompletableFuture<Void> start() {
+    /** Reloads the settings on each SIGHUP from now on, which would end the process otherwise. */
+    void handleSignal() {
         try {
             Signal.handle(new Signal(RELOAD_SIGNAL), ignored -> mSettings.reload());
         } catch (IllegalArgumentException e) {
             sLogger.atWarning().withCause(e).log(
                     "SIGHUP cannot be handled, settings are only checked periodically");
         }
+    }
+
+    @Override
+    public CompletableFuture<Void> start() {
         return mCheck.start();
     }
 
--- a/tanagergap-runtime/src/main/java/org/tanagergap/runtime/program/ProgramRunner.java
+++ b/tanagergap-runtime/src/main/java/org/tanagergap/runtime/program/ProgramRunner.java
@@ -5,6 +5,7 @@
 import com.google.common.flogger.FluentLogger;
 import io.smallrye.mutiny.infrastructure.Infrastructure;
 import io.vertx.core.Vertx;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
@@ -23,6 +24,10 @@
     }
 
     private static final FluentLogger sLogger = FluentLogger.forEnclosingClass();
+
+    /** Time at a shutdown for a start that is not complete. */
+    private static final long START_TIMEOUT_SECONDS = 3;
+
     private static final long STOP_TIMEOUT_MINUTES = 30;
     private static final long CLOSE_TIMEOUT_MILLIS = 300;
 
@@ -49,16 +54,23 @@
                                 "a stream failed after its cancellation"));
         Vertx vertx = Vertx.vertx(command.vertxOptions());
         ProgramContext context = prepare(command, vertx);
-        Service service = command.createService(context);
+        start(command, command.createService(context), context);
+    }
+
+    private static void start(ProgramCommand command, Service service, ProgramContext context) {
+        CompletableFuture<Void> started = new CompletableFuture<>();
+        // Added first, because the service accepts work before its start is complete.
+        Runtime.getRuntime()
+                .addShutdownHook(new Thread(() -> stop(service, started, context), "shutdown"));
         try {
             service.start().get();
+            sLogger.atInfo().log("%s started", command.programName());
+            started.complete(null);
         } catch (ExecutionException | InterruptedException e) {
             sLogger.atSevere().withCause(e).log("%s could not start", command.programName());
-            StructuredLogging.close();
+            started.completeExceptionally(e);
             System.exit(ExitStatus.FAILED);
         }
-        Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(service, context), "shutdown"));
-        sLogger.atInfo().log("%s started", command.programName());
     }
 
     /** Creates the command without the parser, which is slow to load, if there are no flags. */
@@ -113,14 +125,20 @@
         }
     }
 
-    private static void stop(Service service, ProgramContext context) {
+    private static void stop(
+            Service service, CompletableFuture<Void> started, ProgramContext context) {
         int status = ExitStatus.OK;
         try {
-            service.stop().get(STOP_TIMEOUT_MINUTES, TimeUnit.MINUTES);
+            started.copy()
+                    .completeOnTimeout(null, START_TIMEOUT_SECONDS, TimeUnit.SECONDS)
+                    .thenCompose(ignored -> service.stop())
+                    .get(STOP_TIMEOUT_MINUTES, TimeUnit.MINUTES);
             context.tracing().close();
             sLogger.atInfo().log("stopped");
         } catch (ExecutionException | InterruptedException | TimeoutException e) {
-            sLogger.atSevere().withCause(e).log("shutdown failed");
+            if (!started.isCompletedExceptionally()) {
+                sLogger.atSevere().withCause(e).log("shutdown failed");
+            }
             status = ExitStatus.FAILED;
         }
         closeEventLoops(context);
--- /dev/null
+++ b/tanagergap-runtime/src/test/java/org/tanagergap/runtime/program/SlowStartCommand.java
@@ -0,0 +1,52 @@
+package org.tanagergap.runtime.program;
+
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.tanagergap.api.lifecycle.Service;
+import org.tanagergap.runtime.settings.SettingsReader;
+
+/** Program whose service accepts work before its start is complete. */
+public final class SlowStartCommand extends ProgramCommand {
+
+    static final String STARTING = "service starting";
+    static final String STOPPED = "service stopped";
+    static final String FAILS = "test.start.fails";
+
+    private static final long START_MILLIS = 1000;
+
+    public static void main(String[] args) {
+        ProgramRunner.run(SlowStartCommand.class, args);
+    }
+
+    @Override
+    protected String programName() {
+        return "slow-start";
+    }
+
+    @Override
+    protected void readSettings(SettingsReader reader) {}
+
+    @Override
+    protected Service createService(ProgramContext context) {
+        return new Service() {
+
+            @Override
+            public CompletableFuture<Void> start() {
+                System.out.println(STARTING);
+                return CompletableFuture.runAsync(
+                        () -> {
+                            if (Boolean.getBoolean(FAILS)) {
+                                throw new IllegalStateException("the port is in use");
+                            }
+                        },
+                        CompletableFuture.delayedExecutor(START_MILLIS, TimeUnit.MILLISECONDS));
+            }
+
+            @Override
+            public CompletableFuture<Void> stop() {
+                System.out.println(STOPPED);
+                return CompletableFuture.completedFuture(null);
+            }
+        };
+    }
+}
