--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/GatewayStoreListener.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/GatewayStoreListener.java
@@ -1,6 +1,6 @@
 package org.tanagergap.gateway;
 
-import org.tanagergap.gateway.membership.StoreSync;
+import org.tanagergap.gateway.membership.StoreChangeListener;
 import org.tanagergap.gateway.peer.PeerDirectory;
 import org.tanagergap.gateway.peer.PeerRegistration;
 import org.tanagergap.platform.keyvalue.KeyValue;
@@ -12,7 +12,7 @@
  * @param registration registration of this instance
  */
 record GatewayStoreListener(PeerDirectory directory, PeerRegistration registration)
-        implements StoreSync.Listener {
+        implements StoreChangeListener {
 
     @Override
     public void itemChanged(KeyValue item) {
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/membership/StoreSync.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/membership/StoreSync.java
@@ -26,20 +26,6 @@
  */
 public final class StoreSync implements Service {
 
-    /**
-     * Shortest time from a response to the next poll. A draining upstream must receive no new
-     * requests 2 s after its notice, and two polls may fail in that time.
-     */
-    private static final Duration MIN_POLL_INTERVAL = Duration.ofMillis(600);
-
-    /** Up to this number of instances each one polls at the shortest interval. */
-    private static final int MAX_INSTANCES_AT_MIN_INTERVAL = 5;
-
-    /**
-     * Longest interval in shortest ones: a change is read within 2 s even if no peer reports it.
-     */
-    private static final int MAX_INTERVAL_FACTOR = 3;
-
     private static final Duration RETRY_INTERVAL = Duration.ofMillis(250);
 
     private static final FluentLogger sLogger = FluentLogger.forEnclosingClass();
@@ -53,7 +39,7 @@
     private final FleetDecoder mDecoder;
     private final PeerReplicas mPeerReplicas;
     private final IntSupplier mInstances;
-    private final Listener mListener;
+    private final StoreChangeListener mListener;
     private final CompletableFuture<Void> mLoaded = new CompletableFuture<>();
     private boolean mStopped;
     private boolean mNeedsFullRead = true;
@@ -63,16 +49,6 @@
     private long mLastUpdateNanos;
     private Timer mTimer = () -> {};
 
-    /** Receives what concerns other components than the fleet view. */
-    public interface Listener {
-
-        /** Called for each changed item, also if it does not concern the fleet. */
-        void itemChanged(KeyValue item);
-
-        /** Called when the store was restored from a backup and has lost writes and leases. */
-        void storeRestored();
-    }
-
     /**
      * Creates a synchronization that is not started.
      *
@@ -87,7 +63,7 @@
             FleetView view,
             PeerReplicas peers,
             IntSupplier instances,
-            Listener listener) {
+            StoreChangeListener listener) {
         mClock = Objects.requireNonNull(clock, "clock must not be null");
         mFeed = Objects.requireNonNull(feed, "feed must not be null");
         mDecoder = Objects.requireNonNull(decoder, "decoder must not be null");
@@ -291,7 +267,7 @@
 
     private void pollCompleted(Throwable failure) {
         if (failure == null) {
-            schedule(mNeedsFullRead ? Duration.ZERO : pollInterval());
+            schedule(mNeedsFullRead ? Duration.ZERO : PollInterval.of(mInstances.getAsInt()));
             return;
         }
         Throwable root = Futures.rootFailure(failure);
@@ -330,12 +306,6 @@
         }
     }
 
-    private Duration pollInterval() {
-        double loadFactor = (double) mInstances.getAsInt() / MAX_INSTANCES_AT_MIN_INTERVAL;
-        double factor = Math.max(1, Math.min(MAX_INTERVAL_FACTOR, loadFactor));
-        return Duration.ofMillis((long) (MIN_POLL_INTERVAL.toMillis() * factor));
-    }
-
     private void schedule(Duration delay) {
         if (!mStopped) {
             mTimer = mClock.schedule(delay, this::poll);
--- a/tanagergap-gateway/src/test/java/org/tanagergap/gateway/membership/StoreSyncFailureTests.java
+++ b/tanagergap-gateway/src/test/java/org/tanagergap/gateway/membership/StoreSyncFailureTests.java
@@ -77,7 +77,7 @@
         }
     }
 
-    private static final class IgnoringListener implements StoreSync.Listener {
+    private static final class IgnoringListener implements StoreChangeListener {
 
         @Override
         public void itemChanged(KeyValue item) {}
--- a/tanagergap-gateway/src/test/java/org/tanagergap/gateway/membership/StoreSyncTests.java
+++ b/tanagergap-gateway/src/test/java/org/tanagergap/gateway/membership/StoreSyncTests.java
@@ -91,7 +91,7 @@
         }
     }
 
-    private final class CountingListener implements StoreSync.Listener {
+    private final class CountingListener implements StoreChangeListener {
 
         @Override
         public void itemChanged(KeyValue item) {}
