--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/UpstreamAttempt.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/UpstreamAttempt.java
@@ -7,7 +7,6 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
-import java.util.function.Consumer;
 import org.tanagergap.api.failure.Execution;
 import org.tanagergap.api.request.AttemptId;
 import org.tanagergap.decisions.fleet.Placement;
@@ -23,9 +22,6 @@
  */
 final class UpstreamAttempt implements UpstreamCallListener {
 
-    /** The engine is probed during prefills that are predicted to take longer than this. */
-    private static final double MIN_CHECKED_PREFILL_MILLIS = 1_000;
-
     private static final long NANOS_PER_MILLI = 1_000_000;
 
     private final ForwardingContext mContext;
@@ -36,12 +32,11 @@
     private final UpstreamAttemptListener mListener;
     private final AttemptLoad mLoad;
     private final EventSequenceChecker mSequence;
-    private final IdleCheck mIdleCheck;
+    private final ProgressChecks mChecks;
     private final AttemptObservations mObservations;
     private Optional<Upstream> mUpstream = Optional.empty();
     private Optional<HelperMemoryReservation> mReservation = Optional.empty();
     private Optional<UpstreamCall> mCall = Optional.empty();
-    private Optional<LivenessCheck> mLiveness = Optional.empty();
     private Span mSpan = Span.getInvalid();
     private long mStartNanos;
     private boolean mFirstEvent = true;
@@ -60,13 +55,8 @@
         mRequest = lifecycle.request();
         mPlacement = placement;
         mListener = listener;
-        IdleTimeout idleTimeout =
-                new IdleTimeout(
-                        lifecycle.isStream(),
-                        mRequest.route().latencyTarget(),
-                        mRequest.route().interTokenTarget(),
-                        placement.firstTokenMillis());
-        mIdleCheck = new IdleCheck(context.clock(), idleTimeout, this::stalled);
+        IdleTimeout idleTimeout = ProgressChecks.idleTimeout(lifecycle, placement);
+        mChecks = new ProgressChecks(context, idleTimeout, this::stalled);
         mObservations = new AttemptObservations(context, lifecycle, placement, idleTimeout);
         mLoad = new AttemptLoad(context);
         mSequence = new EventSequenceChecker(lifecycle.lastEventId(), lifecycle.responseStarted());
@@ -86,7 +76,7 @@
         if (mPlacement.reservedTokensPerHelper() > 0) {
             reserve();
         } else {
-            call(helpersWithoutReservation());
+            call(HelperEngines.withoutReservation(mContext.view(), mPlacement));
         }
     }
 
@@ -119,12 +109,12 @@
 
     /** Pauses reading from the upstream. */
     void pause() {
-        mIdleCheck.pause();
+        mChecks.pause();
         mCall.ifPresent(UpstreamCall::pause);
     }
 
     void resume() {
-        mIdleCheck.resume();
+        mChecks.resume();
         mCall.ifPresent(UpstreamCall::resume);
     }
 
@@ -196,9 +186,8 @@
     }
 
     private void recordEvent() {
-        Duration gap = mIdleCheck.eventArrived();
+        Duration gap = mChecks.eventArrived();
         mObservations.progressed();
-        mLiveness.ifPresent(LivenessCheck::dataArrived);
         if (mStalled) {
             mStalled = false;
             logStall(gap, "the upstream goes on");
@@ -208,7 +197,7 @@
             mFirstEvent = false;
             mLoad.firstToken();
             if (mReservation.isEmpty()) {
-                mLiveness.ifPresent(LivenessCheck::stop);
+                mChecks.stopProbes();
             }
             mObservations.firstEvent((now() - mStartNanos) / (double) NANOS_PER_MILLI);
         } else {
@@ -217,22 +206,13 @@
         }
     }
 
-    private List<Upstream> helpers() {
-        return mPlacement.helpers().stream()
-                .flatMap(id -> mContext.view().upstream(id).stream())
-                .toList();
-    }
-
-    private List<HelperAddress> helpersWithoutReservation() {
-        return helpers().stream()
-                .map(helper -> new HelperAddress(helper.address(), Optional.empty()))
-                .toList();
-    }
-
     private void reserve() {
         HelperMemoryReservation reservation =
                 new HelperMemoryReservation(
-                        mContext, mId.value(), helpers(), mPlacement.reservedTokensPerHelper());
+                        mContext,
+                        mId.value(),
+                        HelperEngines.of(mContext.view(), mPlacement),
+                        mPlacement.reservedTokensPerHelper());
         mReservation = Optional.of(reservation);
         reservation.acquire(
                 new HelperMemoryReservation.Outcome() {
@@ -261,8 +241,8 @@
                     public void unused() {
                         // The memory is free again, also for the next attempt.
                         mLoad.end();
-                        mLiveness.ifPresent(LivenessCheck::reservationReleased);
-                        stalled(mIdleCheck.silence());
+                        mChecks.reservationReleased();
+                        stalled(mChecks.silence());
                     }
                 });
     }
@@ -284,9 +264,9 @@
                         this);
         mCall = Optional.of(call);
         if (mRequest.route().retryable()) {
-            mIdleCheck.start();
+            mChecks.startIdleCheck();
         }
-        startLivenessCheck(upstream.get());
+        startProbes(upstream.get());
         call.start(
                 upstream.get().address(),
                 mRequest.method(),
@@ -295,22 +275,14 @@
                 mRequest.body());
     }
 
-    /** Probes engines during long prefills and while memory is reserved on helper engines. */
-    private void startLivenessCheck(Upstream engine) {
-        boolean hasReservation = mReservation.isPresent();
-        if (hasReservation || mPlacement.firstTokenMillis() > MIN_CHECKED_PREFILL_MILLIS) {
-            Consumer<Duration> onStall = mObservations.checkingForCrash(this::stalled);
-            LivenessCheck check =
-                    new LivenessCheck(
-                            mContext,
-                            engine,
-                            hasReservation,
-                            this::engineLost,
-                            onStall,
-                            mObservations::progressed);
-            mLiveness = Optional.of(check);
-            check.start();
-        }
+    private void startProbes(Upstream engine) {
+        mChecks.startProbes(
+                engine,
+                mReservation.isPresent(),
+                mPlacement.firstTokenMillis(),
+                this::engineLost,
+                mObservations.checkingForCrash(this::stalled),
+                mObservations::progressed);
     }
 
     private void engineLost(String reason) {
@@ -332,8 +304,7 @@
         }
         mEnded = true;
         mContext.unsentAttempts().remove(this);
-        mIdleCheck.stop();
-        mLiveness.ifPresent(LivenessCheck::stop);
+        mChecks.stop();
         mLifecycle.logRecord().attemptEnded(mId, new AttemptRecord.End(code, execution, reason));
         mSpan.setAttribute("code", code);
         mSpan.end();
