Read what has arrived before closing the port of callers

After its last response a stopping gateway closed the port and the connections that were left in the same pass of the event loop: requests that had arrived during that pass, also on connections that it had not accepted yet, ended without a response.

The server now closes in a pass that has read what arrived before, and only if no request has come meanwhile. Two passes are needed: one accepts connections, the next one reads from them. The server also waits for both checks of idle connections; the second one could end before the first.

aRequestOnANewConnectionThatArrivesBeforeThePortClosesIsAnswered got an empty response before.

--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/caller/GatewayCallerServer.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/caller/GatewayCallerServer.java
@@ -28,6 +28,7 @@
 import org.tanagergap.runtime.async.Futures;
 import org.tanagergap.runtime.log.LogKeys;
 import org.tanagergap.runtime.settings.HostPort;
+import org.tanagergap.runtime.time.PendingReads;
 import org.tanagergap.runtime.time.PeriodicTask;
 
 /** Accepts the requests of callers. Confined to the event loop. */
@@ -62,6 +63,7 @@
     private final CallerConnections mConnections;
     private final RequestBodyReader mBodyReader;
     private final PeriodicTask mIdleCheck;
+    private final PendingReads mReads;
     private final AtomicLong mSequence = new AtomicLong();
     private final Set<CallerExchange> mExchanges = new HashSet<>();
     private final FleetWait mFleetWait;
@@ -89,6 +91,7 @@
         mHandler = handler;
         mConnections = new CallerConnections(clock);
         mBodyReader = new RequestBodyReader(clock);
+        mReads = new PendingReads(clock);
         mFleetWait = new FleetWait(clock, () -> view.configuration().isPresent());
         mIdleCheck = new PeriodicTask(clock, IDLE_CHECK_INTERVAL, this::closeIdle);
     }
@@ -133,13 +136,13 @@
         }
         mShutdown.ifPresent(ShutdownAdmission::balancerHasNoticed);
         mStopping = true;
-        mConnections.closeIdle(SHUTDOWN_IDLE_TIMEOUT);
+        CompletableFuture<Void> first = mConnections.closeIdle(SHUTDOWN_IDLE_TIMEOUT);
         // Connections that were in use until now become idle in the meantime.
         mClock.schedule(
                 SHUTDOWN_IDLE_TIMEOUT,
                 () ->
-                        mConnections
-                                .closeIdle(SHUTDOWN_IDLE_TIMEOUT)
+                        CompletableFuture.allOf(
+                                        first, mConnections.closeIdle(SHUTDOWN_IDLE_TIMEOUT))
                                 .thenRun(this::idleConnectionsClosed));
         return mClosed;
     }
@@ -233,7 +236,15 @@
     private void closeAfterLastResponse() {
         if (mIdleClosed && !mClosing && mExchanges.isEmpty()) {
             mClosing = true;
+            mReads.thenRun(this::closeUnlessUsed);
+        }
+    }
+
+    private void closeUnlessUsed() {
+        if (mExchanges.isEmpty()) {
             close();
+        } else {
+            mClosing = false;
         }
     }
 
--- a/tanagergap-gateway/src/test/java/org/tanagergap/gateway/caller/BusyEventLoopTests.java
+++ b/tanagergap-gateway/src/test/java/org/tanagergap/gateway/caller/BusyEventLoopTests.java
@@ -156,6 +156,21 @@
         assertThat(statusLine(unused)).isEqualTo("HTTP/1.1 200");
     }
 
+    /** The last response ended in the same pass, and the port closed with connections waiting. */
+    @Test
+    void aRequestOnANewConnectionThatArrivesBeforeThePortClosesIsAnswered() throws Exception {
+        send(connect(), request(HELD));
+        sleep(100);
+        stop();
+        sleep(500);
+
+        beginSlowRequest();
+        Socket waiting = connect();
+        send(waiting, request("/x"));
+
+        assertThat(statusLine(waiting)).isEqualTo("HTTP/1.1 200");
+    }
+
     /** The time allowed for the body ended in the same pass. */
     @Test
     void aBodyThatArrivesInTimeIsAccepted() throws Exception {
--- a/tanagergap-runtime/src/main/java/org/tanagergap/runtime/time/PendingReads.java
+++ b/tanagergap-runtime/src/main/java/org/tanagergap/runtime/time/PendingReads.java
@@ -26,11 +26,13 @@
 
     /**
      * Runs the task in a pass that has read everything that arrived until {@link #MAX_AGE} ago. On
-     * an event loop whose passes all take longer, the task waits for a shorter one.
+     * an event loop whose passes all take longer, the task waits for shorter ones.
      */
     public void thenRun(Runnable task) {
         long startNanos = mClock.nanoTime();
-        mClock.schedule(NEXT_PASS, () -> runIfShort(startNanos, task));
+        // One pass accepts the connections that wait, and the next one reads from them.
+        mClock.schedule(
+                NEXT_PASS, () -> mClock.schedule(NEXT_PASS, () -> runIfShort(startNanos, task)));
     }
 
     private void runIfShort(long startNanos, Runnable task) {
