--- a/tanagergap-entry/src/main/java/org/tanagergap/entry/caller/BodyReader.java
+++ b/tanagergap-entry/src/main/java/org/tanagergap/entry/caller/BodyReader.java
@@ -8,6 +8,7 @@
 import org.tanagergap.api.failure.FailureCode;
 import org.tanagergap.api.failure.RequestFailure;
 import org.tanagergap.api.time.Timer;
+import org.tanagergap.runtime.time.PendingReads;
 
 /** Reads the body of one call and enforces the limits on size, arrival time and bytes in flight. */
 final class BodyReader {
@@ -48,12 +49,15 @@
             return;
         }
         var eventLoop = mServerContext.vertx().getOrCreateContext();
+        var reads = new PendingReads(mServerContext.clock());
         mTimer =
                 mServerContext
                         .clock()
                         .schedule(
                                 mServerContext.settings().bodyTimeout(),
-                                () -> eventLoop.runOnContext(ignored -> timedOut()));
+                                () ->
+                                        eventLoop.runOnContext(
+                                                ignored -> reads.thenRun(this::timedOut)));
         mCall.onDisconnect(this::abandoned);
         mRequest.exceptionHandler(ignored -> abandoned());
         mRequest.handler(this::chunkReceived);
--- a/tanagergap-entry/src/test/java/org/tanagergap/entry/EntryHarness.java
+++ b/tanagergap-entry/src/test/java/org/tanagergap/entry/EntryHarness.java
@@ -53,7 +53,7 @@
     static final String KEY = "press.secret";
     static final HostPort ANY_PORT = new HostPort("127.0.0.1", 0);
 
-    final Vertx mVertx = Vertx.vertx();
+    final Vertx mVertx;
     final MetricRegistry mMetrics = new MetricRegistry();
     final Map<String, FakeAgent> mAgents = new LinkedHashMap<>();
     final HttpClient mClient = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
@@ -74,6 +74,14 @@
 
     EntryService mEntry;
 
+    EntryHarness() {
+        this(Vertx.vertx());
+    }
+
+    EntryHarness(Vertx vertx) {
+        mVertx = vertx;
+    }
+
     FakeAgent agent(String name) {
         return agent(
                 name, new TlsReloader(mVertx, new VertxRuntimeClock(mVertx), Optional.empty()));
