Read what has arrived before closing the server of an entry

An entry whose event loop was busy when it closed its server read a call after the close had begun. The call was refused, but its connection stayed open and the entry stopped only at the end of the server's own limit.

aCallThatArrivesBeforeTheServerClosesIsRefusedAndDoesNotDelayTheStop: 503 before as well, but the stop took more than 10 s; it passes now.

--- a/tanagergap-entry/src/main/java/org/tanagergap/entry/caller/EntryCallerServer.java
+++ b/tanagergap-entry/src/main/java/org/tanagergap/entry/caller/EntryCallerServer.java
@@ -3,7 +3,9 @@
 import com.google.common.flogger.FluentLogger;
 import io.opentelemetry.api.trace.Span;
 import io.opentelemetry.api.trace.SpanKind;
+import io.vertx.core.Context;
 import io.vertx.core.Future;
+import io.vertx.core.Promise;
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpVersion;
 import io.vertx.core.json.JsonArray;
@@ -14,13 +16,14 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import org.tanagergap.api.failure.FailureCode;
 import org.tanagergap.api.failure.RequestFailure;
 import org.tanagergap.api.lifecycle.Service;
 import org.tanagergap.entry.configuration.ConfigurationView;
-import org.tanagergap.runtime.async.Futures;
 import org.tanagergap.runtime.http.ErrorBody;
 import org.tanagergap.runtime.http.ServerLimits;
+import org.tanagergap.runtime.time.PendingReads;
 import org.tanagergap.runtime.tls.TlsReloader;
 
 /** Serves the caller API. */
@@ -34,6 +37,7 @@
     private final PolicyReader mPolicies;
     private final CompletionHandler mCompletions;
     private final PlainHandler mPlain;
+    private final Context mEventLoop;
     private HttpServer mServer;
 
     public EntryCallerServer(
@@ -47,6 +51,7 @@
         mPolicies = new PolicyReader(view, serverContext.clock());
         mCompletions = new CompletionHandler(serverContext);
         mPlain = new PlainHandler(serverContext);
+        mEventLoop = serverContext.vertx().getOrCreateContext();
     }
 
     @Override
@@ -61,7 +66,7 @@
         router.route().handler(context -> handle(context, EntryCallerServer::unknownPath));
         mServer = mTls.server(ServerLimits.options(), router);
         var address = mServerContext.settings().listen();
-        return Futures.toCompletable(mServer.listen(address.port(), address.host()).mapEmpty());
+        return onEventLoop(() -> mServer.listen(address.port(), address.host()).mapEmpty());
     }
 
     /** Refuses new requests, finishes those in flight and closes the port. */
@@ -75,10 +80,29 @@
         return mServer.actualPort();
     }
 
+    /** Closes the server after the refusal of the requests that have arrived before. */
     private CompletableFuture<Void> close() {
-        // A graceful close lets callers receive the last bytes of their responses.
-        return Futures.toCompletable(
-                mServer == null ? Future.<Void>succeededFuture() : mServer.shutdown());
+        if (mServer == null) {
+            return CompletableFuture.completedFuture(null);
+        }
+        PendingReads reads = new PendingReads(mServerContext.clock());
+        return onEventLoop(
+                () -> {
+                    Promise<Void> closed = Promise.promise();
+                    // A graceful close lets callers receive the last bytes of their responses.
+                    reads.thenRun(() -> mServer.shutdown().onComplete(closed));
+                    return closed.future();
+                });
+    }
+
+    private CompletableFuture<Void> onEventLoop(Supplier<Future<Void>> action) {
+        CompletableFuture<Void> result = new CompletableFuture<>();
+        mEventLoop.runOnContext(
+                ignored ->
+                        action.get()
+                                .onSuccess(result::complete)
+                                .onFailure(result::completeExceptionally));
+        return result;
     }
 
     private void handle(RoutingContext context, Consumer<CallerCall> handler) {
--- a/tanagergap-entry/src/test/java/org/tanagergap/entry/BusyEventLoopTests.java
+++ b/tanagergap-entry/src/test/java/org/tanagergap/entry/BusyEventLoopTests.java
@@ -8,6 +8,7 @@
 import io.vertx.core.net.NetServer;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
@@ -103,4 +104,15 @@
 
         assertThat(statusLine()).isEqualTo("HTTP/1.1 200");
     }
+
+    /** The call was read after the close had begun, and the server stopped only 30 s later. */
+    @Test
+    void aCallThatArrivesBeforeTheServerClosesIsRefusedAndDoesNotDelayTheStop() throws Exception {
+        beginBusyPass();
+        send(head() + "{}");
+        CompletableFuture<Void> stopped = mHarness.mEntry.stop();
+
+        assertThat(statusLine()).isEqualTo("HTTP/1.1 503");
+        stopped.get(10, TimeUnit.SECONDS);
+    }
 }
