Read the configuration first and by itself after a failed read of the store

Changes of more than 16 MB, or that took longer than 700 ms, failed the call for as long as the store kept its history, and a withdrawn key went on being accepted.

Change: ReadSchedule (decisions) reads the configuration by itself after a failed read, then the changes, and pages of the contents if the changes fail.

The fakes of two tests tell configuration reads from full reads now, as both come through the same method.

--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/membership/FleetDecoder.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/membership/FleetDecoder.java
@@ -9,6 +9,9 @@
     /** Prefixes of the keys that the gateway reads. */
     List<String> prefixes();
 
+    /** Key of the configuration, which decides who may run requests. */
+    String configurationKey();
+
     /** Decodes an item; never throws. */
     FleetChange decode(KeyValue item);
 }
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/membership/StoreReplica.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/membership/StoreReplica.java
@@ -56,6 +56,11 @@
         mPosition = mPosition.max(changes.position());
     }
 
+    /** Applies single items of the current epoch without the changes before them. */
+    public void applyAhead(List<KeyValue> items) {
+        items.forEach(this::accept);
+    }
+
     /**
      * Replaces the contents by a full read of the store in the same or a later epoch: missing keys
      * count as deleted, unless they changed after the read in the same epoch.
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/membership/StoreSync.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/membership/StoreSync.java
@@ -11,6 +11,8 @@
 import org.tanagergap.api.store.StorePosition;
 import org.tanagergap.api.time.RuntimeClock;
 import org.tanagergap.api.time.Timer;
+import org.tanagergap.decisions.replication.ReadSchedule;
+import org.tanagergap.decisions.replication.ReadSchedule.Read;
 import org.tanagergap.decisions.replication.ReplicaUpdate;
 import org.tanagergap.platform.keyvalue.ChangeFeed;
 import org.tanagergap.platform.keyvalue.Changes;
@@ -40,9 +42,9 @@
     private final PeerReplicas mPeerReplicas;
     private final IntSupplier mInstances;
     private final StoreChangeListener mListener;
+    private final ReadSchedule mReads = new ReadSchedule();
     private final CompletableFuture<Void> mLoaded = new CompletableFuture<>();
     private boolean mStopped;
-    private boolean mNeedsFullRead = true;
     private boolean mFetchingFromPeer;
     private boolean mReplacingAfterRestore;
     private StorePosition mLastChange = StorePosition.NONE;
@@ -116,7 +118,7 @@
         if (!newer
                 || mFetchingFromPeer
                 || mStopped
-                || mNeedsFullRead
+                || mReads.behind()
                 || mAvailability.isFailing()) {
             return;
         }
@@ -188,24 +190,42 @@
             return;
         }
         mView.removeExpired(mAvailability.storeServedPeers());
+        Read read = mReads.next();
         // As a stage, so that an error of the client is a failed poll and does not end the polls.
-        CompletableFuture.completedFuture(mReplica.position())
-                .thenCompose(this::readFrom)
-                .whenComplete((ignored, failure) -> pollCompleted(failure));
+        CompletableFuture.completedFuture(read)
+                .thenCompose(this::read)
+                .whenComplete((ignored, failure) -> pollCompleted(read, failure));
     }
 
-    private CompletableFuture<Void> readFrom(StorePosition requested) {
-        return mNeedsFullRead
-                ? mReader.readAll().thenAccept(this::contentsReceived)
-                : mFeed.changesAfter(requested.revision())
-                        .thenAccept(changes -> changesReceived(requested, changes));
+    private CompletableFuture<Void> read(Read read) {
+        StorePosition requested = mReplica.position();
+        return switch (read) {
+            case CONFIGURATION ->
+                    mFeed.readPage(mDecoder.configurationKey(), "")
+                            .thenAccept(this::configurationReceived);
+            case CHANGES ->
+                    mFeed.changesAfter(requested.revision())
+                            .thenAccept(changes -> changesReceived(requested, changes));
+            case CONTENTS -> mReader.readAll().thenAccept(this::contentsReceived);
+        };
+    }
+
+    private void configurationReceived(Changes page) {
+        StorePosition replica = mReplica.position();
+        switch (ReplicaUpdate.forChanges(replica, replica, page.position())) {
+            case APPLY -> mReplica.applyAhead(page.items());
+            case READ_ALL -> mReads.contentsNeeded();
+            case REPLACE, IGNORE -> logIgnored(page.position());
+        }
+        mReads.succeeded(Read.CONFIGURATION);
     }
 
     private void changesReceived(StorePosition requested, Changes changes) {
         recordStoreResponse();
+        mReads.succeeded(Read.CHANGES);
         switch (ReplicaUpdate.forChanges(requested, mReplica.position(), changes.position())) {
             case APPLY -> mReplica.apply(changes);
-            case READ_ALL -> mNeedsFullRead = true;
+            case READ_ALL -> mReads.contentsNeeded();
             case REPLACE, IGNORE -> logIgnored(changes.position());
         }
     }
@@ -216,11 +236,11 @@
             case REPLACE -> {
                 // Pages are not one snapshot: the next poll reads the changes since the first page.
                 replace(contents.items(), contents.position());
-                mNeedsFullRead = false;
+                mReads.succeeded(Read.CONTENTS);
                 mLoaded.complete(null);
             }
             case APPLY, IGNORE -> {
-                mNeedsFullRead = false;
+                mReads.succeeded(Read.CONTENTS);
                 logIgnored(contents.position());
             }
             case READ_ALL ->
@@ -265,18 +285,19 @@
                         });
     }
 
-    private void pollCompleted(Throwable failure) {
+    private void pollCompleted(Read read, Throwable failure) {
         if (failure == null) {
-            schedule(mNeedsFullRead ? Duration.ZERO : PollInterval.of(mInstances.getAsInt()));
+            schedule(mReads.behind() ? Duration.ZERO : PollInterval.of(mInstances.getAsInt()));
             return;
         }
         Throwable root = Futures.rootFailure(failure);
         if (root instanceof HistoryLostException) {
             sLogger.atInfo().log("%s; reading the whole store again", root.getMessage());
-            mNeedsFullRead = true;
+            mReads.contentsNeeded();
             schedule(Duration.ZERO);
             return;
         }
+        mReads.failed(read);
         if (mAvailability.failed()) {
             sLogger.atWarning().log("key-value store is unavailable: %s", root);
         }
--- a/tanagergap-gateway/src/test/java/org/tanagergap/gateway/membership/StoreSyncFailureTests.java
+++ b/tanagergap-gateway/src/test/java/org/tanagergap/gateway/membership/StoreSyncFailureTests.java
@@ -20,6 +20,7 @@
 final class StoreSyncFailureTests {
 
     private static final String PREFIX = "upstreams/";
+    private static final String CONFIGURATION = "configuration";
     private static final String MALFORMED = PREFIX + "malformed";
 
     private final PausedClock mClock = new PausedClock();
@@ -37,7 +38,8 @@
 
         @Override
         public CompletableFuture<Changes> readPage(String prefix, String afterKey) {
-            return response(mContents);
+            mPolls++;
+            return response(prefix.equals(CONFIGURATION) ? List.of() : mContents);
         }
 
         @Override
@@ -65,6 +67,11 @@
             return List.of(PREFIX);
         }
 
+        @Override
+        public String configurationKey() {
+            return CONFIGURATION;
+        }
+
         @Override
         public FleetChange decode(KeyValue item) {
             if (item.key().equals(MALFORMED)) {
@@ -148,6 +155,7 @@
         mFeedFailure = () -> {};
         mRevision = 11;
         mChanges.add(item(PREFIX + "u1", 11));
+        mContents.add(item(PREFIX + "u1", 11));
 
         mClock.advance(Duration.ofSeconds(1));
 
--- a/tanagergap-gateway/src/test/java/org/tanagergap/gateway/membership/StoreSyncTests.java
+++ b/tanagergap-gateway/src/test/java/org/tanagergap/gateway/membership/StoreSyncTests.java
@@ -21,6 +21,7 @@
 final class StoreSyncTests {
 
     private static final String PREFIX = "upstreams/";
+    private static final String CONFIGURATION = "configuration";
     private static final Duration POLL_TIMEOUT = Duration.ofMillis(700);
 
     private final PausedClock mClock = new PausedClock();
@@ -28,6 +29,7 @@
     private final List<PeerChanges> mPeerChanges = new ArrayList<>();
     private long mPolls;
     private long mReads;
+    private long mConfigurationReads;
     private long mEpoch = 1;
     private long mRevision = 10;
     private boolean mHistoryLost;
@@ -40,6 +42,10 @@
 
         @Override
         public CompletableFuture<Changes> readPage(String prefix, String afterKey) {
+            if (prefix.equals(CONFIGURATION)) {
+                mConfigurationReads++;
+                return response(List.of(), mRevision);
+            }
             mReads++;
             mHistoryLost = false;
             return response(List.of(entry("u1", 1, 5)), mRevision);
@@ -75,6 +81,11 @@
             return List.of(PREFIX);
         }
 
+        @Override
+        public String configurationKey() {
+            return CONFIGURATION;
+        }
+
         @Override
         public FleetChange decode(KeyValue item) {
             String id = item.key().substring(PREFIX.length());
@@ -196,6 +207,7 @@
         mClock.advance(Duration.ofSeconds(10));
 
         assertThat(mReads).isEqualTo(2);
+        assertThat(mConfigurationReads).isEqualTo(1);
         assertThat(mRestores).isEqualTo(1);
         assertThat(sync.progress().position()).isEqualTo(new StorePosition(2, 10));
     }
@@ -211,6 +223,7 @@
         mClock.advance(Duration.ofSeconds(10));
 
         assertThat(mReads).isEqualTo(2);
+        assertThat(mConfigurationReads).isEqualTo(1);
         assertThat(sync.progress().position()).isEqualTo(new StorePosition(2, 4));
     }
 
@@ -272,6 +285,7 @@
 
         assertThat(mPolls).isAtLeast(before + 3);
         assertThat(mReads).isEqualTo(1);
+        assertThat(mConfigurationReads).isEqualTo(1);
         assertThat(mView.usable("s")).hasSize(1);
         assertThat(sync.loaded().isDone()).isTrue();
     }
--- a/tanagergap-runtime/src/main/java/org/tanagergap/runtime/http/BufferedCall.java
+++ b/tanagergap-runtime/src/main/java/org/tanagergap/runtime/http/BufferedCall.java
@@ -10,6 +10,7 @@
 import java.time.Duration;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import org.tanagergap.api.time.RuntimeClock;
 
 /** Sends a request and buffers its response in memory; for short responses only. */
 public final class BufferedCall {
@@ -33,22 +34,47 @@
      */
     public static Future<Response> send(
             HttpClientRequest request, Optional<Buffer> body, Duration timeout, int maxBodyBytes) {
+        return send(request, body, TransferLimits.of(timeout, maxBodyBytes), () -> {});
+    }
+
+    /**
+     * Sends the request with the optional body and reads the complete response. Resets the request
+     * if one of the limits is exceeded.
+     */
+    public static Future<Response> send(
+            HttpClientRequest request,
+            Optional<Buffer> body,
+            TransferLimits limits,
+            RuntimeClock clock) {
+        IdleTimer idle = new IdleTimer(clock, limits.idleTimeout());
+        Future<Response> response = send(request, body, limits, idle::restart);
+        return idle.limit(response).onFailure(ignored -> request.reset());
+    }
+
+    private static Future<Response> send(
+            HttpClientRequest request,
+            Optional<Buffer> body,
+            TransferLimits limits,
+            Runnable onBytes) {
         // The returned future reports the failure; without a handler Vert.x logs it as unhandled.
         request.exceptionHandler(
                 failure -> sLogger.atFine().log("HTTP request failed: %s", failure));
         return body.map(request::send)
                 .orElseGet(request::send)
-                .compose(response -> read(response, maxBodyBytes))
-                .timeout(timeout.toMillis(), TimeUnit.MILLISECONDS)
+                .compose(response -> read(response, limits.maxBodyBytes(), onBytes))
+                .timeout(limits.timeout().toMillis(), TimeUnit.MILLISECONDS)
                 .onFailure(ignored -> request.reset());
     }
 
-    private static Future<Response> read(HttpClientResponse response, int maxBodyBytes) {
+    private static Future<Response> read(
+            HttpClientResponse response, int maxBodyBytes, Runnable onBytes) {
+        onBytes.run();
         Promise<Response> result = Promise.promise();
         Buffer body = Buffer.buffer();
         response.exceptionHandler(result::tryFail);
         response.handler(
                 bytes -> {
+                    onBytes.run();
                     if (body.length() + bytes.length() > maxBodyBytes) {
                         response.pause();
                         result.tryFail("response body exceeds " + maxBodyBytes + " bytes");
