--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/GatewayCommand.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/GatewayCommand.java
@@ -152,7 +152,7 @@
                                 .map(seed -> new HostPort(seed.host(), peerListen.port()))
                                 .toList(),
                 reader.millis("--drain-ms", mDrainMs, "3000", 0, MAX_MILLIS),
-                Duration.ofSeconds(reader.number("--grace-s", mGraceS, "8", 0, MAX_SECONDS)),
+                reader.seconds("--grace-s", mGraceS, "8", 0, MAX_SECONDS),
                 reader.millis(
                         "--max-unused-reservation-ms",
                         mMaxUnusedReservationMs,
@@ -164,8 +164,9 @@
 
     private RetryBudgetSettings retryBudget(SettingsReader reader) {
         double ratio = reader.decimal("--retry-ratio", mRetryRatio, "0.1", 0, 1);
-        long extra = reader.number("--retry-extra", mRetryExtra, "10", 0, MAX_RETRIES);
-        long window = reader.number("--retry-window-s", mRetryWindowS, "10", 1, MAX_SECONDS);
-        return new RetryBudgetSettings(ratio, extra, Duration.ofSeconds(window));
+        // A part of a retry of all gateways together adds to the shares of each.
+        double extra = reader.decimal("--retry-extra", mRetryExtra, "10", 0, MAX_RETRIES);
+        Duration window = reader.seconds("--retry-window-s", mRetryWindowS, "10", 1, MAX_SECONDS);
+        return new RetryBudgetSettings(ratio, extra, window);
     }
 }
--- a/tanagergap-runtime/src/main/java/org/tanagergap/runtime/settings/SettingsReader.java
+++ b/tanagergap-runtime/src/main/java/org/tanagergap/runtime/settings/SettingsReader.java
@@ -24,6 +24,8 @@
  */
 public final class SettingsReader {
 
+    private static final long NANOS_PER_MILLI = 1_000_000;
+    private static final long NANOS_PER_SECOND = 1_000_000_000;
     private static final String VARIABLE_PREFIX = "TANAGERGAP_";
 
     private final Map<String, String> mEnvironment;
@@ -120,17 +122,42 @@
         return number == null ? min : number;
     }
 
-    /** Reads a duration in milliseconds within bounds. */
+    /** Reads a duration in milliseconds, which may have a fraction, within bounds. */
     public Duration millis(
             String flag, String flagValue, String defaultValue, long minMillis, long maxMillis) {
-        Long millis =
+        return duration(
+                flag,
+                flagValue,
+                defaultValue,
+                minMillis,
+                maxMillis,
+                "milliseconds",
+                NANOS_PER_MILLI);
+    }
+
+    /** Reads a duration in seconds, which may have a fraction, within bounds. */
+    public Duration seconds(
+            String flag, String flagValue, String defaultValue, long minSeconds, long maxSeconds) {
+        return duration(
+                flag, flagValue, defaultValue, minSeconds, maxSeconds, "seconds", NANOS_PER_SECOND);
+    }
+
+    private Duration duration(
+            String flag,
+            String flagValue,
+            String defaultValue,
+            long min,
+            long max,
+            String unit,
+            long nanosPerUnit) {
+        Double value =
                 read(
                         flag,
                         flagValue,
                         defaultValue,
-                        value -> parseNumber(value).filter(n -> n >= minMillis && n <= maxMillis),
-                        "milliseconds from " + minMillis + " to " + maxMillis);
-        return Duration.ofMillis(millis == null ? minMillis : millis);
+                        text -> parseDecimal(text).filter(n -> n >= min && n <= max),
+                        unit + " from " + min + " to " + max);
+        return Duration.ofNanos((long) ((value == null ? min : value) * nanosPerUnit));
     }
 
     /** Reads a constant of an enumeration, written in lower case with hyphens. */
