Reserve memory for the bodies of requests before they are read

Change: BodyAdmission (decisions) reserves memory for each body, with the responses under one limit of half the heap, of which long bodies may use five eighths. A body that does not fit waits unread if memory will probably be free within a quarter of its time, and is refused otherwise with the time that the release of memory predicts. Less urgent bodies that are still read give way to more urgent ones, short bodies may use what long ones may not. The rest of a refused body is read and discarded, so that the response is not lost to a reset. Bodies of known length are allocated once, and sent to upstreams in parts, as each write is copied to direct memory.

Responses without a length count twice, since their buffer grows by doubling.

--- a/tanagergap-decisions/src/main/java/org/tanagergap/decisions/memory/SharedMemoryLimit.java
+++ b/tanagergap-decisions/src/main/java/org/tanagergap/decisions/memory/SharedMemoryLimit.java
@@ -35,6 +35,11 @@
         return new SharedMemoryLimit(Runtime.getRuntime().maxMemory() / 3);
     }
 
+    /** Creates a limit of half of the heap for messages that are counted at their full capacity. */
+    public static SharedMemoryLimit ofHeapCapacity() {
+        return new SharedMemoryLimit(Runtime.getRuntime().maxMemory() / 2);
+    }
+
     /** Memory of one message. */
     public final class Share {
 
@@ -87,6 +92,11 @@
         return mUsedBytes;
     }
 
+    /** Largest total size of the messages. */
+    public long maxBytes() {
+        return mMaxBytes;
+    }
+
     private synchronized List<Share> addAndTakeEvicted(Share share, long bytes) {
         List<Share> evicted = new ArrayList<>();
         if (share.mClosed) {
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/GatewayService.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/GatewayService.java
@@ -18,6 +18,7 @@
 import org.tanagergap.api.time.RuntimeClock;
 import org.tanagergap.decisions.fleet.FleetLoad;
 import org.tanagergap.decisions.fleet.UpstreamHealth;
+import org.tanagergap.decisions.memory.BodyAdmission;
 import org.tanagergap.decisions.memory.SharedMemoryLimit;
 import org.tanagergap.gateway.caller.GatewayCallerServer;
 import org.tanagergap.gateway.caller.ReadinessServer;
@@ -102,6 +103,7 @@
                         rateLimits,
                         mSync::progress,
                         mSync::peerProgressed);
+        SharedMemoryLimit memory = SharedMemoryLimit.ofHeapCapacity();
         Forwarder forwarder =
                 new Forwarder(
                         new ForwardingContext(
@@ -114,12 +116,11 @@
                                 load,
                                 health,
                                 mSettings.maxUnusedReservation(),
-                                new RetryBudgets(
-                                        mClock, mSettings.retryBudget(), directory::instanceCount),
+                                retryBudgets(directory),
                                 quarantine,
                                 rateLimits,
                                 new UnsentAttempts(),
-                                responseMemory(context.metrics()),
+                                memory,
                                 context.metrics(),
                                 context.tracing(),
                                 exchange::announce),
@@ -132,6 +133,7 @@
                         mView,
                         platform.wire(),
                         new RequestResolver(random),
+                        bodyAdmission(memory, context.metrics()),
                         forwarder);
         rateLimits.listener(new GatewayPermitListener(exchange, forwarder));
         mView.addListener(new GatewayFleetListener(forwarder, health, rateLimits, mCallers));
@@ -151,10 +153,17 @@
         mServices = services(vertx, exchange);
     }
 
-    private static SharedMemoryLimit responseMemory(MetricRegistry metrics) {
-        SharedMemoryLimit limit = SharedMemoryLimit.ofHeap();
-        metrics.register("gateway_response_bytes", (Gauge<Long>) limit::usedBytes);
-        return limit;
+    private RetryBudgets retryBudgets(PeerDirectory directory) {
+        return new RetryBudgets(mClock, mSettings.retryBudget(), directory::instanceCount);
+    }
+
+    private static BodyAdmission bodyAdmission(SharedMemoryLimit memory, MetricRegistry metrics) {
+        BodyAdmission bodies = new BodyAdmission(memory);
+        metrics.register("gateway_body_bytes", (Gauge<Long>) bodies::reservedBytes);
+        metrics.register(
+                "gateway_response_bytes",
+                (Gauge<Long>) () -> memory.usedBytes() - bodies.reservedBytes());
+        return bodies;
     }
 
     private PeerRegistration registration(GatewayPlatform platform) {
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/caller/GatewayCallerServer.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/caller/GatewayCallerServer.java
@@ -20,6 +20,7 @@
 import org.tanagergap.api.lifecycle.Service;
 import org.tanagergap.api.request.RequestId;
 import org.tanagergap.api.time.RuntimeClock;
+import org.tanagergap.decisions.memory.BodyAdmission;
 import org.tanagergap.gateway.configuration.CallerLimits;
 import org.tanagergap.gateway.configuration.GatewayConfiguration;
 import org.tanagergap.gateway.membership.FleetView;
@@ -81,6 +82,7 @@
             FleetView view,
             WireFormat wire,
             RequestResolver resolver,
+            BodyAdmission bodies,
             CallerHandler handler) {
         mVertx = vertx;
         mClock = clock;
@@ -90,7 +92,7 @@
         mResolver = resolver;
         mHandler = handler;
         mConnections = new CallerConnections(clock);
-        mBodyReader = new RequestBodyReader(clock);
+        mBodyReader = new RequestBodyReader(clock, bodies);
         mReads = new PendingReads(clock);
         mFleetWait = new FleetWait(clock, () -> view.configuration().isPresent());
         mIdleCheck = new PeriodicTask(clock, IDLE_CHECK_INTERVAL, this::closeIdle);
@@ -193,6 +195,7 @@
                 request,
                 exchange,
                 limits(),
+                mResolver.rank(mView.configuration(), request, headers),
                 body ->
                         mFleetWait.serveWhenLoaded(
                                 exchange,
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/caller/RequestBodyReader.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/caller/RequestBodyReader.java
@@ -3,41 +3,60 @@
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpHeaders;
 import io.vertx.core.http.HttpServerRequest;
+import java.time.Duration;
 import java.util.function.Consumer;
 import org.tanagergap.api.failure.FailureCode;
 import org.tanagergap.api.failure.RequestFailure;
 import org.tanagergap.api.time.RuntimeClock;
 import org.tanagergap.api.time.Timer;
+import org.tanagergap.decisions.memory.BodyAdmission;
 import org.tanagergap.gateway.configuration.CallerLimits;
 import org.tanagergap.runtime.time.PendingReads;
 
-/** Reads the bodies of requests within the configured limits. Confined to the event loop. */
+/**
+ * Reads the bodies of requests within the configured limits and the memory for all of them.
+ * Confined to the event loop.
+ */
 final class RequestBodyReader {
 
+    /**
+     * Part of the time for a body that it may wait for memory: a caller that is refused has to send
+     * the body again, and one that waits longer could have used another instance.
+     */
+    private static final int PATIENCE_DIVISOR = 4;
+
+    private static final Duration MIN_RETRY_AFTER = Duration.ofMillis(200);
+    private static final Duration MAX_RETRY_AFTER = Duration.ofSeconds(10);
+
     private final RuntimeClock mClock;
     private final PendingReads mReads;
+    private final BodyAdmission mAdmission;
 
-    RequestBodyReader(RuntimeClock clock) {
+    RequestBodyReader(RuntimeClock clock, BodyAdmission admission) {
         mClock = clock;
         mReads = new PendingReads(clock);
+        mAdmission = admission;
     }
 
     /**
-     * Reads the body and passes it on when it is complete. A request whose body is too large or
-     * comes too late is refused instead.
+     * Reads the body and passes it on when it is complete. A request whose body is too large, comes
+     * too late or finds no memory is refused instead.
+     *
+     * @param rank rank of the request; 0 is the most urgent
      */
     void read(
             HttpServerRequest request,
             CallerExchange exchange,
             CallerLimits limits,
+            int rank,
             Consumer<Buffer> consumer) {
-        new Reading(exchange, limits, consumer).start(request);
+        new Reading(request, exchange, limits, rank, consumer).start();
     }
 
-    private static long declaredBytes(HttpServerRequest request) {
+    private static int declaredBytes(HttpServerRequest request) {
         String length = request.getHeader(HttpHeaders.CONTENT_LENGTH);
         try {
-            return length == null ? 0 : Long.parseLong(length);
+            return length == null ? 0 : (int) Math.min(Integer.MAX_VALUE, Long.parseLong(length));
         } catch (NumberFormatException e) {
             return 0;
         }
@@ -46,43 +65,109 @@
     /** The body of one request. */
     private final class Reading {
 
+        private final HttpServerRequest mRequest;
         private final CallerExchange mExchange;
         private final CallerLimits mLimits;
         private final Consumer<Buffer> mConsumer;
-        private final Buffer mBody = Buffer.buffer();
+        private final BodyAdmission.Reservation mMemory;
+        private Buffer mBody = Buffer.buffer();
+        private int mDeclaredBytes;
+        private long mReservedBytes;
         private Timer mTimer = () -> {};
         private boolean mEnded;
 
-        private Reading(CallerExchange exchange, CallerLimits limits, Consumer<Buffer> consumer) {
+        private Reading(
+                HttpServerRequest request,
+                CallerExchange exchange,
+                CallerLimits limits,
+                int rank,
+                Consumer<Buffer> consumer) {
+            mRequest = request;
             mExchange = exchange;
             mLimits = limits;
             mConsumer = consumer;
+            mMemory =
+                    mAdmission.open(
+                            rank,
+                            limits.headerTimeout().dividedBy(PATIENCE_DIVISOR),
+                            this::admitted,
+                            this::rejectAsOverloaded);
         }
 
-        private void start(HttpServerRequest request) {
-            if (declaredBytes(request) > mLimits.maxBodyBytes()) {
+        private void start() {
+            mExchange.onRelease(() -> mMemory.close(mClock.nanoTime()));
+            mDeclaredBytes = declaredBytes(mRequest);
+            if (mDeclaredBytes > mLimits.maxBodyBytes()) {
                 rejectAsTooLarge();
                 return;
             }
-            mTimer =
-                    mClock.schedule(
-                            mLimits.headerTimeout(), () -> mReads.thenRun(this::rejectAsTooLate));
-            request.handler(this::received);
-            request.exceptionHandler(ignored -> end());
-            request.endHandler(ignored -> complete());
+            mRequest.handler(this::received);
+            mRequest.exceptionHandler(ignored -> end());
+            mRequest.endHandler(ignored -> complete());
+            startTimer();
+            if (mDeclaredBytes > 0 && reserve(mDeclaredBytes)) {
+                allocate();
+            }
+        }
+
+        /** Allocates a body of known length as a whole, since a growing one takes more memory. */
+        private void allocate() {
+            if (mBody.length() == 0) {
+                mBody = Buffer.buffer(mDeclaredBytes);
+            }
         }
 
         private void received(Buffer bytes) {
             if (mEnded) {
                 return;
             }
-            mBody.appendBuffer(bytes);
-            if (mBody.length() > mLimits.maxBodyBytes()) {
+            int length = mBody.length() + bytes.length();
+            if (length > mLimits.maxBodyBytes()) {
                 rejectAsTooLarge();
+                return;
+            }
+            mBody.appendBuffer(bytes);
+            if (length > mReservedBytes) {
+                // A body of unknown length takes up to twice its size while it grows.
+                reserve(2L * length);
+            }
+        }
+
+        /** Reserves memory and pauses reading until it is granted; false if it is not yet. */
+        private boolean reserve(long bytes) {
+            mReservedBytes = bytes;
+            BodyAdmission.Answer answer = mMemory.reserve(bytes, mClock.nanoTime());
+            if (answer == BodyAdmission.Answer.WAITING) {
+                mRequest.pause();
+                mTimer.cancel();
+                mTimer =
+                        mClock.schedule(
+                                mLimits.headerTimeout().dividedBy(PATIENCE_DIVISOR),
+                                () -> mMemory.waitEnded(mClock.nanoTime()));
             }
+            return answer == BodyAdmission.Answer.ADMITTED;
+        }
+
+        private void admitted() {
+            if (mEnded) {
+                return;
+            }
+            // The caller could not send while reading was paused.
+            startTimer();
+            allocate();
+            mRequest.resume();
+        }
+
+        private void startTimer() {
+            mTimer.cancel();
+            mTimer =
+                    mClock.schedule(
+                            mLimits.headerTimeout(), () -> mReads.thenRun(this::rejectAsTooLate));
         }
 
         private void complete() {
+            mMemory.completed();
+            mTimer.cancel();
             if (end() && !mExchange.hasEnded()) {
                 mConsumer.accept(mBody);
             }
@@ -96,6 +181,28 @@
             reject(FailureCode.REQUEST_TIMEOUT, "the body did not arrive in time");
         }
 
+        private void rejectAsOverloaded(Duration wait) {
+            Duration atLeast = wait.compareTo(MIN_RETRY_AFTER) < 0 ? MIN_RETRY_AFTER : wait;
+            Duration after = atLeast.compareTo(MAX_RETRY_AFTER) > 0 ? MAX_RETRY_AFTER : atLeast;
+            if (end()) {
+                mBody = Buffer.buffer();
+                mExchange.sendFailure(
+                        RequestFailure.notRun(
+                                        FailureCode.OVERLOADED, "there is no memory for the body")
+                                .withRetryAfter(after));
+                discardRest();
+            }
+        }
+
+        /**
+         * Reads the rest of a refused body without keeping it: closing a connection with unread
+         * bytes resets it, and the caller may lose the response.
+         */
+        private void discardRest() {
+            mTimer = mClock.schedule(mLimits.headerTimeout(), () -> mRequest.connection().close());
+            mRequest.resume();
+        }
+
         private void reject(FailureCode code, String message) {
             if (end()) {
                 mExchange.closeAfterResponse();
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/caller/RequestResolver.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/caller/RequestResolver.java
@@ -65,6 +65,24 @@
                 configuration.version());
     }
 
+    /** Returns the rank of a request; the lowest one if it will be refused. */
+    public int rank(
+            Optional<GatewayConfiguration> current,
+            HttpServerRequest request,
+            GatewayCallerHeaders headers) {
+        Optional<Route> route =
+                current.flatMap(
+                        c ->
+                                c.route(
+                                        host(request),
+                                        Optional.ofNullable(request.path()).orElse("/")));
+        if (route.isEmpty()) {
+            return Integer.MAX_VALUE;
+        }
+        Optional<KeyOwner> owner = headers.key().flatMap(key -> current.flatMap(c -> c.owner(key)));
+        return rank(route.get(), owner);
+    }
+
     private static String host(HttpServerRequest request) {
         String host = Optional.ofNullable(request.getHeader("Host")).orElse("");
         int colon = host.lastIndexOf(':');
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/UpstreamCall.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/UpstreamCall.java
@@ -27,6 +27,9 @@
     /** Largest response that is buffered in memory until it is complete. */
     private static final int MAX_RESPONSE_BYTES = 8 << 20;
 
+    /** A buffer has up to twice the size of its contents while it grows. */
+    private static final int GROWTH_FACTOR = 2;
+
     private static final int HTTP_OK = 200;
     private static final String EVENT_STREAM = "text/event-stream";
 
@@ -39,6 +42,7 @@
     private final SharedMemoryLimit.Share mMemory;
     private Buffer mBody = Buffer.buffer();
     private HttpClientRequest mRequest;
+    private BodySender mSender;
     private HttpClientResponse mResponse;
     private boolean mEnded;
 
@@ -116,12 +120,8 @@
         request.exceptionHandler(
                 failure -> fail(CallFailure.Kind.BROKEN, "connection failed: " + failure));
         mListener.requestSent();
-        if (body.length() > 0) {
-            request.putHeader(HttpHeaders.CONTENT_LENGTH, Integer.toString(body.length()));
-            request.end(body);
-        } else {
-            request.end();
-        }
+        mSender = new BodySender(request, body);
+        mSender.start();
     }
 
     private void headReceived(HttpClientResponse response) {
@@ -185,7 +185,7 @@
                         return;
                     }
                     mBody.appendBuffer(bytes);
-                    mMemory.add(bytes.length());
+                    mMemory.add(GROWTH_FACTOR * bytes.length());
                     if (mBody.length() > MAX_RESPONSE_BYTES) {
                         fail(
                                 CallFailure.Kind.BROKEN,
@@ -243,6 +243,9 @@
     private boolean end() {
         boolean first = !mEnded;
         mEnded = true;
+        if (mSender != null) {
+            mSender.stop();
+        }
         return first;
     }
 
--- a/tanagergap-gateway/src/test/java/org/tanagergap/gateway/caller/CallerServerHarness.java
+++ b/tanagergap-gateway/src/test/java/org/tanagergap/gateway/caller/CallerServerHarness.java
@@ -12,6 +12,8 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
+import org.tanagergap.decisions.memory.BodyAdmission;
+import org.tanagergap.decisions.memory.SharedMemoryLimit;
 import org.tanagergap.gateway.configuration.CallerLimits;
 import org.tanagergap.gateway.configuration.GatewayConfiguration;
 import org.tanagergap.gateway.configuration.Route;
@@ -60,6 +62,7 @@
                         view,
                         new FakeWireFormat(parsing),
                         new RequestResolver(new Random(1)),
+                        new BodyAdmission(SharedMemoryLimit.ofHeap()),
                         handler);
         mServer.start().get(5, TimeUnit.SECONDS);
         mServer.fleetLoaded();
