Read the rest of a body that is too large before closing its connection

Change: the rest is read and discarded, for at most the time that a body may take, as for bodies without memory.

--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/caller/RequestBodyReader.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/caller/RequestBodyReader.java
@@ -96,14 +96,14 @@
 
         private void start() {
             mExchange.onRelease(() -> mMemory.close(mClock.nanoTime()));
+            mRequest.handler(this::received);
+            mRequest.exceptionHandler(ignored -> end());
+            mRequest.endHandler(ignored -> complete());
             mDeclaredBytes = declaredBytes(mRequest);
             if (mDeclaredBytes > mLimits.maxBodyBytes()) {
                 rejectAsTooLarge();
                 return;
             }
-            mRequest.handler(this::received);
-            mRequest.exceptionHandler(ignored -> end());
-            mRequest.endHandler(ignored -> complete());
             startTimer();
             if (mDeclaredBytes > 0 && reserve(mDeclaredBytes)) {
                 allocate();
@@ -174,22 +174,34 @@
         }
 
         private void rejectAsTooLarge() {
-            reject(FailureCode.BODY_TOO_LARGE, "the body is too large");
+            refuse(
+                    RequestFailure.notRun(FailureCode.BODY_TOO_LARGE, "the body is too large")
+                            .withField("body"));
         }
 
         private void rejectAsTooLate() {
-            reject(FailureCode.REQUEST_TIMEOUT, "the body did not arrive in time");
+            if (end()) {
+                mExchange.closeAfterResponse();
+                mExchange.sendFailure(
+                        RequestFailure.notRun(
+                                        FailureCode.REQUEST_TIMEOUT,
+                                        "the body did not arrive in time")
+                                .withField("body"));
+            }
         }
 
         private void rejectAsOverloaded(Duration wait) {
             Duration atLeast = wait.compareTo(MIN_RETRY_AFTER) < 0 ? MIN_RETRY_AFTER : wait;
             Duration after = atLeast.compareTo(MAX_RETRY_AFTER) > 0 ? MAX_RETRY_AFTER : atLeast;
+            refuse(
+                    RequestFailure.notRun(FailureCode.OVERLOADED, "there is no memory for the body")
+                            .withRetryAfter(after));
+        }
+
+        private void refuse(RequestFailure failure) {
             if (end()) {
                 mBody = Buffer.buffer();
-                mExchange.sendFailure(
-                        RequestFailure.notRun(
-                                        FailureCode.OVERLOADED, "there is no memory for the body")
-                                .withRetryAfter(after));
+                mExchange.sendFailure(failure);
                 discardRest();
             }
         }
@@ -203,13 +215,6 @@
             mRequest.resume();
         }
 
-        private void reject(FailureCode code, String message) {
-            if (end()) {
-                mExchange.closeAfterResponse();
-                mExchange.sendFailure(RequestFailure.notRun(code, message).withField("body"));
-            }
-        }
-
         private boolean end() {
             boolean first = !mEnded;
             mEnded = true;
