--- a/tanagergap-decisions/src/main/java/org/tanagergap/decisions/fleet/FleetSlowness.java
+++ b/tanagergap-decisions/src/main/java/org/tanagergap/decisions/fleet/FleetSlowness.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Set;
 
 /**
  * Slowness of each upstream: times to the first token relative to their predictions, as observed by
@@ -28,6 +29,7 @@
 
     private final Map<String, Observed> mLocal = new HashMap<>();
     private final Map<String, Map<String, Observed>> mPeers = new HashMap<>();
+    private final Map<String, Set<String>> mReportedByPeer = new HashMap<>();
 
     /**
      * Observations of one upstream.
@@ -57,7 +59,9 @@
 
     /** Replaces the evidence that a peer reported before. */
     public void peerReported(String peer, Map<String, Evidence> reported, long nowNanos) {
-        mPeers.values().forEach(byPeer -> byPeer.remove(peer));
+        for (String upstream : mReportedByPeer.getOrDefault(peer, Set.of())) {
+            mPeers.computeIfPresent(upstream, (id, byPeer) -> without(byPeer, peer));
+        }
         reported.forEach(
                 (upstream, evidence) ->
                         mPeers.computeIfAbsent(upstream, ignored -> new HashMap<>())
@@ -68,7 +72,17 @@
                                                         evidence.weight(),
                                                         bounded(evidence.slowness())),
                                                 nowNanos)));
-        mPeers.values().removeIf(Map::isEmpty);
+        if (reported.isEmpty()) {
+            mReportedByPeer.remove(peer);
+        } else {
+            mReportedByPeer.put(peer, Set.copyOf(reported.keySet()));
+        }
+    }
+
+    /** Returns null if no evidence is left. */
+    private static Map<String, Observed> without(Map<String, Observed> byPeer, String peer) {
+        byPeer.remove(peer);
+        return byPeer.isEmpty() ? null : byPeer;
     }
 
     /** Returns the evidence of this instance that peers should know. */
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/peer/UpstreamLoadCodec.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/peer/UpstreamLoadCodec.java
@@ -70,7 +70,7 @@
         StreamTargets targets = StreamTargets.NONE;
         for (int i = FIRST_TARGET; i < values.size(); i += 2) {
             int target = PeerNumbers.count(values.getValue(i));
-            double loss = PeerNumbers.amount(values.getValue(i + 1)) / LOSS_STEPS;
+            double loss = PeerNumbers.count(values.getValue(i + 1)) / LOSS_STEPS;
             targets = targets.plus(StreamTargets.of(target, loss));
         }
         return targets;
