Refuse bodies that can never fit, and let bodies give way only to some use

Cause, from reading the change again: a body above the share of a process was told to retry for ever; less urgent bodies could be given up although responses left no room for the urgent one; memory that gave way and was not needed waited for the next release; a refusal for want of memory was not logged; an attempt whose load was taken out for a check counted as a further placement.

Change: 413 for a body that can never fit, both limits are looked at before a body gives way, waiting bodies get what is left, one log line a second at most.

--- a/tanagergap-decisions/src/main/java/org/tanagergap/decisions/memory/BodyAdmission.java
+++ b/tanagergap-decisions/src/main/java/org/tanagergap/decisions/memory/BodyAdmission.java
@@ -61,6 +61,11 @@
         return new Reservation(rank, patience, onAdmit, onRefuse);
     }
 
+    /** Largest reservation that can ever be granted. */
+    public long maxBodyBytes() {
+        return maxLongBytes();
+    }
+
     /** Memory reserved for bodies. */
     public long reservedBytes() {
         return mReservedBytes;
@@ -97,6 +102,8 @@
             }
             if (mayOvertakeWaiting() && (fits() || makeRoom(this, nowNanos))) {
                 grant();
+                // Those that gave way may have freed more than this body needs.
+                admitWaiting();
                 return Answer.ADMITTED;
             }
             Duration wait = predictedWait(this, nowNanos);
@@ -187,7 +194,9 @@
                                         .thenComparingLong(r -> -r.mBytes))
                         .toList();
         long freed = victims.stream().mapToLong(victim -> victim.mBytes).sum();
-        if (mReservedBytes - freed + body.missingBytes() > maxLongBytes()) {
+        long needed = body.missingBytes() - freed;
+        if (mReservedBytes + needed > maxLongBytes()
+                || mLimit.usedBytes() + needed > mLimit.maxBytes()) {
             return false;
         }
         Duration retryAfter = predictedWait(body, nowNanos);
--- a/tanagergap-decisions/src/test/java/org/tanagergap/decisions/memory/BodyAdmissionTests.java
+++ b/tanagergap-decisions/src/test/java/org/tanagergap/decisions/memory/BodyAdmissionTests.java
@@ -130,4 +130,31 @@
 
         assertThat(mRefused).containsExactly("waiting");
     }
+
+    /** Responses can use so much that giving up bodies would not make room. */
+    @Test
+    void bodiesDoNotGiveWayInVain() {
+        SharedMemoryLimit.Share response = mLimit.open(() -> {});
+        response.add(14 * MEBI);
+        response.completed();
+        open("batch", BATCH).reserve(MEBI, mNowNanos);
+
+        open("urgent", URGENT).reserve(4 * MEBI, mNowNanos);
+
+        assertThat(mRefused).doesNotContain("batch");
+    }
+
+    @Test
+    void memoryThatGaveWayAndIsNotNeededServesThoseThatWait() {
+        open("batch", BATCH).reserve(9 * MEBI, mNowNanos);
+        complete("short", 1).close(mNowNanos);
+        advance(Duration.ofSeconds(3));
+        Reservation waiting = open("waiting", BATCH);
+        assertThat(waiting.reserve(2 * MEBI, mNowNanos)).isEqualTo(Answer.WAITING);
+
+        open("urgent", URGENT).reserve(4 * MEBI, mNowNanos);
+
+        assertThat(mRefused).containsExactly("batch");
+        assertThat(mAdmitted).containsExactly("waiting");
+    }
 }
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/caller/RequestBodyReader.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/caller/RequestBodyReader.java
@@ -1,9 +1,11 @@
 package org.tanagergap.gateway.caller;
 
+import com.google.common.flogger.FluentLogger;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpHeaders;
 import io.vertx.core.http.HttpServerRequest;
 import java.time.Duration;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.tanagergap.api.failure.FailureCode;
 import org.tanagergap.api.failure.RequestFailure;
@@ -11,6 +13,7 @@
 import org.tanagergap.api.time.Timer;
 import org.tanagergap.decisions.memory.BodyAdmission;
 import org.tanagergap.gateway.configuration.CallerLimits;
+import org.tanagergap.runtime.log.LogKeys;
 import org.tanagergap.runtime.time.PendingReads;
 
 /**
@@ -25,9 +28,14 @@
      */
     private static final int PATIENCE_DIVISOR = 4;
 
+    /** A body of unknown length takes up to twice its size while it grows. */
+    private static final int GROWTH_FACTOR = 2;
+
     private static final Duration MIN_RETRY_AFTER = Duration.ofMillis(200);
     private static final Duration MAX_RETRY_AFTER = Duration.ofSeconds(10);
 
+    private static final FluentLogger sLogger = FluentLogger.forEnclosingClass();
+
     private final RuntimeClock mClock;
     private final PendingReads mReads;
     private final BodyAdmission mAdmission;
@@ -100,7 +108,7 @@
             mRequest.exceptionHandler(ignored -> end());
             mRequest.endHandler(ignored -> complete());
             mDeclaredBytes = declaredBytes(mRequest);
-            if (mDeclaredBytes > mLimits.maxBodyBytes()) {
+            if (mDeclaredBytes > maxBytes()) {
                 rejectAsTooLarge();
                 return;
             }
@@ -110,6 +118,12 @@
             }
         }
 
+        /** The memory of this process may be too small for what the configuration allows. */
+        private long maxBytes() {
+            long growth = mDeclaredBytes > 0 ? 1 : GROWTH_FACTOR;
+            return Math.min(mLimits.maxBodyBytes(), mAdmission.maxBodyBytes() / growth);
+        }
+
         /** Allocates a body of known length as a whole, since a growing one takes more memory. */
         private void allocate() {
             if (mBody.length() == 0) {
@@ -122,14 +136,13 @@
                 return;
             }
             int length = mBody.length() + bytes.length();
-            if (length > mLimits.maxBodyBytes()) {
+            if (length > maxBytes()) {
                 rejectAsTooLarge();
                 return;
             }
             mBody.appendBuffer(bytes);
             if (length > mReservedBytes) {
-                // A body of unknown length takes up to twice its size while it grows.
-                reserve(2L * length);
+                reserve((long) GROWTH_FACTOR * length);
             }
         }
 
@@ -193,6 +206,13 @@
         private void rejectAsOverloaded(Duration wait) {
             Duration atLeast = wait.compareTo(MIN_RETRY_AFTER) < 0 ? MIN_RETRY_AFTER : wait;
             Duration after = atLeast.compareTo(MAX_RETRY_AFTER) > 0 ? MAX_RETRY_AFTER : atLeast;
+            sLogger.atInfo()
+                    .atMostEvery(1, TimeUnit.SECONDS)
+                    .with(LogKeys.REQUEST_ID, mExchange.id().value())
+                    .log(
+                            "no memory for a body of %d bytes beside %d reserved ones;"
+                                    + " refused, retry after %d ms",
+                            mReservedBytes, mAdmission.reservedBytes(), after.toMillis());
             refuse(
                     RequestFailure.notRun(FailureCode.OVERLOADED, "there is no memory for the body")
                             .withRetryAfter(after));
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/AttemptLoad.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/AttemptLoad.java
@@ -26,7 +26,12 @@
 
     void begin(Placement placement, PlacementRequest request, Optional<EngineProfile> engine) {
         mContext.placements().placed(mContext.clock().nanoTime());
-        mBegin = () -> begin(placement, request, engine);
+        mBegin = () -> add(placement, request, engine);
+        mBegin.run();
+    }
+
+    private void add(
+            Placement placement, PlacementRequest request, Optional<EngineProfile> engine) {
         double promptPrefillMillis =
                 engine.map(e -> e.prefillMillis(request.cost().promptTokens())).orElse(0.0);
         double enginePrefillMillis = promptPrefillMillis / (1 + placement.helpers().size());
