Log why a reservation is released, its last use and when engines confirm

Neither logs nor metrics told how long memory stands after the last sign of its use, why it is released, or how long an engine takes to confirm a release, so the hypotheses on memory that stays reserved could not be told apart. No change of behaviour.

--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/HelperMemoryReservation.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/HelperMemoryReservation.java
@@ -1,14 +1,11 @@
 package org.tanagergap.gateway.forward;
 
-import com.google.common.flogger.FluentLogger;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalLong;
-import java.util.concurrent.TimeUnit;
 import org.tanagergap.api.time.Timer;
 import org.tanagergap.decisions.fleet.ReservationUse;
 import org.tanagergap.gateway.membership.Upstream;
@@ -39,8 +36,6 @@
 
     private static final int HTTP_OK = 200;
 
-    private static final FluentLogger sLogger = FluentLogger.forEnclosingClass();
-
     private final ForwardingContext mContext;
     private final String mId;
     private final List<Upstream> mHelpers;
@@ -51,7 +46,7 @@
     private final Map<String, Timer> mExtending = new HashMap<>();
     private final long mStartNanos;
     private final ReservationUse mUse;
-    private OptionalLong mFirstTokenNanos = OptionalLong.empty();
+    private final ReservationRecord mRecord;
     private Outcome mOutcome;
     private int mExtensions;
     private Timer mTimer = () -> {};
@@ -68,7 +63,8 @@
         mId = id;
         mHelpers = List.copyOf(helpers);
         mTokens = tokens;
-        mRelease = new ReservationRelease(context, id);
+        mRecord = new ReservationRecord(context, id, tokens);
+        mRelease = new ReservationRelease(context, id, mRecord);
         mStartNanos = context.clock().nanoTime();
         mUse = new ReservationUse(context.maxUnusedReservation(), TIME_TO_LIVE, mStartNanos);
     }
@@ -97,50 +93,26 @@
 
     /** Records that the request generates tokens and therefore uses the memory. */
     void tokenReceived() {
-        long now = mContext.clock().nanoTime();
-        mUse.used(now);
-        if (mFirstTokenNanos.isEmpty()) {
-            mFirstTokenNanos = OptionalLong.of(now);
-        }
+        mUse.used(mContext.clock().nanoTime());
+        mRecord.tokenReceived();
     }
 
     /** Releases the reserved memory; further calls have no effect. */
     void release() {
+        release(ReservationRecord.Reason.ATTEMPT_ENDED);
+    }
+
+    private void release(ReservationRecord.Reason reason) {
         if (mRelease.hasBegun()) {
             return;
         }
         mTimer.cancel();
         mRelease.begin(mContacted);
-        recordRelease();
-    }
-
-    private void recordRelease() {
-        long now = mContext.clock().nanoTime();
-        long unusedNanos = mFirstTokenNanos.orElse(now) - mStartNanos;
-        mContext.metrics()
-                .histogram("gateway_reservation_before_first_token_ms")
-                .update(millis(unusedNanos));
-        sLogger.atInfo().log(
-                "reservation of %d tokens on each of %d engines for attempt %s released after %d ms"
-                        + " and %d extensions, %s",
-                mTokens,
-                mContacted.size(),
-                mId,
-                millis(now - mStartNanos),
-                mExtensions,
-                mFirstTokenNanos.isPresent()
-                        ? "first token after " + millis(unusedNanos) + " ms"
-                        : "no token received");
-    }
-
-    private static long millis(long nanos) {
-        return TimeUnit.NANOSECONDS.toMillis(nanos);
+        mRecord.released(reason, mContacted.size());
     }
 
     private void recordNoResponse(Upstream helper, String operation, Throwable failure) {
-        sLogger.atInfo().log(
-                "%s of %d tokens for attempt %s at %s got no response: %s",
-                operation, mTokens, mId, helper.id(), failure.getMessage());
+        mRecord.unanswered(helper, operation, failure);
         mRelease.requestUnanswered(helper);
     }
 
@@ -201,9 +173,8 @@
     }
 
     private void refused(Upstream helper, String reason) {
-        sLogger.atInfo().log(
-                "%d tokens for %s are not to be had at %s: %s", mTokens, mId, helper.id(), reason);
-        release();
+        mRecord.refused(helper, reason);
+        release(ReservationRecord.Reason.NOT_RESERVED);
         mOutcome.refused(helper);
     }
 
@@ -213,7 +184,7 @@
         }
         long now = mContext.clock().nanoTime();
         if (!mUse.mayExtend(now)) {
-            release();
+            release(ReservationRecord.Reason.UNUSED);
             mOutcome.unused();
             return;
         }
@@ -224,6 +195,7 @@
                 .filter(helper -> !mExtending.containsKey(helper.id()))
                 .forEach(this::extendUntilAnswered);
         mExtensions++;
+        mRecord.extended();
         mTimer = mContext.clock().schedule(EXTENSION_INTERVAL, this::extend);
     }
 
@@ -249,17 +221,15 @@
         mContext.engineAdmin()
                 .status(helper.address())
                 .map(response -> mContext.wire().reservationState(response.body(), mId))
-                .onSuccess(this::recordState)
-                .onFailure(
-                        failure ->
-                                sLogger.atInfo().log(
-                                        "%s did not report the reservation of attempt %s: %s",
-                                        helper.id(), mId, failure.getMessage()));
+                .onSuccess(state -> recordState(helper, state))
+                .onFailure(failure -> mRecord.unanswered(helper, "report", failure));
     }
 
-    private void recordState(Optional<ReservationState> state) {
+    private void recordState(Upstream helper, Optional<ReservationState> state) {
+        mRecord.reported(helper, state.map(ReservationState::description).orElse("not listed"));
         if (state.filter(ReservationState.USED::equals).isPresent()) {
             mUse.used(mContext.clock().nanoTime());
+            mRecord.used();
         }
     }
 
@@ -267,9 +237,7 @@
         Optional.ofNullable(mExtending.remove(helper.id())).ifPresent(Timer::cancel);
         mRelease.repeatIfBegun(helper);
         if (status != HTTP_OK) {
-            sLogger.atInfo().log(
-                    "extension of %d tokens for attempt %s at %s got status %d",
-                    mTokens, mId, helper.id(), status);
+            mRecord.extensionRefused(helper, status);
         }
     }
 
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/ReservationRelease.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/ReservationRelease.java
@@ -1,8 +1,10 @@
 package org.tanagergap.gateway.forward;
 
 import java.time.Duration;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import org.tanagergap.gateway.membership.Upstream;
 
@@ -17,9 +19,13 @@
     private static final Duration LATE_EXECUTION_WINDOW = Duration.ofSeconds(13);
 
     private static final Duration REPEAT_INTERVAL = Duration.ofMillis(500);
+    private static final int HTTP_OK = 200;
 
     private final ForwardingContext mContext;
     private final String mId;
+    private final ReservationRecord mRecord;
+    private final Map<String, Integer> mRequests = new HashMap<>();
+    private final Set<String> mConfirmed = new HashSet<>();
     private final Set<String> mWithoutResponse = new HashSet<>();
     private final Set<String> mScheduled = new HashSet<>();
     private boolean mBegun;
@@ -30,9 +36,10 @@
      *
      * @param id identifier of the reservation
      */
-    ReservationRelease(ForwardingContext context, String id) {
+    ReservationRelease(ForwardingContext context, String id, ReservationRecord record) {
         mContext = context;
         mId = id;
+        mRecord = record;
     }
 
     /** Releases the memory on the engines. */
@@ -64,10 +71,12 @@
     }
 
     private void send(Upstream engine) {
+        mRequests.merge(engine.id(), 1, Integer::sum);
         mContext.engineAdmin()
                 .reservation(engine.address(), mContext.wire().releaseRequest(mId))
                 .onComplete(
-                        ignored -> {
+                        status -> {
+                            recordStatus(engine, status);
                             if (mWithoutResponse.contains(engine.id())) {
                                 schedule(engine);
                             }
@@ -75,6 +84,16 @@
                         failure -> schedule(engine));
     }
 
+    private void recordStatus(Upstream engine, int status) {
+        if (status != HTTP_OK) {
+            mRecord.releaseRefused(engine, status);
+        } else if (mConfirmed.add(engine.id())) {
+            long elapsedNanos = mContext.clock().nanoTime() - mBeginNanos;
+            mRecord.releaseConfirmed(
+                    engine, Duration.ofNanos(elapsedNanos), mRequests.get(engine.id()));
+        }
+    }
+
     private void schedule(Upstream engine) {
         boolean mayTakeEffect =
                 mContext.clock().nanoTime() - mBeginNanos < LATE_EXECUTION_WINDOW.toNanos();
