Release engine memory when engines report that its request has ended

Cause: the end of a run was taken from its response alone. Extensions went on for 5 s after the last event, a report that the memory is not in use changed nothing, and events that were read late, because the caller reads slowly, counted as use at the time of reading. The class of fault: a lease that is renewed by what its holder believes, where the end of the use is a message that can be lost or delayed.

Change: an extension needs a sign of use that is at most 0.6 s old, an event that was not read late or a report of an engine, and the engines are asked when there is none. An extension never lasts beyond the platform's limit after that sign, so the memory also lapses when the gateway dies. The attempt of a run that has ended without the end of its stream fails, so that the stream is resumed or its caller is answered. The limit comes from the platform's settings (--max-reservation-after-use-ms).

ReservationUseTests.useStartsTheLimitAgain allowed 5 s after the last use, which is the fault; it asks for 3 s now, and there is a test for each rule.

--- a/tanagergap-decisions/src/test/java/org/tanagergap/decisions/fleet/ReservationUseTests.java
+++ b/tanagergap-decisions/src/test/java/org/tanagergap/decisions/fleet/ReservationUseTests.java
@@ -9,9 +9,13 @@
 final class ReservationUseTests {
 
     private static final long START = Duration.ofHours(1).toNanos();
+    private static final Duration TIME_TO_LIVE = Duration.ofMillis(3_500);
 
     private final ReservationUse mUse =
-            new ReservationUse(Duration.ofMillis(9_000), Duration.ofMillis(3_500), START);
+            new ReservationUse(
+                    new ReservationLimits(Duration.ofMillis(9_000), Duration.ofMillis(4_000)),
+                    TIME_TO_LIVE,
+                    START);
 
     private static long after(long millis) {
         return START + Duration.ofMillis(millis).toNanos();
@@ -19,25 +23,69 @@
 
     @Test
     void memoryThatWasNeverUsedIsExtendedForALimitedTime() {
-        assertThat(mUse.mayExtend(after(4_999))).isTrue();
-        assertThat(mUse.mayExtend(after(5_000))).isFalse();
+        assertThat(mUse.timeToLive(after(4_999))).hasValue(TIME_TO_LIVE);
+        assertThat(mUse.timeToLive(after(5_000))).isEmpty();
+    }
+
+    @Test
+    void anExtensionExpiresWithinTheLimitAfterTheLastUse() {
+        mUse.used(after(4_000));
+
+        assertThat(mUse.timeToLive(after(4_000))).hasValue(TIME_TO_LIVE);
+        assertThat(mUse.timeToLive(after(5_000))).hasValue(Duration.ofMillis(2_500));
+    }
+
+    @Test
+    void memoryIsReleasedBeforeTheLimitWithoutASignOfUse() {
+        mUse.used(after(4_000));
+
+        assertThat(mUse.timeToLive(after(6_999))).isPresent();
+        assertThat(mUse.timeToLive(after(7_000))).isEmpty();
     }
 
     @Test
     void useStartsTheLimitAgain() {
         mUse.used(after(4_000));
+        mUse.used(after(6_000));
+
+        assertThat(mUse.timeToLive(after(8_999))).isPresent();
+        assertThat(mUse.timeToLive(after(9_000))).isEmpty();
+    }
+
+    @Test
+    void aReportThatTheUseHasEndedIsConfirmed() {
+        mUse.used(after(1_000));
+        mUse.reportedNotInUse(after(2_000));
+
+        assertThat(mUse.timeToLive(after(2_499))).isPresent();
+        assertThat(mUse.timeToLive(after(2_500))).isEmpty();
+    }
+
+    /** Reports are some 200 ms old, and engines read a prompt again after a preemption. */
+    @Test
+    void aReportThatTheUseHasEndedIsOverriddenByALaterUse() {
+        mUse.used(after(1_000));
+        mUse.reportedNotInUse(after(2_000));
+        mUse.used(after(2_100));
+
+        assertThat(mUse.mayHaveEnded()).isFalse();
+        assertThat(mUse.timeToLive(after(2_600))).isPresent();
+    }
+
+    @Test
+    void memoryOfARequestThatHasNotBegunIsReportedAsNotInUse() {
+        mUse.reportedNotInUse(after(1_000));
 
-        assertThat(mUse.mayExtend(after(8_999))).isTrue();
-        assertThat(mUse.mayExtend(after(9_000))).isFalse();
+        assertThat(mUse.timeToLive(after(4_000))).hasValue(TIME_TO_LIVE);
     }
 
     @Test
     void enginesAreAskedOnlyWhenNothingWasSeenForAWhile() {
-        assertThat(mUse.needsCheck(after(1_999))).isFalse();
-        assertThat(mUse.needsCheck(after(2_000))).isTrue();
+        assertThat(mUse.needsCheck(after(599))).isFalse();
+        assertThat(mUse.needsCheck(after(600))).isTrue();
 
         mUse.used(after(2_500));
 
-        assertThat(mUse.needsCheck(after(4_400))).isFalse();
+        assertThat(mUse.needsCheck(after(3_000))).isFalse();
     }
 }
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/GatewayCommand.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/GatewayCommand.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.function.Supplier;
 import org.tanagergap.api.lifecycle.Service;
+import org.tanagergap.decisions.fleet.ReservationLimits;
 import org.tanagergap.runtime.program.ProgramCommand;
 import org.tanagergap.runtime.program.ProgramContext;
 import org.tanagergap.runtime.settings.HostPort;
@@ -79,6 +80,14 @@
             description = "Longest time for which engine memory may be reserved and unused")
     String mMaxUnusedReservationMs;
 
+    @Option(
+            name = "--max-reservation-after-use-ms",
+            title = "milliseconds",
+            description =
+                    "Longest time for which engine memory may be reserved after the request that"
+                            + " used it")
+    String mMaxReservationAfterUseMs;
+
     @Option(
             name = "--retry-ratio",
             title = "ratio",
@@ -153,13 +162,24 @@
                                 .toList(),
                 reader.millis("--drain-ms", mDrainMs, "3000", 0, MAX_MILLIS),
                 reader.seconds("--grace-s", mGraceS, "8", 0, MAX_SECONDS),
+                reservationLimits(reader),
+                retryBudget(reader));
+    }
+
+    private ReservationLimits reservationLimits(SettingsReader reader) {
+        return new ReservationLimits(
                 reader.millis(
                         "--max-unused-reservation-ms",
                         mMaxUnusedReservationMs,
                         "9000",
                         1000,
                         MAX_MILLIS),
-                retryBudget(reader));
+                reader.millis(
+                        "--max-reservation-after-use-ms",
+                        mMaxReservationAfterUseMs,
+                        "4000",
+                        1000,
+                        MAX_MILLIS));
     }
 
     private RetryBudgetSettings retryBudget(SettingsReader reader) {
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/GatewayService.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/GatewayService.java
@@ -114,7 +114,7 @@
                                 health,
                                 new ConcurrentPlacements(directory::instanceCount),
                                 new DomainDelays(mSettings.failureDomain()),
-                                mSettings.maxUnusedReservation(),
+                                mSettings.reservationLimits(),
                                 retryBudgets(directory),
                                 quarantine,
                                 rateLimits,
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/GatewaySettings.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/GatewaySettings.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.List;
+import org.tanagergap.decisions.fleet.ReservationLimits;
 import org.tanagergap.runtime.settings.HostPort;
 
 /**
@@ -16,7 +17,7 @@
  * @param seeds peers to contact while the store is unavailable
  * @param drain time at shutdown between reporting unready and closing idle connections
  * @param grace time at shutdown after which the process is killed
- * @param maxUnusedReservation longest time for which engine memory may be reserved and unused
+ * @param reservationLimits longest times for which engine memory may be reserved without use
  * @param retryBudget retries that all instances together may make
  */
 public record GatewaySettings(
@@ -29,7 +30,7 @@
         List<HostPort> seeds,
         Duration drain,
         Duration grace,
-        Duration maxUnusedReservation,
+        ReservationLimits reservationLimits,
         RetryBudgetSettings retryBudget) {
 
     public GatewaySettings {
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/ReloadableSettings.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/ReloadableSettings.java
@@ -87,7 +87,7 @@
                 mAtStart.seeds(),
                 mAtStart.drain(),
                 mAtStart.grace(),
-                mAtStart.maxUnusedReservation(),
+                mAtStart.reservationLimits(),
                 mAtStart.retryBudget());
     }
 }
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/ForwardingContext.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/ForwardingContext.java
@@ -2,11 +2,11 @@
 
 import com.codahale.metrics.MetricRegistry;
 import io.vertx.core.http.HttpClient;
-import java.time.Duration;
 import org.tanagergap.api.time.RuntimeClock;
 import org.tanagergap.decisions.fleet.ConcurrentPlacements;
 import org.tanagergap.decisions.fleet.DomainDelays;
 import org.tanagergap.decisions.fleet.FleetLoad;
+import org.tanagergap.decisions.fleet.ReservationLimits;
 import org.tanagergap.decisions.fleet.UpstreamHealth;
 import org.tanagergap.decisions.memory.SharedMemoryLimit;
 import org.tanagergap.gateway.membership.FleetView;
@@ -26,7 +26,7 @@
  * @param health health of each upstream, as observed in requests
  * @param placements placements of other instances that are not reported yet
  * @param delays delay to each failure domain, as observed in connections
- * @param maxUnusedReservation longest time for which engine memory may be reserved and unused
+ * @param reservationLimits longest times for which engine memory may be reserved without use
  * @param retryBudgets retries that are still allowed
  * @param quarantine requests that engines must not run, and the crashes behind it
  * @param rateLimits rate limits that upstreams advertise
@@ -47,7 +47,7 @@
         UpstreamHealth health,
         ConcurrentPlacements placements,
         DomainDelays delays,
-        Duration maxUnusedReservation,
+        ReservationLimits reservationLimits,
         RetryBudgets retryBudgets,
         QuarantineGate quarantine,
         RateLimitGate rateLimits,
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/HelperMemoryReservation.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/HelperMemoryReservation.java
@@ -2,15 +2,10 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
-import org.tanagergap.api.time.Timer;
-import org.tanagergap.decisions.fleet.ReservationUse;
 import org.tanagergap.gateway.membership.Upstream;
 import org.tanagergap.gateway.wire.HelperAddress;
-import org.tanagergap.gateway.wire.ReservationState;
 
 /**
  * Reserves memory on all helper engines of a spanning prompt or on none, in the order of the
@@ -25,15 +20,6 @@
      */
     private static final Duration MAX_ACQUISITION = Duration.ofMillis(2500);
 
-    private static final Duration TIME_TO_LIVE = Duration.ofMillis(3500);
-    private static final Duration EXTENSION_INTERVAL = Duration.ofMillis(1200);
-
-    /**
-     * Time from an extension without a response so far to the next one. An engine that loses what
-     * arrives during a silence must get an extension before the time to live ends.
-     */
-    private static final Duration REPEAT_INTERVAL = Duration.ofMillis(300);
-
     private static final int HTTP_OK = 200;
 
     private final ForwardingContext mContext;
@@ -41,15 +27,11 @@
     private final List<Upstream> mHelpers;
     private final long mTokens;
     private final List<Upstream> mContacted = new ArrayList<>();
-    private final List<Upstream> mReserved = new ArrayList<>();
+    private final ReservationRecord mRecord;
     private final ReservationRelease mRelease;
-    private final Map<String, Timer> mExtending = new HashMap<>();
+    private final ReservationExtension mExtension;
     private final long mStartNanos;
-    private final ReservationUse mUse;
-    private final ReservationRecord mRecord;
     private Outcome mOutcome;
-    private int mExtensions;
-    private Timer mTimer = () -> {};
 
     /**
      * Creates a reservation; {@link #acquire} reserves the memory.
@@ -65,8 +47,10 @@
         mTokens = tokens;
         mRecord = new ReservationRecord(context, id, tokens);
         mRelease = new ReservationRelease(context, id, mRecord);
+        mExtension =
+                new ReservationExtension(
+                        context, id, tokens, mRelease, mRecord, this::limitReached);
         mStartNanos = context.clock().nanoTime();
-        mUse = new ReservationUse(context.maxUnusedReservation(), TIME_TO_LIVE, mStartNanos);
     }
 
     /** Receives the outcome of a reservation. */
@@ -81,8 +65,11 @@
         /** Called when the engine has not reserved the memory; the other engines release theirs. */
         void refused(Upstream helper);
 
-        /** Called when the memory was released because the request does not use it. */
+        /** Called when the memory was released because the request has not used it. */
         void unused();
+
+        /** Called when the memory was released because the request does not use it any more. */
+        void useEnded();
     }
 
     /** Reserves memory on all engines and reports the outcome, unless it is released before. */
@@ -91,10 +78,14 @@
         acquireNext(0);
     }
 
-    /** Records that the request generates tokens and therefore uses the memory. */
+    /** Records that an event of the stream has arrived. */
     void tokenReceived() {
-        mUse.used(mContext.clock().nanoTime());
-        mRecord.tokenReceived();
+        mExtension.tokenReceived();
+    }
+
+    /** Records that reading from the first engine is paused. */
+    void readingPaused() {
+        mExtension.readingPaused();
     }
 
     /** Releases the reserved memory; further calls have no effect. */
@@ -106,14 +97,18 @@
         if (mRelease.hasBegun()) {
             return;
         }
-        mTimer.cancel();
+        mExtension.stop();
         mRelease.begin(mContacted);
         mRecord.released(reason, mContacted.size());
     }
 
-    private void recordNoResponse(Upstream helper, String operation, Throwable failure) {
-        mRecord.unanswered(helper, operation, failure);
-        mRelease.requestUnanswered(helper);
+    private void limitReached(ReservationRecord.Reason reason) {
+        release(reason);
+        if (reason == ReservationRecord.Reason.USE_ENDED) {
+            mOutcome.useEnded();
+        } else {
+            mOutcome.unused();
+        }
     }
 
     private void acquireNext(int index) {
@@ -134,19 +129,23 @@
         mContext.engineAdmin()
                 .reservation(
                         helper.address(),
-                        mContext.wire().reservationRequest(mId, mTokens, TIME_TO_LIVE))
+                        mContext.wire()
+                                .reservationRequest(
+                                        mId, mTokens, ReservationExtension.TIME_TO_LIVE))
                 .onComplete(
                         status -> {
                             mRelease.repeatIfBegun(helper);
                             if (status == HTTP_OK) {
-                                acquired(helper);
+                                // Another engine may respond late.
+                                mExtension.add(helper);
                                 acquireNext(index + 1);
                             } else {
                                 refused(helper, "status " + status);
                             }
                         },
                         failure -> {
-                            recordNoResponse(helper, "reservation", failure);
+                            mRecord.unanswered(helper, "reservation", failure);
+                            mRelease.requestUnanswered(helper);
                             if (mayRepeat(helper, failure)) {
                                 acquire(helper, index);
                             } else {
@@ -155,14 +154,6 @@
                         });
     }
 
-    /** Extends the memory from the first engine on, because another one may respond late. */
-    private void acquired(Upstream helper) {
-        mReserved.add(helper);
-        if (mReserved.size() == 1 && !mRelease.hasBegun()) {
-            mTimer = mContext.clock().schedule(EXTENSION_INTERVAL, this::extend);
-        }
-    }
-
     /** The same identifier reserves no further memory if the engine carries out both requests. */
     private boolean mayRepeat(Upstream helper, Throwable failure) {
         long elapsedNanos = mContext.clock().nanoTime() - mStartNanos;
@@ -178,69 +169,6 @@
         mOutcome.refused(helper);
     }
 
-    private void extend() {
-        if (mRelease.hasBegun()) {
-            return;
-        }
-        long now = mContext.clock().nanoTime();
-        if (!mUse.mayExtend(now)) {
-            release(ReservationRecord.Reason.UNUSED);
-            mOutcome.unused();
-            return;
-        }
-        if (mUse.needsCheck(now)) {
-            checkUse(mReserved.get(mExtensions % mReserved.size()));
-        }
-        mReserved.stream()
-                .filter(helper -> !mExtending.containsKey(helper.id()))
-                .forEach(this::extendUntilAnswered);
-        mExtensions++;
-        mRecord.extended();
-        mTimer = mContext.clock().schedule(EXTENSION_INTERVAL, this::extend);
-    }
-
-    private void extendUntilAnswered(Upstream helper) {
-        if (mRelease.hasBegun() || !mUse.mayExtend(mContext.clock().nanoTime())) {
-            mExtending.remove(helper.id());
-            return;
-        }
-        Timer repeat =
-                mContext.clock().schedule(REPEAT_INTERVAL, () -> extendUntilAnswered(helper));
-        mExtending.put(helper.id(), repeat);
-        mContext.engineAdmin()
-                .reservation(
-                        helper.address(),
-                        mContext.wire().reservationRequest(mId, mTokens, TIME_TO_LIVE))
-                .onComplete(
-                        status -> recordExtension(helper, status),
-                        failure -> recordNoResponse(helper, "extension", failure));
-    }
-
-    /** Asks an engine whether the request uses its reservation, as a long prefill does. */
-    private void checkUse(Upstream helper) {
-        mContext.engineAdmin()
-                .status(helper.address())
-                .map(response -> mContext.wire().reservationState(response.body(), mId))
-                .onSuccess(state -> recordState(helper, state))
-                .onFailure(failure -> mRecord.unanswered(helper, "report", failure));
-    }
-
-    private void recordState(Upstream helper, Optional<ReservationState> state) {
-        mRecord.reported(helper, state.map(ReservationState::description).orElse("not listed"));
-        if (state.filter(ReservationState.USED::equals).isPresent()) {
-            mUse.used(mContext.clock().nanoTime());
-            mRecord.used();
-        }
-    }
-
-    private void recordExtension(Upstream helper, int status) {
-        Optional.ofNullable(mExtending.remove(helper.id())).ifPresent(Timer::cancel);
-        mRelease.repeatIfBegun(helper);
-        if (status != HTTP_OK) {
-            mRecord.extensionRefused(helper, status);
-        }
-    }
-
     private List<HelperAddress> addresses() {
         return mHelpers.stream()
                 .map(helper -> new HelperAddress(helper.address(), Optional.of(mId)))
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/ProgressChecks.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/ProgressChecks.java
@@ -19,6 +19,7 @@
     private final ForwardingContext mContext;
     private final IdleCheck mIdleCheck;
     private Optional<LivenessCheck> mLiveness = Optional.empty();
+    private boolean mWasPaused;
 
     /**
      * Creates checks that are not started.
@@ -90,9 +91,15 @@
 
     /** Leaves out the time in which the caller reads too slowly. */
     void pause() {
+        mWasPaused = true;
         mIdleCheck.pause();
     }
 
+    /** Returns true if events may be read long after they were sent. */
+    boolean wasPaused() {
+        return mWasPaused;
+    }
+
     void resume() {
         mIdleCheck.resume();
     }
--- /dev/null
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/ReservationExtension.java
@@ -0,0 +1,199 @@
+package org.tanagergap.gateway.forward;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Consumer;
+import org.tanagergap.api.time.Timer;
+import org.tanagergap.decisions.fleet.ReservationUse;
+import org.tanagergap.gateway.membership.Upstream;
+
+/**
+ * Extends a reservation on its engines while the request uses it or may still begin soon. Events of
+ * the stream show the use; without them the engines are asked. Confined to the event loop.
+ */
+final class ReservationExtension {
+
+    /** Unless extended, a reservation expires after this time. */
+    static final Duration TIME_TO_LIVE = Duration.ofMillis(3500);
+
+    private static final Duration INTERVAL = Duration.ofMillis(1200);
+
+    /** Applies while the engines do not report that the memory is in use, though it was. */
+    private static final Duration INTERVAL_WITHOUT_USE = Duration.ofMillis(300);
+
+    /**
+     * Time from an extension without a response so far to the next one. An engine that loses what
+     * arrives during a silence must get an extension before the time to live ends.
+     */
+    private static final Duration REPEAT_INTERVAL = Duration.ofMillis(300);
+
+    private static final int HTTP_OK = 200;
+
+    private final ForwardingContext mContext;
+    private final String mId;
+    private final long mTokens;
+    private final ReservationRelease mRelease;
+    private final ReservationRecord mRecord;
+    private final Consumer<ReservationRecord.Reason> mOnLimit;
+    private final ReservationUse mUse;
+    private final ReservationUseCheck mCheck;
+    private final List<Upstream> mEngines = new ArrayList<>();
+    private final Map<String, Timer> mUnanswered = new HashMap<>();
+    private boolean mReadingWasPaused;
+    private Timer mTimer = () -> {};
+
+    /**
+     * Creates an extension without engines.
+     *
+     * @param id identifier of the reservation
+     * @param tokens memory on each engine, in tokens
+     * @param release ends the extension when it begins
+     * @param onLimit receives the reason when the memory may not be extended any more
+     */
+    ReservationExtension(
+            ForwardingContext context,
+            String id,
+            long tokens,
+            ReservationRelease release,
+            ReservationRecord record,
+            Consumer<ReservationRecord.Reason> onLimit) {
+        mContext = context;
+        mId = id;
+        mTokens = tokens;
+        mRelease = release;
+        mRecord = record;
+        mOnLimit = onLimit;
+        mUse = new ReservationUse(context.reservationLimits(), TIME_TO_LIVE, now());
+        mCheck = new ReservationUseCheck(context, id, record);
+    }
+
+    /** Adds an engine that has reserved memory; the first one starts the extension. */
+    void add(Upstream engine) {
+        mEngines.add(engine);
+        if (mEngines.size() == 1 && !mRelease.hasBegun()) {
+            schedule(INTERVAL);
+        }
+    }
+
+    /** Records an event of the stream. */
+    void tokenReceived() {
+        mRecord.tokenReceived();
+        if (!mReadingWasPaused) {
+            used();
+        }
+    }
+
+    /**
+     * Records that reading is paused: events that are read later may have been sent long before.
+     */
+    void readingPaused() {
+        mReadingWasPaused = true;
+    }
+
+    void stop() {
+        mTimer.cancel();
+    }
+
+    private void used() {
+        mUse.used(now());
+        mRecord.used();
+    }
+
+    private void tick() {
+        if (endsAtLimit()) {
+            return;
+        }
+        boolean needsCheck = mUse.needsCheck(now());
+        if (needsCheck && mUse.hasBegun()) {
+            mCheck.ask(mEngines).onSuccess(this::checked);
+            return;
+        }
+        if (needsCheck) {
+            mCheck.ask(mEngines).onSuccess(this::recordCheck);
+        }
+        extendAll();
+        schedule(INTERVAL);
+    }
+
+    /** Extends the memory unless the engines report that the request does not use it any more. */
+    private void checked(ReservationUseCheck.Result result) {
+        recordCheck(result);
+        if (mRelease.hasBegun() || endsAtLimit()) {
+            return;
+        }
+        if (!mUse.mayHaveEnded()) {
+            extendAll();
+        }
+        boolean used = result == ReservationUseCheck.Result.IN_USE;
+        schedule(used ? INTERVAL : INTERVAL_WITHOUT_USE);
+    }
+
+    private void recordCheck(ReservationUseCheck.Result result) {
+        switch (result) {
+            case IN_USE -> used();
+            case NOT_IN_USE -> mUse.reportedNotInUse(now());
+            case UNKNOWN -> {
+                // The time since the last sign of use decides.
+            }
+        }
+    }
+
+    private boolean endsAtLimit() {
+        if (mUse.timeToLive(now()).isPresent()) {
+            return false;
+        }
+        mOnLimit.accept(
+                mUse.hasBegun()
+                        ? ReservationRecord.Reason.USE_ENDED
+                        : ReservationRecord.Reason.UNUSED);
+        return true;
+    }
+
+    private void extendAll() {
+        mEngines.stream()
+                .filter(engine -> !mUnanswered.containsKey(engine.id()))
+                .forEach(this::extendUntilAnswered);
+        mRecord.extended();
+    }
+
+    private void extendUntilAnswered(Upstream engine) {
+        Optional<Duration> timeToLive = mUse.timeToLive(now());
+        if (mRelease.hasBegun() || timeToLive.isEmpty()) {
+            mUnanswered.remove(engine.id());
+            return;
+        }
+        Timer repeat =
+                mContext.clock().schedule(REPEAT_INTERVAL, () -> extendUntilAnswered(engine));
+        mUnanswered.put(engine.id(), repeat);
+        mContext.engineAdmin()
+                .reservation(
+                        engine.address(),
+                        mContext.wire().reservationRequest(mId, mTokens, timeToLive.get()))
+                .onComplete(
+                        status -> answered(engine, status),
+                        failure -> {
+                            mRecord.unanswered(engine, "extension", failure);
+                            mRelease.requestUnanswered(engine);
+                        });
+    }
+
+    private void answered(Upstream engine, int status) {
+        Optional.ofNullable(mUnanswered.remove(engine.id())).ifPresent(Timer::cancel);
+        mRelease.repeatIfBegun(engine);
+        if (status != HTTP_OK) {
+            mRecord.extensionRefused(engine, status);
+        }
+    }
+
+    private void schedule(Duration delay) {
+        mTimer = mContext.clock().schedule(delay, this::tick);
+    }
+
+    private long now() {
+        return mContext.clock().nanoTime();
+    }
+}
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/ReservationRecord.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/ReservationRecord.java
@@ -17,13 +17,15 @@
     private final long mStartNanos;
     private OptionalLong mFirstTokenNanos = OptionalLong.empty();
     private OptionalLong mLastUseNanos = OptionalLong.empty();
+    private ReservationUseCheck.Result mLastCheck = ReservationUseCheck.Result.IN_USE;
     private int mExtensions;
 
     /** Why memory is released. */
     enum Reason {
         ATTEMPT_ENDED("the attempt has ended"),
         NOT_RESERVED("an engine has not reserved it"),
-        UNUSED("no request has used it for too long");
+        UNUSED("no request has used it for too long"),
+        USE_ENDED("the request does not use it any more");
 
         private final String mDescription;
 
@@ -50,7 +52,6 @@
         if (mFirstTokenNanos.isEmpty()) {
             mFirstTokenNanos = OptionalLong.of(now());
         }
-        used();
     }
 
     /** Records a sign that the request uses the memory. */
@@ -58,7 +59,7 @@
         mLastUseNanos = OptionalLong.of(now());
     }
 
-    /** Records that the memory is extended on the engines that have not just been extended. */
+    /** Records that the memory is extended. */
     void extended() {
         mExtensions++;
     }
@@ -81,10 +82,12 @@
                 operation, mTokens, mId, engine.id(), failure.getMessage());
     }
 
-    /** Records the state that an engine reports. */
-    void reported(Upstream engine, String state) {
-        sLogger.atInfo().log(
-                "%s reports the reservation of attempt %s: %s", engine.id(), mId, state);
+    /** Records what the engines report, unless it is unchanged. */
+    void checked(ReservationUseCheck.Result result) {
+        if (result != mLastCheck) {
+            mLastCheck = result;
+            sLogger.atInfo().log("reservation of attempt %s: %s", mId, result.description());
+        }
     }
 
     /** Records the begin of the release on a number of engines. */
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/UpstreamAttempt.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/UpstreamAttempt.java
@@ -112,6 +112,7 @@
     /** Pauses reading from the upstream. */
     void pause() {
         mChecks.pause();
+        mReservation.ifPresent(HelperMemoryReservation::readingPaused);
         mCall.ifPresent(UpstreamCall::pause);
     }
 
@@ -141,6 +142,7 @@
         if (mEnded) {
             return;
         }
+        mReservation.ifPresent(HelperMemoryReservation::tokenReceived);
         switch (mSequence.check(event)) {
             case NEXT -> {
                 recordEvent();
@@ -195,7 +197,6 @@
             mStalled = false;
             logStall(gap, "the upstream goes on");
         }
-        mReservation.ifPresent(HelperMemoryReservation::tokenReceived);
         if (mFirstEvent) {
             mFirstEvent = false;
             mLoad.firstToken();
@@ -247,6 +248,16 @@
                         mChecks.reservationReleased();
                         stalled(mChecks.silence());
                     }
+
+                    @Override
+                    public void useEnded() {
+                        mLoad.end();
+                        mChecks.reservationReleased();
+                        // What the engine has sent may not have been read yet.
+                        if (!mChecks.wasPaused()) {
+                            broken("the engine has ended the run without the end of the stream");
+                        }
+                    }
                 });
     }
 
