Repeat releases of engine memory until they are confirmed

Beside administrative requests that get no response and are carried out late, memory stayed reserved for 4,025 ms after the end of a run; the platform allows 4,000 ms.

Cause: a release without a response was sent again only 1 s later, after its timeout and a pause, while an extension that was carried out late renewed the memory for 3.5 s. Its status was ignored.

Change: releases are sent again every 300 ms until one gets a response, as extensions were (RepeatedEngineRequests serves both), and again after a status other than 200.

Evidence: ReservationAfterUseTests.memoryIsReleasedInTimeBesideALateExtension- AndLostReleases failed before (4,017 to 4,035 ms in four runs, the release confirmed after 4,013 ms or more) and passes now (confirmed after 1,204 ms). UnusedReservationTests, ReservationTests and StalledHelperTests pass.

--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/ReservationExtension.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/ReservationExtension.java
@@ -1,10 +1,9 @@
 package org.tanagergap.gateway.forward;
 
+import io.vertx.core.Future;
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
 import org.tanagergap.api.time.Timer;
@@ -41,8 +40,8 @@
     private final Consumer<ReservationRecord.Reason> mOnLimit;
     private final ReservationUse mUse;
     private final ReservationUseCheck mCheck;
+    private final RepeatedEngineRequests mRequests;
     private final List<Upstream> mEngines = new ArrayList<>();
-    private final Map<String, Timer> mUnanswered = new HashMap<>();
     private boolean mReadingWasPaused;
     private Timer mTimer = () -> {};
 
@@ -69,6 +68,9 @@
         mOnLimit = onLimit;
         mUse = new ReservationUse(context.reservationLimits(), TIME_TO_LIVE, now());
         mCheck = new ReservationUseCheck(context, id, record);
+        mRequests =
+                new RepeatedEngineRequests(
+                        context.clock(), () -> REPEAT_INTERVAL, this::send, new Responses());
     }
 
     /** Adds an engine that has reserved memory; the first one starts the extension. */
@@ -154,39 +156,17 @@
     }
 
     private void extendAll() {
-        mEngines.stream()
-                .filter(engine -> !mUnanswered.containsKey(engine.id()))
-                .forEach(this::extendUntilAnswered);
+        mEngines.forEach(mRequests::send);
         mRecord.extended();
     }
 
-    private void extendUntilAnswered(Upstream engine) {
-        Optional<Duration> timeToLive = mUse.timeToLive(now());
-        if (mRelease.hasBegun() || timeToLive.isEmpty()) {
-            mUnanswered.remove(engine.id());
-            return;
-        }
-        Timer repeat =
-                mContext.clock().schedule(REPEAT_INTERVAL, () -> extendUntilAnswered(engine));
-        mUnanswered.put(engine.id(), repeat);
-        mContext.engineAdmin()
-                .reservation(
-                        engine.address(),
-                        mContext.wire().reservationRequest(mId, mTokens, timeToLive.get()))
-                .onComplete(
-                        status -> answered(engine, status),
-                        failure -> {
-                            mRecord.unanswered(engine, "extension", failure);
-                            mRelease.requestUnanswered(engine);
-                        });
-    }
-
-    private void answered(Upstream engine, int status) {
-        Optional.ofNullable(mUnanswered.remove(engine.id())).ifPresent(Timer::cancel);
-        mRelease.repeatIfBegun(engine);
-        if (status != HTTP_OK) {
-            mRecord.extensionRefused(engine, status);
+    private Optional<Future<Integer>> send(Upstream engine) {
+        if (mRelease.hasBegun()) {
+            return Optional.empty();
         }
+        return mUse.timeToLive(now())
+                .map(timeToLive -> mContext.wire().reservationRequest(mId, mTokens, timeToLive))
+                .map(request -> mContext.engineAdmin().reservation(engine.address(), request));
     }
 
     private void schedule(Duration delay) {
@@ -196,4 +176,21 @@
     private long now() {
         return mContext.clock().nanoTime();
     }
+
+    private final class Responses implements RepeatedEngineRequests.Listener {
+
+        @Override
+        public void answered(Upstream engine, int status) {
+            mRelease.repeatIfBegun(engine);
+            if (status != HTTP_OK) {
+                mRecord.extensionRefused(engine, status);
+            }
+        }
+
+        @Override
+        public void unanswered(Upstream engine, Throwable failure) {
+            mRecord.unanswered(engine, "extension", failure);
+            mRelease.requestUnanswered(engine);
+        }
+    }
 }
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/ReservationRelease.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/ReservationRelease.java
@@ -1,10 +1,12 @@
 package org.tanagergap.gateway.forward;
 
+import io.vertx.core.Future;
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import org.tanagergap.gateway.membership.Upstream;
 
@@ -18,13 +20,17 @@
     /** Administrative requests without a response are carried out at most this much later. */
     private static final Duration LATE_EXECUTION_WINDOW = Duration.ofSeconds(13);
 
-    private static final Duration REPEAT_INTERVAL = Duration.ofMillis(500);
+    /** Applies while the memory has not expired, which later extensions may have delayed. */
+    private static final Duration REPEAT_INTERVAL = Duration.ofMillis(300);
+
+    private static final Duration LATER_REPEAT_INTERVAL = Duration.ofMillis(500);
     private static final int HTTP_OK = 200;
 
     private final ForwardingContext mContext;
     private final String mId;
     private final ReservationRecord mRecord;
-    private final Map<String, Integer> mRequests = new HashMap<>();
+    private final RepeatedEngineRequests mRequests;
+    private final Map<String, Integer> mSent = new HashMap<>();
     private final Set<String> mConfirmed = new HashSet<>();
     private final Set<String> mWithoutResponse = new HashSet<>();
     private final Set<String> mScheduled = new HashSet<>();
@@ -40,13 +46,16 @@
         mContext = context;
         mId = id;
         mRecord = record;
+        mRequests =
+                new RepeatedEngineRequests(
+                        context.clock(), this::interval, this::send, new Responses());
     }
 
     /** Releases the memory on the engines. */
     void begin(List<Upstream> engines) {
         mBegun = true;
         mBeginNanos = mContext.clock().nanoTime();
-        engines.forEach(this::send);
+        engines.forEach(mRequests::send);
     }
 
     boolean hasBegun() {
@@ -70,40 +79,58 @@
         }
     }
 
-    private void send(Upstream engine) {
-        mRequests.merge(engine.id(), 1, Integer::sum);
-        mContext.engineAdmin()
-                .reservation(engine.address(), mContext.wire().releaseRequest(mId))
-                .onComplete(
-                        status -> {
-                            recordStatus(engine, status);
-                            if (mWithoutResponse.contains(engine.id())) {
-                                schedule(engine);
-                            }
-                        },
-                        failure -> schedule(engine));
+    private Optional<Future<Integer>> send(Upstream engine) {
+        if (elapsed().compareTo(LATE_EXECUTION_WINDOW) >= 0) {
+            return Optional.empty();
+        }
+        mSent.merge(engine.id(), 1, Integer::sum);
+        return Optional.of(
+                mContext.engineAdmin()
+                        .reservation(engine.address(), mContext.wire().releaseRequest(mId)));
     }
 
-    private void recordStatus(Upstream engine, int status) {
-        if (status != HTTP_OK) {
-            mRecord.releaseRefused(engine, status);
-        } else if (mConfirmed.add(engine.id())) {
-            long elapsedNanos = mContext.clock().nanoTime() - mBeginNanos;
-            mRecord.releaseConfirmed(
-                    engine, Duration.ofNanos(elapsedNanos), mRequests.get(engine.id()));
-        }
+    private Duration interval() {
+        return elapsed().compareTo(ReservationExtension.TIME_TO_LIVE) < 0
+                ? REPEAT_INTERVAL
+                : LATER_REPEAT_INTERVAL;
     }
 
     private void schedule(Upstream engine) {
-        boolean mayTakeEffect =
-                mContext.clock().nanoTime() - mBeginNanos < LATE_EXECUTION_WINDOW.toNanos();
-        if (mayTakeEffect && mScheduled.add(engine.id())) {
-            mContext.clock().schedule(REPEAT_INTERVAL, () -> repeat(engine));
+        if (mScheduled.add(engine.id())) {
+            mContext.clock().schedule(LATER_REPEAT_INTERVAL, () -> repeat(engine));
         }
     }
 
     private void repeat(Upstream engine) {
         mScheduled.remove(engine.id());
-        send(engine);
+        mRequests.send(engine);
+    }
+
+    private Duration elapsed() {
+        return Duration.ofNanos(mContext.clock().nanoTime() - mBeginNanos);
+    }
+
+    /** Repeats the release while it was refused or a late request may reserve the memory again. */
+    private final class Responses implements RepeatedEngineRequests.Listener {
+
+        @Override
+        public void answered(Upstream engine, int status) {
+            if (status != HTTP_OK) {
+                mRecord.releaseRefused(engine, status);
+                schedule(engine);
+                return;
+            }
+            if (mConfirmed.add(engine.id())) {
+                mRecord.releaseConfirmed(engine, elapsed(), mSent.get(engine.id()));
+            }
+            if (mWithoutResponse.contains(engine.id())) {
+                schedule(engine);
+            }
+        }
+
+        @Override
+        public void unanswered(Upstream engine, Throwable failure) {
+            // The request is being repeated.
+        }
     }
 }
