Release engine memory of requests that no engine has

Cause: before the first sign of use, a request that waits in an engine's queue could not be told from one that its engine has rejected or run already, so its memory was extended for 5 s.

A request that may be in the queue keeps its memory as before, which also protects a preempted prompt.

Evidence: ReservationAfterUseTests.aPromptWhoseResponseIsLostIsSentAgainAndIts- MemoryIsReleased failed before with 6,012 ms and passes; the memory is released 1,907 ms after the reservation and the prompt completes in its second attempt.

--- a/tanagergap-decisions/src/main/java/org/tanagergap/decisions/fleet/ReservationUse.java
+++ b/tanagergap-decisions/src/main/java/org/tanagergap/decisions/fleet/ReservationUse.java
@@ -29,6 +29,7 @@
     private final ReservationLimits mLimits;
     private final Duration mTimeToLive;
     private long mLastSignNanos;
+    private Optional<Long> mSentNanos = Optional.empty();
     private boolean mUsed;
     private Optional<Long> mNotInUseSinceNanos = Optional.empty();
 
@@ -50,19 +51,33 @@
         mNotInUseSinceNanos = Optional.empty();
     }
 
-    /** Records that the engines report the memory and that no request uses it. */
+    /** Records that the request was sent, before which no engine can know it. */
+    public void requestSent(long nowNanos) {
+        mSentNanos = Optional.of(nowNanos);
+    }
+
+    /** Records that the engines report the memory, and that no request uses it or will use it. */
     public void reportedNotInUse(long nowNanos) {
-        if (mUsed && mNotInUseSinceNanos.isEmpty()) {
+        boolean known = mSentNanos.filter(sent -> isPast(sent, CHECK_AFTER, nowNanos)).isPresent();
+        if (known && mNotInUseSinceNanos.isEmpty()) {
             mNotInUseSinceNanos = Optional.of(nowNanos);
         }
     }
 
+    /** Records that the request may wait in the queue of its engine. */
+    public void reportedWaiting() {
+        mNotInUseSinceNanos = Optional.empty();
+    }
+
     /** Returns true if the request has used the memory. */
     public boolean hasBegun() {
         return mUsed;
     }
 
-    /** Returns true if the engines report that the use has ended, which may still be confirmed. */
+    /**
+     * Returns true if the engines report that the request has ended, which may still need
+     * confirmation.
+     */
     public boolean mayHaveEnded() {
         return mNotInUseSinceNanos.isPresent();
     }
@@ -80,12 +95,16 @@
 
     /** Returns true if the engines should be asked whether the memory is in use. */
     public boolean needsCheck(long nowNanos) {
-        return nowNanos - mLastSignNanos >= CHECK_AFTER.toNanos();
+        return isPast(mLastSignNanos, CHECK_AFTER, nowNanos);
     }
 
     private boolean hasEnded(long nowNanos) {
         return mNotInUseSinceNanos
-                .filter(since -> nowNanos - since >= CONFIRM_AFTER.toNanos())
+                .filter(since -> isPast(since, CONFIRM_AFTER, nowNanos))
                 .isPresent();
     }
+
+    private static boolean isPast(long sinceNanos, Duration time, long nowNanos) {
+        return nowNanos - sinceNanos >= time.toNanos();
+    }
 }
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/BodySender.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/BodySender.java
@@ -14,18 +14,25 @@
 
     private final HttpClientRequest mRequest;
     private final Buffer mBody;
+    private final Runnable mOnSent;
     private int mSent;
     private boolean mStopped;
 
-    BodySender(HttpClientRequest request, Buffer body) {
+    /**
+     * Creates a sender that is not started.
+     *
+     * @param onSent called when the last part has been written
+     */
+    BodySender(HttpClientRequest request, Buffer body, Runnable onSent) {
         mRequest = request;
         mBody = body;
+        mOnSent = onSent;
     }
 
     /** Sends the body and ends the request. */
     void start() {
         if (mBody.length() == 0) {
-            mRequest.end();
+            mRequest.end().onSuccess(ignored -> mOnSent.run());
             return;
         }
         mRequest.putHeader(HttpHeaders.CONTENT_LENGTH, Integer.toString(mBody.length()));
@@ -44,7 +51,7 @@
             Buffer part = mBody.slice(mSent, end);
             mSent = end;
             if (end == mBody.length()) {
-                mRequest.end(part);
+                mRequest.end(part).onSuccess(ignored -> mOnSent.run());
             } else {
                 mRequest.write(part);
             }
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/HelperMemoryReservation.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/HelperMemoryReservation.java
@@ -68,7 +68,7 @@
         /** Called when the memory was released because the request has not used it. */
         void unused();
 
-        /** Called when the memory was released because the request does not use it any more. */
+        /** Called when the memory was released because no engine runs the request any more. */
         void useEnded();
     }
 
@@ -78,6 +78,11 @@
         acquireNext(0);
     }
 
+    /** Records that the request was sent to its first engine. */
+    void requestSent(Upstream engine) {
+        mExtension.requestSent(engine);
+    }
+
     /** Records that an event of the stream has arrived. */
     void tokenReceived() {
         mExtension.tokenReceived();
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/ReservationExtension.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/ReservationExtension.java
@@ -42,6 +42,7 @@
     private final ReservationUseCheck mCheck;
     private final RepeatedEngineRequests mRequests;
     private final List<Upstream> mEngines = new ArrayList<>();
+    private Optional<Upstream> mFirst = Optional.empty();
     private boolean mReadingWasPaused;
     private Timer mTimer = () -> {};
 
@@ -81,6 +82,12 @@
         }
     }
 
+    /** Records that the request was sent to an engine, which may have it in its queue. */
+    void requestSent(Upstream engine) {
+        mFirst = Optional.of(engine);
+        mUse.requestSent(now());
+    }
+
     /** Records an event of the stream. */
     void tokenReceived() {
         mRecord.tokenReceived();
@@ -109,34 +116,35 @@
         if (endsAtLimit()) {
             return;
         }
-        boolean needsCheck = mUse.needsCheck(now());
-        if (needsCheck && mUse.hasBegun()) {
-            mCheck.ask(mEngines).onSuccess(this::checked);
-            return;
-        }
-        if (needsCheck) {
-            mCheck.ask(mEngines).onSuccess(this::recordCheck);
+        if (mUse.needsCheck(now())) {
+            mCheck.ask(mEngines, mFirst).onSuccess(this::checked);
+        } else {
+            extendAll();
+            schedule(INTERVAL);
         }
-        extendAll();
-        schedule(INTERVAL);
     }
 
-    /** Extends the memory unless the engines report that the request does not use it any more. */
+    /** Extends the memory unless the engines report that the request has ended. */
     private void checked(ReservationUseCheck.Result result) {
+        if (mRelease.hasBegun()) {
+            return;
+        }
         recordCheck(result);
-        if (mRelease.hasBegun() || endsAtLimit()) {
+        if (endsAtLimit()) {
             return;
         }
         if (!mUse.mayHaveEnded()) {
             extendAll();
         }
         boolean used = result == ReservationUseCheck.Result.IN_USE;
-        schedule(used ? INTERVAL : INTERVAL_WITHOUT_USE);
+        boolean begins = !mUse.hasBegun() && !mUse.mayHaveEnded();
+        schedule(used || begins ? INTERVAL : INTERVAL_WITHOUT_USE);
     }
 
     private void recordCheck(ReservationUseCheck.Result result) {
         switch (result) {
             case IN_USE -> used();
+            case WAITING -> mUse.reportedWaiting();
             case NOT_IN_USE -> mUse.reportedNotInUse(now());
             case UNKNOWN -> {
                 // The time since the last sign of use decides.
@@ -148,10 +156,9 @@
         if (mUse.timeToLive(now()).isPresent()) {
             return false;
         }
+        boolean ended = mUse.hasBegun() || mUse.mayHaveEnded();
         mOnLimit.accept(
-                mUse.hasBegun()
-                        ? ReservationRecord.Reason.USE_ENDED
-                        : ReservationRecord.Reason.UNUSED);
+                ended ? ReservationRecord.Reason.USE_ENDED : ReservationRecord.Reason.UNUSED);
         return true;
     }
 
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/ReservationRecord.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/ReservationRecord.java
@@ -25,7 +25,7 @@
         ATTEMPT_ENDED("the attempt has ended"),
         NOT_RESERVED("an engine has not reserved it"),
         UNUSED("no request has used it for too long"),
-        USE_ENDED("the request does not use it any more");
+        USE_ENDED("no engine runs the request any more");
 
         private final String mDescription;
 
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/UpstreamAttempt.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/UpstreamAttempt.java
@@ -132,6 +132,11 @@
         mObservations.connected((now() - mCallNanos) / (double) NANOS_PER_MILLI);
     }
 
+    @Override
+    public void bodySent() {
+        mReservation.ifPresent(reservation -> mUpstream.ifPresent(reservation::requestSent));
+    }
+
     @Override
     public void headReceived(UpstreamResponseHead head) {
         mUpstream.ifPresent(u -> mContext.rateLimits().responseReceived(u, head.rateLimit()));
@@ -255,7 +260,7 @@
                         mChecks.reservationReleased();
                         // What the engine has sent may not have been read yet.
                         if (!mChecks.wasPaused()) {
-                            broken("the engine has ended the run without the end of the stream");
+                            broken("no engine runs the request, and its response has not ended");
                         }
                     }
                 });
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/UpstreamCall.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/UpstreamCall.java
@@ -120,10 +120,16 @@
         request.exceptionHandler(
                 failure -> fail(CallFailure.Kind.BROKEN, "connection failed: " + failure));
         mListener.requestSent();
-        mSender = new BodySender(request, body);
+        mSender = new BodySender(request, body, this::bodySent);
         mSender.start();
     }
 
+    private void bodySent() {
+        if (!mEnded) {
+            mListener.bodySent();
+        }
+    }
+
     private void headReceived(HttpClientResponse response) {
         response.exceptionHandler(
                 failure -> fail(CallFailure.Kind.BROKEN, "answer broke off: " + failure));
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/UpstreamCallListener.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/UpstreamCallListener.java
@@ -5,15 +5,18 @@
 import org.tanagergap.gateway.wire.UpstreamResponseHead;
 
 /**
- * Receives the progress of one call to an upstream: {@code requestSent} and {@code headReceived},
- * then events and {@code streamEnded}, or {@code responseReceived}, or {@code failed} at any point.
- * Not called after a cancellation.
+ * Receives the progress of one call to an upstream: {@code requestSent}, {@code bodySent} and
+ * {@code headReceived}, then events and {@code streamEnded}, or {@code responseReceived}, or {@code
+ * failed} at any point. Not called after a cancellation.
  */
 interface UpstreamCallListener {
 
     /** Called when the connection is open and the request is sent on it. */
     void requestSent();
 
+    /** Called when the last part of the request has been written. */
+    void bodySent();
+
     /** Called when the head of a response has arrived, before its result. */
     void headReceived(UpstreamResponseHead head);
 
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/wire/WireFormat.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/wire/WireFormat.java
@@ -39,4 +39,10 @@
      * engine does not have the reservation or the response is malformed.
      */
     Optional<ReservationState> reservationState(Buffer response, String reservation);
+
+    /**
+     * Reads the number of requests in the queue of the engine from the response on {@link
+     * #livenessPath()}; empty if it does not say so or the response is malformed.
+     */
+    OptionalLong queuedRequests(Buffer response);
 }
--- a/tanagergap-gateway/src/test/java/org/tanagergap/gateway/caller/FakeWireFormat.java
+++ b/tanagergap-gateway/src/test/java/org/tanagergap/gateway/caller/FakeWireFormat.java
@@ -65,6 +65,11 @@
         throw new UnsupportedOperationException();
     }
 
+    @Override
+    public OptionalLong queuedRequests(Buffer response) {
+        throw new UnsupportedOperationException();
+    }
+
     @Override
     public Optional<ReservationState> reservationState(Buffer response, String reservation) {
         throw new UnsupportedOperationException();
