Keep the attempt of an unbegun prompt whose end is not confirmed

A prompt that waited for 5 s and was once reported as unknown to its engine was ended as if that had been confirmed, instead of being placed again beside its silent attempt.

ReservationUseTests and ReservationAfterUseTests pass; there is no test of its own.

--- a/tanagergap-decisions/src/main/java/org/tanagergap/decisions/fleet/ReservationUse.java
+++ b/tanagergap-decisions/src/main/java/org/tanagergap/decisions/fleet/ReservationUse.java
@@ -98,7 +98,8 @@
         return isPast(mLastSignNanos, CHECK_AFTER, nowNanos);
     }
 
-    private boolean hasEnded(long nowNanos) {
+    /** Returns true if the engines have reported and confirmed that the request has ended. */
+    public boolean hasEnded(long nowNanos) {
         return mNotInUseSinceNanos
                 .filter(since -> isPast(since, CONFIRM_AFTER, nowNanos))
                 .isPresent();
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/ReservationExtension.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/ReservationExtension.java
@@ -156,7 +156,7 @@
         if (mUse.timeToLive(now()).isPresent()) {
             return false;
         }
-        boolean ended = mUse.hasBegun() || mUse.mayHaveEnded();
+        boolean ended = mUse.hasBegun() || mUse.hasEnded(now());
         mOnLimit.accept(
                 ended ? ReservationRecord.Reason.USE_ENDED : ReservationRecord.Reason.UNUSED);
         return true;
