Wait at shutdown until engines confirm that memory is released

Cause: nothing but the connections of callers counted at the end of a process; what a lost request leaves behind was not repeated any more. The same class of fault: the end of a use is a message that can be lost.

Change: the shutdown waits up to 1 s, within the grace period, until all engines have confirmed the releases that have begun.

--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/GatewayService.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/GatewayService.java
@@ -30,6 +30,7 @@
 import org.tanagergap.gateway.forward.QuarantineGate;
 import org.tanagergap.gateway.forward.RateLimitGate;
 import org.tanagergap.gateway.forward.RetryBudgets;
+import org.tanagergap.gateway.forward.UnconfirmedReleases;
 import org.tanagergap.gateway.forward.UnsentAttempts;
 import org.tanagergap.gateway.forward.UpstreamClients;
 import org.tanagergap.gateway.membership.FleetView;
@@ -55,6 +56,9 @@
     /** Part of the reserve in which the last responses are written. */
     private static final Duration LAST_RESPONSES_TIMEOUT = Duration.ofMillis(100);
 
+    /** Several times what an engine takes to confirm that it has released memory. */
+    private static final Duration RELEASE_TIMEOUT = Duration.ofSeconds(1);
+
     private static final FluentLogger sLogger = FluentLogger.forEnclosingClass();
 
     private final RuntimeClock mClock;
@@ -66,6 +70,7 @@
     private final GatewayCallerServer mCallers;
     private final AdminServer mAdmin;
     private final SettingsWatch mSettingsWatch;
+    private final UnconfirmedReleases mReleases;
     private final List<Service> mServices;
     private boolean mDraining;
 
@@ -87,6 +92,7 @@
         EngineAdminClient engineAdmin = new EngineAdminClient(client, platform.wire());
         QuarantineGate quarantine = new QuarantineGate(mClock, context.metrics(), engineAdmin);
         RateLimitGate rateLimits = rateLimits(context.metrics());
+        mReleases = new UnconfirmedReleases(mClock);
         PeerExchange exchange =
                 new PeerExchange(
                         vertx,
@@ -119,6 +125,7 @@
                                 quarantine,
                                 rateLimits,
                                 new UnsentAttempts(),
+                                mReleases,
                                 memory,
                                 context.metrics(),
                                 context.tracing(),
@@ -271,6 +278,8 @@
                             mSettings.drain(),
                             () ->
                                     mCallers.stop()
+                                            .thenCompose(
+                                                    ignored -> mReleases.confirmed(RELEASE_TIMEOUT))
                                             .thenCompose(ignored -> stopServices())
                                             .thenAccept(stopped::complete));
                     return stopped;
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/ForwardingContext.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/ForwardingContext.java
@@ -31,6 +31,7 @@
  * @param quarantine requests that engines must not run, and the crashes behind it
  * @param rateLimits rate limits that upstreams advertise
  * @param unsentAttempts attempts that are placed and not sent yet
+ * @param unconfirmedReleases releases of engine memory that are not confirmed yet
  * @param responseMemory limits the responses that are buffered until they are complete and written
  * @param metrics counters and histograms
  * @param tracing creates a span for each request and each attempt
@@ -52,6 +53,7 @@
         QuarantineGate quarantine,
         RateLimitGate rateLimits,
         UnsentAttempts unsentAttempts,
+        UnconfirmedReleases unconfirmedReleases,
         SharedMemoryLimit responseMemory,
         MetricRegistry metrics,
         Tracing tracing,
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/ReservationRelease.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/ReservationRelease.java
@@ -36,6 +36,7 @@
     private final Set<String> mScheduled = new HashSet<>();
     private boolean mBegun;
     private long mBeginNanos;
+    private int mEngines;
 
     /**
      * Creates a release that has not begun.
@@ -55,7 +56,10 @@
     void begin(List<Upstream> engines) {
         mBegun = true;
         mBeginNanos = mContext.clock().nanoTime();
+        mEngines = engines.size();
+        mContext.unconfirmedReleases().add(this);
         engines.forEach(mRequests::send);
+        completeIfConfirmed();
     }
 
     boolean hasBegun() {
@@ -81,6 +85,7 @@
 
     private Optional<Future<Integer>> send(Upstream engine) {
         if (elapsed().compareTo(LATE_EXECUTION_WINDOW) >= 0) {
+            mContext.unconfirmedReleases().remove(this);
             return Optional.empty();
         }
         mSent.merge(engine.id(), 1, Integer::sum);
@@ -106,6 +111,12 @@
         mRequests.send(engine);
     }
 
+    private void completeIfConfirmed() {
+        if (mConfirmed.size() == mEngines) {
+            mContext.unconfirmedReleases().remove(this);
+        }
+    }
+
     private Duration elapsed() {
         return Duration.ofNanos(mContext.clock().nanoTime() - mBeginNanos);
     }
@@ -122,6 +133,7 @@
             }
             if (mConfirmed.add(engine.id())) {
                 mRecord.releaseConfirmed(engine, elapsed(), mSent.get(engine.id()));
+                completeIfConfirmed();
             }
             if (mWithoutResponse.contains(engine.id())) {
                 schedule(engine);
