--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/GatewayService.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/GatewayService.java
@@ -6,7 +6,6 @@
 import io.vertx.core.Context;
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpClient;
-import java.time.Duration;
 import java.util.List;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
@@ -48,17 +47,6 @@
 /** The gateway: creates its components, and starts and stops them in order. */
 public final class GatewayService implements Service {
 
-    /**
-     * Part of the grace period that is left for closing connections before the process is killed.
-     */
-    private static final Duration EXIT_RESERVE = Duration.ofMillis(400);
-
-    /** Part of the reserve in which the last responses are written. */
-    private static final Duration LAST_RESPONSES_TIMEOUT = Duration.ofMillis(100);
-
-    /** Several times what an engine takes to confirm that it has released memory. */
-    private static final Duration RELEASE_TIMEOUT = Duration.ofSeconds(1);
-
     private static final FluentLogger sLogger = FluentLogger.forEnclosingClass();
 
     private final RuntimeClock mClock;
@@ -70,8 +58,8 @@
     private final GatewayCallerServer mCallers;
     private final AdminServer mAdmin;
     private final SettingsWatch mSettingsWatch;
-    private final UnconfirmedReleases mReleases;
     private final List<Service> mServices;
+    private final GatewayShutdown mShutdown;
     private boolean mDraining;
 
     public GatewayService(
@@ -92,7 +80,7 @@
         EngineAdminClient engineAdmin = new EngineAdminClient(client, platform.wire());
         QuarantineGate quarantine = new QuarantineGate(mClock, context.metrics(), engineAdmin);
         RateLimitGate rateLimits = rateLimits(context.metrics());
-        mReleases = new UnconfirmedReleases(mClock);
+        UnconfirmedReleases releases = new UnconfirmedReleases(mClock);
         PeerExchange exchange =
                 new PeerExchange(
                         vertx,
@@ -125,7 +113,7 @@
                                 quarantine,
                                 rateLimits,
                                 new UnsentAttempts(),
-                                mReleases,
+                                releases,
                                 memory,
                                 context.metrics(),
                                 context.tracing(),
@@ -149,6 +137,7 @@
                         mClock);
         mAdmin = adminServer(context, status);
         mServices = services(vertx, exchange);
+        mShutdown = new GatewayShutdown(mClock, mSettings, mCallers, releases, mServices);
     }
 
     private GatewayCallerServer callerServer(
@@ -268,41 +257,10 @@
         return onEventLoop(
                 () -> {
                     mDraining = true;
-                    Duration limit = mSettings.grace().minus(EXIT_RESERVE);
-                    mCallers.beginDrain(limit);
-                    sLogger.atInfo().log(
-                            "draining: %d requests in flight", mCallers.requestsInFlight());
-                    CompletableFuture<Void> stopped = new CompletableFuture<>();
-                    mClock.schedule(limit, () -> stopAfterGrace(stopped));
-                    mClock.schedule(
-                            mSettings.drain(),
-                            () ->
-                                    mCallers.stop()
-                                            .thenCompose(
-                                                    ignored -> mReleases.confirmed(RELEASE_TIMEOUT))
-                                            .thenCompose(ignored -> stopServices())
-                                            .thenAccept(stopped::complete));
-                    return stopped;
+                    return mShutdown.begin();
                 });
     }
 
-    private void stopAfterGrace(CompletableFuture<Void> stopped) {
-        if (!stopped.isDone()) {
-            sLogger.atWarning().log(
-                    "grace period ended with %d requests in flight", mCallers.requestsInFlight());
-            mCallers.endRequests();
-            mClock.schedule(LAST_RESPONSES_TIMEOUT, () -> stopped.complete(null));
-        }
-    }
-
-    private CompletableFuture<Void> stopServices() {
-        CompletableFuture<Void> stopped = CompletableFuture.completedFuture(null);
-        for (Service service : mServices) {
-            stopped = stopped.thenCompose(ignored -> service.stop());
-        }
-        return stopped;
-    }
-
     private boolean ready() {
         return !mDraining && mView.configuration().isPresent() && mSync.loaded().isDone();
     }
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/UpstreamAttempt.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/UpstreamAttempt.java
@@ -190,7 +190,8 @@
         }
     }
 
-    private void broken(String reason) {
+    /** Ends the call and fails the attempt. */
+    void broken(String reason) {
         mCall.ifPresent(UpstreamCall::cancel);
         failed(new CallFailure(CallFailure.Kind.BROKEN, reason));
     }
@@ -223,47 +224,14 @@
                         HelperEngines.of(mContext.view(), mPlacement),
                         mPlacement.reservedTokensPerHelper());
         mReservation = Optional.of(reservation);
-        reservation.acquire(
-                new HelperMemoryReservation.Outcome() {
-                    @Override
-                    public boolean isReplaceable(Upstream helper) {
-                        return mLoad.without(() -> mListener.canPlaceWithout(helper.id()));
-                    }
-
-                    @Override
-                    public void reserved(List<HelperAddress> helpers) {
-                        if (!mEnded) {
-                            call(helpers);
-                        }
-                    }
-
-                    @Override
-                    public void refused(Upstream helper) {
-                        failed(
-                                new CallFailure(
-                                        CallFailure.Kind.NOT_RESERVED,
-                                        "memory could not be reserved at " + helper.id(),
-                                        Optional.of(helper.address().toString())));
-                    }
-
-                    @Override
-                    public void unused() {
-                        // The memory is free again, also for the next attempt.
-                        mLoad.end();
-                        mChecks.reservationReleased();
-                        stalled(mChecks.silence());
-                    }
+        reservation.acquire(new AttemptReservationOutcome(this, mLoad, mChecks, mListener));
+    }
 
-                    @Override
-                    public void useEnded() {
-                        mLoad.end();
-                        mChecks.reservationReleased();
-                        // What the engine has sent may not have been read yet.
-                        if (!mChecks.wasPaused()) {
-                            broken("no engine runs the request, and its response has not ended");
-                        }
-                    }
-                });
+    /** Sends the request, for which the memory on the helper engines is reserved. */
+    void reserved(List<HelperAddress> helpers) {
+        if (!mEnded) {
+            call(helpers);
+        }
     }
 
     private void call(List<HelperAddress> helpers) {
@@ -310,7 +278,8 @@
         broken(reason);
     }
 
-    private void stalled(Duration silence) {
+    /** Reports that nothing has arrived for a time. */
+    void stalled(Duration silence) {
         if (!mEnded) {
             mStalled = true;
             mObservations.stalled();
