--- a/tanagergap-entry/src/main/java/org/tanagergap/entry/execution/SpanningPromptSession.java
+++ b/tanagergap-entry/src/main/java/org/tanagergap/entry/execution/SpanningPromptSession.java
@@ -23,10 +23,8 @@
 import org.tanagergap.decisions.spanning.SpanningPromptPlan;
 import org.tanagergap.decisions.spanning.SpanningPromptPlanner;
 import org.tanagergap.protocol.v1.HoldReply;
-import org.tanagergap.protocol.v1.HoldRequest;
 import org.tanagergap.protocol.v1.PrefillSegmentReply;
 import org.tanagergap.protocol.v1.PrefillSegmentRequest;
-import org.tanagergap.protocol.v1.ReleaseHoldRequest;
 import org.tanagergap.protocol.v1.SegmentHandle;
 
 /**
@@ -36,19 +34,16 @@
  */
 final class SpanningPromptSession {
 
-    /** Unless extended, a reservation expires after this time (design page, section 7.4). */
-    private static final Duration RESERVATION_EXPIRY = Duration.ofSeconds(10);
-
     /** An extension is repeated once, so that an agent may be silent for 3 s. */
     private static final Duration EXTENSION_INTERVAL = Duration.ofSeconds(2);
 
     /** Agents update their hints every 2 s or with each response. */
     private static final Duration MEMORY_POLL_INTERVAL = Duration.ofMillis(250);
 
-    private static final long RESERVATION_TIMEOUT_MILLIS = 2_000;
+    private static final Duration RESERVATION_TIMEOUT = Duration.ofSeconds(2);
 
     /** With the interval and the first timeout, an agent that is silent for good costs 5 s. */
-    private static final long REPEATED_EXTENSION_TIMEOUT_MILLIS = 1_000;
+    private static final Duration REPEATED_EXTENSION_TIMEOUT = Duration.ofSeconds(1);
 
     private final ExecutorContext mContext;
     private final Context mEventLoop;
@@ -56,6 +51,7 @@
     private final RequestPayload.Completion mPayload;
     private final AttemptId mAttempt;
     private final SpanningPromptListener mListener;
+    private final SegmentReservationClient mReservations;
     private final SpanningPromptPlanner mPlanner = new SpanningPromptPlanner();
     private final Map<String, HoldReply> mReservationReplies = new HashMap<>();
     private final List<SegmentHandle> mSegmentHandles = new ArrayList<>();
@@ -83,6 +79,7 @@
         mPayload = payload;
         mAttempt = attempt;
         mListener = listener;
+        mReservations = new SegmentReservationClient(context, request, attempt);
     }
 
     /** Execution status so far; unknown from the first prefill call to its reply. */
@@ -156,23 +153,17 @@
         }
         // A reservation whose reply is lost may exist, so it is released like a confirmed one.
         mReservedCount = index + 1;
-        sendReservation(mSegments.get(index), RESERVATION_TIMEOUT_MILLIS)
+        reserveSegment(mSegments.get(index), RESERVATION_TIMEOUT)
                 .onComplete(
                         reply -> reservationReplied(index, reply), failure -> reservationRefused());
     }
 
-    private Future<HoldReply> sendReservation(PromptSegment segment, long timeoutMillis) {
-        HoldRequest request =
-                HoldRequest.newBuilder()
-                        .setHoldId(mAttempt.value())
-                        .setTokens(segment.memoryTokens())
-                        .setExpiresInMs(RESERVATION_EXPIRY.toMillis())
-                        .setPolicy(RunRequestWriter.policy(mRequest.policy()))
-                        .build();
-        return mContext.clients()
-                .agent(address(segment))
-                .compose(client -> client.hold(request))
-                .timeout(timeoutMillis, TimeUnit.MILLISECONDS);
+    private Future<HoldReply> reserveSegment(PromptSegment segment, Duration timeout) {
+        return mReservations.reserve(address(segment), segment.memoryTokens(), timeout);
+    }
+
+    private void release(PromptSegment segment) {
+        mReservations.release(address(segment));
     }
 
     long elapsedMillis() {
@@ -260,7 +251,7 @@
         }
         int count = mPrefillComplete ? mSegments.size() - 1 : mSegments.size();
         for (PromptSegment segment : mSegments.subList(0, count)) {
-            sendReservation(segment, RESERVATION_TIMEOUT_MILLIS)
+            reserveSegment(segment, RESERVATION_TIMEOUT)
                     .onFailure(failure -> extensionFailed(segment, failure));
         }
         schedule(EXTENSION_INTERVAL, this::extendReservations);
@@ -275,7 +266,7 @@
             agentFailed(segment, failure);
             return;
         }
-        sendReservation(segment, REPEATED_EXTENSION_TIMEOUT_MILLIS)
+        reserveSegment(segment, REPEATED_EXTENSION_TIMEOUT)
                 .onFailure(
                         repeated -> {
                             if (!mPrefillComplete) {
@@ -309,13 +300,6 @@
         mSegmentHandles.clear();
     }
 
-    /** If a release is lost, the reservation expires. */
-    private void release(PromptSegment segment) {
-        ReleaseHoldRequest request =
-                ReleaseHoldRequest.newBuilder().setHoldId(mAttempt.value()).build();
-        mContext.clients().agent(address(segment)).compose(client -> client.releaseHold(request));
-    }
-
     private String address(PromptSegment segment) {
         return mAgents.get(segment.agent()).address();
     }
