--- a/tanagergap-entry/src/main/java/org/tanagergap/entry/execution/SpanningPromptSession.java
+++ b/tanagergap-entry/src/main/java/org/tanagergap/entry/execution/SpanningPromptSession.java
@@ -7,7 +7,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import org.tanagergap.api.failure.Execution;
@@ -16,10 +15,7 @@
 import org.tanagergap.api.request.AttemptId;
 import org.tanagergap.api.request.RequestCost;
 import org.tanagergap.api.time.Timer;
-import org.tanagergap.decisions.routing.AgentEndpoint;
-import org.tanagergap.decisions.routing.LoadHint;
 import org.tanagergap.decisions.spanning.PromptSegment;
-import org.tanagergap.decisions.spanning.SpanningPromptCandidate;
 import org.tanagergap.decisions.spanning.SpanningPromptPlan;
 import org.tanagergap.decisions.spanning.SpanningPromptPlanner;
 import org.tanagergap.protocol.v1.HoldReply;
@@ -52,13 +48,13 @@
     private final AttemptId mAttempt;
     private final SpanningPromptListener mListener;
     private final SegmentReservationClient mReservations;
+    private final SpanningPromptAgents mAgents;
     private final SpanningPromptPlanner mPlanner = new SpanningPromptPlanner();
     private final Map<String, HoldReply> mReservationReplies = new HashMap<>();
     private final List<SegmentHandle> mSegmentHandles = new ArrayList<>();
     private final long mStartNanos;
 
     private List<PromptSegment> mSegments = List.of();
-    private Map<String, AgentEndpoint> mAgents = Map.of();
     private int mReservedCount;
     private Execution mExecution = Execution.NOT_RUN;
     private boolean mPrefillComplete;
@@ -80,6 +76,7 @@
         mAttempt = attempt;
         mListener = listener;
         mReservations = new SegmentReservationClient(context, request, attempt);
+        mAgents = new SpanningPromptAgents(context, request.service());
     }
 
     /** Execution status so far; unknown from the first prefill call to its reply. */
@@ -92,12 +89,12 @@
         if (mClosed) {
             return;
         }
-        SpanningPromptPlan plan = mPlanner.plan(mPayload.cost(), candidates());
+        SpanningPromptPlan plan = mPlanner.plan(mPayload.cost(), mAgents.candidates());
         if (plan instanceof SpanningPromptPlan.Placed placed) {
             mSegments = placed.segments();
             reserve(0);
         } else if (plan instanceof SpanningPromptPlan.Impossible impossible
-                && allAgentsHaveHints()) {
+                && mAgents.allHaveHints()) {
             fail(
                     RequestFailure.notRun(
                                     FailureCode.BODY_TOO_LARGE,
@@ -121,30 +118,6 @@
         releaseAll();
     }
 
-    /** A prompt is not refused while a restarting or unreachable agent may add its memory. */
-    private boolean allAgentsHaveHints() {
-        return mContext.router().agents().stream()
-                .filter(agent -> agent.service().equals(mRequest.service()))
-                .allMatch(agent -> mAgents.containsKey(agent.name()));
-    }
-
-    private List<SpanningPromptCandidate> candidates() {
-        mAgents = new HashMap<>();
-        List<SpanningPromptCandidate> candidates = new ArrayList<>();
-        for (AgentEndpoint agent : mContext.router().spanningCandidates(mRequest.service())) {
-            Optional<LoadHint> hint = mContext.router().hint(agent.name());
-            if (hint.isPresent()) {
-                mAgents.put(agent.name(), agent);
-                candidates.add(
-                        new SpanningPromptCandidate(
-                                agent.name(),
-                                hint.get().memoryTokensTotal(),
-                                hint.get().memoryTokensFree()));
-            }
-        }
-        return candidates;
-    }
-
     private void reserve(int index) {
         if (index == mSegments.size()) {
             schedule(EXTENSION_INTERVAL, this::extendReservations);
@@ -196,7 +169,7 @@
             RequestCost cost =
                     new RequestCost(segment.promptTokens(), mPayload.cost().maxOutputTokens());
             mListener.segmentsPrefilled(
-                    mAgents.get(segment.agent()),
+                    mAgents.agent(segment.agent()),
                     new RequestPayload.Completion(
                             mPayload.model(), segmentText(index), cost, mPayload.hash()),
                     new SpanningPromptReservation(mAttempt.value(), mSegmentHandles));
@@ -301,7 +274,7 @@
     }
 
     private String address(PromptSegment segment) {
-        return mAgents.get(segment.agent()).address();
+        return mAgents.agent(segment.agent()).address();
     }
 
     private String segmentText(int index) {
