Let reserved memory of an entry's prompt expire while its caller reads nothing

Cause: SpanningPromptSession extended its reservations for as long as it was open, and the end of the run is not read while reading is paused.

ReadingPause replaces the flag of RequestRun.

Evidence: SpanningPromptTests.memoryIsNotExtendedForLongWhileTheCallerDoesNot- Read failed before (7 reservation requests instead of 5 after 4.5 s more) and passes. StreamFailureTests, StalledAgentTests and CompletionTests pass.

--- a/tanagergap-entry/src/main/java/org/tanagergap/entry/execution/RequestRun.java
+++ b/tanagergap-entry/src/main/java/org/tanagergap/entry/execution/RequestRun.java
@@ -35,6 +35,7 @@
 
     private final AgentChoice mChoice;
     private final OpenAttempts mOpen = new OpenAttempts();
+    private final ReadingPause mReadingPause;
 
     /** Attempt whose upstream was last named to the caller. */
     private AgentAttempt mNamed;
@@ -46,7 +47,6 @@
     private int mAttempts;
     private long mNextIndex;
     private boolean mHeadSent;
-    private boolean mWaitingForDrain;
     private boolean mEnded;
     private Timer mDeadlineTimer = () -> {};
 
@@ -57,6 +57,7 @@
         mSink = sink;
         mEventLoop = eventLoop;
         mChoice = new AgentChoice(context, request);
+        mReadingPause = new ReadingPause(context.clock(), sink, mOpen);
     }
 
     void start() {
@@ -93,7 +94,7 @@
             }
             case BODY -> {
                 mSink.body(Buffer.buffer(event.getBody().toByteArray()));
-                applyBackPressure();
+                mReadingPause.applyBackPressure();
             }
             case FINISHED -> {
                 progressed(attempt);
@@ -225,7 +226,13 @@
                 && mChoice.exceedsLargestEngine(completion)) {
             mSpanningPrompt =
                     new SpanningPromptSession(
-                            mContext, mEventLoop, mRequest, completion, mAttemptId, this);
+                            mContext,
+                            mEventLoop,
+                            mRequest,
+                            completion,
+                            mAttemptId,
+                            mReadingPause,
+                            this);
             mSpanningPrompt.start();
             return;
         }
@@ -258,7 +265,7 @@
                         this);
         mOpen.started(attempt);
         attempt.start(new Resumption(mNextIndex, mGeneratedText.toString()), reservation);
-        if (mWaitingForDrain) {
+        if (mReadingPause.isActive()) {
             attempt.pause();
         }
     }
@@ -279,20 +286,7 @@
         mNextIndex++;
         mGeneratedText.append(text);
         mSink.token(text);
-        applyBackPressure();
-    }
-
-    private void applyBackPressure() {
-        if (mWaitingForDrain || !mSink.isFull()) {
-            return;
-        }
-        mWaitingForDrain = true;
-        mOpen.pause();
-        mSink.onDrain(
-                () -> {
-                    mWaitingForDrain = false;
-                    mOpen.resume();
-                });
+        mReadingPause.applyBackPressure();
     }
 
     private void deadlinePassed() {
--- a/tanagergap-entry/src/main/java/org/tanagergap/entry/execution/SpanningPromptSession.java
+++ b/tanagergap-entry/src/main/java/org/tanagergap/entry/execution/SpanningPromptSession.java
@@ -36,6 +36,12 @@
     /** Agents update their hints every 2 s or with each response. */
     private static final Duration MEMORY_POLL_INTERVAL = Duration.ofMillis(250);
 
+    /**
+     * Longest time for which memory is extended while the caller reads nothing. The run may have
+     * ended meanwhile, and its end is not read.
+     */
+    private static final Duration MAX_READING_PAUSE = Duration.ofSeconds(5);
+
     private static final Duration RESERVATION_TIMEOUT = Duration.ofSeconds(2);
 
     /** With the interval and the first timeout, an agent that is silent for good costs 5 s. */
@@ -46,6 +52,7 @@
     private final CallerRequest mRequest;
     private final RequestPayload.Completion mPayload;
     private final AttemptId mAttempt;
+    private final ReadingPause mReadingPause;
     private final SpanningPromptListener mListener;
     private final SegmentReservationClient mReservations;
     private final SpanningPromptAgents mAgents;
@@ -67,6 +74,7 @@
             CallerRequest request,
             RequestPayload.Completion payload,
             AttemptId attempt,
+            ReadingPause readingPause,
             SpanningPromptListener listener) {
         mContext = context;
         mStartNanos = context.clock().nanoTime();
@@ -74,6 +82,7 @@
         mRequest = request;
         mPayload = payload;
         mAttempt = attempt;
+        mReadingPause = readingPause;
         mListener = listener;
         mReservations = new SegmentReservationClient(context, request, attempt);
         mAgents = new SpanningPromptAgents(context, request.service());
@@ -222,12 +231,18 @@
         if (mClosed) {
             return;
         }
+        if (!mReadingPause.exceeds(MAX_READING_PAUSE)) {
+            extendUsedReservations();
+        }
+        schedule(EXTENSION_INTERVAL, this::extendReservations);
+    }
+
+    private void extendUsedReservations() {
         int count = mPrefillComplete ? mSegments.size() - 1 : mSegments.size();
         for (PromptSegment segment : mSegments.subList(0, count)) {
             reserveSegment(segment, RESERVATION_TIMEOUT)
                     .onFailure(failure -> extensionFailed(segment, failure));
         }
-        schedule(EXTENSION_INTERVAL, this::extendReservations);
     }
 
     /** An agent that was silent once may go on; a refused or broken connection is a failure. */
--- a/tanagergap-entry/src/test/java/org/tanagergap/entry/SpanningPromptTests.java
+++ b/tanagergap-entry/src/test/java/org/tanagergap/entry/SpanningPromptTests.java
@@ -2,8 +2,11 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import java.io.InputStream;
+import java.net.http.HttpRequest;
 import java.net.http.HttpRequest.BodyPublishers;
 import java.net.http.HttpResponse;
+import java.net.http.HttpResponse.BodyHandlers;
 import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
@@ -53,10 +56,17 @@
     }
 
     private HttpResponse<String> send(int promptTokens) {
-        String prompt = "lid ".repeat(promptTokens);
-        String body = "{\"model\":\"lid-7b\",\"max_tokens\":10,\"prompt\":\"" + prompt + "\"}";
-        return mHarness.send(
-                mHarness.request("/v1/completions").POST(BodyPublishers.ofString(body)).build());
+        return mHarness.send(request(promptTokens, false));
+    }
+
+    private HttpRequest request(int promptTokens, boolean stream) {
+        String body =
+                "{\"model\":\"lid-7b\",\"max_tokens\":10,\"stream\":"
+                        + stream
+                        + ",\"prompt\":\""
+                        + "lid ".repeat(promptTokens)
+                        + "\"}";
+        return mHarness.request("/v1/completions").POST(BodyPublishers.ofString(body)).build();
     }
 
     @Test
@@ -148,4 +158,24 @@
         assertThat(send(1_500).body()).contains("t0 t1 t2");
         assertThat(mHarness.counter("retries")).isEqualTo(0);
     }
+
+    /** Memory stayed reserved until the deadline for a caller that did not read. */
+    @Test
+    void memoryIsNotExtendedForLongWhileTheCallerDoesNotRead() throws Exception {
+        startEntry();
+        mSecond.mScript = (request, stream) -> stream.sendUntilBackPressure(mHarness.mVertx);
+        HttpResponse<InputStream> response =
+                mHarness.mClient.send(request(1_500, true), BodyHandlers.ofInputStream());
+        EntryHarness.pause(8_000);
+        long extensions = reservations();
+
+        EntryHarness.pause(4_500);
+
+        assertThat(reservations()).isEqualTo(extensions);
+        response.body().close();
+    }
+
+    private long reservations() {
+        return mHarness.mCalls.stream().filter(call -> call.startsWith("runner-1 hold")).count();
+    }
 }
