--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/ReservationRelease.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/ReservationRelease.java
@@ -20,7 +20,7 @@
     /** Administrative requests without a response are carried out at most this much later. */
     private static final Duration LATE_EXECUTION_WINDOW = Duration.ofSeconds(13);
 
-    /** Applies while the memory has not expired, which later extensions may have delayed. */
+    /** Applies until the memory expires by itself, unless late requests renew it. */
     private static final Duration REPEAT_INTERVAL = Duration.ofMillis(300);
 
     private static final Duration LATER_REPEAT_INTERVAL = Duration.ofMillis(500);
