Receive reports of peers that exceed 2 KB

Cause: the socket read at most 2,048 bytes of a datagram. A gateway with requests at about 40 engines or more sends a longer report, which arrived truncated and was ignored as malformed. Its peers then took its requests for ended after 1.5 s. Change: datagrams of up to 64 KB are received; the warning is bounded to one line a second and names the size.

--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/peer/PeerSocket.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/peer/PeerSocket.java
@@ -5,8 +5,10 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.datagram.DatagramPacket;
 import io.vertx.core.datagram.DatagramSocket;
+import io.vertx.core.datagram.DatagramSocketOptions;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import org.tanagergap.api.lifecycle.Service;
 import org.tanagergap.runtime.async.Futures;
 import org.tanagergap.runtime.settings.HostPort;
@@ -14,6 +16,12 @@
 /** Sends datagrams to peers and receives theirs. Confined to the event loop. */
 final class PeerSocket implements Service {
 
+    /**
+     * Largest datagram. The default of 2 KB truncates the report of an instance with requests at
+     * about 40 upstreams, and peers then take those upstreams for idle.
+     */
+    private static final int MAX_DATAGRAM_BYTES = 64 << 10;
+
     private static final FluentLogger sLogger = FluentLogger.forEnclosingClass();
 
     private final Vertx mVertx;
@@ -43,7 +51,9 @@
 
     @Override
     public CompletableFuture<Void> start() {
-        mSocket = mVertx.createDatagramSocket();
+        DatagramSocketOptions options =
+                new DatagramSocketOptions().setReceiveBufferSize(MAX_DATAGRAM_BYTES);
+        mSocket = mVertx.createDatagramSocket(options);
         mSocket.handler(this::received);
         return Futures.toCompletable(mSocket.listen(mAddress.port(), mAddress.host()).mapEmpty());
     }
@@ -71,8 +81,9 @@
     private void received(DatagramPacket packet) {
         Optional<PeerDatagram> datagram = PeerDatagram.decode(packet.data());
         if (datagram.isEmpty()) {
-            sLogger.atWarning().log(
-                    "datagram from %s is malformed and is ignored", packet.sender());
+            sLogger.atWarning().atMostEvery(1, TimeUnit.SECONDS).log(
+                    "datagram of %d bytes from %s is malformed and is ignored",
+                    packet.data().length(), packet.sender());
         } else if (!datagram.get().id().equals(mId)) {
             HostPort sender = new HostPort(packet.sender().host(), packet.sender().port());
             mReceiver.received(datagram.get(), sender);
