Keep requests away from evacuated failure domains

Cause: the key op/evacuate/DOMAIN, by which an operator evacuates a failure domain, was read nowhere. Change: it is part of the replica that gateways share. Upstreams of the domain are left out of every choice, attempts that are not sent yet are placed again, and a service without upstreams elsewhere refuses requests at once as not run. After a failed poll, all keys of the operator are read first.

--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/GatewayService.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/GatewayService.java
@@ -69,6 +69,10 @@
         mSettings = reloadable.settings();
         mEventLoop = vertx.getOrCreateContext();
         mView = new FleetView(mClock);
+        context.metrics()
+                .register(
+                        "gateway_evacuated_domains",
+                        (Gauge<Integer>) () -> mView.evacuatedDomains().size());
         mSettingsWatch = new SettingsWatch(mClock, reloadable);
         RandomGenerator random = new Random();
         FleetLoad load = new FleetLoad();
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/GatewayStatus.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/GatewayStatus.java
@@ -2,6 +2,7 @@
 
 import io.vertx.core.json.JsonArray;
 import io.vertx.core.json.JsonObject;
+import java.util.List;
 import org.tanagergap.api.time.RuntimeClock;
 import org.tanagergap.decisions.fleet.FleetLoad;
 import org.tanagergap.decisions.fleet.UpstreamHealth;
@@ -62,6 +63,7 @@
         JsonObject limits = new JsonObject();
         rateLimits.limits().forEach(limits::put);
         return json.put("upstreams", upstreams)
+                .put("evacuated", new JsonArray(List.copyOf(view.evacuatedDomains())))
                 .put("rate_limits_per_second", limits)
                 .put("quarantined_prompt_parts_ms", quarantined);
     }
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/Dispatcher.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/Dispatcher.java
@@ -37,6 +37,13 @@
 
     static final Duration MIN_RETRY_AFTER = Duration.ofMillis(200);
 
+    /** The operator decides when an evacuation ends, so no better time is known. */
+    private static final RequestFailure ALL_EVACUATED =
+            RequestFailure.notRun(
+                            FailureCode.UNAVAILABLE,
+                            "the failure domains of all upstreams are evacuated")
+                    .withRetryAfter(Duration.ofSeconds(1));
+
     private final ForwardingContext mContext;
     private final CandidateSource mCandidates;
     private final PlacementPolicy mPolicy;
@@ -100,6 +107,10 @@
     private void enqueue(RequestLifecycle lifecycle, Set<String> excluded) {
         long now = mContext.clock().nanoTime();
         GatewayRequest request = lifecycle.request();
+        if (!lifecycle.responseStarted() && mContext.view().isEvacuated(request.service().name())) {
+            lifecycle.refused(ALL_EVACUATED);
+            return;
+        }
         WaitingRequest<RequestLifecycle> waiting =
                 new WaitingRequest<>(
                         lifecycle,
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/membership/FleetChange.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/membership/FleetChange.java
@@ -19,6 +19,14 @@
     record UpstreamEntry(String id, Optional<Upstream> upstream, Optional<String> invalidReason)
             implements FleetChange {}
 
+    /**
+     * An order of the operator to evacuate a failure domain or to end its evacuation.
+     *
+     * @param domain name of the failure domain
+     * @param evacuated true from the order until its end
+     */
+    record DomainEvacuation(String domain, boolean evacuated) implements FleetChange {}
+
     /** An item that cannot be decoded. */
     record InvalidItem(String key, String reason) implements FleetChange {}
 
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/membership/FleetDecoder.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/membership/FleetDecoder.java
@@ -9,8 +9,11 @@
     /** Prefixes of the keys that the gateway reads. */
     List<String> prefixes();
 
-    /** Key of the configuration, which decides who may run requests. */
-    String configurationKey();
+    /**
+     * Prefix of the configuration and the evacuations, which decide who may run requests. After a
+     * failed poll they are read before anything else.
+     */
+    String operatorPrefix();
 
     /** Decodes an item; never throws. */
     FleetChange decode(KeyValue item);
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/membership/FleetView.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/membership/FleetView.java
@@ -9,6 +9,7 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 import org.tanagergap.api.time.RuntimeClock;
 import org.tanagergap.decisions.replication.DepartedUpstreams;
 import org.tanagergap.gateway.configuration.GatewayConfiguration;
@@ -29,6 +30,7 @@
     private final Map<String, Upstream> mUpstreams = new HashMap<>();
     private final Map<String, Long> mExpiredAtNanos = new HashMap<>();
     private final DepartedUpstreams mDeparted = new DepartedUpstreams();
+    private final EvacuatedDomains mEvacuated = new EvacuatedDomains();
     private final List<Listener> mListeners = new ArrayList<>();
     private boolean mInitialLoadCompleted;
     private long mChanges;
@@ -67,10 +69,28 @@
     /** Upstreams of a service that may receive requests. */
     public List<Upstream> usable(String service) {
         return mUpstreams.values().stream()
-                .filter(upstream -> upstream.service().equals(service) && !upstream.draining())
+                .filter(upstream -> upstream.service().equals(service) && mayReceive(upstream))
                 .toList();
     }
 
+    /** Returns true if evacuations leave no upstream of the service that may receive requests. */
+    public boolean isEvacuated(String service) {
+        List<Upstream> serving =
+                mUpstreams.values().stream()
+                        .filter(u -> u.service().equals(service) && !u.draining())
+                        .toList();
+        return !serving.isEmpty() && serving.stream().noneMatch(this::mayReceive);
+    }
+
+    /** Failure domains that the operator has evacuated, in alphabetical order. */
+    public Set<String> evacuatedDomains() {
+        return mEvacuated.all();
+    }
+
+    private boolean mayReceive(Upstream upstream) {
+        return !upstream.draining() && !mEvacuated.contains(upstream.failureDomain());
+    }
+
     /** Upstream with the identifier, also if it is draining. */
     public Optional<Upstream> upstream(String id) {
         return Optional.ofNullable(mUpstreams.get(id));
@@ -100,7 +120,7 @@
         mInitialLoadCompleted = true;
         List<String> usable =
                 mUpstreams.values().stream()
-                        .filter(upstream -> !upstream.draining())
+                        .filter(this::mayReceive)
                         .map(upstream -> upstream.id() + "=" + upstream.address())
                         .sorted()
                         .toList();
@@ -117,6 +137,8 @@
             applyConfiguration(accepted.configuration());
         } else if (change instanceof FleetChange.UpstreamEntry entry) {
             accept(entry, origin);
+        } else if (change instanceof FleetChange.DomainEvacuation evacuation) {
+            applyEvacuation(evacuation.domain(), evacuation.evacuated());
         } else if (change instanceof FleetChange.InvalidItem invalid) {
             sLogger.atWarning().log(
                     "store item %s is invalid and is ignored: %s", invalid.key(), invalid.reason());
@@ -160,6 +182,31 @@
         mListeners.forEach(listener -> listener.configurationChanged(configuration));
     }
 
+    private void applyEvacuation(String domain, boolean evacuated) {
+        if (!mEvacuated.set(domain, evacuated)) {
+            return;
+        }
+        mChanges++;
+        List<Upstream> affected =
+                mUpstreams.values().stream()
+                        .filter(u -> u.failureDomain().equals(domain) && !u.draining())
+                        .toList();
+        sLogger.atInfo()
+                .with(LogKeys.FAILURE_DOMAIN, domain)
+                .log(
+                        "failure domain %s with %d upstreams",
+                        evacuated ? "is evacuated" : "is in use again", affected.size());
+        for (Upstream upstream : affected) {
+            for (Listener listener : mListeners) {
+                if (evacuated) {
+                    listener.upstreamUnavailable(upstream);
+                } else {
+                    listener.upstreamAvailable(upstream);
+                }
+            }
+        }
+    }
+
     private void accept(FleetChange.UpstreamEntry entry, ChangeOrigin origin) {
         entry.invalidReason()
                 .ifPresent(
@@ -210,14 +257,14 @@
             return;
         }
         mChanges++;
-        boolean wasAvailable = previous != null && !previous.draining();
+        boolean wasAvailable = previous != null && mayReceive(previous);
         boolean restarted =
                 previous != null && previous.startedAtMillis() != upstream.startedAtMillis();
-        if (wasAvailable && (upstream.draining() || restarted)) {
+        if (wasAvailable && (!mayReceive(upstream) || restarted)) {
             log(upstream, upstream.draining() ? "is leaving" : "has restarted");
             mListeners.forEach(listener -> listener.upstreamUnavailable(previous));
         }
-        if (!upstream.draining() && (!wasAvailable || restarted)) {
+        if (mayReceive(upstream) && (!wasAvailable || restarted)) {
             log(upstream, "may receive requests");
             mListeners.forEach(listener -> listener.upstreamAvailable(upstream));
         }
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/membership/StoreSync.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/membership/StoreSync.java
@@ -201,7 +201,7 @@
         StorePosition requested = mReplica.position();
         return switch (read) {
             case CONFIGURATION ->
-                    mFeed.readPage(mDecoder.configurationKey(), "")
+                    mFeed.readPage(mDecoder.operatorPrefix(), "")
                             .thenAccept(this::configurationReceived);
             case CHANGES ->
                     mFeed.changesAfter(requested.revision())
--- a/tanagergap-gateway/src/test/java/org/tanagergap/gateway/membership/FleetViewTests.java
+++ b/tanagergap-gateway/src/test/java/org/tanagergap/gateway/membership/FleetViewTests.java
@@ -66,6 +66,57 @@
         return !mView.usable("s").isEmpty();
     }
 
+    private void evacuate(boolean evacuated) {
+        mView.accept(new FleetChange.DomainEvacuation("a", evacuated), ChangeOrigin.WRITE);
+    }
+
+    @Test
+    void anUpstreamOfAnEvacuatedDomainIsNotUsableUntilTheEvacuationEnds() {
+        evacuate(true);
+
+        assertThat(usable()).isFalse();
+        assertThat(mView.isEvacuated("s")).isTrue();
+        assertThat(mView.evacuatedDomains()).containsExactly("a");
+
+        evacuate(false);
+
+        assertThat(usable()).isTrue();
+        assertThat(mView.isEvacuated("s")).isFalse();
+        assertThat(mEvents).containsExactly("unavailable u", "available u").inOrder();
+    }
+
+    @Test
+    void anUpstreamThatJoinsAnEvacuatedDomainIsNotUsable() {
+        evacuate(true);
+        mEvents.clear();
+
+        mView.accept(entry("new", false, 2), ChangeOrigin.WRITE);
+
+        assertThat(usable()).isFalse();
+        assertThat(mEvents).isEmpty();
+    }
+
+    @Test
+    void aDrainingUpstreamStaysUnusableAfterTheEvacuation() {
+        evacuate(true);
+        mView.accept(entry("u", true, 1), ChangeOrigin.WRITE);
+        evacuate(false);
+
+        assertThat(usable()).isFalse();
+        assertThat(mEvents).containsExactly("unavailable u");
+    }
+
+    /** Peers fetch changes only if the view reports one. */
+    @Test
+    void anEvacuationCountsAsAChange() {
+        long before = mView.changes();
+
+        evacuate(true);
+        evacuate(true);
+
+        assertThat(mView.changes()).isEqualTo(before + 1);
+    }
+
     @Test
     void aDrainingUpstreamIsNotUsable() {
         mView.accept(entry("u", true, 1), ChangeOrigin.WRITE);
--- a/tanagergap-gateway/src/test/java/org/tanagergap/gateway/membership/StoreCatchUpTests.java
+++ b/tanagergap-gateway/src/test/java/org/tanagergap/gateway/membership/StoreCatchUpTests.java
@@ -80,7 +80,7 @@
         }
 
         @Override
-        public String configurationKey() {
+        public String operatorPrefix() {
             return CONFIGURATION;
         }
 
--- a/tanagergap-gateway/src/test/java/org/tanagergap/gateway/membership/StoreSyncFailureTests.java
+++ b/tanagergap-gateway/src/test/java/org/tanagergap/gateway/membership/StoreSyncFailureTests.java
@@ -68,7 +68,7 @@
         }
 
         @Override
-        public String configurationKey() {
+        public String operatorPrefix() {
             return CONFIGURATION;
         }
 
--- a/tanagergap-gateway/src/test/java/org/tanagergap/gateway/membership/StoreSyncTests.java
+++ b/tanagergap-gateway/src/test/java/org/tanagergap/gateway/membership/StoreSyncTests.java
@@ -82,7 +82,7 @@
         }
 
         @Override
-        public String configurationKey() {
+        public String operatorPrefix() {
             return CONFIGURATION;
         }
 
