Count requests that wait for their first token when prompts are placed

Change: the load of an engine has the time that pending requests have left to their first-token targets, also where the engine only helps; a prefill costs what it adds to their risk. Reports carry it in a field of its own, which earlier versions ignore.

--- a/tanagergap-decisions/src/main/java/org/tanagergap/decisions/fleet/EngineForecast.java
+++ b/tanagergap-decisions/src/main/java/org/tanagergap/decisions/fleet/EngineForecast.java
@@ -58,12 +58,18 @@
         return (double) mCandidate.load().running() / mCandidate.slots();
     }
 
-    /** Returns the expected loss of the streams that run here if the prefill is added. */
+    /**
+     * Returns the expected loss of the streams that run here if the prefill is added, and what it
+     * adds to the risk of requests that still wait for their first token.
+     */
     double latencyImpact(double prefillMillis) {
         UpstreamLoad load = mCandidate.load();
-        double gap = iterationMillis() + load.prefillMillis() + prefillMillis;
-        double expectedGap = gap * mCandidate.slowness();
-        return load.targets().expectedLoss(target -> risk(expectedGap, target));
+        double busy = (iterationMillis() + load.prefillMillis()) * mCandidate.slowness();
+        double busyThen = busy + prefillMillis * mCandidate.slowness();
+        double running = load.targets().expectedLoss(target -> risk(busyThen, target));
+        double pending =
+                load.pending().expectedLoss(left -> risk(busyThen, left) - risk(busy, left));
+        return running + pending;
     }
 
     /**
--- a/tanagergap-decisions/src/main/java/org/tanagergap/decisions/fleet/InFlightRequest.java
+++ b/tanagergap-decisions/src/main/java/org/tanagergap/decisions/fleet/InFlightRequest.java
@@ -14,11 +14,15 @@
      */
     private static final double PREFILL_RATE_SHARE = 0.8;
 
+    /** Steps in which the time to a first-token target is told, so that equal ones add up. */
+    private static final double PENDING_STEP_MILLIS = 100;
+
     private static final double NANOS_PER_MILLI = 1e6;
 
     private final String mUpstream;
     private final Demand mDemand;
     private final long mStartNanos;
+    private final StreamTargets mInterTokenTarget;
     private boolean mDecoding;
 
     /**
@@ -28,14 +32,20 @@
      * @param prefillMillis time to prefill its part of the prompt on an idle engine, in ms
      * @param decodes true at the upstream that generates the output, false at a helper, which only
      *     prefills
-     * @param targets its inter-token target, with the loss if it misses it
+     * @param interTokenTargetMillis longest gap between its events that meets its target, in ms
+     * @param firstTokenSlackMillis time from its dispatch to its first-token target, in ms
+     * @param loss loss if it misses a target, relative to that of other requests
      */
     public record Demand(
-            RequestCost cost, double prefillMillis, boolean decodes, StreamTargets targets) {
+            RequestCost cost,
+            double prefillMillis,
+            boolean decodes,
+            double interTokenTargetMillis,
+            double firstTokenSlackMillis,
+            double loss) {
 
         public Demand {
             Objects.requireNonNull(cost, "cost must not be null");
-            Objects.requireNonNull(targets, "targets must not be null");
         }
     }
 
@@ -43,6 +53,7 @@
         mUpstream = upstream;
         mDemand = demand;
         mStartNanos = startNanos;
+        mInterTokenTarget = StreamTargets.of(demand.interTokenTargetMillis(), demand.loss());
     }
 
     public String upstream() {
@@ -56,15 +67,24 @@
 
     UpstreamLoad load(long nowNanos) {
         int running = mDemand.decodes() ? 1 : 0;
-        StreamTargets targets = mDemand.decodes() ? mDemand.targets() : StreamTargets.NONE;
+        StreamTargets targets = mDemand.decodes() ? mInterTokenTarget : StreamTargets.NONE;
         long memory = mDemand.cost().memoryTokens();
         if (mDecoding) {
-            return new UpstreamLoad(running, targets, running, 0, memory);
+            return new UpstreamLoad(running, targets, running, 0, memory, StreamTargets.NONE);
         }
         double prefill = mDemand.prefillMillis();
         double elapsed = (nowNanos - mStartNanos) / NANOS_PER_MILLI;
         double left =
                 Math.max(MIN_PREFILL_LEFT_SHARE * prefill, prefill - PREFILL_RATE_SHARE * elapsed);
-        return new UpstreamLoad(running, targets, 0, left, memory);
+        return new UpstreamLoad(running, targets, 0, left, memory, pending(elapsed));
+    }
+
+    private StreamTargets pending(double elapsedMillis) {
+        double left = mDemand.firstTokenSlackMillis() - elapsedMillis;
+        if (left <= 0) {
+            return StreamTargets.NONE;
+        }
+        double steps = Math.max(1, Math.rint(left / PENDING_STEP_MILLIS));
+        return StreamTargets.of(steps * PENDING_STEP_MILLIS, mDemand.loss());
     }
 }
--- a/tanagergap-decisions/src/main/java/org/tanagergap/decisions/fleet/StreamTargets.java
+++ b/tanagergap-decisions/src/main/java/org/tanagergap/decisions/fleet/StreamTargets.java
@@ -5,7 +5,7 @@
 import java.util.function.IntToDoubleFunction;
 
 /**
- * Inter-token targets of the streams that run at an upstream, with the loss if they miss them.
+ * Latency targets of the streams at an upstream, with the loss if they miss them.
  *
  * @param lossByTargetMillis sum of the losses of all streams with a target, by the target in ms;
  *     not to be modified
--- a/tanagergap-decisions/src/test/java/org/tanagergap/decisions/fleet/FleetStateTests.java
+++ b/tanagergap-decisions/src/test/java/org/tanagergap/decisions/fleet/FleetStateTests.java
@@ -28,13 +28,15 @@
 
         private InFlightRequest begin(String upstream) {
             RequestCost cost = new RequestCost(10_000, 100);
-            return mLoad.begin(upstream, new InFlightRequest.Demand(cost, 50, true, TARGETS), 0);
+            return mLoad.begin(
+                    upstream, new InFlightRequest.Demand(cost, 50, true, 250, 300, 1), 0);
         }
 
         @Test
         void ofAllInstancesAreAddedUp() {
             begin("e1");
-            mLoad.peerReported("peer", Map.of("e1", new UpstreamLoad(2, TARGETS, 1, 30, 5_000)), 0);
+            mLoad.peerReported(
+                    "peer", Map.of("e1", new UpstreamLoad(2, TARGETS, 1, 30, 5_000, TARGETS)), 0);
 
             UpstreamLoad total = mLoad.totalLoad("e1", 0);
 
@@ -46,7 +48,8 @@
         /** Guards against a crashed peer whose last reported load keeps engines full forever. */
         @Test
         void ofAPeerThatStoppedReportingExpire() {
-            mLoad.peerReported("peer", Map.of("e1", new UpstreamLoad(2, TARGETS, 1, 30, 5_000)), 0);
+            mLoad.peerReported(
+                    "peer", Map.of("e1", new UpstreamLoad(2, TARGETS, 1, 30, 5_000, TARGETS)), 0);
 
             assertThat(mLoad.totalLoad("e1", 2_000 * MILLI)).isEqualTo(UpstreamLoad.NONE);
         }
--- a/tanagergap-decisions/src/test/java/org/tanagergap/decisions/fleet/LengthAwarePlacementTests.java
+++ b/tanagergap-decisions/src/test/java/org/tanagergap/decisions/fleet/LengthAwarePlacementTests.java
@@ -36,7 +36,8 @@
                     i < shortStreams ? StreamTargets.of(250, 1.6) : StreamTargets.of(600, 2.5);
             targets = targets.plus(target);
         }
-        return new UpstreamLoad(running, targets, decoding, prefillMillis, memoryTokens);
+        return new UpstreamLoad(
+                running, targets, decoding, prefillMillis, memoryTokens, StreamTargets.NONE);
     }
 
     private static UpstreamCandidate engine(String id, UpstreamLoad load) {
@@ -60,6 +61,38 @@
         return mPolicy.choose(request, candidates).orElseThrow();
     }
 
+    /** An engine that prefills a part of another engine's prompt, which has that much time left. */
+    private static UpstreamCandidate helping(String id, double slackMillis) {
+        UpstreamLoad load =
+                new UpstreamLoad(
+                        0, StreamTargets.NONE, 0, 800, 20_000, StreamTargets.of(slackMillis, 3.8));
+        return engine(id, load);
+    }
+
+    /** Parts of prompts looked free to delay, so that long prompts missed their targets in turn. */
+    @Nested
+    class PendingPrompts {
+
+        @Test
+        void areNotDelayedBeyondTheirTargets() {
+            List<UpstreamCandidate> candidates =
+                    List.of(helping("a", 1_000), helping("b", 9_000), helping("c", 900));
+
+            Placement placement = place(longPrompt(60_000), candidates);
+
+            assertThat(placement.upstream()).isEqualTo("b");
+            assertThat(placement.helpers()).isEmpty();
+        }
+
+        @Test
+        void areAvoidedByShortPrompts() {
+            List<UpstreamCandidate> candidates =
+                    List.of(helping("a", 820), helping("b", 9_000), helping("c", 830));
+
+            assertThat(place(shortPrompt(), candidates).upstream()).isEqualTo("b");
+        }
+    }
+
     @Nested
     class ShortPrompts {
 
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/AttemptLoad.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/AttemptLoad.java
@@ -8,7 +8,6 @@
 import org.tanagergap.decisions.fleet.InFlightRequest;
 import org.tanagergap.decisions.fleet.Placement;
 import org.tanagergap.decisions.fleet.PlacementRequest;
-import org.tanagergap.decisions.fleet.StreamTargets;
 
 /** Load that one attempt adds to its upstream and its helper engines. */
 final class AttemptLoad {
@@ -55,7 +54,9 @@
                         placement.costAt(upstream, request.cost()),
                         prefillMillis,
                         decodes,
-                        StreamTargets.of(request.interTokenTargetMillis(), request.loss()));
+                        request.interTokenTargetMillis(),
+                        request.firstTokenSlackMillis(),
+                        request.loss());
         mInFlight.add(mContext.load().begin(upstream, demand, mContext.clock().nanoTime()));
     }
 
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/peer/PeerReport.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/peer/PeerReport.java
@@ -8,6 +8,7 @@
 import java.util.Objects;
 import org.tanagergap.api.store.StorePosition;
 import org.tanagergap.decisions.fleet.FleetSlowness;
+import org.tanagergap.decisions.fleet.StreamTargets;
 import org.tanagergap.decisions.fleet.UpstreamLoad;
 import org.tanagergap.decisions.quarantine.QuarantineUpdate;
 import org.tanagergap.decisions.ratelimit.RateLimitObservation;
@@ -45,7 +46,14 @@
     @Override
     public Buffer encode() {
         JsonObject upstreams = new JsonObject();
-        loads.forEach((upstream, load) -> upstreams.put(upstream, UpstreamLoadCodec.encode(load)));
+        JsonObject pending = new JsonObject();
+        loads.forEach(
+                (upstream, load) -> {
+                    upstreams.put(upstream, UpstreamLoadCodec.encode(load));
+                    if (!load.pending().equals(StreamTargets.NONE)) {
+                        pending.put(upstream, UpstreamLoadCodec.encodePending(load));
+                    }
+                });
         JsonObject suspended = new JsonObject();
         suspendedMillis.forEach(suspended::put);
         JsonObject report = new JsonObject();
@@ -58,6 +66,7 @@
                 .put("last_change_epoch", progress.lastChange().epoch())
                 .put("last_change", progress.lastChange().revision())
                 .put("loads", upstreams)
+                .put("pending", pending)
                 .put("suspended", suspended)
                 .toBuffer();
     }
@@ -65,8 +74,13 @@
     /** Throws {@link ClassCastException} or another runtime exception for malformed fields. */
     static PeerReport decode(JsonObject json) {
         Map<String, UpstreamLoad> loads = new HashMap<>();
+        JsonObject pending = json.getJsonObject("pending", new JsonObject());
         for (Map.Entry<String, Object> entry : json.getJsonObject("loads")) {
-            loads.put(entry.getKey(), UpstreamLoadCodec.decode((JsonArray) entry.getValue()));
+            JsonArray load = (JsonArray) entry.getValue();
+            loads.put(
+                    entry.getKey(),
+                    UpstreamLoadCodec.decode(
+                            load, pending.getJsonArray(entry.getKey(), new JsonArray())));
         }
         Map<String, Long> suspended = new HashMap<>();
         for (Map.Entry<String, Object> entry : json.getJsonObject("suspended")) {
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/peer/UpstreamLoadCodec.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/peer/UpstreamLoadCodec.java
@@ -8,7 +8,8 @@
 /**
  * Load of an upstream in a peer report: requests, those with a short inter-token target, decoding
  * requests, remaining prefill in ms and memory in tokens, followed by a target in ms and its loss
- * for each target. Earlier versions neither send nor read the targets.
+ * for each target. Earlier versions neither send nor read the targets. The targets of requests that
+ * wait for their first token are a field of their own, which earlier versions ignore.
  */
 final class UpstreamLoadCodec {
 
@@ -40,12 +41,22 @@
                         .add(load.decoding())
                         .add(Math.round(load.prefillMillis()))
                         .add(load.memoryTokens());
-        load.targets()
-                .lossByTargetMillis()
-                .forEach((target, loss) -> values.add(target).add(Math.round(loss * LOSS_STEPS)));
+        addTargets(load.targets(), values);
+        return values;
+    }
+
+    /** Encodes the targets of the requests that wait for their first token. */
+    static JsonArray encodePending(UpstreamLoad load) {
+        JsonArray values = new JsonArray();
+        addTargets(load.pending(), values);
         return values;
     }
 
+    private static void addTargets(StreamTargets targets, JsonArray values) {
+        targets.lossByTargetMillis()
+                .forEach((target, loss) -> values.add(target).add(Math.round(loss * LOSS_STEPS)));
+    }
+
     private static int shortTargets(UpstreamLoad load) {
         Map<Integer, Double> losses = load.targets().lossByTargetMillis();
         boolean anyShort = losses.keySet().stream().anyMatch(t -> t < EARLIER_SHORT_TARGET_MILLIS);
@@ -53,22 +64,23 @@
     }
 
     /** Throws {@link ClassCastException} or another runtime exception for malformed fields. */
-    static UpstreamLoad decode(JsonArray values) {
+    static UpstreamLoad decode(JsonArray values, JsonArray pending) {
         int running = PeerNumbers.count(values.getValue(0));
         int shortTargets = PeerNumbers.count(values.getValue(1));
         return new UpstreamLoad(
                 running,
                 values.size() > FIRST_TARGET
-                        ? targets(values)
+                        ? targets(values, FIRST_TARGET)
                         : earlierTargets(shortTargets, running - shortTargets),
                 PeerNumbers.count(values.getValue(2)),
                 PeerNumbers.amount(values.getValue(3)),
-                PeerNumbers.amount(values.getValue(4)));
+                PeerNumbers.amount(values.getValue(4)),
+                targets(pending, 0));
     }
 
-    private static StreamTargets targets(JsonArray values) {
+    private static StreamTargets targets(JsonArray values, int first) {
         StreamTargets targets = StreamTargets.NONE;
-        for (int i = FIRST_TARGET; i < values.size(); i += 2) {
+        for (int i = first; i < values.size(); i += 2) {
             int target = PeerNumbers.count(values.getValue(i));
             double loss = PeerNumbers.count(values.getValue(i + 1)) / LOSS_STEPS;
             targets = targets.plus(StreamTargets.of(target, loss));
--- a/tanagergap-gateway/src/test/java/org/tanagergap/gateway/peer/PeerDatagramTests.java
+++ b/tanagergap-gateway/src/test/java/org/tanagergap/gateway/peer/PeerDatagramTests.java
@@ -29,7 +29,15 @@
             new PeerReport(
                     "gateway-1",
                     new ReplicaProgress(new StorePosition(2, 77), new StorePosition(2, 70)),
-                    Map.of("e1", new UpstreamLoad(3, StreamTargets.of(250, 1.6), 1, 40, 15_000)),
+                    Map.of(
+                            "e1",
+                            new UpstreamLoad(
+                                    3,
+                                    StreamTargets.of(250, 1.6),
+                                    1,
+                                    40,
+                                    15_000,
+                                    StreamTargets.of(300, 1.5))),
                     Map.of("e6", new FleetSlowness.Evidence(1.5, 4)),
                     Map.of("e2", 400L),
                     new QuarantineUpdate(
--- a/tanagergap-gateway/src/test/java/org/tanagergap/gateway/peer/PeerSocketTests.java
+++ b/tanagergap-gateway/src/test/java/org/tanagergap/gateway/peer/PeerSocketTests.java
@@ -63,11 +63,12 @@
     }
 
     private static PeerReport report(int upstreams) {
+        StreamTargets targets = StreamTargets.of(250, 13.25);
         Map<String, UpstreamLoad> loads = new HashMap<>();
         for (int i = 0; i < upstreams; i++) {
             loads.put(
                     "i-000000" + i,
-                    new UpstreamLoad(8, StreamTargets.of(250, 13.25), 4, 1_000, 315_000));
+                    new UpstreamLoad(8, targets, 4, 1_000, 315_000, StreamTargets.of(300, 1.5)));
         }
         return new PeerReport(
                 "sender",
--- a/tanagergap-measure/src/main/java/org/tanagergap/measure/placement/PlacementMeasurement.java
+++ b/tanagergap-measure/src/main/java/org/tanagergap/measure/placement/PlacementMeasurement.java
@@ -23,8 +23,39 @@
     private static final EngineProfile FAST_ENGINE =
             new EngineProfile(11, 450_000, 46, 0.925, 0.0048, 0.0025, 256, 0.092, 0.1);
 
+    private static final EngineProfile TRADE_ENGINE =
+            new EngineProfile(8, 267_750, 57, 0.85, 0.0064, 0.00285, 177, 0.184, 0.05);
+
     private PlacementMeasurement() {}
 
+    /**
+     * Load of a trade counter, whose callers ask for short answers in one hour and for long reports
+     * in another.
+     *
+     * @param shortFactor times the usual rate of short prompts
+     * @param longFactor times the usual rate of the longest prompts
+     */
+    static LoadProfile tradeCounter(double shortFactor, double mediumFactor, double longFactor) {
+        return new LoadProfile(
+                "trade-counter",
+                TRADE_ENGINE,
+                78,
+                9,
+                List.of(
+                        new RouteLoad("counter", 78 * shortFactor, 4_960, 0.9, 32, 304, 250, 2_400),
+                        new RouteLoad(
+                                "draft", 5 * mediumFactor, 45_000, 0.5, 19, 1_500, 600, 8_000),
+                        new RouteLoad(
+                                "history",
+                                2 * longFactor,
+                                210_000,
+                                0.45,
+                                16,
+                                4_000,
+                                1_000,
+                                15_000)));
+    }
+
     /** Loads whose routes, engines and fleets differ. */
     static List<LoadProfile> loads() {
         return List.of(
@@ -64,6 +95,9 @@
     /** Plays each load as it is, and with a burst. */
     public static void main(String[] args) {
         List<Runnable> plays = new ArrayList<>();
+        plays.add(() -> play(tradeCounter(1, 1, 1), 1));
+        plays.add(() -> play(tradeCounter(3.2, 0.5, 0.05), 1));
+        plays.add(() -> play(tradeCounter(0.4, 2.2, 3.6), 1));
         for (LoadProfile load : loads()) {
             for (double factor : FACTORS) {
                 plays.add(() -> play(load, factor));
--- a/tanagergap-measure/src/main/java/org/tanagergap/measure/placement/PlacementRun.java
+++ b/tanagergap-measure/src/main/java/org/tanagergap/measure/placement/PlacementRun.java
@@ -17,7 +17,6 @@
 import org.tanagergap.decisions.fleet.Placement;
 import org.tanagergap.decisions.fleet.PlacementPolicy;
 import org.tanagergap.decisions.fleet.PlacementRequest;
-import org.tanagergap.decisions.fleet.StreamTargets;
 import org.tanagergap.decisions.fleet.UpstreamCandidate;
 import org.tanagergap.decisions.fleet.UpstreamLoad;
 import org.tanagergap.measure.placement.LoadProfile.RouteLoad;
@@ -196,14 +195,18 @@
         instance.mOthers.placed(nowNanos());
         int parts = 1 + placement.helpers().size();
         double prefill = mLoad.engine().prefillMillis(request.cost().promptTokens()) / parts;
-        StreamTargets targets = StreamTargets.of(asked.interTokenTargetMillis(), asked.loss());
         List<String> used = new ArrayList<>(placement.helpers());
         used.add(placement.upstream());
         for (String id : used) {
             boolean decodes = id.equals(placement.upstream());
             InFlightRequest.Demand demand =
                     new InFlightRequest.Demand(
-                            placement.costAt(id, request.cost()), prefill, decodes, targets);
+                            placement.costAt(id, request.cost()),
+                            prefill,
+                            decodes,
+                            asked.interTokenTargetMillis(),
+                            asked.firstTokenSlackMillis(),
+                            asked.loss());
             request.loads().add(instance.mLoads.begin(id, demand, nowNanos()));
         }
         if (prefill >= ANNOUNCED_PREFILL_MILLIS) {
--- a/tanagergap-measure/src/test/java/org/tanagergap/measure/placement/PlacementRunTests.java
+++ b/tanagergap-measure/src/test/java/org/tanagergap/measure/placement/PlacementRunTests.java
@@ -3,6 +3,7 @@
 import static com.google.common.truth.Truth.assertThat;
 import static com.google.common.truth.Truth.assertWithMessage;
 
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -45,6 +46,15 @@
         assertWithMessage("%s", result).that(result.rejectedShare()).isAtMost(maxRejectedShare);
     }
 
+    /** Parts of long prompts delayed each other, and half of the prompts missed their target. */
+    @Test
+    void longPromptsOfAWaveAreInTime() {
+        PlacementRun.Result result =
+                play(PlacementMeasurement.tradeCounter(0.4, 2.2, 3.6), REPORT_DELAY_MILLIS);
+
+        assertWithMessage("%s", result).that(result.inTime().get("history")).isAtLeast(0.66);
+    }
+
     /** Short streams beside long prefills miss their gaps, so they must stay apart under load. */
     @ParameterizedTest
     @ValueSource(doubles = {1, 1.7})
