Charge a part of a prompt for its share of an engine's time

Cause: each part of a split prompt paid the full cost of its engine's position in the common order, although it takes the engine for a fraction of the prefill, so prompts were split over fewer engines than their targets need.

--- a/tanagergap-decisions/src/main/java/org/tanagergap/decisions/fleet/LongPromptPlanner.java
+++ b/tanagergap-decisions/src/main/java/org/tanagergap/decisions/fleet/LongPromptPlanner.java
@@ -15,7 +15,7 @@
     private static final int[] PART_COUNTS = {1, 2, 3, 4, 6, 8, 12, 16};
 
     /** Cost of each helper engine that prefills a part. */
-    private static final double HELPER_COST = 0.02;
+    private static final double HELPER_COST = 0.01;
 
     private final PlacementRequest mRequest;
     private final EngineOrder mOrder;
@@ -96,7 +96,8 @@
             if (usable.test(engine) && engine.fits(tokensPerHelper)) {
                 double prefill =
                         engine.engine().prefillMillis(mRequest.cost().promptTokens()) / parts;
-                double cost = engine.latencyImpact(prefill) + mOrder.costToLong(i);
+                // A part takes the engine for its share of the prefill only.
+                double cost = engine.latencyImpact(prefill) + mOrder.costToLong(i) / parts;
                 scored.add(new Scored(engine, cost, engine.firstTokenMillis(prefill)));
             }
         }
