Reject invalid responses of upstreams in the gateway

Cause: the HTTP decoder parses a status as any number, and it reports the end of a connection as the end of a body without a length.

Change: ResponseCheck decides whether head and framing form a response. It is used by UpstreamCall and by BufferedCall (liveness checks, reservations, store, peers). A body that ends with its connection is complete only if the whole request had been written. Two handlers beside the decoder reject statuses without three digits and discard informational responses, of which Vert.x handles only 100 and 103. They are attached through the internal class ConnectionBase, as Vert.x has no public access to the pipeline of a client connection. gateway_invalid_responses counts, one warning per second at most.

--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/AttemptObservations.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/AttemptObservations.java
@@ -2,6 +2,7 @@
 
 import com.google.common.flogger.FluentLogger;
 import java.time.Duration;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.tanagergap.api.request.AttemptId;
 import org.tanagergap.decisions.fleet.Placement;
@@ -98,6 +99,17 @@
                 .log("nothing arrived for %d ms: %s", silence.toMillis(), decision);
     }
 
+    /** Counts and logs something that is not a valid response. */
+    void responseInvalid(AttemptId attempt, String fault) {
+        mContext.metrics().counter("gateway_invalid_responses").inc();
+        sLogger.atWarning()
+                .atMostEvery(1, TimeUnit.SECONDS)
+                .with(LogKeys.REQUEST_ID, mLifecycle.exchange().id().value())
+                .with(LogKeys.ATTEMPT_ID, attempt.value())
+                .with(LogKeys.UPSTREAM, mPlacement.upstream())
+                .log("response is invalid: %s", fault);
+    }
+
     /**
      * Records a failure.
      *
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/UpstreamAttempt.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/UpstreamAttempt.java
@@ -183,6 +183,11 @@
         }
     }
 
+    @Override
+    public void responseInvalid(String fault) {
+        mObservations.responseInvalid(mId, fault);
+    }
+
     @Override
     public void failed(CallFailure failure) {
         if (end(failure.kind().code(), failure.execution(), failure.reason())) {
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/UpstreamCall.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/UpstreamCall.java
@@ -10,9 +10,12 @@
 import io.vertx.core.http.RequestOptions;
 import java.time.Duration;
 import java.util.Locale;
+import java.util.Optional;
 import org.tanagergap.decisions.memory.SharedMemoryLimit;
 import org.tanagergap.gateway.wire.UpstreamResponseHead;
 import org.tanagergap.gateway.wire.WireFormat;
+import org.tanagergap.runtime.http.InvalidResponseException;
+import org.tanagergap.runtime.http.ResponseCheck;
 import org.tanagergap.runtime.settings.HostPort;
 
 /**
@@ -44,6 +47,7 @@
     private HttpClientRequest mRequest;
     private BodySender mSender;
     private HttpClientResponse mResponse;
+    private boolean mBodySent;
     private boolean mEnded;
 
     /**
@@ -116,15 +120,15 @@
         }
         request.response()
                 .onSuccess(this::headReceived)
-                .onFailure(failure -> fail(CallFailure.Kind.BROKEN, "no answer: " + failure));
-        request.exceptionHandler(
-                failure -> fail(CallFailure.Kind.BROKEN, "connection failed: " + failure));
+                .onFailure(failure -> connectionFailed("no answer: ", failure));
+        request.exceptionHandler(failure -> connectionFailed("connection failed: ", failure));
         mListener.requestSent();
         mSender = new BodySender(request, body, this::bodySent);
         mSender.start();
     }
 
     private void bodySent() {
+        mBodySent = true;
         if (!mEnded) {
             mListener.bodySent();
         }
@@ -138,6 +142,11 @@
             return;
         }
         mResponse = response;
+        Optional<String> fault = ResponseCheck.headFault(response);
+        if (fault.isPresent()) {
+            invalid(fault.get());
+            return;
+        }
         UpstreamResponseHead head =
                 mWire.parseResponseHead(response.statusCode(), response.headers(), mRequestId);
         mListener.headReceived(head);
@@ -174,6 +183,7 @@
                                 .ifPresent(reason -> fail(CallFailure.Kind.BROKEN, reason)));
         response.endHandler(
                 ignored -> {
+                    checkEnd(response);
                     if (splitter.hasPartialEvent()) {
                         fail(CallFailure.Kind.BROKEN, "the stream ended inside an event");
                     } else if (end()) {
@@ -200,6 +210,7 @@
                 });
         response.endHandler(
                 ignored -> {
+                    checkEnd(response);
                     if (end()) {
                         mMemory.completed();
                         mListener.responseReceived(head, headers, mBody, mMemory::close);
@@ -207,6 +218,11 @@
                 });
     }
 
+    /** Fails the call if the body of its response has ended too soon. */
+    private void checkEnd(HttpClientResponse response) {
+        ResponseCheck.endFault(response, mBodySent).ifPresent(this::invalid);
+    }
+
     private static boolean isEventStream(MultiMap headers) {
         String type = headers.get(HttpHeaders.CONTENT_TYPE);
         return type != null && type.toLowerCase(Locale.ROOT).startsWith(EVENT_STREAM);
@@ -225,6 +241,21 @@
         }
     }
 
+    private void connectionFailed(String prefix, Throwable failure) {
+        if (failure instanceof InvalidResponseException) {
+            invalid(failure.getMessage());
+        } else {
+            fail(CallFailure.Kind.BROKEN, prefix + failure);
+        }
+    }
+
+    private void invalid(String fault) {
+        if (!mEnded) {
+            mListener.responseInvalid(fault);
+            fail(CallFailure.Kind.BROKEN, "invalid answer: " + fault);
+        }
+    }
+
     private void fail(CallFailure.Kind kind, String reason) {
         fail(new CallFailure(kind, reason));
     }
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/UpstreamCallListener.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/UpstreamCallListener.java
@@ -7,7 +7,8 @@
 /**
  * Receives the progress of one call to an upstream: {@code requestSent}, {@code bodySent} and
  * {@code headReceived}, then events and {@code streamEnded}, or {@code responseReceived}, or {@code
- * failed} at any point. Not called after a cancellation.
+ * failed} at any point, after {@code responseInvalid} if what arrived is not a valid response. Not
+ * called after a cancellation.
  */
 interface UpstreamCallListener {
 
@@ -34,6 +35,9 @@
     void responseReceived(
             UpstreamResponseHead head, MultiMap headers, Buffer body, Runnable release);
 
+    /** Called when what has arrived is not a valid response, before the call fails. */
+    void responseInvalid(String fault);
+
     /** Called when the call has failed. */
     void failed(CallFailure failure);
 }
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/UpstreamClients.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/UpstreamClients.java
@@ -28,7 +28,7 @@
         return vertx.httpClientBuilder()
                 .with(options)
                 .with(pool)
-                .withConnectHandler(ClientConnections::logFailures)
+                .withConnectHandler(ClientConnections::checkResponses)
                 .build();
     }
 }
--- a/tanagergap-runtime/src/main/java/org/tanagergap/runtime/http/BufferedCall.java
+++ b/tanagergap-runtime/src/main/java/org/tanagergap/runtime/http/BufferedCall.java
@@ -39,7 +39,7 @@
 
     /**
      * Sends the request with the optional body and reads the complete response. Resets the request
-     * if one of the limits is exceeded.
+     * if one of the limits is exceeded or the response is invalid.
      */
     public static Future<Response> send(
             HttpClientRequest request,
@@ -59,16 +59,20 @@
         // The returned future reports the failure; without a handler Vert.x logs it as unhandled.
         request.exceptionHandler(
                 failure -> sLogger.atFine().log("HTTP request failed: %s", failure));
-        return body.map(request::send)
-                .orElseGet(request::send)
-                .compose(response -> read(response, limits.maxBodyBytes(), onBytes))
+        Future<Void> sent = body.map(request::end).orElseGet(request::end);
+        return request.response()
+                .compose(response -> read(response, sent, limits.maxBodyBytes(), onBytes))
                 .timeout(limits.timeout().toMillis(), TimeUnit.MILLISECONDS)
                 .onFailure(ignored -> request.reset());
     }
 
     private static Future<Response> read(
-            HttpClientResponse response, int maxBodyBytes, Runnable onBytes) {
+            HttpClientResponse response, Future<Void> sent, int maxBodyBytes, Runnable onBytes) {
         onBytes.run();
+        Optional<String> headFault = ResponseCheck.headFault(response);
+        if (headFault.isPresent()) {
+            return Future.failedFuture(invalid(response, headFault.get()));
+        }
         Promise<Response> result = Promise.promise();
         Buffer body = Buffer.buffer();
         response.exceptionHandler(result::tryFail);
@@ -84,8 +88,21 @@
                 });
         response.endHandler(
                 ignored ->
-                        result.tryComplete(
-                                new Response(response.statusCode(), response.headers(), body)));
+                        ResponseCheck.endFault(response, sent.succeeded())
+                                .ifPresentOrElse(
+                                        fault -> result.tryFail(invalid(response, fault)),
+                                        () ->
+                                                result.tryComplete(
+                                                        new Response(
+                                                                response.statusCode(),
+                                                                response.headers(),
+                                                                body))));
         return result.future();
     }
+
+    private static InvalidResponseException invalid(HttpClientResponse response, String fault) {
+        sLogger.atWarning().atMostEvery(1, TimeUnit.SECONDS).log(
+                "response to %s is invalid: %s", response.request().absoluteURI(), fault);
+        return new InvalidResponseException(fault);
+    }
 }
--- /dev/null
+++ b/tanagergap-runtime/src/main/java/org/tanagergap/runtime/http/InformationalResponseFilter.java
@@ -0,0 +1,36 @@
+package org.tanagergap.runtime.http;
+
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
+
+/**
+ * Discards informational responses. The HTTP client of Vert.x takes those other than 100 and 103 as
+ * the final response. 101 is passed on, as what follows it is not HTTP.
+ */
+final class InformationalResponseFilter extends ChannelInboundHandlerAdapter {
+
+    private boolean mDiscarding;
+
+    @Override
+    public void channelRead(ChannelHandlerContext context, Object message) {
+        if (message instanceof HttpResponse response) {
+            HttpResponseStatus status = response.status();
+            mDiscarding =
+                    status.codeClass() == HttpStatusClass.INFORMATIONAL
+                            && status.code() != HttpResponseStatus.SWITCHING_PROTOCOLS.code();
+        }
+        if (!mDiscarding) {
+            context.fireChannelRead(message);
+            return;
+        }
+        if (message instanceof LastHttpContent) {
+            mDiscarding = false;
+        }
+        ReferenceCountUtil.release(message);
+    }
+}
