Reject invalid responses in the agent, the entry and the store client

Plain calls, engine calls and calls of the key-value service use ResponseCheck, and the entry takes its range of statuses from there.

--- a/tanagergap-agent/src/main/java/org/tanagergap/agent/engine/EngineExchange.java
+++ b/tanagergap-agent/src/main/java/org/tanagergap/agent/engine/EngineExchange.java
@@ -1,5 +1,6 @@
 package org.tanagergap.agent.engine;
 
+import io.vertx.core.Future;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpClientRequest;
@@ -14,6 +15,7 @@
 import org.tanagergap.api.failure.Execution;
 import org.tanagergap.api.failure.FailureCode;
 import org.tanagergap.api.failure.RequestFailure;
+import org.tanagergap.runtime.http.ResponseCheck;
 
 /** One HTTP exchange with an engine whose connection can be closed at any time. */
 final class EngineExchange {
@@ -33,6 +35,7 @@
     private final Buffer mBody;
     private HttpClientRequest mRequest;
     private HttpClientResponse mResponse;
+    private Future<Void> mSent = Future.failedFuture("not sent");
     private boolean mPaused;
     private boolean mClosed;
     private boolean mComplete;
@@ -55,7 +58,7 @@
         Consumer<Throwable> once = once(failed);
         send(
                 response ->
-                        ResponseBody.read(response, MAX_BODY_BYTES)
+                        ResponseBody.read(response, mSent, MAX_BODY_BYTES)
                                 .onSuccess(
                                         body -> {
                                             markComplete();
@@ -121,7 +124,8 @@
                 return;
             }
         }
-        request.send(mBody)
+        mSent = request.end(mBody);
+        request.response()
                 .onFailure(failure -> failed.accept(connectionFailure(failure)))
                 .onSuccess(
                         response -> {
@@ -134,7 +138,7 @@
     }
 
     private void readErrorResponse(HttpClientResponse response, Consumer<Throwable> failed) {
-        ResponseBody.read(response, MAX_BODY_BYTES)
+        ResponseBody.read(response, mSent, MAX_BODY_BYTES)
                 .onSuccess(
                         body -> {
                             markComplete();
@@ -153,6 +157,11 @@
             Consumer<String> data,
             Runnable end,
             Consumer<Throwable> failed) {
+        Optional<String> headFault = ResponseCheck.headFault(response);
+        if (headFault.isPresent()) {
+            failed.accept(invalidResponse(headFault.get()));
+            return;
+        }
         synchronized (this) {
             mResponse = response;
         }
@@ -162,8 +171,13 @@
         response.exceptionHandler(failure -> failed.accept(connectionFailure(failure)));
         response.endHandler(
                 ignored -> {
-                    markComplete();
-                    end.run();
+                    Optional<String> endFault = ResponseCheck.endFault(response, mSent.succeeded());
+                    if (endFault.isPresent()) {
+                        failed.accept(invalidResponse(endFault.get()));
+                    } else {
+                        markComplete();
+                        end.run();
+                    }
                 });
         response.handler(lines);
     }
@@ -201,6 +215,13 @@
         }
     }
 
+    private static RequestFailure invalidResponse(String fault) {
+        return RequestFailure.of(
+                FailureCode.UPSTREAM_FAILED,
+                Execution.UNKNOWN,
+                "response of the engine is invalid: " + fault);
+    }
+
     private static RequestFailure connectionFailure(Throwable failure) {
         return RequestFailure.of(
                         FailureCode.UPSTREAM_FAILED,
--- a/tanagergap-agent/src/main/java/org/tanagergap/agent/engine/HttpModelEngine.java
+++ b/tanagergap-agent/src/main/java/org/tanagergap/agent/engine/HttpModelEngine.java
@@ -27,6 +27,7 @@
 import org.tanagergap.decisions.scheduling.EngineRun;
 import org.tanagergap.runtime.async.Futures;
 import org.tanagergap.runtime.http.BufferedCall;
+import org.tanagergap.runtime.http.ClientConnections;
 
 /** Client of a model engine that uses HTTP, JSON and server-sent events. */
 public final class HttpModelEngine implements ModelEngine {
@@ -61,9 +62,18 @@
                         .setConnectTimeout(CONNECT_TIMEOUT_MILLIS)
                         .setKeepAlive(false);
         PoolOptions pool = new PoolOptions().setHttp1MaxSize(MAX_CONNECTIONS);
-        mStreamingClient = vertx.createHttpClient(options, pool);
+        mStreamingClient =
+                vertx.httpClientBuilder()
+                        .with(options)
+                        .with(pool)
+                        .withConnectHandler(ClientConnections::checkResponses)
+                        .build();
         // Uses separate connections, so that cancellations never wait for completions.
-        mControlClient = vertx.createHttpClient(new HttpClientOptions(options));
+        mControlClient =
+                vertx.httpClientBuilder()
+                        .with(new HttpClientOptions(options))
+                        .withConnectHandler(ClientConnections::checkResponses)
+                        .build();
     }
 
     @Override
--- a/tanagergap-agent/src/main/java/org/tanagergap/agent/plain/HttpPlainUpstream.java
+++ b/tanagergap-agent/src/main/java/org/tanagergap/agent/plain/HttpPlainUpstream.java
@@ -3,6 +3,7 @@
 import com.google.protobuf.UnsafeByteOperations;
 import io.smallrye.mutiny.Uni;
 import io.smallrye.mutiny.subscription.UniEmitter;
+import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClient;
@@ -24,6 +25,7 @@
 import org.tanagergap.api.failure.RequestFailure;
 import org.tanagergap.decisions.memory.SharedMemoryLimit;
 import org.tanagergap.protocol.v1.Header;
+import org.tanagergap.runtime.http.ClientConnections;
 
 /** HTTP client of a plain service. */
 public final class HttpPlainUpstream implements PlainUpstream {
@@ -73,7 +75,12 @@
                 new HttpClientOptions()
                         .setConnectTimeout(CONNECT_TIMEOUT_MILLIS)
                         .setKeepAlive(false);
-        mClient = vertx.createHttpClient(options, new PoolOptions().setHttp1MaxSize(concurrency));
+        mClient =
+                vertx.httpClientBuilder()
+                        .with(options)
+                        .with(new PoolOptions().setHttp1MaxSize(concurrency))
+                        .withConnectHandler(ClientConnections::checkResponses)
+                        .build();
     }
 
     @Override
@@ -143,10 +150,11 @@
                     return;
                 }
             }
-            request.send(Buffer.buffer(mCall.body().toByteArray()))
+            Future<Void> sent = request.end(Buffer.buffer(mCall.body().toByteArray()));
+            request.response()
                     .compose(
                             response ->
-                                    ResponseBody.read(response, MAX_RESPONSE_BYTES, mMemory)
+                                    ResponseBody.read(response, sent, MAX_RESPONSE_BYTES, mMemory)
                                             .map(body -> serviceResponse(response, body)))
                     .onSuccess(
                             serviceResponse -> {
--- a/tanagergap-entry/src/main/java/org/tanagergap/entry/caller/PlainResponseWriter.java
+++ b/tanagergap-entry/src/main/java/org/tanagergap/entry/caller/PlainResponseWriter.java
@@ -8,12 +8,11 @@
 import org.tanagergap.protocol.v1.Admitted;
 import org.tanagergap.protocol.v1.Finished;
 import org.tanagergap.protocol.v1.ResponseHead;
+import org.tanagergap.runtime.http.ResponseCheck;
 
 /** Sends the response of a plain service to its caller. */
 final class PlainResponseWriter implements ResponseSink {
 
-    private static final int MIN_STATUS = 200;
-    private static final int MAX_STATUS = 599;
     private static final int BAD_GATEWAY = 502;
 
     private final CallerCall mCall;
@@ -42,7 +41,7 @@
         mStarted = true;
         HttpServerResponse response = mCall.response();
         int status = head.getStatus();
-        response.setStatusCode(status < MIN_STATUS || status > MAX_STATUS ? BAD_GATEWAY : status);
+        response.setStatusCode(ResponseCheck.isFinalStatus(status) ? status : BAD_GATEWAY);
         head.getHeadersList().stream()
                 .filter(h -> ForwardedHeaders.isForwardedToCaller(h.getName()))
                 .forEach(h -> response.headers().add(h.getName(), h.getValue()));
--- a/tanagergap-platform/src/main/java/org/tanagergap/platform/keyvalue/HttpKeyValueStore.java
+++ b/tanagergap-platform/src/main/java/org/tanagergap/platform/keyvalue/HttpKeyValueStore.java
@@ -27,6 +27,7 @@
 import java.util.function.Consumer;
 import java.util.function.Function;
 import org.tanagergap.runtime.async.Futures;
+import org.tanagergap.runtime.http.ResponseCheck;
 import org.tanagergap.runtime.log.MalformedItemLog;
 import org.tanagergap.runtime.metrics.MetricName;
 import org.tanagergap.runtime.settings.HostPort;
@@ -156,16 +157,21 @@
     }
 
     private Future<JsonObject> exchange(HttpClientRequest request, String path, JsonObject body) {
-        return request.send(body.toBuffer())
-                .compose(response -> read(response, path))
+        Future<Void> sent = request.end(body.toBuffer());
+        return request.response()
+                .compose(response -> read(response, sent, path))
                 .timeout(mTimeout.toMillis(), TimeUnit.MILLISECONDS)
                 .onFailure(ignored -> request.reset());
     }
 
-    private static Future<JsonObject> read(HttpClientResponse response, String path) {
+    private static Future<JsonObject> read(
+            HttpClientResponse response, Future<Void> sent, String path) {
         return response.body()
                 .map(
                         buffer -> {
+                            ResponseCheck.headFault(response)
+                                    .or(() -> ResponseCheck.endFault(response, sent.succeeded()))
+                                    .ifPresent(HttpKeyValueStore::throwInvalid);
                             if (response.statusCode() != HTTP_OK) {
                                 throw statusFailure(response.statusCode(), path, buffer);
                             }
@@ -173,6 +179,10 @@
                         });
     }
 
+    private static void throwInvalid(String fault) {
+        throw new IllegalStateException("response is invalid: " + fault);
+    }
+
     /** A call rejected with a client error was not applied, except after a request timeout. */
     private static KeyValueException statusFailure(int status, String path, Buffer body) {
         boolean notApplied =
