--- a/tanagergap-agent/src/test/java/org/tanagergap/agent/InvalidResponseTests.java
+++ b/tanagergap-agent/src/test/java/org/tanagergap/agent/InvalidResponseTests.java
@@ -128,6 +128,21 @@
         assertUnknown(call.start(this, "lids"));
     }
 
+    /** A status below 300 means that the engine has cancelled the run. */
+    @ParameterizedTest
+    @ValueSource(strings = {"000", "099", "20"})
+    void aCancellationWithAnInvalidStatusIsAFailure(String status) {
+        mScript =
+                socket ->
+                        socket.end(
+                                Buffer.buffer(
+                                        "HTTP/1.1 " + status + " S\r\nContent-Length: 0\r\n\r\n"));
+        HttpModelEngine engine = new HttpModelEngine(mUpstream.vertx(), mUpstream.url());
+
+        assertThrows(
+                Exception.class, () -> engine.cancel(new AttemptId("a.1")).await().atMost(TIMEOUT));
+    }
+
     @ParameterizedTest
     @ValueSource(longs = {0, 1, 60})
     void aResponseWithoutLengthIsIncompleteWhenItsConnectionIsResetDuringTheUpload(long millis) {
