Issue permits for upstreams that are cold after their start

Cause: an upstream that has just started crashes above the rate that it bears, and nothing limited its requests. Instances that hear from each other use at most half of the bound, and less if they are fewer than half of all. The gateway does not use it yet.

--- a/tanagergap-decisions/src/main/java/org/tanagergap/decisions/ratelimit/PermitIssuer.java
+++ b/tanagergap-decisions/src/main/java/org/tanagergap/decisions/ratelimit/PermitIssuer.java
@@ -61,6 +61,16 @@
         void granted(String instance, String upstream, PermitGrant grant);
     }
 
+    /**
+     * Returns the highest rate at which no more permits than allowed are issued within the time,
+     * with those that the bucket holds at its start; 0 if not even one permit is allowed.
+     */
+    static double rateWithin(double allowed, double seconds) {
+        double rate = allowed / (seconds + BURST_SECONDS);
+        // The bucket holds one permit at least.
+        return BURST_SECONDS * rate >= 1 ? rate : Math.max(0, (allowed - 1) / seconds);
+    }
+
     /** Records that an instance requests permits; replaces its earlier request. */
     void request(String instance, String upstream, int permits, long nowNanos) {
         Bucket bucket = mBuckets.computeIfAbsent(upstream, ignored -> new Bucket());
--- a/tanagergap-decisions/src/main/java/org/tanagergap/decisions/ratelimit/PermitPool.java
+++ b/tanagergap-decisions/src/main/java/org/tanagergap/decisions/ratelimit/PermitPool.java
@@ -69,9 +69,9 @@
         permits.mUsedNanos.addLast(nowNanos);
     }
 
-    void add(String upstream, PermitGrant grant, long nowNanos) {
+    void add(String upstream, PermitGrant grant, Duration lifetime, long nowNanos) {
         Permits permits = permits(upstream);
-        long expiryNanos = nowNanos + PERMIT_LIFETIME.toNanos();
+        long expiryNanos = nowNanos + lifetime.toNanos();
         for (int i = 0; i < Math.min(MAX_REQUESTED, grant.permits()); i++) {
             permits.mExpiryNanos.addLast(expiryNanos);
         }
--- a/tanagergap-decisions/src/main/java/org/tanagergap/decisions/ratelimit/SharedRateLimits.java
+++ b/tanagergap-decisions/src/main/java/org/tanagergap/decisions/ratelimit/SharedRateLimits.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.Set;
 import org.tanagergap.decisions.routing.RendezvousHash;
@@ -18,6 +19,10 @@
  * permits last, and begins without permits, so that a change of the issuer does not exceed the
  * limit. An upstream whose issuer is lost gets no requests for that time. Upstreams are named by
  * their incarnation, because a limit ends with it. Confined to the event loop.
+ *
+ * <p>A cold upstream has a further limit, with permits of its own. Instances that hear from each
+ * other use at most half of what it bears, and less if they are fewer than half of all instances,
+ * so that groups that do not hear from each other keep the bound together.
  */
 public final class SharedRateLimits {
 
@@ -36,12 +41,17 @@
      */
     private static final double MAX_SIMILAR_RATIO = 1.5;
 
+    /** Prefix for the permits of a cold upstream; identifiers of upstreams contain no space. */
+    private static final String COLD = "cold ";
+
     private final String mId;
     private final long mStartNanos;
     private final AdvertisedRateLimits mLimits = new AdvertisedRateLimits();
     private final PermitIssuer mIssuer = new PermitIssuer();
     private final PermitPool mPool = new PermitPool();
+    private final ColdPeriods mCold = new ColdPeriods();
     private final Listener mListener;
+    private double mShare = ColdPeriods.MAX_SHARE;
 
     /** Receives changes of limits and permits. */
     public interface Listener {
@@ -74,6 +84,46 @@
         }
     }
 
+    /**
+     * Records how long an upstream stays cold.
+     *
+     * @param remaining zero if it is warm
+     * @param limit what it bears while it is cold; empty if that is not restricted
+     * @param fromResponse true if a response said so, and not the entry in the store
+     */
+    public void coldObserved(
+            String upstream,
+            Duration remaining,
+            Optional<ColdStartLimit> limit,
+            boolean fromResponse,
+            long nowNanos) {
+        if (mCold.observe(COLD + upstream, remaining, limit, fromResponse, nowNanos)) {
+            // Permits issued when it was warm would exceed the limit.
+            mPool.discard(COLD + upstream);
+            mIssuer.add(COLD + upstream);
+        }
+    }
+
+    /** Replaces what an upstream bears while it is cold. */
+    public void coldLimitChanged(String upstream, Optional<ColdStartLimit> limit) {
+        mCold.setLimit(COLD + upstream, limit);
+    }
+
+    /** Returns how long the upstream stays cold; empty if it is warm or bears any load. */
+    public Optional<Duration> coldRemaining(String upstream, long nowNanos) {
+        return mCold.isEmpty() ? Optional.empty() : mCold.remaining(COLD + upstream, nowNanos);
+    }
+
+    /** Returns true if the upstream is cold, or was until recently and gets its load in steps. */
+    public boolean isColdLimited(String upstream, long nowNanos) {
+        return !mCold.isEmpty() && mCold.isLimited(COLD + upstream, nowNanos);
+    }
+
+    /** Returns true if permits have to be exchanged. */
+    public boolean isActive() {
+        return !mLimits.limits().isEmpty() || !mCold.isEmpty();
+    }
+
     /** Accepts what another instance knows. */
     public void accept(Map<String, RateLimitObservation> observations, long nowNanos) {
         observations.forEach(
@@ -123,7 +173,10 @@
 
     /** Returns true if a request may be sent to the upstream now; otherwise requests a permit. */
     public boolean maySend(String upstream, long nowNanos) {
-        return !isLimited(upstream) || mPool.isAvailable(upstream, nowNanos);
+        boolean allowed = !isLimited(upstream) || mPool.isAvailable(upstream, nowNanos);
+        boolean allowedIfCold =
+                !isColdLimited(upstream, nowNanos) || mPool.isAvailable(COLD + upstream, nowNanos);
+        return allowed && allowedIfCold;
     }
 
     /** Records that a request is sent to the upstream. */
@@ -131,6 +184,9 @@
         if (isLimited(upstream)) {
             mPool.use(upstream, nowNanos);
         }
+        if (isColdLimited(upstream, nowNanos)) {
+            mPool.use(COLD + upstream, nowNanos);
+        }
     }
 
     /**
@@ -138,8 +194,17 @@
      * the whole limit as long as the issuer has not told the share of this instance.
      */
     public OptionalDouble expectedPerSecond(String upstream, long nowNanos) {
-        OptionalDouble limit = issuedPerSecond(upstream);
-        OptionalDouble expected = mPool.expectedPerSecond(upstream, nowNanos);
+        OptionalDouble advertised = expectedPermits(upstream, nowNanos);
+        if (!isColdLimited(upstream, nowNanos)) {
+            return advertised;
+        }
+        double cold = expectedPermits(COLD + upstream, nowNanos).orElse(0);
+        return OptionalDouble.of(Math.min(cold, advertised.orElse(cold)));
+    }
+
+    private OptionalDouble expectedPermits(String name, long nowNanos) {
+        OptionalDouble limit = issuedPerSecond(name, nowNanos);
+        OptionalDouble expected = mPool.expectedPerSecond(name, nowNanos);
         return limit.isPresent() && expected.isPresent() ? expected : limit;
     }
 
@@ -153,7 +218,7 @@
     public void requested(String instance, Map<String, Integer> permits, long nowNanos) {
         permits.forEach(
                 (upstream, count) -> {
-                    if (isLimited(upstream)) {
+                    if (issuedPerSecond(upstream, nowNanos).isPresent()) {
                         mIssuer.request(instance, upstream, count, nowNanos);
                     }
                 });
@@ -163,8 +228,12 @@
     public void granted(Map<String, PermitGrant> grants, long nowNanos) {
         boolean usable = false;
         for (Map.Entry<String, PermitGrant> grant : grants.entrySet()) {
-            if (isLimited(grant.getKey())) {
-                mPool.add(grant.getKey(), grant.getValue(), nowNanos);
+            String name = grant.getKey();
+            boolean advertised = isLimited(name);
+            if (advertised || mCold.isLimited(name, nowNanos)) {
+                Duration lifetime =
+                        advertised ? PermitPool.PERMIT_LIFETIME : ColdPeriods.PERMIT_LIFETIME;
+                mPool.add(name, grant.getValue(), lifetime, nowNanos);
                 usable |= grant.getValue().permits() > 0;
             }
         }
@@ -178,13 +247,16 @@
      * a request for permits.
      *
      * @param silence time since the last report of each other instance
+     * @param count number of instances that exist, also of those that are not heard
      * @return messages for the other instances
      */
-    public PermitMessages exchange(Map<String, Duration> silence, long nowNanos) {
-        if (mLimits.isEmpty()) {
+    public PermitMessages exchange(Map<String, Duration> silence, int count, long nowNanos) {
+        mCold.expire(nowNanos);
+        if (mLimits.isEmpty() && mCold.isEmpty()) {
             return PermitMessages.NONE;
         }
         Set<String> instances = instances(silence);
+        mShare = instances.size() / (double) Math.max(count, instances.size());
         Map<String, Map<String, Integer>> requests = requests(instances, nowNanos);
         Map<String, Integer> own = requests.remove(mId);
         if (own != null) {
@@ -216,7 +288,7 @@
         mIssuer.issue(
                 upstream ->
                         established && issuer(upstream, instances).equals(mId)
-                                ? issuedPerSecond(upstream)
+                                ? issuedPerSecond(upstream, nowNanos)
                                 : OptionalDouble.empty(),
                 (instance, upstream, grant) ->
                         grants.computeIfAbsent(instance, ignored -> new HashMap<>())
@@ -225,11 +297,11 @@
         return grants;
     }
 
-    private OptionalDouble issuedPerSecond(String upstream) {
+    private OptionalDouble issuedPerSecond(String upstream, long nowNanos) {
         OptionalDouble limit = mLimits.limit(upstream);
         return limit.isPresent()
                 ? OptionalDouble.of(Math.max(MIN_REQUESTS_PER_SECOND, limit.getAsDouble()))
-                : limit;
+                : mCold.issuedPerSecond(upstream, mShare, nowNanos);
     }
 
     private Set<String> instances(Map<String, Duration> silence) {
--- a/tanagergap-decisions/src/test/java/org/tanagergap/decisions/ratelimit/SimulatedInstances.java
+++ b/tanagergap-decisions/src/test/java/org/tanagergap/decisions/ratelimit/SimulatedInstances.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.Random;
 import java.util.function.IntPredicate;
@@ -30,6 +31,8 @@
     private RateLimitNotice mNotice = UNLIMITED;
     private int mStarted;
     private boolean mPreferOthers;
+    private int mGroups = 1;
+    private int mRequestsPerStep = 1;
     private long mStep;
 
     private record Message(long step, Instance recipient, Runnable delivery) {}
@@ -38,7 +41,8 @@
     record Arrival(long nanos, String instance) {}
 
     final class Instance {
-        private final String mId = "instance-" + mStarted++;
+        private final int mNumber = mStarted++;
+        private final String mId = "instance-" + mNumber;
         private final SharedRateLimits mLimits =
                 new SharedRateLimits(mId, new NoListener(), nanos());
         private final Map<String, Long> mHeardNanos = new HashMap<>();
@@ -59,13 +63,18 @@
         }
 
         private void exchange() {
-            PermitMessages messages = mLimits.exchange(silence(), nanos());
+            PermitMessages messages = mLimits.exchange(silence(), mInstances.size(), nanos());
             messages.requests()
                     .forEach(
                             (id, permits) ->
-                                    send(id, to -> to.mLimits.requested(mId, permits, nanos())));
+                                    send(
+                                            this,
+                                            id,
+                                            to -> to.mLimits.requested(mId, permits, nanos())));
             messages.grants()
-                    .forEach((id, grants) -> send(id, to -> to.mLimits.granted(grants, nanos())));
+                    .forEach(
+                            (id, grants) ->
+                                    send(this, id, to -> to.mLimits.granted(grants, nanos())));
         }
 
         private void report() {
@@ -73,6 +82,7 @@
             for (Instance other : mInstances) {
                 if (other != this) {
                     send(
+                            this,
                             other.mId,
                             to -> {
                                 to.mHeardNanos.put(mId, nanos());
@@ -86,7 +96,7 @@
             if (!mLimits.maySend(UPSTREAM, nanos()) || mPreferOthers) {
                 return false;
             }
-            if (mLimits.isLimited(UPSTREAM)) {
+            if (mLimits.isLimited(UPSTREAM) || mLimits.isColdLimited(UPSTREAM, nanos())) {
                 mArrivals.add(new Arrival(nanos(), mId));
             }
             mLimits.sent(UPSTREAM, nanos());
@@ -145,6 +155,23 @@
         mPreferOthers = preferOthers;
     }
 
+    /** Splits the instances into groups that do not hear from each other. */
+    void split(int groups) {
+        mGroups = groups;
+    }
+
+    /** Sets how many requests an instance has in a step in which it has any. */
+    void requestsPerStep(int requests) {
+        mRequestsPerStep = requests;
+    }
+
+    /** Makes the entry of the upstream say how long it stays cold. */
+    void cold(Duration remaining, ColdStartLimit limit) {
+        for (Instance instance : mInstances) {
+            instance.mLimits.coldObserved(UPSTREAM, remaining, Optional.of(limit), false, nanos());
+        }
+    }
+
     void advertiseNothing() {
         advertise(UNLIMITED);
     }
@@ -170,7 +197,8 @@
                 if (instance.mFrozen) {
                     continue;
                 }
-                if (hasRequest.test(i) && instance.sendRequest()) {
+                int requests = hasRequest.test(i) ? mRequestsPerStep : 0;
+                for (int request = 0; request < requests && instance.sendRequest(); request++) {
                     sent++;
                 }
                 if ((mStep + i) % REPORT_STEPS == 0) {
@@ -198,13 +226,14 @@
         return largest;
     }
 
-    private void send(String recipient, Delivery delivery) {
+    private void send(Instance sender, String recipient, Delivery delivery) {
         if (mRandom.nextDouble() < mLoss) {
             return;
         }
         long step = mStep + 1 + mRandom.nextInt(MAX_DELAY_STEPS);
         mInstances.stream()
                 .filter(instance -> instance.mId.equals(recipient))
+                .filter(instance -> (instance.mNumber - sender.mNumber) % mGroups == 0)
                 .findFirst()
                 .ifPresent(to -> mMessages.add(new Message(step, to, () -> delivery.deliver(to))));
     }
