Limit the requests to engines that have just started

Cause: the gateway ignored ColdLeftMs, ColdS and ColdPerS, so an engine that had just started could receive any number of requests and crash. Requests to a cold engine need a permit of its issuer. Warm engines are preferred; if all are cold, requests that would wait too long are refused with the wait as Retry-After.

--- a/tanagergap-decisions/src/main/java/org/tanagergap/decisions/ratelimit/ColdPeriods.java
+++ b/tanagergap-decisions/src/main/java/org/tanagergap/decisions/ratelimit/ColdPeriods.java
@@ -66,6 +66,7 @@
             Optional<ColdStartLimit> limit,
             boolean fromResponse,
             long nowNanos) {
+        expire(nowNanos);
         Period period = mPeriods.get(upstream);
         if (period == null) {
             if (remaining.isZero()) {
@@ -136,8 +137,8 @@
                 Math.min(
                         limit.requestsPerSecond(),
                         PermitIssuer.rateWithin(allowed, USABLE_SECONDS));
-        long step = Math.max(-1, Math.min(STEPS - 1, limited.get().step(nowNanos)));
-        return OptionalDouble.of(perSecond * (1L << (step + 1)));
+        long step = Math.min(STEPS - 1, limited.get().step(nowNanos));
+        return OptionalDouble.of(step < 0 ? perSecond : Math.max(1, perSecond) * (2L << step));
     }
 
     /** Discards periods that have ended long ago. */
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/GatewayCommand.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/GatewayCommand.java
@@ -21,6 +21,7 @@
     private static final long MAX_MILLIS = 3_600_000;
     private static final long MAX_SECONDS = 3_600;
     private static final int MAX_RETRIES = 1_000_000;
+    private static final double MAX_COLD_RATE = 1_000_000;
 
     @Option(name = "--id", title = "name", description = "Unique name of this instance")
     String mId;
@@ -106,6 +107,19 @@
             description = "Window in which retries are counted")
     String mRetryWindowS;
 
+    @Option(
+            name = "--cold-rate-factor",
+            title = "factor",
+            description =
+                    "Requests that a cold upstream may receive in a second, relative to its rate")
+    String mColdRateFactor;
+
+    @Option(
+            name = "--cold-rate-extra",
+            title = "number",
+            description = "Further requests that a cold upstream may receive in a second")
+    String mColdRateExtra;
+
     private GatewaySettings mSettings;
 
     /** Creates the components that connect the gateway with its platform. */
@@ -163,7 +177,12 @@
                 reader.millis("--drain-ms", mDrainMs, "3000", 0, MAX_MILLIS),
                 reader.seconds("--grace-s", mGraceS, "8", 0, MAX_SECONDS),
                 reservationLimits(reader),
-                retryBudget(reader));
+                retryBudget(reader),
+                new ColdRateSettings(
+                        reader.decimal(
+                                "--cold-rate-factor", mColdRateFactor, "1", 0, MAX_COLD_RATE),
+                        reader.decimal(
+                                "--cold-rate-extra", mColdRateExtra, "0", 0, MAX_COLD_RATE)));
     }
 
     private ReservationLimits reservationLimits(SettingsReader reader) {
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/GatewayFleetListener.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/GatewayFleetListener.java
@@ -1,5 +1,6 @@
 package org.tanagergap.gateway;
 
+import java.time.Duration;
 import org.tanagergap.decisions.fleet.UpstreamHealth;
 import org.tanagergap.gateway.caller.GatewayCallerServer;
 import org.tanagergap.gateway.configuration.GatewayConfiguration;
@@ -36,8 +37,14 @@
         forwarder.upstreamUnavailable(upstream);
     }
 
+    @Override
+    public void coldRemaining(Upstream upstream, Duration remaining) {
+        rateLimits.coldObserved(upstream, remaining, false);
+    }
+
     @Override
     public void configurationChanged(GatewayConfiguration configuration) {
+        rateLimits.configurationChanged();
         callers.configurationChanged();
         forwarder.fleetChanged();
     }
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/GatewayService.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/GatewayService.java
@@ -162,7 +162,17 @@
     }
 
     private RateLimitGate rateLimits(MetricRegistry metrics) {
-        return new RateLimitGate(mClock, mSettings.id(), mView, metrics);
+        ColdRateSettings cold = mSettings.coldRate();
+        RateLimitGate gate =
+                new RateLimitGate(
+                        mClock,
+                        mSettings.id(),
+                        mView,
+                        metrics,
+                        perSecond -> cold.factor() * perSecond + cold.extra());
+        metrics.register(
+                "gateway_cold_upstreams", (Gauge<Integer>) () -> gate.coldRemaining().size());
+        return gate;
     }
 
     private RetryBudgets retryBudgets(PeerDirectory directory) {
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/GatewayStatus.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/GatewayStatus.java
@@ -62,9 +62,12 @@
         quarantine.parts().forEach((part, left) -> quarantined.put(part, left.toMillis()));
         JsonObject limits = new JsonObject();
         rateLimits.limits().forEach(limits::put);
+        JsonObject cold = new JsonObject();
+        rateLimits.coldRemaining().forEach((id, left) -> cold.put(id, left.toMillis()));
         return json.put("upstreams", upstreams)
                 .put("evacuated", new JsonArray(List.copyOf(view.evacuatedDomains())))
                 .put("rate_limits_per_second", limits)
+                .put("cold_ms", cold)
                 .put("quarantined_prompt_parts_ms", quarantined);
     }
 
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/CandidateSource.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/CandidateSource.java
@@ -1,9 +1,14 @@
 package org.tanagergap.gateway.forward;
 
+import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
+import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.Set;
+import java.util.function.Predicate;
+import org.tanagergap.decisions.fleet.DispatchForecast;
 import org.tanagergap.decisions.fleet.UpstreamCandidate;
 import org.tanagergap.gateway.configuration.ServiceTarget;
 import org.tanagergap.gateway.membership.Upstream;
@@ -17,12 +22,28 @@
         mContext = context;
     }
 
+    /** Lists the warm upstreams that may receive a request now. */
     List<UpstreamCandidate> candidates(ServiceTarget service, Set<String> excluded) {
+        return candidates(service, excluded, upstream -> !isColdLimited(upstream));
+    }
+
+    /** Lists the cold upstreams that may receive a request now; requests permits for the others. */
+    List<UpstreamCandidate> coldCandidates(ServiceTarget service, Set<String> excluded) {
+        return candidates(service, excluded, this::isColdLimited);
+    }
+
+    private boolean isColdLimited(Upstream upstream) {
+        return mContext.rateLimits().isColdLimited(upstream);
+    }
+
+    private List<UpstreamCandidate> candidates(
+            ServiceTarget service, Set<String> excluded, Predicate<Upstream> included) {
         long now = mContext.clock().nanoTime();
         List<UpstreamCandidate> candidates = new ArrayList<>();
         for (Upstream upstream : mContext.view().usable(service.name())) {
             boolean usable = mContext.health().isUsable(upstream.id(), now);
             if (usable
+                    && included.test(upstream)
                     && !excluded.contains(upstream.id())
                     && mContext.rateLimits().maySend(upstream)) {
                 candidates.add(candidate(service, upstream, now));
@@ -42,11 +63,27 @@
                 mContext.rateLimits().isLimited(upstream));
     }
 
+    /** Returns the time until that many requests may be sent, if all upstreams limit their rate. */
+    Optional<Duration> permitWait(ServiceTarget service, int requests) {
+        OptionalDouble perSecond = limitedPerSecond(service);
+        if (perSecond.isEmpty()) {
+            return Optional.empty();
+        }
+        Duration wait = DispatchForecast.predictedWait(requests, perSecond.getAsDouble());
+        // An upstream that becomes warm takes more at once.
+        return mContext.view().usable(service.name()).stream()
+                .filter(upstream -> !mContext.rateLimits().isAdvertised(upstream))
+                .flatMap(upstream -> mContext.rateLimits().coldRemaining(upstream).stream())
+                .min(Comparator.naturalOrder())
+                .filter(remaining -> remaining.compareTo(wait) < 0)
+                .or(() -> Optional.of(wait));
+    }
+
     /**
      * Returns the rate at which this instance can expect to send requests to the service, if all
-     * its upstreams advertise rate limits; empty otherwise.
+     * its upstreams have rate limits; empty otherwise.
      */
-    OptionalDouble limitedPerSecond(ServiceTarget service) {
+    private OptionalDouble limitedPerSecond(ServiceTarget service) {
         double perSecond = 0;
         List<Upstream> upstreams = mContext.view().usable(service.name());
         for (Upstream upstream : upstreams) {
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/Dispatcher.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/Dispatcher.java
@@ -7,7 +7,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalDouble;
 import java.util.Set;
 import org.tanagergap.api.failure.FailureCode;
 import org.tanagergap.api.failure.RequestFailure;
@@ -15,10 +14,12 @@
 import org.tanagergap.decisions.fleet.DispatchForecast;
 import org.tanagergap.decisions.fleet.Placement;
 import org.tanagergap.decisions.fleet.PlacementPolicy;
+import org.tanagergap.decisions.fleet.PlacementRequest;
 import org.tanagergap.decisions.fleet.UpstreamCandidate;
 import org.tanagergap.decisions.fleet.WaitingQueue;
 import org.tanagergap.decisions.fleet.WaitingRequest;
 import org.tanagergap.gateway.caller.GatewayRequest;
+import org.tanagergap.gateway.configuration.ServiceTarget;
 
 /**
  * Chooses the upstream for each request to a service and queues requests while all upstreams are
@@ -74,10 +75,17 @@
 
     /** Chooses an upstream that is not excluded and can take the request now. */
     Optional<Placement> chooseElsewhere(RequestLifecycle lifecycle, Set<String> excluded) {
-        List<UpstreamCandidate> candidates =
-                mCandidates.candidates(lifecycle.request().service(), excluded);
+        ServiceTarget service = lifecycle.request().service();
         double unreported = mContext.placements().unreported(mContext.clock().nanoTime());
-        return mPolicy.choose(lifecycle.times().placementRequest(unreported), candidates);
+        PlacementRequest request = lifecycle.times().placementRequest(unreported);
+        Optional<Placement> placement =
+                mPolicy.choose(request, mCandidates.candidates(service, excluded));
+        if (placement.isPresent()) {
+            return placement;
+        }
+        // Cold upstreams are slow, and their permits are not requested while others have capacity.
+        List<UpstreamCandidate> cold = mCandidates.coldCandidates(service, excluded);
+        return cold.isEmpty() ? placement : mPolicy.choose(request, cold);
     }
 
     /** Removes a request from the queue. */
@@ -180,10 +188,7 @@
 
     /** Returns the time until that many requests may be sent, if all upstreams limit their rate. */
     private Optional<Duration> permitWait(GatewayRequest request, int requests) {
-        OptionalDouble perSecond = mCandidates.limitedPerSecond(request.service());
-        return perSecond.isPresent()
-                ? Optional.of(DispatchForecast.predictedWait(requests, perSecond.getAsDouble()))
-                : Optional.empty();
+        return mCandidates.permitWait(request.service(), requests);
     }
 
     private static String tooLong(Duration wait) {
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/RateLimitGate.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/RateLimitGate.java
@@ -5,23 +5,28 @@
 import com.google.common.flogger.FluentLogger;
 import java.time.Duration;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.Set;
+import java.util.function.DoubleUnaryOperator;
 import java.util.stream.Collectors;
 import org.tanagergap.api.time.RuntimeClock;
+import org.tanagergap.decisions.ratelimit.ColdStartLimit;
 import org.tanagergap.decisions.ratelimit.PermitGrant;
 import org.tanagergap.decisions.ratelimit.PermitMessages;
 import org.tanagergap.decisions.ratelimit.RateLimitNotice;
 import org.tanagergap.decisions.ratelimit.RateLimitObservation;
 import org.tanagergap.decisions.ratelimit.SharedRateLimits;
+import org.tanagergap.gateway.configuration.ServiceTarget;
 import org.tanagergap.gateway.membership.FleetView;
 import org.tanagergap.gateway.membership.Upstream;
 import org.tanagergap.runtime.log.LogKeys;
 
 /**
- * Applies the rate limits that upstreams advertise to the requests of this instance. Confined to
- * the event loop.
+ * Applies the rate limits that upstreams advertise, and those of cold upstreams, to the requests of
+ * this instance. Confined to the event loop.
  */
 public final class RateLimitGate {
 
@@ -33,6 +38,11 @@
     private final Counter mChanges;
     private final Counter mPermitsUsed;
     private final Counter mPermitsMissing;
+    private final DoubleUnaryOperator mColdBound;
+
+    /** Incarnations whose cold period was logged, and its end was not. */
+    private final Set<String> mCold = new HashSet<>();
+
     private Listener mListener = new NoListener();
 
     /** Receives what the exchange with other instances depends on. */
@@ -49,10 +59,18 @@
      * Creates a gate that knows of no limit.
      *
      * @param id identifier of this instance
+     * @param coldBound requests that a cold upstream may receive in a second from all instances, by
+     *     the rate that it sustains
      */
-    public RateLimitGate(RuntimeClock clock, String id, FleetView view, MetricRegistry metrics) {
+    public RateLimitGate(
+            RuntimeClock clock,
+            String id,
+            FleetView view,
+            MetricRegistry metrics,
+            DoubleUnaryOperator coldBound) {
         mClock = clock;
         mView = view;
+        mColdBound = coldBound;
         mLimits = new SharedRateLimits(id, new Changes(), clock.nanoTime());
         mChanges = metrics.counter("gateway_rate_limit_changes");
         mPermitsUsed = metrics.counter("gateway_permits_used");
@@ -82,12 +100,95 @@
     }
 
     boolean isLimited(Upstream upstream) {
+        return isAdvertised(upstream) || isColdLimited(upstream);
+    }
+
+    /** Returns true if the upstream itself has advertised a rate limit. */
+    boolean isAdvertised(Upstream upstream) {
         return mLimits.isLimited(upstream.incarnation());
     }
 
+    /** Returns true if the upstream is cold, or was until recently and gets its load in steps. */
+    boolean isColdLimited(Upstream upstream) {
+        return mLimits.isColdLimited(upstream.incarnation(), mClock.nanoTime());
+    }
+
+    /**
+     * Records how long an upstream stays cold.
+     *
+     * @param fromResponse true if a response said so, and not the entry in the store
+     */
+    public void coldObserved(Upstream upstream, Duration remaining, boolean fromResponse) {
+        String incarnation = upstream.incarnation();
+        Optional<ColdStartLimit> limit = coldLimit(upstream);
+        mLimits.coldObserved(incarnation, remaining, limit, fromResponse, mClock.nanoTime());
+        if (coldRemaining(incarnation).isPresent() && mCold.add(incarnation)) {
+            sLogger.atInfo()
+                    .with(LogKeys.UPSTREAM, upstream.id())
+                    .log(
+                            "upstream is cold for %d ms and bears %s requests per second",
+                            remaining.toMillis(), limit.get().requestsPerSecond());
+            mListener.exchangeNeeded();
+        }
+        logEnds();
+    }
+
+    private Optional<ColdStartLimit> coldLimit(Upstream upstream) {
+        return mView.configuration()
+                .flatMap(configuration -> configuration.service(upstream.service()))
+                .flatMap(ServiceTarget::coldStart)
+                .map(
+                        cold ->
+                                new ColdStartLimit(
+                                        cold.duration(),
+                                        cold.requestsPerSecond(),
+                                        mColdBound.applyAsDouble(cold.requestsPerSecond())));
+    }
+
+    private Optional<Duration> coldRemaining(String incarnation) {
+        return mLimits.coldRemaining(incarnation, mClock.nanoTime());
+    }
+
+    /** Returns how long the upstream stays cold; empty if it is warm or bears any load. */
+    Optional<Duration> coldRemaining(Upstream upstream) {
+        return coldRemaining(upstream.incarnation());
+    }
+
+    /** Returns how long upstreams stay cold, by identifier. */
+    public Map<String, Duration> coldRemaining() {
+        Map<String, Duration> remaining = new HashMap<>();
+        for (Upstream upstream : mView.upstreams()) {
+            coldRemaining(upstream).ifPresent(time -> remaining.put(upstream.id(), time));
+        }
+        return remaining;
+    }
+
+    private void logEnds() {
+        mCold.removeIf(
+                incarnation -> {
+                    boolean ended = coldRemaining(incarnation).isEmpty();
+                    if (ended) {
+                        sLogger.atInfo()
+                                .with(LogKeys.UPSTREAM, incarnation)
+                                .log("upstream is no longer cold, its load returns in steps");
+                    }
+                    return ended;
+                });
+    }
+
+    /** Applies what the new configuration says about cold upstreams. */
+    public void configurationChanged() {
+        mView.upstreams().forEach(u -> mLimits.coldLimitChanged(u.incarnation(), coldLimit(u)));
+    }
+
+    /** Returns true if permits have to be exchanged. */
+    public boolean isActive() {
+        return mLimits.isActive();
+    }
+
     /**
      * Returns the rate at which this instance can expect to send requests to the upstream; empty if
-     * it advertises no limit.
+     * it has no limit.
      */
     OptionalDouble expectedPerSecond(Upstream upstream) {
         return mLimits.expectedPerSecond(upstream.incarnation(), mClock.nanoTime());
@@ -140,10 +241,12 @@
      * Requests and issues permits.
      *
      * @param silence time since the last report of each peer
+     * @param instances number of instances that exist, also of those that are not heard
      * @return messages for peers
      */
-    public PermitMessages exchange(Map<String, Duration> silence) {
-        return mLimits.exchange(silence, mClock.nanoTime());
+    public PermitMessages exchange(Map<String, Duration> silence, int instances) {
+        logEnds();
+        return mLimits.exchange(silence, instances, mClock.nanoTime());
     }
 
     private final class Changes implements SharedRateLimits.Listener {
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/UpstreamAttempt.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/UpstreamAttempt.java
@@ -140,6 +140,13 @@
     @Override
     public void headReceived(UpstreamResponseHead head) {
         mUpstream.ifPresent(u -> mContext.rateLimits().responseReceived(u, head.rateLimit()));
+        head.coldRemaining()
+                .ifPresent(
+                        remaining ->
+                                mUpstream.ifPresent(
+                                        u ->
+                                                mContext.rateLimits()
+                                                        .coldObserved(u, remaining, true)));
     }
 
     @Override
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/membership/FleetChange.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/membership/FleetChange.java
@@ -1,5 +1,6 @@
 package org.tanagergap.gateway.membership;
 
+import java.time.Duration;
 import java.util.Optional;
 import org.tanagergap.gateway.configuration.GatewayConfiguration;
 
@@ -15,9 +16,21 @@
      * @param id identifier of the upstream
      * @param upstream the upstream; empty if its entry was removed or is invalid
      * @param invalidReason why the entry is invalid
+     * @param coldRemaining time for which the upstream stays cold; zero if it is warm
      */
-    record UpstreamEntry(String id, Optional<Upstream> upstream, Optional<String> invalidReason)
-            implements FleetChange {}
+    record UpstreamEntry(
+            String id,
+            Optional<Upstream> upstream,
+            Optional<String> invalidReason,
+            Duration coldRemaining)
+            implements FleetChange {
+
+        /** Creates the entry of a warm upstream, or one that was removed or is invalid. */
+        public UpstreamEntry(
+                String id, Optional<Upstream> upstream, Optional<String> invalidReason) {
+            this(id, upstream, invalidReason, Duration.ZERO);
+        }
+    }
 
     /**
      * An order of the operator to evacuate a failure domain or to end its evacuation.
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/membership/FleetView.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/membership/FleetView.java
@@ -49,6 +49,13 @@
          */
         void upstreamUnavailable(Upstream upstream);
 
+        /**
+         * Called when an entry of an upstream was read, before the changes that follow from it.
+         *
+         * @param remaining time for which the upstream stays cold; zero if it is warm
+         */
+        default void coldRemaining(Upstream upstream, Duration remaining) {}
+
         /** Called when a configuration has taken effect. */
         void configurationChanged(GatewayConfiguration configuration);
     }
@@ -215,6 +222,8 @@
                                         .with(LogKeys.UPSTREAM, entry.id())
                                         .log("upstream entry is invalid: %s", reason));
         if (entry.upstream().isPresent()) {
+            // Heartbeats are no changes, but each says how long the upstream stays cold.
+            mListeners.forEach(l -> l.coldRemaining(entry.upstream().get(), entry.coldRemaining()));
             putUnlessDeparted(entry.upstream().get(), origin);
         } else if (origin != ChangeOrigin.WRITE
                 && entry.invalidReason().isEmpty()
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/peer/PermitExchange.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/peer/PermitExchange.java
@@ -75,12 +75,13 @@
     private void exchange() {
         mNeeded = false;
         mExchangedNanos = mClock.nanoTime();
-        PermitMessages messages = mRateLimits.exchange(mDirectory.silence());
+        PermitMessages messages =
+                mRateLimits.exchange(mDirectory.silence(), mDirectory.instanceCount());
         messages.requests()
                 .forEach((peer, permits) -> send(peer, new PermitMessage(mId, permits, Map.of())));
         messages.grants()
                 .forEach((peer, grants) -> send(peer, new PermitMessage(mId, Map.of(), grants)));
-        if (!mNeeded && !mRateLimits.limits().isEmpty()) {
+        if (!mNeeded && mRateLimits.isActive()) {
             schedule(INTERVAL);
         }
     }
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/wire/UpstreamResponseHead.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/wire/UpstreamResponseHead.java
@@ -1,5 +1,6 @@
 package org.tanagergap.gateway.wire;
 
+import java.time.Duration;
 import java.util.Objects;
 import java.util.Optional;
 import org.tanagergap.decisions.ratelimit.RateLimitNotice;
@@ -12,13 +13,15 @@
  * @param namesRequest whether the response names the request that it belongs to
  * @param faultyUpstream address of the upstream at fault, if the response names one
  * @param rateLimit what the response says about the rate limit of the upstream
+ * @param coldRemaining time for which the upstream stays cold, if the response says so
  */
 public record UpstreamResponseHead(
         int status,
         Verdict verdict,
         boolean namesRequest,
         Optional<String> faultyUpstream,
-        RateLimitNotice rateLimit) {
+        RateLimitNotice rateLimit,
+        Optional<Duration> coldRemaining) {
 
     /** Meaning of a response for the request. */
     public enum Verdict {
@@ -36,5 +39,6 @@
         Objects.requireNonNull(verdict, "verdict must not be null");
         Objects.requireNonNull(faultyUpstream, "faultyUpstream must not be null");
         Objects.requireNonNull(rateLimit, "rateLimit must not be null");
+        Objects.requireNonNull(coldRemaining, "coldRemaining must not be null");
     }
 }
--- a/tanagergap-gateway/src/test/java/org/tanagergap/gateway/forward/RateLimitGateTests.java
+++ b/tanagergap-gateway/src/test/java/org/tanagergap/gateway/forward/RateLimitGateTests.java
@@ -27,7 +27,7 @@
     private final PausedClock mClock = new PausedClock();
     private final FleetView mView = new FleetView(mClock);
     private final RateLimitGate mGate =
-            new RateLimitGate(mClock, "gateway-1", mView, new MetricRegistry());
+            new RateLimitGate(mClock, "gateway-1", mView, new MetricRegistry(), rate -> 2 * rate);
 
     private static Upstream upstream(String id, long startedAtMillis) {
         return new Upstream(id, "s", new HostPort("10.0.0.1", 80), "a", 4, false, startedAtMillis);
