Expect at least the lowest rate of permits at cold engines

Cause: with a very low bound the expected rate of a cold engine was 0, and Retry-After of an engine that also advertises a limit grew without bound. Engines were asked for their health before cold ones were left out. Change: the lowest rate of advertised limits applies to the expectation as well; the cheaper check goes first; both log lines of a cold period name the incarnation.

--- a/tanagergap-decisions/src/main/java/org/tanagergap/decisions/ratelimit/SharedRateLimits.java
+++ b/tanagergap-decisions/src/main/java/org/tanagergap/decisions/ratelimit/SharedRateLimits.java
@@ -199,7 +199,8 @@
             return advertised;
         }
         double cold = expectedPermits(COLD + upstream, nowNanos).orElse(0);
-        return OptionalDouble.of(Math.min(cold, advertised.orElse(cold)));
+        double lower = Math.min(cold, advertised.orElse(cold));
+        return OptionalDouble.of(Math.max(MIN_REQUESTS_PER_SECOND, lower));
     }
 
     private OptionalDouble expectedPermits(String name, long nowNanos) {
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/CandidateSource.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/CandidateSource.java
@@ -41,9 +41,8 @@
         long now = mContext.clock().nanoTime();
         List<UpstreamCandidate> candidates = new ArrayList<>();
         for (Upstream upstream : mContext.view().usable(service.name())) {
-            boolean usable = mContext.health().isUsable(upstream.id(), now);
-            if (usable
-                    && included.test(upstream)
+            if (included.test(upstream)
+                    && mContext.health().isUsable(upstream.id(), now)
                     && !excluded.contains(upstream.id())
                     && mContext.rateLimits().maySend(upstream)) {
                 candidates.add(candidate(service, upstream, now));
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/RateLimitGate.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/RateLimitGate.java
@@ -124,7 +124,7 @@
         mLimits.coldObserved(incarnation, remaining, limit, fromResponse, mClock.nanoTime());
         if (coldRemaining(incarnation).isPresent() && mCold.add(incarnation)) {
             sLogger.atInfo()
-                    .with(LogKeys.UPSTREAM, upstream.id())
+                    .with(LogKeys.UPSTREAM, incarnation)
                     .log(
                             "upstream is cold for %d ms and bears %s requests per second",
                             remaining.toMillis(), limit.get().requestsPerSecond());
