Test the bound of cold upstreams while instances freeze and end

Cause: nothing showed that permits on their way to a frozen instance stay within the bound. Change: a test with 9 instances, 20 % lost messages, and instances that freeze, end and start, with eight fixed seeds. Result: it passes, with the other tests of ColdUpstreamTests and SharedRateLimitsTests.

--- a/tanagergap-decisions/src/test/java/org/tanagergap/decisions/ratelimit/ColdUpstreamTests.java
+++ b/tanagergap-decisions/src/test/java/org/tanagergap/decisions/ratelimit/ColdUpstreamTests.java
@@ -73,6 +73,32 @@
         assertThat(instances.largestWindow(0, SECOND)).isAtMost(BOUND);
     }
 
+    /** Permits on their way to a frozen instance are used late, and a new issuer may follow. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8})
+    void theBoundHoldsWhileInstancesFreezeAndEnd(long seed) {
+        mRandom.setSeed(seed);
+        SimulatedInstances instances = instances(9, 0.2);
+        instances.requestsPerStep(12);
+
+        for (int round = 0; round < 20; round++) {
+            var present = instances.instances();
+            var one = present.get(mRandom.nextInt(present.size()));
+            switch (mRandom.nextInt(4)) {
+                case 0 -> instances.kill(one);
+                case 1 -> one.freeze(true);
+                default -> present.forEach(instance -> instance.freeze(false));
+            }
+            if (instances.instances().size() < 5) {
+                instances.start();
+            }
+            instances.cold(COLD, LIMIT);
+            instances.run(Duration.ofMillis(100 + mRandom.nextInt(900)), i -> true);
+        }
+
+        assertThat(instances.largestWindow(0, SECOND)).isAtMost(BOUND);
+    }
+
     @Test
     void theLoadReturnsInStepsWithinASecondAfterTheEnd() {
         SimulatedInstances instances = instances(30, 0);
