Poll the store from a few gateways in large fleets

In a fleet of more than 5 gateways, rendezvous hashing over the gateways that report chooses one reader in each failure domain, and at least three. Readers poll every 0.6 s. The others fetch changes from peers, poll every 6 s as a check, and every 1.2 s while no reader has read for 1.2 s.

Reports carry the sender's failure domain and the age of its own last read of the store, which earlier versions ignore. Changes are fetched from a peer that has them, as most peers are ahead by heartbeats alone.

StoreSync is split: ReplicaUpdater applies what arrives, PeerCatchUp fetches from peers, PollTiming holds the role.

--- /dev/null
+++ b/tanagergap-decisions/src/main/java/org/tanagergap/decisions/replication/PollSchedule.java
@@ -0,0 +1,72 @@
+package org.tanagergap.decisions.replication;
+
+import java.time.Duration;
+
+/**
+ * Decides when an instance polls the store next. A reader polls at short intervals. Another
+ * instance learns the changes from its peers, and polls as a check and while no reader makes
+ * progress. Confined to the event loop.
+ */
+public final class PollSchedule {
+
+    /** Interval of the polls of an instance that relies on readers. */
+    static final Duration CHECK_INTERVAL = Duration.ofSeconds(6);
+
+    /** Interval of its polls while no reader makes progress, and of its retries. */
+    static final Duration FALLBACK_INTERVAL = StoreReaders.MAX_SILENCE;
+
+    /** Time from a failed poll of a reader to the next one. */
+    static final Duration RETRY_INTERVAL = Duration.ofMillis(250);
+
+    /** Longest time until an instance that is not a reader looks at its readers again. */
+    static final Duration LOOK_INTERVAL = Duration.ofMillis(200);
+
+    private boolean mFailed;
+    private boolean mRequested;
+    private long mCompletedNanos;
+
+    /**
+     * What the next poll depends on.
+     *
+     * @param reader whether the instance is a reader
+     * @param readersProgress whether a reader among its peers has read the store recently
+     * @param readerInterval time from a successful poll of a reader to the next one
+     */
+    public record Situation(boolean reader, boolean readersProgress, Duration readerInterval) {}
+
+    /** Records that a poll ended; the interval to the next one begins. */
+    public void completed(boolean successful, long nowNanos) {
+        mFailed = !successful;
+        mRequested = false;
+        mCompletedNanos = nowNanos;
+    }
+
+    /**
+     * Makes a poll due without regard to readers, because changes of a peer cannot be fetched or
+     * the store appears to be available again.
+     */
+    public void request() {
+        mRequested = true;
+    }
+
+    /** Time until the next poll is due; zero if it is. */
+    public Duration untilDue(Situation situation, long nowNanos) {
+        Duration interval = mRequested ? RETRY_INTERVAL : interval(situation);
+        Duration left = interval.minusNanos(nowNanos - mCompletedNanos);
+        return left.isNegative() ? Duration.ZERO : left;
+    }
+
+    /** Time until the instance asks again whether a poll is due. */
+    public Duration untilLook(Situation situation, long nowNanos) {
+        Duration left = untilDue(situation, nowNanos);
+        boolean exact = situation.reader() || left.compareTo(LOOK_INTERVAL) < 0;
+        return exact ? left : LOOK_INTERVAL;
+    }
+
+    private Duration interval(Situation situation) {
+        if (situation.reader()) {
+            return mFailed ? RETRY_INTERVAL : situation.readerInterval();
+        }
+        return mFailed || !situation.readersProgress() ? FALLBACK_INTERVAL : CHECK_INTERVAL;
+    }
+}
--- /dev/null
+++ b/tanagergap-decisions/src/main/java/org/tanagergap/decisions/replication/StoreReaders.java
@@ -0,0 +1,187 @@
+package org.tanagergap.decisions.replication;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.TreeMap;
+import org.tanagergap.decisions.routing.RendezvousHash;
+
+/**
+ * Chooses the instances that poll the store on behalf of the fleet. Each instance decides for
+ * itself, from the reports that it receives: instances that hear different peers may choose
+ * different readers, and an instance that hears none is its own reader. Confined to the event loop.
+ */
+public final class StoreReaders {
+
+    /** Fleets up to this size have no readers: each instance polls. */
+    static final int MAX_INSTANCES_WITHOUT_READERS = 5;
+
+    /**
+     * With three readers, two remain when one dies, so that a lost report or response of one of
+     * them does not make the whole fleet poll.
+     */
+    static final int MIN_READERS = 3;
+
+    /** Peers drop the reports of an instance after this time. */
+    static final Duration PEER_LIFETIME = Duration.ofMillis(1500);
+
+    /** Longest time without a read by any reader before the other instances poll. */
+    static final Duration MAX_SILENCE = Duration.ofMillis(1200);
+
+    /**
+     * An instance whose last read is older cannot reach the store: also one that is not a reader
+     * reads every 6 s.
+     */
+    static final Duration MAX_READ_AGE = Duration.ofSeconds(8);
+
+    private static final String HASH_KEY = "store-reader";
+
+    private final String mId;
+    private final String mDomain;
+    private final Map<String, Peer> mPeers = new HashMap<>();
+    private OptionalLong mOwnReadNanos = OptionalLong.empty();
+
+    private record Peer(String domain, OptionalLong readNanos, boolean outage, long heardNanos) {
+
+        boolean hasReadWithin(Duration age, long nowNanos) {
+            return readNanos.isPresent() && nowNanos - readNanos.getAsLong() <= age.toNanos();
+        }
+    }
+
+    /**
+     * Creates a choice among no peers.
+     *
+     * @param id identifier of this instance
+     * @param domain failure domain of this instance
+     */
+    public StoreReaders(String id, String domain) {
+        mId = id;
+        mDomain = domain;
+    }
+
+    /** Records that the store answered a read of this instance. */
+    public void storeRead(long nowNanos) {
+        mOwnReadNanos = OptionalLong.of(nowNanos);
+    }
+
+    /** What this instance reports of its own reads. */
+    public PeerRead report(boolean outage, long nowNanos) {
+        Optional<Duration> sinceRead =
+                mOwnReadNanos.isPresent()
+                        ? Optional.of(Duration.ofNanos(nowNanos - mOwnReadNanos.getAsLong()))
+                        : Optional.empty();
+        return new PeerRead(mDomain, sinceRead, outage);
+    }
+
+    /** Records the report of a peer. */
+    public void peerReported(String id, PeerRead read, long nowNanos) {
+        if (id.equals(mId)) {
+            return;
+        }
+        OptionalLong readNanos =
+                read.sinceRead()
+                        .map(age -> OptionalLong.of(nowNanos - age.toNanos()))
+                        .orElse(OptionalLong.empty());
+        mPeers.put(id, new Peer(read.domain(), readNanos, read.outage(), nowNanos));
+    }
+
+    /** Returns true if no peer has reported recently. */
+    public boolean isAlone(long nowNanos) {
+        expire(nowNanos);
+        return mPeers.isEmpty();
+    }
+
+    /**
+     * Returns true if this instance polls the store at short intervals.
+     *
+     * @param instances size of the fleet, including instances that are not heard
+     */
+    public boolean isReader(int instances, long nowNanos) {
+        return !hasReaders(instances) || readers(nowNanos).contains(mId);
+    }
+
+    /** Returns true if a fleet of that size has readers; in others, each instance polls. */
+    public boolean hasReaders(int instances) {
+        return instances > MAX_INSTANCES_WITHOUT_READERS;
+    }
+
+    /** Returns true if a reader other than this instance has read the store recently. */
+    public boolean anyHasProgressed(long nowNanos) {
+        return otherReaders(nowNanos).stream()
+                .anyMatch(reader -> reader.hasReadWithin(MAX_SILENCE, nowNanos));
+    }
+
+    /**
+     * Returns true if readers have seen an outage of the store that this instance may not have
+     * noticed. A reader that is served without an outage shows that another one was merely cut off.
+     */
+    public boolean anyHasSeenOutage(long nowNanos) {
+        List<Peer> readers = otherReaders(nowNanos);
+        boolean served =
+                readers.stream()
+                        .anyMatch(r -> !r.outage() && r.hasReadWithin(MAX_SILENCE, nowNanos));
+        return !served && readers.stream().anyMatch(Peer::outage);
+    }
+
+    private List<Peer> otherReaders(long nowNanos) {
+        Set<String> readers = readers(nowNanos);
+        List<Peer> others = new ArrayList<>();
+        mPeers.forEach(
+                (id, peer) -> {
+                    if (readers.contains(id)) {
+                        others.add(peer);
+                    }
+                });
+        return others;
+    }
+
+    /** Identifiers of the readers: the first of each failure domain, and at least three. */
+    Set<String> readers(long nowNanos) {
+        expire(nowNanos);
+        Map<String, String> domains = candidates(nowNanos);
+        Map<String, List<String>> byDomain = new TreeMap<>();
+        domains.forEach(
+                (id, domain) -> byDomain.computeIfAbsent(domain, d -> new ArrayList<>()).add(id));
+        Set<String> readers = new HashSet<>();
+        byDomain.values().forEach(ids -> readers.addAll(first(ids, 1)));
+        for (String id : first(domains.keySet(), domains.size())) {
+            if (readers.size() >= MIN_READERS) {
+                break;
+            }
+            readers.add(id);
+        }
+        return readers;
+    }
+
+    /** Live instances that reach the store with their failure domains; all if none reaches it. */
+    private Map<String, String> candidates(long nowNanos) {
+        Map<String, String> reading = new HashMap<>();
+        Map<String, String> live = new HashMap<>();
+        Peer own = new Peer(mDomain, mOwnReadNanos, false, nowNanos);
+        Map<String, Peer> all = new HashMap<>(mPeers);
+        all.put(mId, own);
+        all.forEach(
+                (id, peer) -> {
+                    live.put(id, peer.domain());
+                    if (peer.hasReadWithin(MAX_READ_AGE, nowNanos)) {
+                        reading.put(id, peer.domain());
+                    }
+                });
+        return reading.isEmpty() ? live : reading;
+    }
+
+    private static List<String> first(Collection<String> ids, int count) {
+        return RendezvousHash.first(HASH_KEY, ids, id -> id, count);
+    }
+
+    private void expire(long nowNanos) {
+        mPeers.values().removeIf(p -> nowNanos - p.heardNanos() > PEER_LIFETIME.toNanos());
+    }
+}
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/GatewayService.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/GatewayService.java
@@ -19,6 +19,7 @@
 import org.tanagergap.decisions.fleet.UpstreamHealth;
 import org.tanagergap.decisions.memory.BodyAdmission;
 import org.tanagergap.decisions.memory.SharedMemoryLimit;
+import org.tanagergap.decisions.replication.StoreReaders;
 import org.tanagergap.gateway.caller.GatewayCallerServer;
 import org.tanagergap.gateway.caller.ReadinessServer;
 import org.tanagergap.gateway.caller.RequestResolver;
@@ -69,10 +70,6 @@
         mSettings = reloadable.settings();
         mEventLoop = vertx.getOrCreateContext();
         mView = new FleetView(mClock);
-        context.metrics()
-                .register(
-                        "gateway_evacuated_domains",
-                        (Gauge<Integer>) () -> mView.evacuatedDomains().size());
         mSettingsWatch = new SettingsWatch(mClock, reloadable);
         RandomGenerator random = new Random();
         FleetLoad load = new FleetLoad();
@@ -96,8 +93,9 @@
                         health,
                         quarantine,
                         rateLimits,
-                        mSync::progress,
-                        mSync::peerProgressed);
+                        mSync);
+        mSync.onChangeRead(exchange::announce);
+        registerGauges(context.metrics());
         SharedMemoryLimit memory = SharedMemoryLimit.ofHeapCapacity();
         Forwarder forwarder =
                 new Forwarder(
@@ -144,6 +142,13 @@
         mShutdown = new GatewayShutdown(mClock, mSettings, mCallers, releases, mServices);
     }
 
+    private void registerGauges(MetricRegistry metrics) {
+        metrics.register(
+                "gateway_evacuated_domains",
+                (Gauge<Integer>) () -> mView.evacuatedDomains().size());
+        metrics.register("gateway_store_reader", (Gauge<Integer>) () -> mSync.isReader() ? 1 : 0);
+    }
+
     private GatewayCallerServer callerServer(
             ProgramContext context,
             GatewayPlatform platform,
@@ -196,6 +201,7 @@
                 mView,
                 peers,
                 directory::instanceCount,
+                new StoreReaders(mSettings.id(), mSettings.failureDomain()),
                 new GatewayStoreListener(directory, mRegistration));
     }
 
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/GatewayStatus.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/GatewayStatus.java
@@ -52,6 +52,7 @@
                         .put("store_revision", sync.replica().position().revision())
                         .put("store_epoch", sync.replica().position().epoch())
                         .put("store_age_ms", sync.age().toMillis())
+                        .put("store_reader", sync.isReader())
                         .put("instances", directory.instanceCount());
         view.configuration()
                 .map(GatewayConfiguration::version)
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/membership/StoreAvailability.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/membership/StoreAvailability.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.Optional;
+import java.util.function.BooleanSupplier;
 import org.tanagergap.api.time.RuntimeClock;
 
 /**
@@ -19,12 +20,20 @@
     private static final Duration PEERS_AHEAD_THRESHOLD = Duration.ofMillis(1200);
 
     private final RuntimeClock mClock;
+    private final BooleanSupplier mReadersSawOutage;
     private Optional<Long> mFailingSinceNanos = Optional.empty();
     private Optional<Long> mRecoveredNanos = Optional.empty();
     private Optional<Long> mPeersAheadSinceNanos = Optional.empty();
 
-    StoreAvailability(RuntimeClock clock) {
+    /**
+     * Creates the availability of a store that has not failed.
+     *
+     * @param readersSawOutage whether the peers on whose polls this instance relies have recently
+     *     seen an outage, which this instance may not have noticed
+     */
+    StoreAvailability(RuntimeClock clock, BooleanSupplier readersSawOutage) {
         mClock = clock;
+        mReadersSawOutage = readersSawOutage;
     }
 
     boolean isFailing() {
@@ -62,13 +71,24 @@
         mPeersAheadSinceNanos = Optional.empty();
     }
 
-    /** Records that a peer has newer changes although the store is unavailable to this instance. */
-    void peerWasAhead() {
+    /**
+     * Records that a peer has newer changes although the store is unavailable to this instance.
+     *
+     * @return true for the first time since the store became unavailable
+     */
+    boolean peerWasAhead() {
+        boolean first = mPeersAheadSinceNanos.isEmpty();
         mPeersAheadSinceNanos = mPeersAheadSinceNanos.or(() -> Optional.of(mClock.nanoTime()));
+        return first;
     }
 
     /** Returns true if a removal may be a lease that expired while the store was unavailable. */
     boolean removalMayBeExpiry() {
+        return sawOutage() || (mReadersSawOutage.getAsBoolean() && !storeServedPeers());
+    }
+
+    /** Returns true if the store failed to answer this instance, and its peers, until recently. */
+    boolean sawOutage() {
         boolean recentlyRecovered =
                 mRecoveredNanos.filter(t -> elapsedNanos(t) < EXPIRY_WINDOW.toNanos()).isPresent();
         return (isFailing() || recentlyRecovered) && !storeServedPeers();
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/membership/StoreSync.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/membership/StoreSync.java
@@ -5,49 +5,55 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.IntSupplier;
 import org.tanagergap.api.lifecycle.Service;
 import org.tanagergap.api.store.StorePosition;
 import org.tanagergap.api.time.RuntimeClock;
 import org.tanagergap.api.time.Timer;
+import org.tanagergap.decisions.replication.PeerRead;
 import org.tanagergap.decisions.replication.ReadSchedule;
 import org.tanagergap.decisions.replication.ReadSchedule.Read;
 import org.tanagergap.decisions.replication.ReplicaUpdate;
+import org.tanagergap.decisions.replication.StoreReaders;
 import org.tanagergap.platform.keyvalue.ChangeFeed;
 import org.tanagergap.platform.keyvalue.Changes;
 import org.tanagergap.platform.keyvalue.HistoryLostException;
-import org.tanagergap.platform.keyvalue.KeyValue;
 import org.tanagergap.runtime.async.Futures;
 
 /**
- * Keeps the local replica up to date: one full read, then polls for changes at an interval that
- * grows with the number of instances. Instances fetch changes from each other, so that the number
- * of calls to the store does not grow with the fleet. While the store is unavailable, peers are
- * polled instead. Confined to the event loop.
+ * Keeps the local replica up to date: one full read, then polls for changes. In a large fleet a few
+ * readers poll often, and the other instances fetch the changes from peers. While the store is
+ * unavailable, peers are polled instead. Confined to the event loop.
  */
-public final class StoreSync implements Service {
+public final class StoreSync implements Service, ReplicaReports {
 
-    private static final Duration RETRY_INTERVAL = Duration.ofMillis(250);
+    /**
+     * An instance that is not a reader fetches from its peers at this interval what they do not
+     * report as a change, such as heartbeats. With the 0.6 s of a reader, the information is 1.8 s
+     * old at most, as with polls of the store.
+     */
+    private static final Duration FETCH_INTERVAL = Duration.ofMillis(1200);
 
     private static final FluentLogger sLogger = FluentLogger.forEnclosingClass();
 
     private final RuntimeClock mClock;
     private final ChangeFeed mFeed;
     private final StoreReader mReader;
-    private final StoreReplica mReplica;
+    private final ReplicaUpdater mUpdater;
     private final StoreAvailability mAvailability;
     private final FleetView mView;
+    private final StoreReaders mReaders;
     private final FleetDecoder mDecoder;
-    private final PeerReplicas mPeerReplicas;
-    private final IntSupplier mInstances;
-    private final StoreChangeListener mListener;
+    private final PeerCatchUp mPeers;
+    private final PollTiming mTiming;
     private final ReadSchedule mReads = new ReadSchedule();
     private final CompletableFuture<Void> mLoaded = new CompletableFuture<>();
     private boolean mStopped;
-    private boolean mFetchingFromPeer;
-    private boolean mReplacingAfterRestore;
-    private StorePosition mLastChange = StorePosition.NONE;
+    private boolean mPolling;
+    private Runnable mChangeRead = () -> {};
+    private long mFetchedNanos;
     private long mLastUpdateNanos;
     private Timer mTimer = () -> {};
 
@@ -56,6 +62,7 @@
      *
      * @param ownPrefixes prefixes of keys that the decoder does not read
      * @param instances number of instances that report their progress to each other
+     * @param readers instances that poll the store on behalf of the fleet
      */
     public StoreSync(
             RuntimeClock clock,
@@ -65,100 +72,70 @@
             FleetView view,
             PeerReplicas peers,
             IntSupplier instances,
+            StoreReaders readers,
             StoreChangeListener listener) {
         mClock = Objects.requireNonNull(clock, "clock must not be null");
         mFeed = Objects.requireNonNull(feed, "feed must not be null");
         mDecoder = Objects.requireNonNull(decoder, "decoder must not be null");
         mView = Objects.requireNonNull(view, "view must not be null");
-        mPeerReplicas = Objects.requireNonNull(peers, "peers must not be null");
-        mInstances = Objects.requireNonNull(instances, "instances must not be null");
-        mListener = Objects.requireNonNull(listener, "listener must not be null");
+        Objects.requireNonNull(peers, "peers must not be null");
+        mReaders = Objects.requireNonNull(readers, "readers must not be null");
+        Objects.requireNonNull(listener, "listener must not be null");
         List<String> prefixes = new ArrayList<>(decoder.prefixes());
         prefixes.addAll(ownPrefixes);
         mReader = new StoreReader(feed, prefixes);
-        mReplica = new StoreReplica(prefixes, this::itemChanged);
-        mAvailability = new StoreAvailability(clock);
-    }
-
-    /** Applies an item; one that fails is ignored, so that the others still take effect. */
-    private void itemChanged(KeyValue item) {
-        try {
-            apply(item);
-        } catch (RuntimeException | StackOverflowError e) {
-            sLogger.atSevere().withCause(e).log(
-                    "store item %s cannot be applied and is ignored", item.key());
-        }
+        mTiming = new PollTiming(clock, readers, instances);
+        mAvailability = new StoreAvailability(clock, mTiming::readersSawOutage);
+        mUpdater = new ReplicaUpdater(decoder, prefixes, view, mAvailability, listener);
+        mPeers = new PeerCatchUp(peers, mUpdater);
     }
 
-    private void apply(KeyValue item) {
-        mListener.itemChanged(item);
-        long before = mView.changes();
-        mView.accept(mDecoder.decode(item), origin());
-        if (mView.changes() != before) {
-            long epoch = mReplica.position().epoch();
-            mLastChange = mLastChange.max(new StorePosition(epoch, item.modRevision()));
-        }
+    /** Sets an action to run when this instance has read a change that affects the fleet. */
+    public void onChangeRead(Runnable action) {
+        mChangeRead = action;
     }
 
-    private ChangeOrigin origin() {
-        if (mReplacingAfterRestore) {
-            return ChangeOrigin.RESTORE;
-        }
-        return mAvailability.removalMayBeExpiry() ? ChangeOrigin.OUTAGE : ChangeOrigin.WRITE;
+    @Override
+    public ReplicaProgress progress() {
+        return new ReplicaProgress(mUpdater.position(), mUpdater.lastChange());
     }
 
-    /** Progress of the local replica. */
-    public ReplicaProgress progress() {
-        return new ReplicaProgress(mReplica.position(), mLastChange);
+    @Override
+    public PeerRead storeRead() {
+        return mReaders.report(mAvailability.sawOutage(), mClock.nanoTime());
     }
 
     /** Fetches the changes of a peer whose replica has a newer change than the local one. */
-    public void peerProgressed(ReplicaProgress peer) {
-        boolean newer = peer.lastChange().isAfter(mReplica.position());
-        if (!newer
-                || mFetchingFromPeer
-                || mStopped
-                || mReads.behind()
-                || mAvailability.isFailing()) {
-            return;
+    @Override
+    public void peerReported(String id, ReplicaProgress peer, Optional<PeerRead> read) {
+        read.ifPresent(r -> mReaders.peerReported(id, r, mClock.nanoTime()));
+        if (peer.lastChange().isAfter(mUpdater.position()) && !mAvailability.isFailing()) {
+            fetchFromPeer();
         }
-        StorePosition requested = mReplica.position();
-        mPeerReplicas
-                .changesAfter(requested)
-                .ifPresent(
-                        response -> {
-                            mFetchingFromPeer = true;
-                            response.whenComplete((c, f) -> peerChangesReceived(requested, c, f));
-                        });
     }
 
-    private void peerChangesReceived(
-            StorePosition requested, PeerChanges changes, Throwable failure) {
-        mFetchingFromPeer = false;
-        if (failure != null) {
-            sLogger.atFine().log(
-                    "fetching changes from a peer failed: %s", Futures.rootFailure(failure));
-        } else {
-            acceptPeerChanges(requested, changes);
+    /** Returns true if this instance polls the store at short intervals. */
+    public boolean isReader() {
+        return mTiming.isReader();
+    }
+
+    private void fetchFromPeer() {
+        if (!mStopped && !mReads.behind()) {
+            mFetchedNanos = mClock.nanoTime();
+            mPeers.fetch(() -> mLastUpdateNanos = mClock.nanoTime(), this::fetchFailed);
         }
     }
 
-    private void acceptPeerChanges(StorePosition requested, PeerChanges changes) {
-        StorePosition position = changes.position();
-        ReplicaUpdate update =
-                changes.allItems()
-                        ? ReplicaUpdate.forContents(mReplica.position(), List.of(position))
-                        : ReplicaUpdate.forChanges(requested, mReplica.position(), position);
-        switch (update) {
-            case APPLY -> mReplica.apply(new Changes(changes.items(), position, true));
-            case REPLACE -> replace(changes.items(), position);
-            case READ_ALL, IGNORE -> logIgnored(position);
+    private void fetchFailed() {
+        if (!isReader()) {
+            mTiming.request();
+            look();
         }
     }
 
     /** Local replica of the store, which is served to peers. */
     public StoreReplica replica() {
-        return mReplica;
+        return mUpdater.replica();
     }
 
     /** Completes after the first full read, or the first changes from a peer. */
@@ -189,16 +166,18 @@
         if (mStopped) {
             return;
         }
+        mPolling = true;
         mView.removeExpired(mAvailability.storeServedPeers());
         Read read = mReads.next();
+        StorePosition changeBefore = mUpdater.lastChange();
         // As a stage, so that an error of the client is a failed poll and does not end the polls.
         CompletableFuture.completedFuture(read)
                 .thenCompose(this::read)
-                .whenComplete((ignored, failure) -> pollCompleted(read, failure));
+                .whenComplete((ignored, failure) -> pollCompleted(read, changeBefore, failure));
     }
 
     private CompletableFuture<Void> read(Read read) {
-        StorePosition requested = mReplica.position();
+        StorePosition requested = mUpdater.position();
         return switch (read) {
             case CONFIGURATION ->
                     mFeed.readPage(mDecoder.operatorPrefix(), "")
@@ -211,11 +190,11 @@
     }
 
     private void configurationReceived(Changes page) {
-        StorePosition replica = mReplica.position();
+        StorePosition replica = mUpdater.position();
         switch (ReplicaUpdate.forChanges(replica, replica, page.position())) {
-            case APPLY -> mReplica.applyAhead(page.items());
+            case APPLY -> mUpdater.replica().applyAhead(page.items());
             case READ_ALL -> mReads.contentsNeeded();
-            case REPLACE, IGNORE -> logIgnored(page.position());
+            case REPLACE, IGNORE -> ReplicaUpdater.logIgnored(page.position());
         }
         mReads.succeeded(Read.CONFIGURATION);
     }
@@ -223,57 +202,34 @@
     private void changesReceived(StorePosition requested, Changes changes) {
         recordStoreResponse();
         mReads.succeeded(Read.CHANGES);
-        switch (ReplicaUpdate.forChanges(requested, mReplica.position(), changes.position())) {
-            case APPLY -> mReplica.apply(changes);
+        switch (ReplicaUpdate.forChanges(requested, mUpdater.position(), changes.position())) {
+            case APPLY -> mUpdater.replica().apply(changes);
             case READ_ALL -> mReads.contentsNeeded();
-            case REPLACE, IGNORE -> logIgnored(changes.position());
+            case REPLACE, IGNORE -> ReplicaUpdater.logIgnored(changes.position());
         }
     }
 
     private void contentsReceived(StoreReader.Contents contents) {
         recordStoreResponse();
-        switch (ReplicaUpdate.forContents(mReplica.position(), contents.pages())) {
+        switch (ReplicaUpdate.forContents(mUpdater.position(), contents.pages())) {
             case REPLACE -> {
                 // Pages are not one snapshot: the next poll reads the changes since the first page.
-                replace(contents.items(), contents.position());
+                mUpdater.replace(contents.items(), contents.position());
                 mReads.succeeded(Read.CONTENTS);
-                mLoaded.complete(null);
+                loadCompleted();
             }
             case APPLY, IGNORE -> {
                 mReads.succeeded(Read.CONTENTS);
-                logIgnored(contents.position());
+                ReplicaUpdater.logIgnored(contents.position());
             }
             case READ_ALL ->
                     sLogger.atInfo().log("store was restored between two pages of a full read");
         }
     }
 
-    private static void logIgnored(StorePosition position) {
-        sLogger.atInfo().log("response at %s is ignored: the store was restored", position);
-    }
-
-    private void replace(List<KeyValue> items, StorePosition position) {
-        StorePosition previous = mReplica.position();
-        boolean restored =
-                !previous.equals(StorePosition.NONE) && position.isInLaterEpoch(previous);
-        if (restored) {
-            sLogger.atWarning().log(
-                    "store was restored from a backup: revision %s replaces %s",
-                    position, previous);
-            mAvailability.restored();
-            mView.storeRecovered();
-        }
-        mReplacingAfterRestore = restored;
-        mReplica.replace(items, position);
-        mReplacingAfterRestore = false;
-        if (restored) {
-            mLastChange = mLastChange.max(position);
-            mListener.storeRestored();
-        }
-    }
-
     private void recordStoreResponse() {
         mLastUpdateNanos = mClock.nanoTime();
+        mReaders.storeRead(mLastUpdateNanos);
         mAvailability
                 .responded()
                 .ifPresent(
@@ -285,51 +241,95 @@
                         });
     }
 
-    private void pollCompleted(Read read, Throwable failure) {
+    private void pollCompleted(Read read, StorePosition changeBefore, Throwable failure) {
+        mPolling = false;
         if (failure == null) {
-            schedule(mReads.behind() ? Duration.ZERO : PollInterval.of(mInstances.getAsInt()));
+            mTiming.completed(true);
+            announce(changeBefore);
+            if (mReads.behind()) {
+                pollAtOnce();
+            } else {
+                look();
+            }
             return;
         }
         Throwable root = Futures.rootFailure(failure);
         if (root instanceof HistoryLostException) {
             sLogger.atInfo().log("%s; reading the whole store again", root.getMessage());
             mReads.contentsNeeded();
-            schedule(Duration.ZERO);
+            pollAtOnce();
             return;
         }
         mReads.failed(read);
+        mTiming.completed(false);
         if (mAvailability.failed()) {
             sLogger.atWarning().log("key-value store is unavailable: %s", root);
         }
-        schedule(RETRY_INTERVAL);
-        StorePosition requested = mReplica.position();
-        mPeerReplicas
-                .changesAfter(requested)
-                .ifPresent(
-                        response ->
-                                response.whenComplete(
-                                        (c, f) -> fallbackChangesReceived(requested, c, f)));
+        look();
+        fetchDuringOutage();
+    }
+
+    /** Tells peers at once, which otherwise hear of the change with the next report. */
+    private void announce(StorePosition changeBefore) {
+        boolean changed = mUpdater.lastChange().isAfter(changeBefore);
+        if (changed && mTiming.hasReaders()) {
+            mChangeRead.run();
+        }
     }
 
-    private void fallbackChangesReceived(
-            StorePosition requested, PeerChanges changes, Throwable failure) {
-        if (failure != null) {
-            sLogger.atFine().log(
-                    "fetching changes from a peer during the outage failed: %s",
-                    Futures.rootFailure(failure));
+    /** Schedules the next poll, or the time at which to decide about it again. */
+    private void look() {
+        if (!mPolling) {
+            schedule(mTiming.untilLook(), this::lookAgain);
+        }
+    }
+
+    private void lookAgain() {
+        if (mStopped) {
+            return;
+        }
+        mTiming.logRole();
+        if (mTiming.isDue()) {
+            poll();
             return;
         }
-        if (changes.position().isAfter(mReplica.position())) {
-            mLastUpdateNanos = mClock.nanoTime();
-            mAvailability.peerWasAhead();
-            acceptPeerChanges(requested, changes);
-            mLoaded.complete(null);
+        mView.removeExpired(mAvailability.storeServedPeers());
+        look();
+        if (mAvailability.isFailing()) {
+            fetchDuringOutage();
+        } else if (mClock.nanoTime() - mFetchedNanos >= FETCH_INTERVAL.toNanos()) {
+            fetchFromPeer();
         }
     }
 
-    private void schedule(Duration delay) {
+    private void fetchDuringOutage() {
+        mPeers.fetchDuringOutage(this::peerWasAhead, this::loadCompleted);
+    }
+
+    private void peerWasAhead() {
+        mLastUpdateNanos = mClock.nanoTime();
+        boolean firstOfOutage = mAvailability.peerWasAhead();
+        if (firstOfOutage && !isReader()) {
+            // The outage may have ended; until a response, removals count as expired leases.
+            mTiming.request();
+            look();
+        }
+    }
+
+    private void loadCompleted() {
+        mTiming.loaded();
+        mLoaded.complete(null);
+    }
+
+    private void pollAtOnce() {
+        mPolling = true;
+        schedule(Duration.ZERO, this::poll);
+    }
+
+    private void schedule(Duration delay, Runnable action) {
         if (!mStopped) {
-            mTimer = mClock.schedule(delay, this::poll);
+            mTimer.cancel();
+            mTimer = mClock.schedule(delay, action);
         }
     }
 }
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/peer/PeerDirectory.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/peer/PeerDirectory.java
@@ -15,6 +15,7 @@
 import java.util.regex.Pattern;
 import org.tanagergap.api.store.StorePosition;
 import org.tanagergap.api.time.RuntimeClock;
+import org.tanagergap.gateway.membership.ReplicaProgress;
 import org.tanagergap.platform.keyvalue.KeyValue;
 import org.tanagergap.runtime.settings.HostPort;
 
@@ -30,6 +31,14 @@
     /** A peer whose registration has expired is kept this long after its last report. */
     private static final Duration REPORT_LIFETIME = Duration.ofSeconds(10);
 
+    /**
+     * Changes are fetched from one of the newest replicas, which are those of the readers of the
+     * store, but not always from the same one, because it may be unreachable.
+     */
+    private static final int MIN_CHOICE = 4;
+
+    private static final int CHOICE_FRACTION = 4;
+
     /** Characters of an IP address or host name. */
     private static final Pattern HOST = Pattern.compile("[A-Za-z0-9.:\\[\\]_-]+");
 
@@ -41,7 +50,12 @@
     private final Map<String, HostPort> mRegistered = new HashMap<>();
     private final Map<String, ReportingPeer> mReportingPeers = new HashMap<>();
 
-    private record ReportingPeer(HostPort address, StorePosition position, long nanos) {}
+    private record ReportingPeer(HostPort address, ReplicaProgress progress, long nanos) {
+
+        StorePosition position() {
+            return progress.position();
+        }
+    }
 
     public PeerDirectory(RuntimeClock clock, String id, List<HostPort> seeds) {
         mClock = clock;
@@ -80,9 +94,9 @@
     }
 
     /** Records the report of a peer. */
-    public void reportReceived(String id, HostPort address, StorePosition position) {
+    public void reportReceived(String id, HostPort address, ReplicaProgress progress) {
         if (!id.equals(mId)) {
-            mReportingPeers.put(id, new ReportingPeer(address, position, mClock.nanoTime()));
+            mReportingPeers.put(id, new ReportingPeer(address, progress, mClock.nanoTime()));
         }
     }
 
@@ -105,15 +119,25 @@
         return Math.max(1 + ids.size(), mSeeds.size());
     }
 
-    /** Peers whose replica is after the position, the newest first. */
+    /**
+     * Peers whose replica is after the position, the newest first. If one of them has reported a
+     * change after the position, only peers that have it are returned: most peers of a large fleet
+     * are ahead by heartbeats alone.
+     */
     public List<HostPort> peersAheadOf(StorePosition position) {
         removeIdle();
+        StorePosition lastChange =
+                mReportingPeers.values().stream()
+                        .map(peer -> peer.progress().lastChange())
+                        .reduce(position, StorePosition::max);
         List<ReportingPeer> newer = new ArrayList<>();
         mReportingPeers.values().stream()
                 .filter(peer -> peer.position().isAfter(position))
+                .filter(peer -> !lastChange.isAfter(peer.position()))
                 .forEach(newer::add);
         newer.sort(Comparator.comparing(ReportingPeer::position).reversed());
-        return newer.stream().map(ReportingPeer::address).toList();
+        int newest = Math.max(MIN_CHOICE, newer.size() / CHOICE_FRACTION);
+        return newer.stream().limit(newest).map(ReportingPeer::address).toList();
     }
 
     /** Time since the last report of each peer that has reported recently. */
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/peer/PeerExchange.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/peer/PeerExchange.java
@@ -4,16 +4,15 @@
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
-import java.util.function.Consumer;
-import java.util.function.Supplier;
 import org.tanagergap.api.lifecycle.Service;
 import org.tanagergap.api.time.RuntimeClock;
 import org.tanagergap.decisions.fleet.FleetLoad;
 import org.tanagergap.decisions.fleet.UpstreamHealth;
 import org.tanagergap.gateway.forward.QuarantineGate;
 import org.tanagergap.gateway.forward.RateLimitGate;
-import org.tanagergap.gateway.membership.ReplicaProgress;
+import org.tanagergap.gateway.membership.ReplicaReports;
 import org.tanagergap.runtime.settings.HostPort;
 import org.tanagergap.runtime.time.PeriodicTask;
 
@@ -38,8 +37,7 @@
     private final UpstreamHealth mHealth;
     private final QuarantineGate mQuarantine;
     private final RateLimitGate mRateLimits;
-    private final Supplier<ReplicaProgress> mProgress;
-    private final Consumer<ReplicaProgress> mPeerProgress;
+    private final ReplicaReports mReplicas;
     private final PeriodicTask mReports;
     private final PeerSocket mSocket;
     private final PermitExchange mPermits;
@@ -50,8 +48,7 @@
     /**
      * Creates an exchange that is not started.
      *
-     * @param progress progress of the local replica of the store
-     * @param peerProgress receives the progress of the replicas of peers
+     * @param replicas progress of the replicas of the store
      */
     public PeerExchange(
             Vertx vertx,
@@ -63,8 +60,7 @@
             UpstreamHealth health,
             QuarantineGate quarantine,
             RateLimitGate rateLimits,
-            Supplier<ReplicaProgress> progress,
-            Consumer<ReplicaProgress> peerProgress) {
+            ReplicaReports replicas) {
         mClock = clock;
         mId = id;
         mDirectory = directory;
@@ -72,8 +68,7 @@
         mHealth = health;
         mQuarantine = quarantine;
         mRateLimits = rateLimits;
-        mProgress = progress;
-        mPeerProgress = peerProgress;
+        mReplicas = replicas;
         mSocket = new PeerSocket(vertx, id, address, this::received);
         mPermits = new PermitExchange(clock, id, directory, rateLimits, mSocket);
         mReports = new PeriodicTask(clock, REPORT_INTERVAL, this::reportPeriodically);
@@ -126,7 +121,8 @@
         PeerReport report =
                 new PeerReport(
                         mId,
-                        mProgress.get(),
+                        mReplicas.progress(),
+                        Optional.of(mReplicas.storeRead()),
                         mLoad.localLoads(now),
                         mHealth.slowness().reportable(now),
                         suspended,
@@ -145,8 +141,8 @@
 
     private void accept(PeerReport report, HostPort sender) {
         long now = mClock.nanoTime();
-        mDirectory.reportReceived(report.id(), sender, report.progress().position());
-        mPeerProgress.accept(report.progress());
+        mDirectory.reportReceived(report.id(), sender, report.progress());
+        mReplicas.peerReported(report.id(), report.progress(), report.storeRead());
         mLoad.peerReported(report.id(), report.loads(), now);
         Map<String, Duration> suspended = new HashMap<>();
         report.suspendedMillis()
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/peer/PeerReport.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/peer/PeerReport.java
@@ -6,12 +6,14 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Optional;
 import org.tanagergap.api.store.StorePosition;
 import org.tanagergap.decisions.fleet.FleetSlowness;
 import org.tanagergap.decisions.fleet.StreamTargets;
 import org.tanagergap.decisions.fleet.UpstreamLoad;
 import org.tanagergap.decisions.quarantine.QuarantineUpdate;
 import org.tanagergap.decisions.ratelimit.RateLimitObservation;
+import org.tanagergap.decisions.replication.PeerRead;
 import org.tanagergap.gateway.membership.ReplicaProgress;
 
 /**
@@ -19,6 +21,7 @@
  *
  * @param id identifier of the sender
  * @param progress progress of its replica of the store
+ * @param storeRead its reads of the store; empty if it is of an earlier version
  * @param loads load that its requests cause, by upstream
  * @param slowness evidence for slow upstreams that it has observed, by upstream
  * @param suspendedMillis remaining suspension of upstreams that it does not use, in ms
@@ -28,6 +31,7 @@
 public record PeerReport(
         String id,
         ReplicaProgress progress,
+        Optional<PeerRead> storeRead,
         Map<String, UpstreamLoad> loads,
         Map<String, FleetSlowness.Evidence> slowness,
         Map<String, Long> suspendedMillis,
@@ -60,6 +64,7 @@
         QuarantineUpdateCodec.encode(quarantine, report);
         RateLimitCodec.encode(rateLimits, report);
         SlownessCodec.encode(slowness, report);
+        storeRead.ifPresent(read -> PeerReadCodec.encode(read, report));
         return report.put("id", id)
                 .put("epoch", progress.position().epoch())
                 .put("revision", progress.position().revision())
@@ -89,6 +94,7 @@
         return new PeerReport(
                 json.getString("id"),
                 progress(json),
+                PeerReadCodec.decode(json),
                 loads,
                 SlownessCodec.decode(json),
                 suspended,
--- a/tanagergap-gateway/src/test/java/org/tanagergap/gateway/membership/StoreCatchUpTests.java
+++ b/tanagergap-gateway/src/test/java/org/tanagergap/gateway/membership/StoreCatchUpTests.java
@@ -11,6 +11,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.tanagergap.api.store.StorePosition;
+import org.tanagergap.decisions.replication.StoreReaders;
 import org.tanagergap.platform.keyvalue.ChangeFeed;
 import org.tanagergap.platform.keyvalue.Changes;
 import org.tanagergap.platform.keyvalue.KeyValue;
@@ -111,6 +112,7 @@
                         mView,
                         position -> Optional.empty(),
                         () -> 1,
+                        new StoreReaders("g1", "a"),
                         new RecordingListener());
         sync.start();
         mClock.advance(Duration.ofSeconds(1));
--- a/tanagergap-gateway/src/test/java/org/tanagergap/gateway/membership/StoreSyncFailureTests.java
+++ b/tanagergap-gateway/src/test/java/org/tanagergap/gateway/membership/StoreSyncFailureTests.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.CompletableFuture;
 import org.junit.jupiter.api.Test;
 import org.tanagergap.api.store.StorePosition;
+import org.tanagergap.decisions.replication.StoreReaders;
 import org.tanagergap.platform.keyvalue.ChangeFeed;
 import org.tanagergap.platform.keyvalue.Changes;
 import org.tanagergap.platform.keyvalue.KeyValue;
@@ -111,6 +112,7 @@
                         mView,
                         position -> mPeers.changesAfter(position),
                         () -> 1,
+                        new StoreReaders("g1", "a"),
                         new IgnoringListener());
         sync.start();
         return sync;
--- a/tanagergap-gateway/src/test/java/org/tanagergap/gateway/membership/StoreSyncTests.java
+++ b/tanagergap-gateway/src/test/java/org/tanagergap/gateway/membership/StoreSyncTests.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.TimeoutException;
 import org.junit.jupiter.api.Test;
 import org.tanagergap.api.store.StorePosition;
+import org.tanagergap.decisions.replication.StoreReaders;
 import org.tanagergap.platform.keyvalue.ChangeFeed;
 import org.tanagergap.platform.keyvalue.Changes;
 import org.tanagergap.platform.keyvalue.HistoryLostException;
@@ -118,6 +119,11 @@
                 new StorePosition(epoch, revision), new StorePosition(epoch, lastChange));
     }
 
+    /** Report of a peer of an earlier version. */
+    private static void reported(StoreSync sync, ReplicaProgress progress) {
+        sync.peerReported("g2", progress, Optional.empty());
+    }
+
     private static PeerChanges changes(long epoch, long revision, List<KeyValue> items) {
         return new PeerChanges(items, new StorePosition(epoch, revision), false);
     }
@@ -143,6 +149,7 @@
                                         .findFirst()
                                         .map(CompletableFuture::completedFuture),
                         () -> mInstances,
+                        new StoreReaders("g1", "a"),
                         new CountingListener());
         sync.start();
         return sync;
@@ -172,7 +179,7 @@
         StoreSync sync = started();
         mPeerChanges.add(changes(1, 14, List.of(new KeyValue(PREFIX + "u1", "", 12, 0))));
 
-        sync.peerProgressed(progress(1, 14, 12));
+        reported(sync, progress(1, 14, 12));
 
         assertThat(mView.usable("s")).isEmpty();
         assertThat(sync.progress()).isEqualTo(progress(1, 14, 12));
@@ -183,7 +190,7 @@
         StoreSync sync = started();
         mPeerChanges.add(changes(1, 14, List.of()));
 
-        sync.peerProgressed(progress(1, 14, 9));
+        reported(sync, progress(1, 14, 9));
 
         assertThat(sync.progress().position().revision()).isEqualTo(10);
     }
@@ -194,7 +201,7 @@
         StoreSync sync = started();
         mPeerChanges.add(changes(1, 15, List.of(entry("u1", 1, 15))));
 
-        sync.peerProgressed(progress(1, 15, 12));
+        reported(sync, progress(1, 15, 12));
 
         assertThat(sync.progress()).isEqualTo(progress(1, 15, 5));
     }
@@ -232,7 +239,7 @@
         StoreSync sync = started();
         mPeerChanges.add(allItems(2, 4, entry("u1", 1, 3), entry("u2", 1, 4)));
 
-        sync.peerProgressed(progress(2, 4, 4));
+        reported(sync, progress(2, 4, 4));
 
         assertThat(mView.usable("s")).hasSize(2);
         assertThat(mRestores).isEqualTo(1);
@@ -244,7 +251,7 @@
         StoreSync sync = started();
         mPeerChanges.add(changes(1, 90, List.of(entry("u2", 1, 88))));
 
-        sync.peerProgressed(progress(1, 90, 88));
+        reported(sync, progress(1, 90, 88));
 
         assertThat(mView.usable("s")).hasSize(1);
         assertThat(sync.progress().position()).isEqualTo(new StorePosition(2, 10));
@@ -255,7 +262,7 @@
     void aResponseFromBeforeARestoreIsIgnored() {
         StoreSync sync = started();
         mPeerChanges.add(allItems(2, 4, entry("u2", 1, 4)));
-        sync.peerProgressed(progress(2, 4, 4));
+        reported(sync, progress(2, 4, 4));
 
         mClock.advance(Duration.ofMillis(700));
 
@@ -266,7 +273,7 @@
     void entriesThatARestoredStoreLacksAreUsedUntilTheyCanHaveBeenWrittenAgain() {
         StoreSync sync = started();
         mPeerChanges.add(allItems(2, 4, entry("u2", 1, 4)));
-        sync.peerProgressed(progress(2, 4, 4));
+        reported(sync, progress(2, 4, 4));
 
         assertThat(mView.usable("s")).hasSize(2);
         mClock.advance(Duration.ofMillis(2900));
--- a/tanagergap-gateway/src/test/java/org/tanagergap/gateway/peer/PeerDatagramTests.java
+++ b/tanagergap-gateway/src/test/java/org/tanagergap/gateway/peer/PeerDatagramTests.java
@@ -20,6 +20,7 @@
 import org.tanagergap.decisions.quarantine.QuarantineUpdate;
 import org.tanagergap.decisions.ratelimit.PermitGrant;
 import org.tanagergap.decisions.ratelimit.RateLimitObservation;
+import org.tanagergap.decisions.replication.PeerRead;
 import org.tanagergap.gateway.membership.ReplicaProgress;
 
 /** Guards an instance against damaged datagrams of its peers. */
@@ -29,6 +30,7 @@
             new PeerReport(
                     "gateway-1",
                     new ReplicaProgress(new StorePosition(2, 77), new StorePosition(2, 70)),
+                    Optional.of(new PeerRead("a", Optional.of(Duration.ofMillis(90)), true)),
                     Map.of(
                             "e1",
                             new UpstreamLoad(
@@ -102,6 +104,7 @@
         return new PeerReport(
                 "gateway-1",
                 new ReplicaProgress(new StorePosition(2, 77), new StorePosition(2, 70)),
+                Optional.of(new PeerRead("a", Optional.of(Duration.ofMillis(90)), true)),
                 Map.of(),
                 Map.of(),
                 Map.of(),
--- a/tanagergap-gateway/src/test/java/org/tanagergap/gateway/peer/PeerNumbersTests.java
+++ b/tanagergap-gateway/src/test/java/org/tanagergap/gateway/peer/PeerNumbersTests.java
@@ -9,6 +9,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalDouble;
 import org.junit.jupiter.api.Test;
 import org.tanagergap.api.store.StorePosition;
@@ -19,6 +20,7 @@
 import org.tanagergap.decisions.quarantine.QuarantineUpdate;
 import org.tanagergap.decisions.ratelimit.PermitGrant;
 import org.tanagergap.decisions.ratelimit.RateLimitObservation;
+import org.tanagergap.decisions.replication.PeerRead;
 import org.tanagergap.gateway.membership.ReplicaProgress;
 
 /** Guards the handler of datagrams against numbers whose sums or nanoseconds overflow. */
@@ -28,6 +30,7 @@
             new PeerReport(
                     "g1",
                     new ReplicaProgress(new StorePosition(2, 77), new StorePosition(2, 70)),
+                    Optional.of(new PeerRead("a", Optional.of(Duration.ofMillis(90)), true)),
                     Map.of(
                             "e1",
                             new UpstreamLoad(
--- a/tanagergap-gateway/src/test/java/org/tanagergap/gateway/peer/PeerSocketTests.java
+++ b/tanagergap-gateway/src/test/java/org/tanagergap/gateway/peer/PeerSocketTests.java
@@ -4,9 +4,11 @@
 
 import io.vertx.core.Vertx;
 import java.io.IOException;
+import java.time.Duration;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
@@ -17,6 +19,7 @@
 import org.tanagergap.decisions.fleet.StreamTargets;
 import org.tanagergap.decisions.fleet.UpstreamLoad;
 import org.tanagergap.decisions.quarantine.QuarantineUpdate;
+import org.tanagergap.decisions.replication.PeerRead;
 import org.tanagergap.gateway.membership.ReplicaProgress;
 import org.tanagergap.runtime.settings.FreeAddresses;
 import org.tanagergap.runtime.settings.HostPort;
@@ -73,6 +76,7 @@
         return new PeerReport(
                 "sender",
                 new ReplicaProgress(new StorePosition(1, 70_000), new StorePosition(1, 70_000)),
+                Optional.of(new PeerRead("a", Optional.of(Duration.ofMillis(90)), true)),
                 loads,
                 Map.of(),
                 Map.of(),
