Keep entries that expire in an outage that only readers of the store notice

Gateways that rely on readers rarely call the store, so that most do not notice an outage themselves. Reports tell that the sender has seen one, and removals then count as expired leases.

Peers now have to be ahead repeatedly for 1.2 s.

--- a/tanagergap-decisions/src/main/java/org/tanagergap/decisions/replication/PollSchedule.java
+++ b/tanagergap-decisions/src/main/java/org/tanagergap/decisions/replication/PollSchedule.java
@@ -12,10 +12,10 @@
     /** Interval of the polls of an instance that relies on readers. */
     static final Duration CHECK_INTERVAL = Duration.ofSeconds(6);
 
-    /** Interval of its polls while no reader makes progress, and of its retries. */
+    /** Interval of its polls, failed or not, while no reader makes progress. */
     static final Duration FALLBACK_INTERVAL = StoreReaders.MAX_SILENCE;
 
-    /** Time from a failed poll of a reader to the next one. */
+    /** Time from a failed poll to the next one if the store may be available. */
     static final Duration RETRY_INTERVAL = Duration.ofMillis(250);
 
     /** Longest time until an instance that is not a reader looks at its readers again. */
@@ -41,10 +41,7 @@
         mCompletedNanos = nowNanos;
     }
 
-    /**
-     * Makes a poll due without regard to readers, because changes of a peer cannot be fetched or
-     * the store appears to be available again.
-     */
+    /** Makes a poll due without regard to readers, because changes of a peer cannot be fetched. */
     public void request() {
         mRequested = true;
     }
@@ -64,9 +61,13 @@
     }
 
     private Duration interval(Situation situation) {
+        // An instance that fails while readers succeed is late after an outage, or cut off alone.
+        if (mFailed && (situation.reader() || situation.readersProgress())) {
+            return RETRY_INTERVAL;
+        }
         if (situation.reader()) {
-            return mFailed ? RETRY_INTERVAL : situation.readerInterval();
+            return situation.readerInterval();
         }
-        return mFailed || !situation.readersProgress() ? FALLBACK_INTERVAL : CHECK_INTERVAL;
+        return situation.readersProgress() ? CHECK_INTERVAL : FALLBACK_INTERVAL;
     }
 }
--- a/tanagergap-decisions/src/main/java/org/tanagergap/decisions/replication/StoreReaders.java
+++ b/tanagergap-decisions/src/main/java/org/tanagergap/decisions/replication/StoreReaders.java
@@ -41,11 +41,16 @@
      */
     static final Duration MAX_READ_AGE = Duration.ofSeconds(8);
 
+    /** The choice is asked for with each item that changes; it is made again after this time. */
+    private static final Duration CHOICE_LIFETIME = Duration.ofMillis(100);
+
     private static final String HASH_KEY = "store-reader";
 
     private final String mId;
     private final String mDomain;
     private final Map<String, Peer> mPeers = new HashMap<>();
+    private Set<String> mChosen = Set.of();
+    private long mChosenNanos;
     private OptionalLong mOwnReadNanos = OptionalLong.empty();
 
     private record Peer(String domain, OptionalLong readNanos, boolean outage, long heardNanos) {
@@ -89,7 +94,10 @@
                 read.sinceRead()
                         .map(age -> OptionalLong.of(nowNanos - age.toNanos()))
                         .orElse(OptionalLong.empty());
-        mPeers.put(id, new Peer(read.domain(), readNanos, read.outage(), nowNanos));
+        Peer peer = new Peer(read.domain(), readNanos, read.outage(), nowNanos);
+        if (mPeers.put(id, peer) == null) {
+            mChosen = Set.of();
+        }
     }
 
     /** Returns true if no peer has reported recently. */
@@ -119,15 +127,13 @@
     }
 
     /**
-     * Returns true if readers have seen an outage of the store that this instance may not have
-     * noticed. A reader that is served without an outage shows that another one was merely cut off.
+     * Returns true if a reader other than this instance has seen an outage of the store that this
+     * instance may not have noticed. One reader suffices: the calls of the others may not have
+     * failed yet. A reader that is cut off alone soon finds that its peers are ahead, and no longer
+     * reports an outage.
      */
     public boolean anyHasSeenOutage(long nowNanos) {
-        List<Peer> readers = otherReaders(nowNanos);
-        boolean served =
-                readers.stream()
-                        .anyMatch(r -> !r.outage() && r.hasReadWithin(MAX_SILENCE, nowNanos));
-        return !served && readers.stream().anyMatch(Peer::outage);
+        return otherReaders(nowNanos).stream().anyMatch(Peer::outage);
     }
 
     private List<Peer> otherReaders(long nowNanos) {
@@ -144,7 +150,16 @@
 
     /** Identifiers of the readers: the first of each failure domain, and at least three. */
     Set<String> readers(long nowNanos) {
-        expire(nowNanos);
+        boolean current = nowNanos - mChosenNanos < CHOICE_LIFETIME.toNanos();
+        if (mChosen.isEmpty() || !current) {
+            expire(nowNanos);
+            mChosen = choose(nowNanos);
+            mChosenNanos = nowNanos;
+        }
+        return mChosen;
+    }
+
+    private Set<String> choose(long nowNanos) {
         Map<String, String> domains = candidates(nowNanos);
         Map<String, List<String>> byDomain = new TreeMap<>();
         domains.forEach(
--- a/tanagergap-decisions/src/test/java/org/tanagergap/decisions/replication/PollScheduleTests.java
+++ b/tanagergap-decisions/src/test/java/org/tanagergap/decisions/replication/PollScheduleTests.java
@@ -17,7 +17,7 @@
         "true, true, false, false, 250",
         "false, true, true, false, 6000",
         "false, false, true, false, 1200",
-        "false, true, false, false, 1200",
+        "false, true, false, false, 250",
         "false, false, false, false, 1200",
         "false, true, true, true, 250",
     })
--- a/tanagergap-decisions/src/test/java/org/tanagergap/decisions/replication/StoreReadersTests.java
+++ b/tanagergap-decisions/src/test/java/org/tanagergap/decisions/replication/StoreReadersTests.java
@@ -156,16 +156,16 @@
         assertThat(readers.anyHasProgressed(mNow)).isFalse();
     }
 
+    /** A reader whose call has not failed yet must not hide the outage that another one saw. */
     @Test
-    void anOutageOfAllReadersIsToldFromThatOfOne() {
+    void anOutageThatOneReaderHasSeenIsKnown() {
         StoreReaders readers = instance(3, 0, INSTANCES, 100);
-        String cutOff =
+        String first =
                 readers.readers(mNow).stream().filter(id -> !id.equals("g3")).findFirst().get();
-        int index = Integer.parseInt(cutOff.substring(1));
-        hear(readers, index, index + 1, 1500, true);
+        int index = Integer.parseInt(first.substring(1));
         assertThat(readers.anyHasSeenOutage(mNow)).isFalse();
 
-        hear(readers, 0, INSTANCES, 1500, true);
+        hear(readers, index, index + 1, 900, true);
         assertThat(readers.anyHasSeenOutage(mNow)).isTrue();
     }
 
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/GatewayService.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/GatewayService.java
@@ -94,7 +94,7 @@
                         quarantine,
                         rateLimits,
                         mSync);
-        mSync.onChangeRead(exchange::announce);
+        mSync.announceWith(exchange::announce);
         registerGauges(context.metrics());
         SharedMemoryLimit memory = SharedMemoryLimit.ofHeapCapacity();
         Forwarder forwarder =
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/membership/PollTiming.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/membership/PollTiming.java
@@ -40,9 +40,9 @@
         return mReaders.hasReaders(mInstances.getAsInt());
     }
 
-    /** Returns true if the readers on which this instance relies have seen an outage. */
+    /** Returns true if readers of a large fleet have seen an outage. */
     boolean readersSawOutage() {
-        return !isReader() && mReaders.anyHasSeenOutage(mClock.nanoTime());
+        return hasReaders() && mReaders.anyHasSeenOutage(mClock.nanoTime());
     }
 
     void completed(boolean successful) {
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/membership/StoreAvailability.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/membership/StoreAvailability.java
@@ -24,12 +24,13 @@
     private Optional<Long> mFailingSinceNanos = Optional.empty();
     private Optional<Long> mRecoveredNanos = Optional.empty();
     private Optional<Long> mPeersAheadSinceNanos = Optional.empty();
+    private long mPeersAheadLastNanos;
 
     /**
      * Creates the availability of a store that has not failed.
      *
-     * @param readersSawOutage whether the peers on whose polls this instance relies have recently
-     *     seen an outage, which this instance may not have noticed
+     * @param readersSawOutage whether readers among the peers have recently seen an outage, which
+     *     this instance may not have noticed
      */
     StoreAvailability(RuntimeClock clock, BooleanSupplier readersSawOutage) {
         mClock = clock;
@@ -72,26 +73,29 @@
     }
 
     /**
-     * Records that a peer has newer changes although the store is unavailable to this instance.
-     *
-     * @return true for the first time since the store became unavailable
+     * Records that a peer has newer changes although the store is unavailable to this instance. A
+     * peer that was ahead once may just have read the store last before an outage for all.
      */
-    boolean peerWasAhead() {
-        boolean first = mPeersAheadSinceNanos.isEmpty();
+    void peerWasAhead() {
+        if (elapsedNanos(mPeersAheadLastNanos) > PEERS_AHEAD_THRESHOLD.toNanos()) {
+            mPeersAheadSinceNanos = Optional.empty();
+        }
+        mPeersAheadLastNanos = mClock.nanoTime();
         mPeersAheadSinceNanos = mPeersAheadSinceNanos.or(() -> Optional.of(mClock.nanoTime()));
-        return first;
     }
 
     /** Returns true if a removal may be a lease that expired while the store was unavailable. */
     boolean removalMayBeExpiry() {
-        return sawOutage() || (mReadersSawOutage.getAsBoolean() && !storeServedPeers());
+        return sawOutage() || mReadersSawOutage.getAsBoolean();
     }
 
-    /** Returns true if the store failed to answer this instance, and its peers, until recently. */
+    /**
+     * Returns true if the store failed to answer this instance until recently, as far as it saw.
+     */
     boolean sawOutage() {
         boolean recentlyRecovered =
                 mRecoveredNanos.filter(t -> elapsedNanos(t) < EXPIRY_WINDOW.toNanos()).isPresent();
-        return (isFailing() || recentlyRecovered) && !storeServedPeers();
+        return (isFailing() || recentlyRecovered) && !peersWereAheadForLong();
     }
 
     /**
@@ -99,8 +103,12 @@
      * outage for all instances a peer may be ahead for a moment, which does not count.
      */
     boolean storeServedPeers() {
+        return peersWereAheadForLong() && !mReadersSawOutage.getAsBoolean();
+    }
+
+    private boolean peersWereAheadForLong() {
         return mPeersAheadSinceNanos
-                .filter(t -> elapsedNanos(t) > PEERS_AHEAD_THRESHOLD.toNanos())
+                .filter(t -> mPeersAheadLastNanos - t > PEERS_AHEAD_THRESHOLD.toNanos())
                 .isPresent();
     }
 
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/membership/StoreSync.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/membership/StoreSync.java
@@ -52,7 +52,7 @@
     private final CompletableFuture<Void> mLoaded = new CompletableFuture<>();
     private boolean mStopped;
     private boolean mPolling;
-    private Runnable mChangeRead = () -> {};
+    private Runnable mAnnouncement = () -> {};
     private long mFetchedNanos;
     private long mLastUpdateNanos;
     private Timer mTimer = () -> {};
@@ -90,9 +90,9 @@
         mPeers = new PeerCatchUp(peers, mUpdater);
     }
 
-    /** Sets an action to run when this instance has read a change that affects the fleet. */
-    public void onChangeRead(Runnable action) {
-        mChangeRead = action;
+    /** Sets an action that sends a report to peers ahead of schedule. */
+    public void announceWith(Runnable action) {
+        mAnnouncement = action;
     }
 
     @Override
@@ -109,8 +109,13 @@
     @Override
     public void peerReported(String id, ReplicaProgress peer, Optional<PeerRead> read) {
         read.ifPresent(r -> mReaders.peerReported(id, r, mClock.nanoTime()));
-        if (peer.lastChange().isAfter(mUpdater.position()) && !mAvailability.isFailing()) {
+        if (!peer.lastChange().isAfter(mUpdater.position())) {
+            return;
+        }
+        if (!mAvailability.isFailing()) {
             fetchFromPeer();
+        } else if (mTiming.hasReaders() && !mStopped) {
+            fetchDuringOutage();
         }
     }
 
@@ -245,7 +250,9 @@
         mPolling = false;
         if (failure == null) {
             mTiming.completed(true);
-            announce(changeBefore);
+            if (mUpdater.lastChange().isAfter(changeBefore)) {
+                announce();
+            }
             if (mReads.behind()) {
                 pollAtOnce();
             } else {
@@ -264,16 +271,16 @@
         mTiming.completed(false);
         if (mAvailability.failed()) {
             sLogger.atWarning().log("key-value store is unavailable: %s", root);
+            announce();
         }
         look();
         fetchDuringOutage();
     }
 
     /** Tells peers at once, which otherwise hear of the change with the next report. */
-    private void announce(StorePosition changeBefore) {
-        boolean changed = mUpdater.lastChange().isAfter(changeBefore);
-        if (changed && mTiming.hasReaders()) {
-            mChangeRead.run();
+    private void announce() {
+        if (mTiming.hasReaders()) {
+            mAnnouncement.run();
         }
     }
 
@@ -308,12 +315,7 @@
 
     private void peerWasAhead() {
         mLastUpdateNanos = mClock.nanoTime();
-        boolean firstOfOutage = mAvailability.peerWasAhead();
-        if (firstOfOutage && !isReader()) {
-            // The outage may have ended; until a response, removals count as expired leases.
-            mTiming.request();
-            look();
-        }
+        mAvailability.peerWasAhead();
     }
 
     private void loadCompleted() {
