--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/membership/PollInterval.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/membership/PollInterval.java
@@ -3,8 +3,8 @@
 import java.time.Duration;
 
 /**
- * Time from a response of the store to the next poll. It grows with the number of instances, which
- * fetch changes from each other.
+ * Time from a response of the store to the next poll of an instance that hears no peer. It grows
+ * with the number of instances, none of which may hear another.
  */
 final class PollInterval {
 
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/peer/PeerReadCodec.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/peer/PeerReadCodec.java
@@ -36,6 +36,9 @@
                 json.containsKey(SINCE)
                         ? Optional.of(PeerNumbers.time(json.getValue(SINCE)))
                         : Optional.empty();
+        if (since.filter(Duration::isNegative).isPresent()) {
+            throw new IllegalArgumentException("read of the store is in the future: " + since);
+        }
         return Optional.of(
                 new PeerRead(json.getString(DOMAIN), since, json.getBoolean(OUTAGE, false)));
     }
--- a/tanagergap-gateway/src/test/java/org/tanagergap/gateway/peer/PeerDatagramTests.java
+++ b/tanagergap-gateway/src/test/java/org/tanagergap/gateway/peer/PeerDatagramTests.java
@@ -3,6 +3,7 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import io.vertx.core.buffer.Buffer;
+import io.vertx.core.json.JsonObject;
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
@@ -64,6 +65,26 @@
         assertThat(PeerDatagram.decode(REPORT.encode())).isEqualTo(Optional.of(REPORT));
     }
 
+    /** A rolling update must not make gateways of one version deaf to the other. */
+    @Test
+    void aReportOfAnEarlierVersionHasNoReadOfTheStore() {
+        JsonObject earlier = REPORT.encode().toJsonObject();
+        earlier.remove("store_read");
+
+        PeerReport report = (PeerReport) PeerDatagram.decode(earlier.toBuffer()).orElseThrow();
+        assertThat(report.storeRead()).isEqualTo(Optional.empty());
+        assertThat(report.progress()).isEqualTo(REPORT.progress());
+    }
+
+    /** A read in the future would count as recent for good. */
+    @Test
+    void aReadInTheFutureIsRejected() {
+        JsonObject report = REPORT.encode().toJsonObject();
+        report.getJsonObject("store_read").put("ago_ms", -1);
+
+        assertThat(PeerDatagram.decode(report.toBuffer())).isEqualTo(Optional.empty());
+    }
+
     @Test
     void permitsAreDecodedAsTheyWereEncoded() {
         assertThat(PeerDatagram.decode(PERMITS.encode())).isEqualTo(Optional.of(PERMITS));
