--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/membership/StoreAvailability.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/membership/StoreAvailability.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.Optional;
+import java.util.function.BooleanSupplier;
 import org.tanagergap.api.time.RuntimeClock;
 
 /**
@@ -19,12 +20,21 @@
     private static final Duration PEERS_AHEAD_THRESHOLD = Duration.ofMillis(1200);
 
     private final RuntimeClock mClock;
+    private final BooleanSupplier mReadersSawOutage;
     private Optional<Long> mFailingSinceNanos = Optional.empty();
     private Optional<Long> mRecoveredNanos = Optional.empty();
     private Optional<Long> mPeersAheadSinceNanos = Optional.empty();
+    private long mPeersAheadLastNanos;
 
-    StoreAvailability(RuntimeClock clock) {
+    /**
+     * Creates the availability of a store that has not failed.
+     *
+     * @param readersSawOutage whether readers among the peers have recently seen an outage, which
+     *     this instance may not have noticed
+     */
+    StoreAvailability(RuntimeClock clock, BooleanSupplier readersSawOutage) {
         mClock = clock;
+        mReadersSawOutage = readersSawOutage;
     }
 
     boolean isFailing() {
@@ -62,16 +72,30 @@
         mPeersAheadSinceNanos = Optional.empty();
     }
 
-    /** Records that a peer has newer changes although the store is unavailable to this instance. */
+    /**
+     * Records that a peer has newer changes although the store is unavailable to this instance. A
+     * peer that was ahead once may just have read the store last before an outage for all.
+     */
     void peerWasAhead() {
+        if (elapsedNanos(mPeersAheadLastNanos) > PEERS_AHEAD_THRESHOLD.toNanos()) {
+            mPeersAheadSinceNanos = Optional.empty();
+        }
+        mPeersAheadLastNanos = mClock.nanoTime();
         mPeersAheadSinceNanos = mPeersAheadSinceNanos.or(() -> Optional.of(mClock.nanoTime()));
     }
 
     /** Returns true if a removal may be a lease that expired while the store was unavailable. */
     boolean removalMayBeExpiry() {
+        return sawOutage() || mReadersSawOutage.getAsBoolean();
+    }
+
+    /**
+     * Returns true if the store failed to answer this instance until recently, as far as it saw.
+     */
+    boolean sawOutage() {
         boolean recentlyRecovered =
                 mRecoveredNanos.filter(t -> elapsedNanos(t) < EXPIRY_WINDOW.toNanos()).isPresent();
-        return (isFailing() || recentlyRecovered) && !storeServedPeers();
+        return (isFailing() || recentlyRecovered) && !peersWereAheadForLong();
     }
 
     /**
@@ -79,8 +103,12 @@
      * outage for all instances a peer may be ahead for a moment, which does not count.
      */
     boolean storeServedPeers() {
+        return peersWereAheadForLong() && !mReadersSawOutage.getAsBoolean();
+    }
+
+    private boolean peersWereAheadForLong() {
         return mPeersAheadSinceNanos
-                .filter(t -> elapsedNanos(t) > PEERS_AHEAD_THRESHOLD.toNanos())
+                .filter(t -> mPeersAheadLastNanos - t > PEERS_AHEAD_THRESHOLD.toNanos())
                 .isPresent();
     }
 
