Bound what callers can make a gateway hold

Callers ended a gateway by heads of very many short lines, by pipelined requests whose responses they did not read, and kept connections open by requests that never begin or end. A handler in front of the HTTP decoder of the callers', ready, peer and admin ports now

- passes a head on only when it is complete and charged with the memory that it occupies once parsed (HeadAdmission); heads share half of the heap with bodies and responses, and large heads may use an eighth of the heap;
- reads the next request of a connection when the response before it is written, and pipelined requests between other connections;
- refuses heads that are too long, have too many lines, take too long or find no memory, with 431, 408 or 503 and Connection: close, and closes connections that send empty lines instead of a request;

A head that finds no memory does not wait; the entry and the agent are not protected yet (docs/design/inbound-limits.md).

--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/GatewayCommand.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/GatewayCommand.java
@@ -21,6 +21,7 @@
     private static final long MAX_MILLIS = 3_600_000;
     private static final long MAX_SECONDS = 3_600;
     private static final int MAX_RETRIES = 1_000_000;
+    private static final int MAX_NUMBER = 1_000_000;
 
     @Option(name = "--id", title = "name", description = "Unique name of this instance")
     String mId;
@@ -106,6 +107,24 @@
             description = "Window in which retries are counted")
     String mRetryWindowS;
 
+    @Option(
+            name = "--max-connections",
+            title = "number",
+            description = "Connections of clients; 0 for half of the descriptors of the process")
+    String mMaxConnections;
+
+    @Option(
+            name = "--max-header-lines",
+            title = "number",
+            description = "Lines of the head of a request")
+    String mMaxHeaderLines;
+
+    @Option(
+            name = "--max-leading-bytes",
+            title = "bytes",
+            description = "Bytes, such as empty lines, in front of a request")
+    String mMaxLeadingBytes;
+
     private GatewaySettings mSettings;
 
     /** Creates the components that connect the gateway with its platform. */
@@ -163,7 +182,8 @@
                 reader.millis("--drain-ms", mDrainMs, "3000", 0, MAX_MILLIS),
                 reader.seconds("--grace-s", mGraceS, "8", 0, MAX_SECONDS),
                 reservationLimits(reader),
-                retryBudget(reader));
+                retryBudget(reader),
+                inbound(reader));
     }
 
     private ReservationLimits reservationLimits(SettingsReader reader) {
@@ -182,6 +202,16 @@
                         MAX_MILLIS));
     }
 
+    private InboundSettings inbound(SettingsReader reader) {
+        // The default number of lines fills a head of 64 KB with the shortest header lines.
+        return new InboundSettings(
+                (int) reader.number("--max-connections", mMaxConnections, "0", 0, MAX_NUMBER),
+                (int) reader.number("--max-header-lines", mMaxHeaderLines, "22000", 10, MAX_NUMBER),
+                (int)
+                        reader.number(
+                                "--max-leading-bytes", mMaxLeadingBytes, "1024", 2, MAX_NUMBER));
+    }
+
     private RetryBudgetSettings retryBudget(SettingsReader reader) {
         double ratio = reader.decimal("--retry-ratio", mRetryRatio, "0.1", 0, 1);
         // A part of a retry of all gateways together adds to the shares of each.
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/GatewayService.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/GatewayService.java
@@ -7,6 +7,7 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpClient;
 import java.util.List;
+import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Supplier;
@@ -18,6 +19,7 @@
 import org.tanagergap.decisions.fleet.FleetLoad;
 import org.tanagergap.decisions.fleet.UpstreamHealth;
 import org.tanagergap.decisions.memory.BodyAdmission;
+import org.tanagergap.decisions.memory.HeadAdmission;
 import org.tanagergap.decisions.memory.SharedMemoryLimit;
 import org.tanagergap.gateway.caller.GatewayCallerServer;
 import org.tanagergap.gateway.caller.ReadinessServer;
@@ -41,6 +43,8 @@
 import org.tanagergap.gateway.peer.PeerReplicaServer;
 import org.tanagergap.runtime.admin.AdminServer;
 import org.tanagergap.runtime.async.Futures;
+import org.tanagergap.runtime.http.DescriptorLimit;
+import org.tanagergap.runtime.http.InboundProtection;
 import org.tanagergap.runtime.metrics.MetricsText;
 import org.tanagergap.runtime.program.ProgramContext;
 
@@ -69,10 +73,7 @@
         mSettings = reloadable.settings();
         mEventLoop = vertx.getOrCreateContext();
         mView = new FleetView(mClock);
-        context.metrics()
-                .register(
-                        "gateway_evacuated_domains",
-                        (Gauge<Integer>) () -> mView.evacuatedDomains().size());
+        registerMetrics(context.metrics());
         mSettingsWatch = new SettingsWatch(mClock, reloadable);
         RandomGenerator random = new Random();
         FleetLoad load = new FleetLoad();
@@ -124,7 +125,10 @@
                                 exchange::announce),
                         random);
         BodyAdmission bodies = bodyAdmission(memory, context.metrics());
-        mCallers = callerServer(context, platform, bodies, new RequestResolver(random), forwarder);
+        InboundProtection inbound = inboundProtection(memory, context.metrics());
+        mCallers =
+                callerServer(
+                        context, inbound, platform, bodies, new RequestResolver(random), forwarder);
         rateLimits.listener(new GatewayPermitListener(exchange, forwarder));
         mView.addListener(new GatewayFleetListener(forwarder, health, rateLimits, mCallers));
         GatewayStatus status =
@@ -139,13 +143,20 @@
                         quarantine,
                         rateLimits,
                         mClock);
-        mAdmin = adminServer(context, status);
-        mServices = services(vertx, exchange);
+        mAdmin = adminServer(context, inbound, status);
+        mServices = services(vertx, inbound, exchange);
         mShutdown = new GatewayShutdown(mClock, mSettings, mCallers, releases, mServices);
     }
 
+    private void registerMetrics(MetricRegistry metrics) {
+        metrics.register(
+                "gateway_evacuated_domains",
+                (Gauge<Integer>) () -> mView.evacuatedDomains().size());
+    }
+
     private GatewayCallerServer callerServer(
             ProgramContext context,
+            InboundProtection inbound,
             GatewayPlatform platform,
             BodyAdmission bodies,
             RequestResolver resolver,
@@ -158,7 +169,9 @@
                 platform.wire(),
                 resolver,
                 bodies,
-                forwarder);
+                forwarder,
+                inbound,
+                mSettings.inbound());
     }
 
     private RateLimitGate rateLimits(MetricRegistry metrics) {
@@ -178,6 +191,15 @@
         return bodies;
     }
 
+    private InboundProtection inboundProtection(SharedMemoryLimit memory, MetricRegistry metrics) {
+        int maxConnections = mSettings.inbound().maxConnections();
+        return new InboundProtection(
+                mClock,
+                new HeadAdmission(memory),
+                maxConnections > 0 ? maxConnections : DescriptorLimit.maxConnections(),
+                metrics);
+    }
+
     private PeerRegistration registration(GatewayPlatform platform) {
         return new PeerRegistration(
                 mClock,
@@ -200,23 +222,25 @@
     }
 
     /** Services in the order of their start. */
-    private List<Service> services(Vertx vertx, PeerExchange exchange) {
+    private List<Service> services(Vertx vertx, InboundProtection inbound, PeerExchange exchange) {
         return List.of(
-                new ReadinessServer(vertx, mSettings.readyListen(), this::ready),
-                new PeerReplicaServer(vertx, mSettings.peerListen(), mSync::replica),
+                new ReadinessServer(vertx, mSettings.readyListen(), this::ready, inbound),
+                new PeerReplicaServer(vertx, mSettings.peerListen(), mSync::replica, inbound),
                 exchange,
                 mSync,
                 mRegistration,
                 mSettingsWatch);
     }
 
-    private AdminServer adminServer(ProgramContext context, GatewayStatus status) {
+    private AdminServer adminServer(
+            ProgramContext context, InboundProtection inbound, GatewayStatus status) {
         return new AdminServer(
                 context.vertx(),
                 context.adminListen(),
                 new MetricsText(context.metrics()),
                 this::ready,
-                status::json);
+                status::json,
+                Optional.of(inbound));
     }
 
     @Override
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/GatewaySettings.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/GatewaySettings.java
@@ -19,6 +19,7 @@
  * @param grace time at shutdown after which the process is killed
  * @param reservationLimits longest times for which engine memory may be reserved without use
  * @param retryBudget retries that all instances together may make
+ * @param inbound limits on clients that keep to no limit
  */
 public record GatewaySettings(
         String id,
@@ -31,7 +32,8 @@
         Duration drain,
         Duration grace,
         ReservationLimits reservationLimits,
-        RetryBudgetSettings retryBudget) {
+        RetryBudgetSettings retryBudget,
+        InboundSettings inbound) {
 
     public GatewaySettings {
         seeds = List.copyOf(seeds);
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/ReloadableSettings.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/ReloadableSettings.java
@@ -88,6 +88,7 @@
                 mAtStart.drain(),
                 mAtStart.grace(),
                 mAtStart.reservationLimits(),
-                mAtStart.retryBudget());
+                mAtStart.retryBudget(),
+                mAtStart.inbound());
     }
 }
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/caller/GatewayCallerServer.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/caller/GatewayCallerServer.java
@@ -21,12 +21,15 @@
 import org.tanagergap.api.request.RequestId;
 import org.tanagergap.api.time.RuntimeClock;
 import org.tanagergap.decisions.memory.BodyAdmission;
+import org.tanagergap.gateway.InboundSettings;
 import org.tanagergap.gateway.configuration.CallerLimits;
 import org.tanagergap.gateway.configuration.GatewayConfiguration;
 import org.tanagergap.gateway.membership.FleetView;
 import org.tanagergap.gateway.wire.GatewayCallerHeaders;
 import org.tanagergap.gateway.wire.WireFormat;
 import org.tanagergap.runtime.async.Futures;
+import org.tanagergap.runtime.http.InboundLimits;
+import org.tanagergap.runtime.http.InboundProtection;
 import org.tanagergap.runtime.log.LogKeys;
 import org.tanagergap.runtime.settings.HostPort;
 import org.tanagergap.runtime.time.PendingReads;
@@ -65,6 +68,8 @@
     private final RequestBodyReader mBodyReader;
     private final PeriodicTask mIdleCheck;
     private final PendingReads mReads;
+    private final InboundProtection mInbound;
+    private final InboundSettings mInboundSettings;
     private final AtomicLong mSequence = new AtomicLong();
     private final Set<CallerExchange> mExchanges = new HashSet<>();
     private final FleetWait mFleetWait;
@@ -83,7 +88,9 @@
             WireFormat wire,
             RequestResolver resolver,
             BodyAdmission bodies,
-            CallerHandler handler) {
+            CallerHandler handler,
+            InboundProtection inbound,
+            InboundSettings inboundSettings) {
         mVertx = vertx;
         mClock = clock;
         mAddress = address;
@@ -91,6 +98,8 @@
         mWire = wire;
         mResolver = resolver;
         mHandler = handler;
+        mInbound = inbound;
+        mInboundSettings = inboundSettings;
         mConnections = new CallerConnections(clock);
         mBodyReader = new RequestBodyReader(clock, bodies);
         mReads = new PendingReads(clock);
@@ -108,8 +117,10 @@
                         .setHandle100ContinueAutomatically(true)
                         .setHttp2ClearTextEnabled(false);
         mServer =
-                mVertx.createHttpServer(options)
-                        .connectionHandler(mConnections::opened)
+                mInbound.protect(
+                                mVertx.createHttpServer(options),
+                                inboundLimits(),
+                                mConnections::opened)
                         .requestHandler(r -> guarded(r, () -> requestReceived(r)));
         return Futures.toCompletable(
                         mServer.listen(mAddress.port(), mAddress.host()).<Void>mapEmpty())
@@ -177,6 +188,15 @@
         return mView.configuration().map(GatewayConfiguration::limits).orElse(CallerLimits.DEFAULT);
     }
 
+    /** The first line and the header fields may both have the largest size. */
+    private InboundLimits inboundLimits() {
+        return new InboundLimits(
+                2 * MAX_HEADER_BYTES,
+                mInboundSettings.maxHeaderLines(),
+                mInboundSettings.maxLeadingBytes(),
+                () -> limits().headerTimeout());
+    }
+
     private void requestReceived(HttpServerRequest request) {
         long arrivalNanos = mClock.nanoTime();
         GatewayCallerHeaders headers = mWire.parseCallerHeaders(request.headers());
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/caller/ReadinessServer.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/caller/ReadinessServer.java
@@ -7,6 +7,8 @@
 import java.util.function.BooleanSupplier;
 import org.tanagergap.api.lifecycle.Service;
 import org.tanagergap.runtime.async.Futures;
+import org.tanagergap.runtime.http.InboundLimits;
+import org.tanagergap.runtime.http.InboundProtection;
 import org.tanagergap.runtime.settings.HostPort;
 
 /** Reports to the load balancer whether this instance accepts new connections. */
@@ -18,18 +20,23 @@
     private final Vertx mVertx;
     private final HostPort mAddress;
     private final BooleanSupplier mReady;
+    private final InboundProtection mInbound;
     private HttpServer mServer;
 
-    public ReadinessServer(Vertx vertx, HostPort address, BooleanSupplier ready) {
+    public ReadinessServer(
+            Vertx vertx, HostPort address, BooleanSupplier ready, InboundProtection inbound) {
         mVertx = vertx;
         mAddress = address;
         mReady = ready;
+        mInbound = inbound;
     }
 
     @Override
     public CompletableFuture<Void> start() {
         mServer =
-                mVertx.createHttpServer()
+                mInbound.protect(
+                                mVertx.createHttpServer(InboundLimits.internalOptions()),
+                                InboundLimits.INTERNAL)
                         .requestHandler(
                                 request ->
                                         request.response()
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/peer/PeerReplicaServer.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/peer/PeerReplicaServer.java
@@ -15,6 +15,8 @@
 import org.tanagergap.gateway.membership.StoreReplica;
 import org.tanagergap.platform.keyvalue.KeyValue;
 import org.tanagergap.runtime.async.Futures;
+import org.tanagergap.runtime.http.InboundLimits;
+import org.tanagergap.runtime.http.InboundProtection;
 import org.tanagergap.runtime.settings.HostPort;
 
 /** Serves the local replica of the store to peers. */
@@ -37,9 +39,15 @@
     private final Vertx mVertx;
     private final HostPort mAddress;
     private final Supplier<StoreReplica> mReplica;
+    private final InboundProtection mInbound;
     private HttpServer mServer;
 
-    public PeerReplicaServer(Vertx vertx, HostPort address, Supplier<StoreReplica> replica) {
+    public PeerReplicaServer(
+            Vertx vertx,
+            HostPort address,
+            Supplier<StoreReplica> replica,
+            InboundProtection inbound) {
+        mInbound = inbound;
         mVertx = vertx;
         mAddress = address;
         mReplica = replica;
@@ -60,7 +68,11 @@
 
     @Override
     public CompletableFuture<Void> start() {
-        mServer = mVertx.createHttpServer().requestHandler(this::serve);
+        mServer =
+                mInbound.protect(
+                                mVertx.createHttpServer(InboundLimits.internalOptions()),
+                                InboundLimits.INTERNAL)
+                        .requestHandler(this::serve);
         return Futures.toCompletable(mServer.listen(mAddress.port(), mAddress.host()).mapEmpty());
     }
 
--- a/tanagergap-gateway/src/test/java/org/tanagergap/gateway/caller/CallerServerHarness.java
+++ b/tanagergap-gateway/src/test/java/org/tanagergap/gateway/caller/CallerServerHarness.java
@@ -1,5 +1,6 @@
 package org.tanagergap.gateway.caller;
 
+import com.codahale.metrics.MetricRegistry;
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
 import io.vertx.core.http.HttpMethod;
@@ -13,7 +14,9 @@
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
 import org.tanagergap.decisions.memory.BodyAdmission;
+import org.tanagergap.decisions.memory.HeadAdmission;
 import org.tanagergap.decisions.memory.SharedMemoryLimit;
+import org.tanagergap.gateway.InboundSettings;
 import org.tanagergap.gateway.configuration.CallerLimits;
 import org.tanagergap.gateway.configuration.GatewayConfiguration;
 import org.tanagergap.gateway.configuration.Route;
@@ -23,6 +26,7 @@
 import org.tanagergap.gateway.membership.ChangeOrigin;
 import org.tanagergap.gateway.membership.FleetChange;
 import org.tanagergap.gateway.membership.FleetView;
+import org.tanagergap.runtime.http.InboundProtection;
 import org.tanagergap.runtime.settings.FreeAddresses;
 import org.tanagergap.runtime.settings.HostPort;
 import org.tanagergap.runtime.time.VertxRuntimeClock;
@@ -37,6 +41,8 @@
     /** One event loop, as in the deployed program. */
     final Vertx mVertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1));
 
+    private static final int MAX_CONNECTIONS = 1000;
+
     final GatewayCallerServer mServer;
     private final HostPort mAddress;
     private final List<Socket> mSockets = new ArrayList<>();
@@ -63,7 +69,13 @@
                         new FakeWireFormat(parsing),
                         new RequestResolver(new Random(1)),
                         new BodyAdmission(SharedMemoryLimit.ofHeap()),
-                        handler);
+                        handler,
+                        new InboundProtection(
+                                clock,
+                                new HeadAdmission(SharedMemoryLimit.ofHeap()),
+                                MAX_CONNECTIONS,
+                                new MetricRegistry()),
+                        new InboundSettings(MAX_CONNECTIONS, 22_000, 1024));
         mServer.start().get(5, TimeUnit.SECONDS);
         mServer.fleetLoaded();
     }
--- a/tanagergap-runtime/src/main/java/org/tanagergap/runtime/admin/AdminServer.java
+++ b/tanagergap-runtime/src/main/java/org/tanagergap/runtime/admin/AdminServer.java
@@ -7,11 +7,14 @@
 import io.vertx.ext.web.Router;
 import io.vertx.ext.web.RoutingContext;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 import org.tanagergap.api.lifecycle.Service;
 import org.tanagergap.runtime.async.Futures;
+import org.tanagergap.runtime.http.InboundLimits;
+import org.tanagergap.runtime.http.InboundProtection;
 import org.tanagergap.runtime.metrics.MetricsText;
 import org.tanagergap.runtime.settings.HostPort;
 
@@ -25,6 +28,7 @@
     private final MetricsText mMetrics;
     private final BooleanSupplier mReady;
     private final Supplier<JsonObject> mStatus;
+    private final Optional<InboundProtection> mInbound;
     private HttpServer mServer;
 
     /**
@@ -39,6 +43,24 @@
             MetricsText metrics,
             BooleanSupplier ready,
             Supplier<JsonObject> status) {
+        this(vertx, address, metrics, ready, status, Optional.empty());
+    }
+
+    /**
+     * Creates a server.
+     *
+     * @param ready supplies true while the program accepts requests
+     * @param status supplies the status of the program as JSON
+     * @param inbound protects the connections, if there is one in the process
+     */
+    public AdminServer(
+            Vertx vertx,
+            HostPort address,
+            MetricsText metrics,
+            BooleanSupplier ready,
+            Supplier<JsonObject> status,
+            Optional<InboundProtection> inbound) {
+        mInbound = Objects.requireNonNull(inbound, "inbound must not be null");
         mVertx = Objects.requireNonNull(vertx, "vertx must not be null");
         mAddress = Objects.requireNonNull(address, "address must not be null");
         mMetrics = Objects.requireNonNull(metrics, "metrics must not be null");
@@ -53,7 +75,8 @@
         router.get("/readyz").handler(this::readiness);
         router.get("/metrics").handler(this::metrics);
         router.get("/status").handler(context -> context.json(mStatus.get()));
-        mServer = mVertx.createHttpServer().requestHandler(router);
+        mServer = mVertx.createHttpServer(InboundLimits.internalOptions()).requestHandler(router);
+        mInbound.ifPresent(inbound -> inbound.protect(mServer, InboundLimits.INTERNAL));
         return Futures.toCompletable(mServer.listen(mAddress.port(), mAddress.host()).mapEmpty());
     }
 
--- /dev/null
+++ b/tanagergap-runtime/src/main/java/org/tanagergap/runtime/http/DescriptorLimit.java
@@ -0,0 +1,39 @@
+package org.tanagergap.runtime.http;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/** Number of descriptors that the process may open. */
+public final class DescriptorLimit {
+
+    private static final Path LIMITS = Path.of("/proc/self/limits");
+    private static final Pattern SOFT_LIMIT = Pattern.compile("Max open files\\s+(\\d+)");
+
+    /** Assumed where the system does not tell; the usual limit of a session. */
+    private static final int DEFAULT_DESCRIPTORS = 1024;
+
+    /** A connection without a request takes about 8 KB; this number takes 64 MB of the system. */
+    private static final int MAX_CONNECTIONS = 8192;
+
+    private DescriptorLimit() {}
+
+    /** Connections of clients for which half of the descriptors suffice. */
+    public static int maxConnections() {
+        return Math.min(MAX_CONNECTIONS, descriptors() / 2);
+    }
+
+    private static int descriptors() {
+        try {
+            // The management interface would add to the time of a start.
+            Matcher limit = SOFT_LIMIT.matcher(Files.readString(LIMITS));
+            return limit.find()
+                    ? (int) Math.min(Integer.MAX_VALUE, Long.parseLong(limit.group(1)))
+                    : DEFAULT_DESCRIPTORS;
+        } catch (IOException | NumberFormatException e) {
+            return DEFAULT_DESCRIPTORS;
+        }
+    }
+}
--- a/tanagergap-runtime/src/main/java/org/tanagergap/runtime/program/ProgramRunner.java
+++ b/tanagergap-runtime/src/main/java/org/tanagergap/runtime/program/ProgramRunner.java
@@ -5,6 +5,7 @@
 import com.google.common.flogger.FluentLogger;
 import io.smallrye.mutiny.infrastructure.Infrastructure;
 import io.vertx.core.Vertx;
+import io.vertx.core.internal.VertxInternal;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
@@ -31,6 +32,8 @@
     private static final long STOP_TIMEOUT_MINUTES = 30;
     private static final long CLOSE_TIMEOUT_MILLIS = 300;
 
+    private static volatile boolean sStopping;
+
     private ProgramRunner() {}
 
     /** Parses the arguments, starts the program's service and stops it when the process ends. */
@@ -53,10 +56,34 @@
                         sLogger.atFine().withCause(failure).log(
                                 "a stream failed after its cancellation"));
         Vertx vertx = Vertx.vertx(command.vertxOptions());
+        exitWithEventLoops(vertx);
         ProgramContext context = prepare(command, vertx);
         start(command, command.createService(context), context);
     }
 
+    /**
+     * Ends the process when an event loop ends by an error. The Java virtual machine would run the
+     * shutdown hooks after the last thread, as for a signal, and the exit status would be 0.
+     */
+    private static void exitWithEventLoops(Vertx vertx) {
+        ((VertxInternal) vertx)
+                .nettyEventLoopGroup()
+                .forEach(
+                        loop ->
+                                loop.terminationFuture()
+                                        .addListener(
+                                                ignored -> {
+                                                    if (!sStopping) {
+                                                        eventLoopEnded();
+                                                    }
+                                                }));
+    }
+
+    private static void eventLoopEnded() {
+        System.err.println("exiting with status " + ExitStatus.FAILED + ": an event loop ended");
+        Runtime.getRuntime().halt(ExitStatus.FAILED);
+    }
+
     private static void start(ProgramCommand command, Service service, ProgramContext context) {
         CompletableFuture<Void> started = new CompletableFuture<>();
         // Added first, because the service accepts work before its start is complete.
@@ -127,6 +154,7 @@
 
     private static void stop(
             Service service, CompletableFuture<Void> started, ProgramContext context) {
+        sStopping = true;
         int status = ExitStatus.OK;
         try {
             started.copy()
