Test that a program whose event loops end exits with a failure

A process whose threads have all ended runs the shutdown hooks as for a signal, and their halt gave the exit status 0. The test ends the event loops of a program and expects status 1 and the line that says why.

--- a/tanagergap-runtime/src/test/java/org/tanagergap/runtime/program/ProgramRunnerSignalTests.java
+++ b/tanagergap-runtime/src/test/java/org/tanagergap/runtime/program/ProgramRunnerSignalTests.java
@@ -62,6 +62,17 @@
         assertThat(mProcess.waitFor()).isEqualTo(ExitStatus.FAILED);
     }
 
+    /**
+     * A process without event loops ended with the status of a success, or stayed and did nothing.
+     */
+    @Test
+    void aProgramWhoseEventLoopsEndExitsWithAFailure() throws Exception {
+        start("-D" + SlowStartCommand.LOOPS_END + "=true");
+
+        assertThat(remainingOutput()).contains("an event loop ended");
+        assertThat(mProcess.waitFor()).isEqualTo(ExitStatus.FAILED);
+    }
+
     @Test
     void aProgramThatIsStoppedAndCannotStartReportsIt() throws Exception {
         start("-D" + SlowStartCommand.FAILS + "=true");
--- a/tanagergap-runtime/src/test/java/org/tanagergap/runtime/program/SlowStartCommand.java
+++ b/tanagergap-runtime/src/test/java/org/tanagergap/runtime/program/SlowStartCommand.java
@@ -1,5 +1,6 @@
 package org.tanagergap.runtime.program;
 
+import io.vertx.core.internal.VertxInternal;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.tanagergap.api.lifecycle.Service;
@@ -12,6 +13,9 @@
     static final String STOPPED = "service stopped";
     static final String FAILS = "test.start.fails";
 
+    /** System property that lets the event loops end, as they do by an error. */
+    static final String LOOPS_END = "loopsEnd";
+
     private static final long START_MILLIS = 1000;
 
     public static void main(String[] args) {
@@ -33,6 +37,10 @@
             @Override
             public CompletableFuture<Void> start() {
                 System.out.println(STARTING);
+                if (Boolean.getBoolean(LOOPS_END)) {
+                    VertxInternal vertx = (VertxInternal) context.vertx();
+                    vertx.nettyEventLoopGroup().shutdownGracefully(0, 0, TimeUnit.SECONDS);
+                }
                 return CompletableFuture.runAsync(
                         () -> {
                             if (Boolean.getBoolean(FAILS)) {
