--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/GatewayCommand.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/GatewayCommand.java
@@ -22,6 +22,7 @@
     private static final long MAX_SECONDS = 3_600;
     private static final int MAX_RETRIES = 1_000_000;
     private static final double MAX_COLD_RATE = 1_000_000;
+    private static final int MAX_NUMBER = 1_000_000;
 
     @Option(name = "--id", title = "name", description = "Unique name of this instance")
     String mId;
@@ -120,6 +121,24 @@
             description = "Further requests that a cold upstream may receive in a second")
     String mColdRateExtra;
 
+    @Option(
+            name = "--max-connections",
+            title = "number",
+            description = "Connections of clients; 0 for half of the descriptors of the process")
+    String mMaxConnections;
+
+    @Option(
+            name = "--max-header-lines",
+            title = "number",
+            description = "Lines of the head of a request")
+    String mMaxHeaderLines;
+
+    @Option(
+            name = "--max-leading-bytes",
+            title = "bytes",
+            description = "Bytes, such as empty lines, in front of a request")
+    String mMaxLeadingBytes;
+
     private GatewaySettings mSettings;
 
     /** Creates the components that connect the gateway with its platform. */
@@ -181,8 +200,8 @@
                 new ColdRateSettings(
                         reader.decimal(
                                 "--cold-rate-factor", mColdRateFactor, "1", 0, MAX_COLD_RATE),
-                        reader.decimal(
-                                "--cold-rate-extra", mColdRateExtra, "0", 0, MAX_COLD_RATE)));
+                        reader.decimal("--cold-rate-extra", mColdRateExtra, "0", 0, MAX_COLD_RATE)),
+                inbound(reader));
     }
 
     private ReservationLimits reservationLimits(SettingsReader reader) {
@@ -201,6 +220,16 @@
                         MAX_MILLIS));
     }
 
+    private InboundSettings inbound(SettingsReader reader) {
+        // The default number of lines fills a head of 64 KB with the shortest header lines.
+        return new InboundSettings(
+                (int) reader.number("--max-connections", mMaxConnections, "0", 0, MAX_NUMBER),
+                (int) reader.number("--max-header-lines", mMaxHeaderLines, "22000", 10, MAX_NUMBER),
+                (int)
+                        reader.number(
+                                "--max-leading-bytes", mMaxLeadingBytes, "1024", 2, MAX_NUMBER));
+    }
+
     private RetryBudgetSettings retryBudget(SettingsReader reader) {
         double ratio = reader.decimal("--retry-ratio", mRetryRatio, "0.1", 0, 1);
         // A part of a retry of all gateways together adds to the shares of each.
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/GatewaySettings.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/GatewaySettings.java
@@ -20,6 +20,7 @@
  * @param reservationLimits longest times for which engine memory may be reserved without use
  * @param retryBudget retries that all instances together may make
  * @param coldRate requests that cold upstreams may receive from all instances together
+ * @param inbound limits on clients that keep to no limit
  */
 public record GatewaySettings(
         String id,
@@ -33,7 +34,8 @@
         Duration grace,
         ReservationLimits reservationLimits,
         RetryBudgetSettings retryBudget,
-        ColdRateSettings coldRate) {
+        ColdRateSettings coldRate,
+        InboundSettings inbound) {
 
     public GatewaySettings {
         seeds = List.copyOf(seeds);
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/ReloadableSettings.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/ReloadableSettings.java
@@ -89,6 +89,7 @@
                 mAtStart.grace(),
                 mAtStart.reservationLimits(),
                 mAtStart.retryBudget(),
-                mAtStart.coldRate());
+                mAtStart.coldRate(),
+                mAtStart.inbound());
     }
 }
