Spread short prompts by the expected unreported placements on each engine

The model queues up to four requests beyond an engine's slots and prints the busiest engine relative to the mean and p99 to the first token.

--- a/tanagergap-decisions/src/main/java/org/tanagergap/decisions/fleet/FleetLoad.java
+++ b/tanagergap-decisions/src/main/java/org/tanagergap/decisions/fleet/FleetLoad.java
@@ -67,6 +67,16 @@
         return localLoad(upstream, nowNanos).plus(peers);
     }
 
+    /** Returns the ages of the peers' last reports, without those that are outdated. */
+    public ReportAges reportAges(long nowNanos) {
+        removeOutdated(nowNanos);
+        long total = 0;
+        for (ReceivedLoads report : mPeers.values()) {
+            total += nowNanos - report.receivedNanos();
+        }
+        return new ReportAges(mPeers.size(), total);
+    }
+
     private UpstreamLoad localLoad(String upstream, long nowNanos) {
         UpstreamLoad load = UpstreamLoad.NONE;
         for (InFlightRequest request : mLocal.getOrDefault(upstream, Set.of())) {
--- a/tanagergap-decisions/src/main/java/org/tanagergap/decisions/fleet/LengthAwarePlacement.java
+++ b/tanagergap-decisions/src/main/java/org/tanagergap/decisions/fleet/LengthAwarePlacement.java
@@ -1,7 +1,6 @@
 package org.tanagergap.decisions.fleet;
 
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
 import java.util.random.RandomGenerator;
@@ -22,9 +21,6 @@
      */
     private static final double LONG_PREFILL_SHARE = 0.6;
 
-    /** Cost of a full engine to a short prompt; grows with the cube of its utilization. */
-    private static final double UTILIZATION_COST = 0.3;
-
     /**
      * A long prompt with more slack than this waits for engines where it delays no other stream, in
      * ms.
@@ -40,16 +36,16 @@
      */
     private static final double FORCED_PLACEMENT_MILLIS = 1_500;
 
-    private static final double DELAY_COST_PER_MILLI = 0.002;
-
     private final RandomGenerator mRandom;
+    private final InstancePreference mPreference;
 
     public LengthAwarePlacement(RandomGenerator random) {
         mRandom = random;
+        mPreference = new InstancePreference(random.nextLong());
     }
 
-    /** Cost of a short prompt on an engine. */
-    private record Scored(EngineForecast engine, double cost, double firstMillis) {}
+    /** Engine with the cost of its place in the order of the engines. */
+    private record Preferred(EngineForecast engine, double cost) {}
 
     @Override
     public Optional<Placement> choose(
@@ -84,45 +80,32 @@
     }
 
     private Optional<Placement> chooseOneEngine(PlacementRequest request, EngineOrder order) {
-        List<Scored> scored = new ArrayList<>();
+        double unreported = request.unreportedPlacements();
+        List<Preferred> usable = new ArrayList<>();
         for (int i = 0; i < order.engines().size(); i++) {
             EngineForecast engine = order.engines().get(i);
             if (engine.hasSlot() && engine.fits(request.cost().memoryTokens())) {
-                scored.add(score(request, engine, order.costToShort(i)));
+                // Without placements by others, the load is known and needs no preference.
+                double preference = unreported > 0 ? mPreference.cost(engine.candidate().id()) : 0;
+                usable.add(new Preferred(engine, order.costToShort(i) + preference));
             }
         }
-        return best(scored, request.unreportedPlacements())
-                .map(
-                        s ->
-                                new Placement(
-                                        s.engine().candidate().id(),
-                                        List.of(),
-                                        0,
-                                        s.firstMillis()));
-    }
-
-    private static Scored score(
-            PlacementRequest request, EngineForecast engine, double positionCost) {
-        double prefill = engine.engine().prefillMillis(request.cost().promptTokens());
-        double first = engine.firstTokenMillis(prefill);
-        double used = engine.usedSlots();
-        double cost =
-                engine.latencyImpact(prefill)
-                        + request.loss()
-                                * EngineForecast.risk(first, request.firstTokenSlackMillis())
-                        + UTILIZATION_COST * used * used * used
-                        + positionCost
-                        + DELAY_COST_PER_MILLI * engine.candidate().delayMillis();
-        return new Scored(engine, cost, first);
-    }
-
-    private Optional<Scored> best(List<Scored> scored, double unreported) {
-        if (scored.isEmpty()) {
+        if (usable.isEmpty()) {
             return Optional.empty();
         }
-        scored.sort(Comparator.comparingDouble(Scored::cost));
-        int choices = PlacementSpread.choices(scored, Scored::cost, unreported);
-        return Optional.of(scored.get(mRandom.nextInt(choices)));
+        ShortPromptCost cost = new ShortPromptCost(request);
+        int chosen =
+                ExpectedPlacements.draw(
+                        usable.size(),
+                        unreported,
+                        (i, others) ->
+                                cost.cost(usable.get(i).engine(), usable.get(i).cost(), others),
+                        mRandom);
+        EngineForecast engine = usable.get(chosen).engine();
+        double prefill = engine.engine().prefillMillis(request.cost().promptTokens());
+        return Optional.of(
+                new Placement(
+                        engine.candidate().id(), List.of(), 0, engine.firstTokenMillis(prefill)));
     }
 
     /**
--- a/tanagergap-decisions/src/main/java/org/tanagergap/decisions/fleet/PlacementSpread.java
+++ b/tanagergap-decisions/src/main/java/org/tanagergap/decisions/fleet/PlacementSpread.java
@@ -4,8 +4,9 @@
 import java.util.function.ToDoubleFunction;
 
 /**
- * Decides among how many of the cheapest engines one is chosen at random. Instances that see the
- * same load would all choose the same engine until they have heard of each other's requests.
+ * Decides among how many of the cheapest engines those of a long prompt are chosen at random.
+ * Instances that see the same load would all choose the same engine until they have heard of each
+ * other's requests.
  */
 final class PlacementSpread {
 
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/GatewayService.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/GatewayService.java
@@ -110,7 +110,7 @@
                                 mView,
                                 load,
                                 health,
-                                new ConcurrentPlacements(directory::instanceCount),
+                                concurrentPlacements(directory, load),
                                 new DomainDelays(mSettings.failureDomain()),
                                 mSettings.reservationLimits(),
                                 retryBudgets(directory),
@@ -186,6 +186,11 @@
                 PeerDirectory.registrationValue(mSettings.peerListen()));
     }
 
+    private static ConcurrentPlacements concurrentPlacements(
+            PeerDirectory directory, FleetLoad load) {
+        return new ConcurrentPlacements(directory::instanceCount, load::reportAges);
+    }
+
     private StoreSync storeSync(
             GatewayPlatform platform, PeerDirectory directory, PeerReplicaClient peers) {
         return new StoreSync(
--- a/tanagergap-measure/src/main/java/org/tanagergap/measure/placement/EngineModel.java
+++ b/tanagergap-measure/src/main/java/org/tanagergap/measure/placement/EngineModel.java
@@ -1,6 +1,8 @@
 package org.tanagergap.measure.placement;
 
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Deque;
 import java.util.List;
 import org.tanagergap.decisions.fleet.EngineProfile;
 
@@ -11,10 +13,14 @@
  */
 final class EngineModel {
 
+    /** Requests that an engine queues when its slots are taken. */
+    private static final int QUEUE_LENGTH = 4;
+
     private final EngineProfile mProfile;
     private final int mChunkTokens;
     private final double mSpeed;
     private final List<EngineWork> mPrefills = new ArrayList<>();
+    private final Deque<EngineWork> mQueued = new ArrayDeque<>();
     private final List<EngineWork> mDecodes = new ArrayList<>();
     private boolean mBusy;
 
@@ -30,14 +36,29 @@
         mSpeed = speed;
     }
 
-    /** Returns false if all slots are taken. */
+    /** Returns false if all slots are taken and the queue is full. */
     boolean accepts() {
-        return mPrefills.stream().filter(EngineWork::decodes).count() + mDecodes.size()
-                < mProfile.slots();
+        return requests() < mProfile.slots() + QUEUE_LENGTH;
+    }
+
+    /** Returns whether a request that arrives now would wait for a slot. */
+    boolean slotsTaken() {
+        return usedSlots() >= mProfile.slots();
+    }
+
+    /** Number of requests that hold a slot or wait for one. */
+    int requests() {
+        return usedSlots() + mQueued.size();
+    }
+
+    private int usedSlots() {
+        return (int) mPrefills.stream().filter(EngineWork::decodes).count() + mDecodes.size();
     }
 
     void add(EngineWork work) {
-        if (work.decodes()) {
+        if (work.decodes() && slotsTaken()) {
+            mQueued.add(work);
+        } else if (work.decodes()) {
             mPrefills.add(work);
         } else {
             // Parts of a split prompt are prefilled ahead of other prompts.
@@ -53,11 +74,6 @@
         return mBusy;
     }
 
-    /** Number of requests that decode or prefill here. */
-    int running() {
-        return mPrefills.size() + mDecodes.size();
-    }
-
     /** Starts a pass and returns its duration in ms. */
     double startPass() {
         mBusy = true;
@@ -95,5 +111,8 @@
                 mDecodes.add(work);
             }
         }
+        while (!mQueued.isEmpty() && !slotsTaken()) {
+            mPrefills.add(mQueued.remove());
+        }
     }
 }
--- a/tanagergap-measure/src/main/java/org/tanagergap/measure/placement/PlacementMeasurement.java
+++ b/tanagergap-measure/src/main/java/org/tanagergap/measure/placement/PlacementMeasurement.java
@@ -3,8 +3,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
-import java.util.Map;
-import java.util.TreeMap;
+import java.util.TreeSet;
+import java.util.function.ToDoubleFunction;
 import org.tanagergap.decisions.fleet.EngineProfile;
 import org.tanagergap.measure.placement.LoadProfile.RouteLoad;
 
@@ -107,26 +107,35 @@
     }
 
     private static void play(LoadProfile load, double factor) {
-        Map<String, Double> inTime = new TreeMap<>();
-        double rejected = 0;
+        List<PlacementRun.Result> results = new ArrayList<>();
         for (int seed = 1; seed <= SEEDS; seed++) {
-            PlacementRun.Result result =
+            results.add(
                     new PlacementRun(load.times(factor), REPORT_DELAY_MILLIS, seed)
-                            .play(PLAY_MILLIS);
-            result.inTime()
-                    .forEach((route, share) -> inTime.merge(route, share / SEEDS, Double::sum));
-            rejected += result.rejectedShare() / SEEDS;
+                            .play(PLAY_MILLIS));
+        }
+        StringBuilder routes = new StringBuilder();
+        for (String route : new TreeSet<>(results.get(0).inTime().keySet())) {
+            routes.append(
+                    String.format(
+                            Locale.ROOT,
+                            " %s %.3f (%.0f)",
+                            route,
+                            mean(results, r -> r.inTime().get(route)),
+                            mean(results, r -> r.firstTokenP99Millis().get(route))));
         }
-        StringBuilder shares = new StringBuilder();
-        inTime.forEach(
-                (route, share) ->
-                        shares.append(String.format(Locale.ROOT, " %s %.3f", route, share)));
         System.out.printf(
                 Locale.ROOT,
-                "%-15s x%.1f rejected %.3f in time%s%n",
+                "%-15s x%.1f rejected %.3f queued %.3f busiest %.2f, in time (p99 ms)%s%n",
                 load.name(),
                 factor,
-                rejected,
-                shares);
+                mean(results, PlacementRun.Result::rejectedShare),
+                mean(results, PlacementRun.Result::queuedShare),
+                mean(results, PlacementRun.Result::busiestToMean),
+                routes);
+    }
+
+    private static double mean(
+            List<PlacementRun.Result> results, ToDoubleFunction<PlacementRun.Result> figure) {
+        return results.stream().mapToDouble(figure).average().orElse(0);
     }
 }
--- a/tanagergap-measure/src/main/java/org/tanagergap/measure/placement/PlacementRun.java
+++ b/tanagergap-measure/src/main/java/org/tanagergap/measure/placement/PlacementRun.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.IntSummaryStatistics;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -27,7 +28,11 @@
  */
 final class PlacementRun {
 
-    private static final double REPORT_INTERVAL_MILLIS = 100;
+    /** Usual interval of reports. */
+    static final double REPORT_INTERVAL_MILLIS = 100;
+
+    private static final double SAMPLE_INTERVAL_MILLIS = 50;
+    private static final double HIGH_QUANTILE = 0.99;
 
     /** Prefills of at least this time are reported ahead of schedule. */
     private static final double ANNOUNCED_PREFILL_MILLIS = 100;
@@ -41,6 +46,7 @@
     private static final double MILLIS_PER_SECOND = 1e3;
 
     private final LoadProfile mLoad;
+    private final double mReportIntervalMillis;
     private final double mReportDelayMillis;
     private final Random mRandom;
     private final PriorityQueue<Event> mEvents =
@@ -53,6 +59,9 @@
     private long mSequence;
     private int mArrivals;
     private int mRejected;
+    private int mQueued;
+    private double mBusiestToMean;
+    private int mSamples;
 
     private record Event(double millis, long sequence, Runnable action) {}
 
@@ -63,7 +72,7 @@
         private final FleetLoad mLoads = new FleetLoad();
 
         private Instance(String id, PlacementPolicy policy, int instances) {
-            mOthers = new ConcurrentPlacements(() -> instances);
+            mOthers = new ConcurrentPlacements(() -> instances, mLoads::reportAges);
             mId = id;
             mPolicy = policy;
         }
@@ -73,12 +82,34 @@
      * What callers got.
      *
      * @param inTime share of the requests of each route within their targets
-     * @param rejectedShare share of the arrivals at engines that found no slot
+     * @param firstTokenP99Millis 99th percentile of the time to the first token of each route, in
+     *     ms
+     * @param rejectedShare share of the arrivals at engines that found no slot and a full queue
+     * @param queuedShare share of the arrivals at engines that had to wait for a slot
+     * @param busiestToMean requests on the busiest engine by the mean of all, as a mean over time
      */
-    record Result(Map<String, Double> inTime, double rejectedShare) {}
+    record Result(
+            Map<String, Double> inTime,
+            Map<String, Double> firstTokenP99Millis,
+            double rejectedShare,
+            double queuedShare,
+            double busiestToMean) {}
 
     PlacementRun(LoadProfile load, double reportDelayMillis, long seed) {
+        this(load, REPORT_INTERVAL_MILLIS, reportDelayMillis, seed);
+    }
+
+    /**
+     * Creates a run.
+     *
+     * @param reportIntervalMillis interval at which reports of an instance arrive; longer than the
+     *     usual one if reports are lost
+     * @param reportDelayMillis transfer time of a report, which receivers cannot tell
+     */
+    PlacementRun(
+            LoadProfile load, double reportIntervalMillis, double reportDelayMillis, long seed) {
         mLoad = load;
+        mReportIntervalMillis = reportIntervalMillis;
         mReportDelayMillis = reportDelayMillis;
         mRandom = new Random(seed);
         for (int i = 0; i < load.engines(); i++) {
@@ -100,9 +131,10 @@
         }
         for (int i = 0; i < mInstances.size(); i++) {
             Instance instance = mInstances.get(i);
-            double first = mRandom.nextDouble() * REPORT_INTERVAL_MILLIS;
+            double first = mRandom.nextDouble() * mReportIntervalMillis;
             at(first, () -> reportPeriodically(instance));
         }
+        at(MILLIS_PER_SECOND, () -> sampleLoad(millis));
         double end = millis + 20 * MILLIS_PER_SECOND;
         while (!mEvents.isEmpty() && mEvents.peek().millis() < end) {
             Event event = mEvents.poll();
@@ -114,13 +146,36 @@
 
     private Result result() {
         Map<String, Double> inTime = new TreeMap<>();
+        Map<String, Double> firstTokens = new TreeMap<>();
         for (RouteLoad route : mLoad.routes()) {
             List<SimulatedRequest> all =
                     mRequests.stream().filter(r -> r.route().equals(route)).toList();
             long good = all.stream().filter(SimulatedRequest::inTime).count();
             inTime.put(route.name(), all.isEmpty() ? 1 : (double) good / all.size());
+            double[] sorted =
+                    all.stream().mapToDouble(SimulatedRequest::firstTokenMillis).sorted().toArray();
+            int index = (int) (HIGH_QUANTILE * sorted.length);
+            firstTokens.put(route.name(), sorted.length == 0 ? 0 : sorted[index]);
+        }
+        double arrivals = Math.max(1, mArrivals);
+        return new Result(
+                inTime,
+                firstTokens,
+                mRejected / arrivals,
+                mQueued / arrivals,
+                mBusiestToMean / Math.max(1, mSamples));
+    }
+
+    private void sampleLoad(double end) {
+        IntSummaryStatistics requests =
+                mEngines.values().stream().mapToInt(EngineModel::requests).summaryStatistics();
+        if (requests.getMax() > 0) {
+            mBusiestToMean += requests.getMax() / requests.getAverage();
+            mSamples++;
+        }
+        if (mNow < end) {
+            at(mNow + SAMPLE_INTERVAL_MILLIS, () -> sampleLoad(end));
         }
-        return new Result(inTime, mArrivals == 0 ? 0 : (double) mRejected / mArrivals);
     }
 
     private void at(double millis, Runnable action) {
@@ -229,6 +284,9 @@
                     });
             return;
         }
+        if (primary.slotsTaken()) {
+            mQueued++;
+        }
         request.placed(parts);
         add(placement.upstream(), new EngineWork(request, mLoad.engine(), parts, true));
         for (String helper : placement.helpers()) {
@@ -274,7 +332,7 @@
 
     private void reportPeriodically(Instance instance) {
         sendReport(instance);
-        at(mNow + REPORT_INTERVAL_MILLIS, () -> reportPeriodically(instance));
+        at(mNow + mReportIntervalMillis, () -> reportPeriodically(instance));
     }
 
     private void sendReport(Instance sender) {
--- a/tanagergap-measure/src/main/java/org/tanagergap/measure/placement/SimulatedRequest.java
+++ b/tanagergap-measure/src/main/java/org/tanagergap/measure/placement/SimulatedRequest.java
@@ -88,6 +88,11 @@
         return mEventsSent == 0 && nowMillis - mArrivalMillis > mRoute.timeoutMillis();
     }
 
+    /** Returns the time to the first token; the caller's timeout if there was none, in ms. */
+    double firstTokenMillis() {
+        return Math.min(mFirstMillis, mRoute.timeoutMillis());
+    }
+
     /** Returns true if the first token and all gaps were within their targets. */
     boolean inTime() {
         return complete()
