--- a/tanagergap-decisions/src/main/java/org/tanagergap/decisions/fleet/InstancePreference.java
+++ b/tanagergap-decisions/src/main/java/org/tanagergap/decisions/fleet/InstancePreference.java
@@ -11,7 +11,7 @@
 final class InstancePreference {
 
     /** Cost of the engine that the instance prefers least. */
-    private static final double MAX_COST = 0.05;
+    private static final double MAX_COST = 0.03;
 
     private final String mKey;
 
--- a/tanagergap-decisions/src/main/java/org/tanagergap/decisions/fleet/ShortPromptCost.java
+++ b/tanagergap-decisions/src/main/java/org/tanagergap/decisions/fleet/ShortPromptCost.java
@@ -12,6 +12,13 @@
      */
     private static final double SLOT_TAKEN_LOSS_SHARE = 0.5;
 
+    /**
+     * Cost of each unreported placement that is expected on an engine, since their actual number
+     * varies. Without it, placements concentrate on few engines, and at reports that arrive 1 s
+     * late 45% instead of 24% of the arrivals found no slot (matching-large in the model).
+     */
+    private static final double UNREPORTED_COST = 0.2;
+
     private static final double DELAY_COST_PER_MILLI = 0.002;
 
     private final PlacementRequest mRequest;
@@ -39,6 +46,7 @@
                 + UTILIZATION_COST * used * used * used
                 + SLOT_TAKEN_LOSS_SHARE * mRequest.loss() * slotsTakenRisk(free, unreported)
                 + preferenceCost
+                + UNREPORTED_COST * unreported
                 + DELAY_COST_PER_MILLI * candidate.delayMillis();
     }
 
--- a/tanagergap-measure/src/test/java/org/tanagergap/measure/placement/PlacementRunTests.java
+++ b/tanagergap-measure/src/test/java/org/tanagergap/measure/placement/PlacementRunTests.java
@@ -3,6 +3,9 @@
 import static com.google.common.truth.Truth.assertThat;
 import static com.google.common.truth.Truth.assertWithMessage;
 
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.ToDoubleFunction;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -43,7 +46,10 @@
             double reportDelayMillis, double maxRejectedShare) {
         PlacementRun.Result result = play(LARGE, reportDelayMillis);
 
-        assertWithMessage("%s", result).that(result.rejectedShare()).isAtMost(maxRejectedShare);
+        // Engines reject arrivals only when their queues are full as well.
+        assertWithMessage("%s", result)
+                .that(result.rejectedShare() + result.queuedShare())
+                .isAtMost(maxRejectedShare);
     }
 
     /** Parts of long prompts delayed each other, and half of the prompts missed their target. */
@@ -63,4 +69,42 @@
 
         assertThat(result.inTime().get(SHORT_ROUTE)).isAtLeast(0.93);
     }
+
+    /**
+     * In a wave of short prompts, half of them were placed on engines whose last free slot others
+     * had taken, and waited there while other engines had free slots.
+     */
+    @ParameterizedTest
+    @CsvSource({"80, 1.65, 0.05, 1200", "580, 1.9, 0.15, 2050", "1400, 1.95, 0.24, 2050"})
+    void wavesOfShortPromptsAreSpreadByOldReports(
+            double reportIntervalMillis,
+            double maxBusiestToMean,
+            double maxQueuedOrRejectedShare,
+            double maxP99Millis) {
+        List<PlacementRun.Result> results = new ArrayList<>();
+        for (int seed = 1; seed <= 3; seed++) {
+            results.add(
+                    new PlacementRun(
+                                    PlacementMeasurement.tradeCounter(3.2, 0.5, 0.05),
+                                    reportIntervalMillis,
+                                    REPORT_DELAY_MILLIS,
+                                    seed)
+                            .play(PLAY_MILLIS));
+        }
+
+        assertWithMessage("%s", results)
+                .that(mean(results, PlacementRun.Result::busiestToMean))
+                .isAtMost(maxBusiestToMean);
+        assertWithMessage("%s", results)
+                .that(mean(results, r -> r.rejectedShare() + r.queuedShare()))
+                .isAtMost(maxQueuedOrRejectedShare);
+        assertWithMessage("%s", results)
+                .that(mean(results, r -> r.firstTokenP99Millis().get("counter")))
+                .isAtMost(maxP99Millis);
+    }
+
+    private static double mean(
+            List<PlacementRun.Result> results, ToDoubleFunction<PlacementRun.Result> figure) {
+        return results.stream().mapToDouble(figure).average().orElseThrow();
+    }
 }
