--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/GatewayService.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/GatewayService.java
@@ -53,6 +53,8 @@
 
     private static final FluentLogger sLogger = FluentLogger.forEnclosingClass();
 
+    private final SharedMemoryLimit mMemory = SharedMemoryLimit.ofHeapCapacity();
+    private final HeadAdmission mHeads = new HeadAdmission(mMemory);
     private final RuntimeClock mClock;
     private final GatewaySettings mSettings;
     private final Context mEventLoop;
@@ -99,7 +101,6 @@
                         rateLimits,
                         mSync::progress,
                         mSync::peerProgressed);
-        SharedMemoryLimit memory = SharedMemoryLimit.ofHeapCapacity();
         Forwarder forwarder =
                 new Forwarder(
                         new ForwardingContext(
@@ -119,13 +120,13 @@
                                 rateLimits,
                                 new UnsentAttempts(),
                                 releases,
-                                memory,
+                                mMemory,
                                 context.metrics(),
                                 context.tracing(),
                                 exchange::announce),
                         random);
-        BodyAdmission bodies = bodyAdmission(memory, context.metrics());
-        InboundProtection inbound = inboundProtection(memory, context.metrics());
+        BodyAdmission bodies = bodyAdmission(context.metrics());
+        InboundProtection inbound = inboundProtection(context.metrics());
         mCallers =
                 callerServer(
                         context, inbound, platform, bodies, new RequestResolver(random), forwarder);
@@ -182,20 +183,21 @@
         return new RetryBudgets(mClock, mSettings.retryBudget(), directory::instanceCount);
     }
 
-    private static BodyAdmission bodyAdmission(SharedMemoryLimit memory, MetricRegistry metrics) {
-        BodyAdmission bodies = new BodyAdmission(memory);
+    private BodyAdmission bodyAdmission(MetricRegistry metrics) {
+        BodyAdmission bodies = new BodyAdmission(mMemory);
         metrics.register("gateway_body_bytes", (Gauge<Long>) bodies::reservedBytes);
         metrics.register(
                 "gateway_response_bytes",
-                (Gauge<Long>) () -> memory.usedBytes() - bodies.reservedBytes());
+                (Gauge<Long>)
+                        () -> mMemory.usedBytes() - bodies.reservedBytes() - mHeads.usedBytes());
         return bodies;
     }
 
-    private InboundProtection inboundProtection(SharedMemoryLimit memory, MetricRegistry metrics) {
+    private InboundProtection inboundProtection(MetricRegistry metrics) {
         int maxConnections = mSettings.inbound().maxConnections();
         return new InboundProtection(
                 mClock,
-                new HeadAdmission(memory),
+                mHeads,
                 maxConnections > 0 ? maxConnections : DescriptorLimit.maxConnections(),
                 metrics);
     }
