--- a/tanagergap-decisions/src/main/java/org/tanagergap/decisions/fleet/ShortPromptCost.java
+++ b/tanagergap-decisions/src/main/java/org/tanagergap/decisions/fleet/ShortPromptCost.java
@@ -8,15 +8,14 @@
 
     /**
      * Share of the loss that is expected if the last free slot is taken on arrival and the engine
-     * queues the request. In the model, 0.5 queued fewer arrivals than 0, 0.25 and 1.
+     * queues the request. A queued request still meets its target if a slot is freed in time.
      */
     private static final double SLOT_TAKEN_LOSS_SHARE = 0.5;
 
     /**
      * Cost of each unreported placement that is expected on an engine, since their actual number
-     * varies. Without it, placements concentrate on few engines, and at reports that arrive 1 s
-     * late 45% instead of 24% of the arrivals found no slot (matching-large in the model, with a
-     * preference of instances of 0.05).
+     * varies. Without it, placements concentrate on the few engines that look cheapest in old
+     * reports.
      */
     private static final double UNREPORTED_COST = 0.2;
 
