Leave out engines whose first token would come after the caller has left

Cause: in a flood the cost of every engine in time may exceed that of one with a long prefill, where only the prompt itself is lost. Change: short prompts are drawn among the engines in time, if there are any. Result: the new test fails without the change (long1 instead of free); LengthAwarePlacementTests, ExpectedPlacementsTests, PlacementRunTests and FleetStateTests pass.

--- a/tanagergap-decisions/src/main/java/org/tanagergap/decisions/fleet/LengthAwarePlacement.java
+++ b/tanagergap-decisions/src/main/java/org/tanagergap/decisions/fleet/LengthAwarePlacement.java
@@ -93,19 +93,39 @@
         if (usable.isEmpty()) {
             return Optional.empty();
         }
+        List<Preferred> drawn = inTimeIfAny(usable, request);
         ShortPromptCost cost = new ShortPromptCost(request);
         int chosen =
                 ExpectedPlacements.draw(
-                        usable.size(),
+                        drawn.size(),
                         unreported,
                         (i, others) ->
-                                cost.cost(usable.get(i).engine(), usable.get(i).cost(), others),
+                                cost.cost(drawn.get(i).engine(), drawn.get(i).cost(), others),
                         mRandom);
-        EngineForecast engine = usable.get(chosen).engine();
-        double prefill = engine.engine().prefillMillis(request.cost().promptTokens());
+        EngineForecast engine = drawn.get(chosen).engine();
         return Optional.of(
                 new Placement(
-                        engine.candidate().id(), List.of(), 0, engine.firstTokenMillis(prefill)));
+                        engine.candidate().id(), List.of(), 0, firstTokenMillis(engine, request)));
+    }
+
+    /**
+     * Leaves out engines whose first token would come after the caller has given up. In a flood the
+     * others cost more, and prompts would be drawn to such engines in vain.
+     */
+    private static List<Preferred> inTimeIfAny(List<Preferred> usable, PlacementRequest request) {
+        List<Preferred> inTime =
+                usable.stream()
+                        .filter(
+                                preferred ->
+                                        firstTokenMillis(preferred.engine(), request)
+                                                <= request.timeToDeadlineMillis())
+                        .toList();
+        return inTime.isEmpty() ? usable : inTime;
+    }
+
+    private static double firstTokenMillis(EngineForecast engine, PlacementRequest request) {
+        long tokens = request.cost().promptTokens();
+        return engine.firstTokenMillis(engine.engine().prefillMillis(tokens));
     }
 
     /**
--- a/tanagergap-decisions/src/test/java/org/tanagergap/decisions/fleet/LengthAwarePlacementTests.java
+++ b/tanagergap-decisions/src/test/java/org/tanagergap/decisions/fleet/LengthAwarePlacementTests.java
@@ -96,6 +96,22 @@
     @Nested
     class ShortPrompts {
 
+        /** Floods drew prompts to engines on which they would start after callers had left. */
+        @Test
+        void avoidEnginesWhoseFirstTokenWouldComeAfterTheCallerHasLeft() {
+            PlacementRequest flood =
+                    new PlacementRequest(new RequestCost(5_000, 1_400), 300, 2_000, 250, 40);
+            List<UpstreamCandidate> candidates = new ArrayList<>();
+            candidates.add(engine("free", load(10, 10, 10, 100, 60_000)));
+            for (int i = 0; i < 9; i++) {
+                candidates.add(engine("long" + i, load(1, 0, 0, 6_000, 150_000)));
+            }
+
+            for (int i = 0; i < 50; i++) {
+                assertThat(place(flood, candidates).upstream()).isEqualTo("free");
+            }
+        }
+
         @Test
         void avoidAnEngineThatPrefillsALongPrompt() {
             UpstreamLoad prefilling = load(1, 0, 0, 1_500, 133_000);
