End connections on which informational responses do not end

Cause: informational responses are discarded since the check of upstream responses, however many there are, so an upstream that sends nothing else was read until the timeout of the call. Change: after 64 of them the response is invalid and the connection is closed.

--- a/tanagergap-runtime/src/main/java/org/tanagergap/runtime/http/InformationalResponseFilter.java
+++ b/tanagergap-runtime/src/main/java/org/tanagergap/runtime/http/InformationalResponseFilter.java
@@ -14,7 +14,12 @@
  */
 final class InformationalResponseFilter extends ChannelInboundHandlerAdapter {
 
+    /** Without a limit, an upstream that sends nothing else is read until its caller gives up. */
+    private static final int MAX_RESPONSES = 64;
+
     private boolean mDiscarding;
+    private int mDiscarded;
+    private boolean mRejected;
 
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
@@ -23,6 +28,12 @@
             mDiscarding =
                     status.codeClass() == HttpStatusClass.INFORMATIONAL
                             && status.code() != HttpResponseStatus.SWITCHING_PROTOCOLS.code();
+            mDiscarded += mDiscarding ? 1 : 0;
+        }
+        if (mDiscarded > MAX_RESPONSES) {
+            ReferenceCountUtil.release(message);
+            reject(context);
+            return;
         }
         if (!mDiscarding) {
             context.fireChannelRead(message);
@@ -33,4 +44,13 @@
         }
         ReferenceCountUtil.release(message);
     }
+
+    private void reject(ChannelHandlerContext context) {
+        if (!mRejected) {
+            mRejected = true;
+            context.fireExceptionCaught(
+                    new InvalidResponseException("informational responses do not end"));
+            context.close();
+        }
+    }
 }
