Call the evacuation of a failure domain a drain, as for upstreams

The time at which an instance decides again whether to poll has names that say so. Behavior is unchanged.

--- a/tanagergap-decisions/src/main/java/org/tanagergap/decisions/ratelimit/ColdPeriods.java
+++ b/tanagergap-decisions/src/main/java/org/tanagergap/decisions/ratelimit/ColdPeriods.java
@@ -56,7 +56,7 @@
      * Records how long an upstream stays cold.
      *
      * @param remaining zero if it is warm
-     * @param limit what it bears; empty if that is not restricted
+     * @param limit what it sustains; empty if that is not restricted
      * @param fromResponse true if a response said so, and not the entry in the store
      * @return true if the upstream was warm and is cold now
      */
@@ -103,7 +103,7 @@
         return remaining.compareTo(longest) < 0 ? remaining : longest;
     }
 
-    /** Replaces what an upstream bears while it is cold. */
+    /** Replaces what an upstream sustains while it is cold. */
     void setLimit(String upstream, Optional<ColdStartLimit> limit) {
         Optional.ofNullable(mPeriods.get(upstream)).ifPresent(period -> period.mLimit = limit);
     }
--- a/tanagergap-decisions/src/main/java/org/tanagergap/decisions/ratelimit/ColdStartLimit.java
+++ b/tanagergap-decisions/src/main/java/org/tanagergap/decisions/ratelimit/ColdStartLimit.java
@@ -3,7 +3,7 @@
 import java.time.Duration;
 
 /**
- * Load that an upstream bears while it is cold, that is for some time after its start.
+ * Load that an upstream sustains while it is cold, that is for some time after its start.
  *
  * @param duration longest time for which it stays cold; zero if unknown
  * @param requestsPerSecond requests per second that it sustains from all instances together
--- a/tanagergap-decisions/src/main/java/org/tanagergap/decisions/ratelimit/SharedRateLimits.java
+++ b/tanagergap-decisions/src/main/java/org/tanagergap/decisions/ratelimit/SharedRateLimits.java
@@ -21,8 +21,8 @@
  * their incarnation, because a limit ends with it. Confined to the event loop.
  *
  * <p>A cold upstream has a further limit, with permits of its own. Instances that hear from each
- * other use at most half of what it bears, and less if they are fewer than half of all instances,
- * so that groups that do not hear from each other keep the bound together.
+ * other use at most half of what it sustains, and less if they are fewer than half of all
+ * instances, so that groups that do not hear from each other keep the bound together.
  */
 public final class SharedRateLimits {
 
@@ -88,7 +88,7 @@
      * Records how long an upstream stays cold.
      *
      * @param remaining zero if it is warm
-     * @param limit what it bears while it is cold; empty if that is not restricted
+     * @param limit what it sustains while it is cold; empty if that is not restricted
      * @param fromResponse true if a response said so, and not the entry in the store
      */
     public void coldObserved(
@@ -104,12 +104,12 @@
         }
     }
 
-    /** Replaces what an upstream bears while it is cold. */
+    /** Replaces what an upstream sustains while it is cold. */
     public void coldLimitChanged(String upstream, Optional<ColdStartLimit> limit) {
         mCold.setLimit(COLD + upstream, limit);
     }
 
-    /** Returns how long the upstream stays cold; empty if it is warm or bears any load. */
+    /** Returns how long the upstream stays cold; empty if it is warm or has no limit. */
     public Optional<Duration> coldRemaining(String upstream, long nowNanos) {
         return mCold.isEmpty() ? Optional.empty() : mCold.remaining(COLD + upstream, nowNanos);
     }
--- a/tanagergap-decisions/src/main/java/org/tanagergap/decisions/replication/PollSchedule.java
+++ b/tanagergap-decisions/src/main/java/org/tanagergap/decisions/replication/PollSchedule.java
@@ -18,8 +18,8 @@
     /** Time from a failed poll to the next one if the store may be available. */
     static final Duration RETRY_INTERVAL = Duration.ofMillis(250);
 
-    /** Longest time until an instance that is not a reader looks at its readers again. */
-    static final Duration LOOK_INTERVAL = Duration.ofMillis(200);
+    /** Longest time until an instance that is not a reader checks the progress of its readers. */
+    static final Duration MAX_DECISION_INTERVAL = Duration.ofMillis(200);
 
     private boolean mFailed;
     private boolean mRequested;
@@ -53,11 +53,11 @@
         return left.isNegative() ? Duration.ZERO : left;
     }
 
-    /** Time until the instance asks again whether a poll is due. */
-    public Duration untilLook(Situation situation, long nowNanos) {
+    /** Time until the instance decides again whether to poll. */
+    public Duration untilDecision(Situation situation, long nowNanos) {
         Duration left = untilDue(situation, nowNanos);
-        boolean exact = situation.reader() || left.compareTo(LOOK_INTERVAL) < 0;
-        return exact ? left : LOOK_INTERVAL;
+        boolean exact = situation.reader() || left.compareTo(MAX_DECISION_INTERVAL) < 0;
+        return exact ? left : MAX_DECISION_INTERVAL;
     }
 
     private Duration interval(Situation situation) {
--- a/tanagergap-decisions/src/test/java/org/tanagergap/decisions/replication/PollScheduleTests.java
+++ b/tanagergap-decisions/src/test/java/org/tanagergap/decisions/replication/PollScheduleTests.java
@@ -34,7 +34,7 @@
         assertThat(schedule.untilDue(situation, 0)).isEqualTo(Duration.ofMillis(millis));
         assertThat(schedule.untilDue(situation, Duration.ofMillis(millis).toNanos()))
                 .isEqualTo(Duration.ZERO);
-        assertThat(schedule.untilLook(situation, 0))
+        assertThat(schedule.untilDecision(situation, 0))
                 .isAtMost(Duration.ofMillis(reader ? millis : 200));
     }
 }
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/GatewayService.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/GatewayService.java
@@ -152,8 +152,7 @@
 
     private void registerGauges(MetricRegistry metrics) {
         metrics.register(
-                "gateway_evacuated_domains",
-                (Gauge<Integer>) () -> mView.evacuatedDomains().size());
+                "gateway_drained_domains", (Gauge<Integer>) () -> mView.drainedDomains().size());
         metrics.register("gateway_store_reader", (Gauge<Integer>) () -> mSync.isReader() ? 1 : 0);
     }
 
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/GatewayStatus.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/GatewayStatus.java
@@ -66,7 +66,7 @@
         JsonObject cold = new JsonObject();
         rateLimits.coldRemaining().forEach((id, left) -> cold.put(id, left.toMillis()));
         return json.put("upstreams", upstreams)
-                .put("evacuated", new JsonArray(List.copyOf(view.evacuatedDomains())))
+                .put("drained_domains", new JsonArray(List.copyOf(view.drainedDomains())))
                 .put("rate_limits_per_second", limits)
                 .put("cold_ms", cold)
                 .put("quarantined_prompt_parts_ms", quarantined);
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/Dispatcher.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/Dispatcher.java
@@ -38,11 +38,11 @@
 
     static final Duration MIN_RETRY_AFTER = Duration.ofMillis(200);
 
-    /** The operator decides when an evacuation ends, so no better time is known. */
-    private static final RequestFailure ALL_EVACUATED =
+    /** The operator decides when a drain ends, so no better time is known. */
+    private static final RequestFailure ALL_DRAINED =
             RequestFailure.notRun(
                             FailureCode.UNAVAILABLE,
-                            "the failure domains of all upstreams are evacuated")
+                            "the failure domains of all upstreams are drained")
                     .withRetryAfter(Duration.ofSeconds(1));
 
     private final ForwardingContext mContext;
@@ -115,8 +115,8 @@
     private void enqueue(RequestLifecycle lifecycle, Set<String> excluded) {
         long now = mContext.clock().nanoTime();
         GatewayRequest request = lifecycle.request();
-        if (!lifecycle.responseStarted() && mContext.view().isEvacuated(request.service().name())) {
-            lifecycle.refused(ALL_EVACUATED);
+        if (!lifecycle.responseStarted() && mContext.view().isDrained(request.service().name())) {
+            lifecycle.refused(ALL_DRAINED);
             return;
         }
         WaitingRequest<RequestLifecycle> waiting =
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/RateLimitGate.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/RateLimitGate.java
@@ -126,7 +126,7 @@
             sLogger.atInfo()
                     .with(LogKeys.UPSTREAM, incarnation)
                     .log(
-                            "upstream is cold for %d ms and bears %s requests per second",
+                            "upstream is cold for %d ms and sustains %s requests per second",
                             remaining.toMillis(), limit.get().requestsPerSecond());
             mListener.exchangeNeeded();
         }
@@ -149,7 +149,7 @@
         return mLimits.coldRemaining(incarnation, mClock.nanoTime());
     }
 
-    /** Returns how long the upstream stays cold; empty if it is warm or bears any load. */
+    /** Returns how long the upstream stays cold; empty if it is warm or has no limit. */
     Optional<Duration> coldRemaining(Upstream upstream) {
         return coldRemaining(upstream.incarnation());
     }
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/membership/FleetChange.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/membership/FleetChange.java
@@ -33,12 +33,12 @@
     }
 
     /**
-     * An order of the operator to evacuate a failure domain or to end its evacuation.
+     * An order of the operator to drain a failure domain or to use it again.
      *
      * @param domain name of the failure domain
-     * @param evacuated true from the order until its end
+     * @param drained true from the order until its end
      */
-    record DomainEvacuation(String domain, boolean evacuated) implements FleetChange {}
+    record DomainDrain(String domain, boolean drained) implements FleetChange {}
 
     /** An item that cannot be decoded. */
     record InvalidItem(String key, String reason) implements FleetChange {}
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/membership/FleetDecoder.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/membership/FleetDecoder.java
@@ -10,8 +10,8 @@
     List<String> prefixes();
 
     /**
-     * Prefix of the configuration and the evacuations, which decide who may run requests. After a
-     * failed poll they are read before anything else.
+     * Prefix of the configuration and the drained failure domains, which decide who may run
+     * requests. After a failed poll they are read before anything else.
      */
     String operatorPrefix();
 
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/membership/FleetView.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/membership/FleetView.java
@@ -30,7 +30,7 @@
     private final Map<String, Upstream> mUpstreams = new HashMap<>();
     private final Map<String, Long> mExpiredAtNanos = new HashMap<>();
     private final DepartedUpstreams mDeparted = new DepartedUpstreams();
-    private final EvacuatedDomains mEvacuated = new EvacuatedDomains();
+    private final DrainedDomains mDrained = new DrainedDomains();
     private final List<Listener> mListeners = new ArrayList<>();
     private boolean mInitialLoadCompleted;
     private long mChanges;
@@ -80,8 +80,11 @@
                 .toList();
     }
 
-    /** Returns true if evacuations leave no upstream of the service that may receive requests. */
-    public boolean isEvacuated(String service) {
+    /**
+     * Returns true if drained failure domains leave no upstream of the service that may receive
+     * requests.
+     */
+    public boolean isDrained(String service) {
         List<Upstream> serving =
                 mUpstreams.values().stream()
                         .filter(u -> u.service().equals(service) && !u.draining())
@@ -89,13 +92,13 @@
         return !serving.isEmpty() && serving.stream().noneMatch(this::mayReceive);
     }
 
-    /** Failure domains that the operator has evacuated, in alphabetical order. */
-    public Set<String> evacuatedDomains() {
-        return mEvacuated.all();
+    /** Failure domains that the operator drains, in alphabetical order. */
+    public Set<String> drainedDomains() {
+        return mDrained.all();
     }
 
     private boolean mayReceive(Upstream upstream) {
-        return !upstream.draining() && !mEvacuated.contains(upstream.failureDomain());
+        return !upstream.draining() && !mDrained.contains(upstream.failureDomain());
     }
 
     /** Upstream with the identifier, also if it is draining. */
@@ -144,8 +147,8 @@
             applyConfiguration(accepted.configuration());
         } else if (change instanceof FleetChange.UpstreamEntry entry) {
             accept(entry, origin);
-        } else if (change instanceof FleetChange.DomainEvacuation evacuation) {
-            applyEvacuation(evacuation.domain(), evacuation.evacuated());
+        } else if (change instanceof FleetChange.DomainDrain drain) {
+            applyDomainDrain(drain.domain(), drain.drained());
         } else if (change instanceof FleetChange.InvalidItem invalid) {
             sLogger.atWarning().log(
                     "store item %s is invalid and is ignored: %s", invalid.key(), invalid.reason());
@@ -189,8 +192,8 @@
         mListeners.forEach(listener -> listener.configurationChanged(configuration));
     }
 
-    private void applyEvacuation(String domain, boolean evacuated) {
-        if (!mEvacuated.set(domain, evacuated)) {
+    private void applyDomainDrain(String domain, boolean drained) {
+        if (!mDrained.set(domain, drained)) {
             return;
         }
         mChanges++;
@@ -202,10 +205,10 @@
                 .with(LogKeys.FAILURE_DOMAIN, domain)
                 .log(
                         "failure domain %s with %d upstreams",
-                        evacuated ? "is evacuated" : "is in use again", affected.size());
+                        drained ? "is drained" : "is in use again", affected.size());
         for (Upstream upstream : affected) {
             for (Listener listener : mListeners) {
-                if (evacuated) {
+                if (drained) {
                     listener.upstreamUnavailable(upstream);
                 } else {
                     listener.upstreamAvailable(upstream);
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/membership/PollTiming.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/membership/PollTiming.java
@@ -57,8 +57,8 @@
         return mSchedule.untilDue(situation(), mClock.nanoTime()).isZero();
     }
 
-    Duration untilLook() {
-        return mSchedule.untilLook(situation(), mClock.nanoTime());
+    Duration untilDecision() {
+        return mSchedule.untilDecision(situation(), mClock.nanoTime());
     }
 
     /** Logs a change of the role. */
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/membership/StoreSync.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/membership/StoreSync.java
@@ -134,7 +134,7 @@
     private void fetchFailed() {
         if (!isReader()) {
             mTiming.request();
-            look();
+            scheduleDecision();
         }
     }
 
@@ -256,7 +256,7 @@
             if (mReads.behind()) {
                 pollAtOnce();
             } else {
-                look();
+                scheduleDecision();
             }
             return;
         }
@@ -273,7 +273,7 @@
             sLogger.atWarning().log("key-value store is unavailable: %s", root);
             announce();
         }
-        look();
+        scheduleDecision();
         fetchDuringOutage();
     }
 
@@ -285,13 +285,13 @@
     }
 
     /** Schedules the next poll, or the time at which to decide about it again. */
-    private void look() {
+    private void scheduleDecision() {
         if (!mPolling) {
-            schedule(mTiming.untilLook(), this::lookAgain);
+            schedule(mTiming.untilDecision(), this::decide);
         }
     }
 
-    private void lookAgain() {
+    private void decide() {
         if (mStopped) {
             return;
         }
@@ -301,7 +301,7 @@
             return;
         }
         mView.removeExpired(mAvailability.storeServedPeers());
-        look();
+        scheduleDecision();
         if (mAvailability.isFailing()) {
             fetchDuringOutage();
         } else if (mClock.nanoTime() - mFetchedNanos >= FETCH_INTERVAL.toNanos()) {
--- a/tanagergap-gateway/src/test/java/org/tanagergap/gateway/membership/FleetViewTests.java
+++ b/tanagergap-gateway/src/test/java/org/tanagergap/gateway/membership/FleetViewTests.java
@@ -66,28 +66,28 @@
         return !mView.usable("s").isEmpty();
     }
 
-    private void evacuate(boolean evacuated) {
-        mView.accept(new FleetChange.DomainEvacuation("a", evacuated), ChangeOrigin.WRITE);
+    private void drain(boolean drained) {
+        mView.accept(new FleetChange.DomainDrain("a", drained), ChangeOrigin.WRITE);
     }
 
     @Test
-    void anUpstreamOfAnEvacuatedDomainIsNotUsableUntilTheEvacuationEnds() {
-        evacuate(true);
+    void anUpstreamOfADrainedDomainIsNotUsableUntilTheDrainEnds() {
+        drain(true);
 
         assertThat(usable()).isFalse();
-        assertThat(mView.isEvacuated("s")).isTrue();
-        assertThat(mView.evacuatedDomains()).containsExactly("a");
+        assertThat(mView.isDrained("s")).isTrue();
+        assertThat(mView.drainedDomains()).containsExactly("a");
 
-        evacuate(false);
+        drain(false);
 
         assertThat(usable()).isTrue();
-        assertThat(mView.isEvacuated("s")).isFalse();
+        assertThat(mView.isDrained("s")).isFalse();
         assertThat(mEvents).containsExactly("unavailable u", "available u").inOrder();
     }
 
     @Test
-    void anUpstreamThatJoinsAnEvacuatedDomainIsNotUsable() {
-        evacuate(true);
+    void anUpstreamThatJoinsADrainedDomainIsNotUsable() {
+        drain(true);
         mEvents.clear();
 
         mView.accept(entry("new", false, 2), ChangeOrigin.WRITE);
@@ -97,10 +97,10 @@
     }
 
     @Test
-    void aDrainingUpstreamStaysUnusableAfterTheEvacuation() {
-        evacuate(true);
+    void aDrainingUpstreamStaysUnusableAfterTheDrainOfItsDomain() {
+        drain(true);
         mView.accept(entry("u", true, 1), ChangeOrigin.WRITE);
-        evacuate(false);
+        drain(false);
 
         assertThat(usable()).isFalse();
         assertThat(mEvents).containsExactly("unavailable u");
@@ -108,11 +108,11 @@
 
     /** Peers fetch changes only if the view reports one. */
     @Test
-    void anEvacuationCountsAsAChange() {
+    void aDrainOfADomainCountsAsAChange() {
         long before = mView.changes();
 
-        evacuate(true);
-        evacuate(true);
+        drain(true);
+        drain(true);
 
         assertThat(mView.changes()).isEqualTo(before + 1);
     }
