--- a/tanagergap-gateway/src/test/java/org/tanagergap/gateway/membership/SimulatedFleet.java
+++ b/tanagergap-gateway/src/test/java/org/tanagergap/gateway/membership/SimulatedFleet.java
@@ -60,7 +60,7 @@
                     new StoreSync(
                             mClock,
                             this,
-                            new Decoder(),
+                            new UpstreamItemDecoder(PREFIX, "configuration"),
                             List.of(),
                             mView,
                             this::fetch,
@@ -159,29 +159,6 @@
         public void storeRestored() {}
     }
 
-    /** Takes items with a value as upstreams. */
-    private static final class Decoder implements FleetDecoder {
-
-        @Override
-        public List<String> prefixes() {
-            return List.of(PREFIX);
-        }
-
-        @Override
-        public String operatorPrefix() {
-            return "configuration";
-        }
-
-        @Override
-        public FleetChange decode(KeyValue item) {
-            String id = item.key().substring(PREFIX.length());
-            Optional<Upstream> upstream =
-                    Optional.of(new Upstream(id, "s", new HostPort("10.1", 80), "a", 4, false, 1))
-                            .filter(u -> !item.value().isEmpty());
-            return new FleetChange.UpstreamEntry(id, upstream, Optional.empty());
-        }
-    }
-
     /** Starts gateways that know each other after 10 s. */
     SimulatedFleet(int gateways, boolean earlierVersion, long seed) {
         mRandom = new Random(seed);
@@ -208,7 +185,7 @@
     }
 
     void put(String upstream) {
-        write(upstream, "x");
+        write(upstream, "1");
     }
 
     void remove(String upstream) {
--- a/tanagergap-gateway/src/test/java/org/tanagergap/gateway/membership/StoreSyncTests.java
+++ b/tanagergap-gateway/src/test/java/org/tanagergap/gateway/membership/StoreSyncTests.java
@@ -15,7 +15,6 @@
 import org.tanagergap.platform.keyvalue.Changes;
 import org.tanagergap.platform.keyvalue.HistoryLostException;
 import org.tanagergap.platform.keyvalue.KeyValue;
-import org.tanagergap.runtime.settings.HostPort;
 import org.tanagergap.testing.PausedClock;
 
 /** Guards against calls to the store that grow with the fleet, and against outdated fleet views. */
@@ -74,35 +73,6 @@
         }
     }
 
-    /** Takes the value as the start time of the upstream; an empty one removes it. */
-    private static final class Decoder implements FleetDecoder {
-
-        @Override
-        public List<String> prefixes() {
-            return List.of(PREFIX);
-        }
-
-        @Override
-        public String operatorPrefix() {
-            return CONFIGURATION;
-        }
-
-        @Override
-        public FleetChange decode(KeyValue item) {
-            String id = item.key().substring(PREFIX.length());
-            Optional<Upstream> upstream =
-                    Optional.of(item.value())
-                            .filter(value -> !value.isEmpty())
-                            .map(Long::valueOf)
-                            .map(starts -> upstream(id, starts));
-            return new FleetChange.UpstreamEntry(id, upstream, Optional.empty());
-        }
-
-        private static Upstream upstream(String id, long starts) {
-            return new Upstream(id, "s", new HostPort("10.0.0.1", 80), "a", 4, false, starts);
-        }
-    }
-
     private final class CountingListener implements StoreChangeListener {
 
         @Override
@@ -141,7 +111,7 @@
                 new StoreSync(
                         mClock,
                         new QuietFeed(),
-                        new Decoder(),
+                        new UpstreamItemDecoder(PREFIX, CONFIGURATION),
                         List.of(),
                         mView,
                         revision ->
--- a/tanagergap-measure/src/main/java/org/tanagergap/measure/placement/PlacementRun.java
+++ b/tanagergap-measure/src/main/java/org/tanagergap/measure/placement/PlacementRun.java
@@ -1,13 +1,11 @@
 package org.tanagergap.measure.placement;
 
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.IntSummaryStatistics;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.TreeMap;
 import org.tanagergap.api.request.RequestCost;
@@ -42,29 +40,22 @@
     private static final double ROUND_TRIP_MILLIS = 8;
     private static final int CHUNK_TOKENS = 2048;
     private static final int OUTPUT_TOKENS_PER_EVENT = 60;
-    private static final double NANOS_PER_MILLI = 1e6;
     private static final double MILLIS_PER_SECOND = 1e3;
 
     private final LoadProfile mLoad;
     private final double mReportIntervalMillis;
     private final double mReportDelayMillis;
     private final Random mRandom;
-    private final PriorityQueue<Event> mEvents =
-            new PriorityQueue<>(
-                    Comparator.comparingDouble(Event::millis).thenComparingLong(Event::sequence));
+    private final EventQueue mTime = new EventQueue();
     private final Map<String, EngineModel> mEngines = new HashMap<>();
     private final List<Instance> mInstances = new ArrayList<>();
     private final List<SimulatedRequest> mRequests = new ArrayList<>();
-    private double mNow;
-    private long mSequence;
     private int mArrivals;
     private int mRejected;
     private int mQueued;
     private double mBusiestToMean;
     private int mSamples;
 
-    private record Event(double millis, long sequence, Runnable action) {}
-
     private static final class Instance {
         private final String mId;
         private final PlacementPolicy mPolicy;
@@ -132,15 +123,10 @@
         for (int i = 0; i < mInstances.size(); i++) {
             Instance instance = mInstances.get(i);
             double first = mRandom.nextDouble() * mReportIntervalMillis;
-            at(first, () -> reportPeriodically(instance));
-        }
-        at(MILLIS_PER_SECOND, () -> sampleLoad(millis));
-        double end = millis + 20 * MILLIS_PER_SECOND;
-        while (!mEvents.isEmpty() && mEvents.peek().millis() < end) {
-            Event event = mEvents.poll();
-            mNow = event.millis();
-            event.action().run();
+            mTime.at(first, () -> reportPeriodically(instance));
         }
+        mTime.at(MILLIS_PER_SECOND, () -> sampleLoad(millis));
+        mTime.runUntil(millis + 20 * MILLIS_PER_SECOND);
         return result();
     }
 
@@ -173,26 +159,18 @@
             mBusiestToMean += requests.getMax() / requests.getAverage();
             mSamples++;
         }
-        if (mNow < end) {
-            at(mNow + SAMPLE_INTERVAL_MILLIS, () -> sampleLoad(end));
+        if (mTime.now() < end) {
+            mTime.after(SAMPLE_INTERVAL_MILLIS, () -> sampleLoad(end));
         }
     }
 
-    private void at(double millis, Runnable action) {
-        mEvents.add(new Event(millis, mSequence++, action));
-    }
-
-    private long nowNanos() {
-        return (long) (mNow * NANOS_PER_MILLI);
-    }
-
     private void scheduleArrival(RouteLoad route, double end) {
         double gap = -Math.log(1 - mRandom.nextDouble()) * MILLIS_PER_SECOND / route.perSecond();
-        double arrival = mNow + gap;
+        double arrival = mTime.now() + gap;
         if (arrival > end) {
             return;
         }
-        at(
+        mTime.at(
                 arrival,
                 () -> {
                     arrive(route);
@@ -207,20 +185,21 @@
                                 - route.spread() * route.spread() / 2);
         long tokens = Math.max(100, (long) (route.promptTokens() * factor));
         RequestCost cost = new RequestCost(tokens, route.events() * OUTPUT_TOKENS_PER_EVENT);
-        SimulatedRequest request = new SimulatedRequest(route, cost, route.events(), mNow);
+        SimulatedRequest request = new SimulatedRequest(route, cost, route.events(), mTime.now());
         mRequests.add(request);
         place(request, mInstances.get(mRandom.nextInt(mInstances.size())));
     }
 
     private void place(SimulatedRequest request, Instance instance) {
-        if (request.expired(mNow)) {
+        if (request.expired(mTime.now())) {
             return;
         }
         PlacementRequest asked =
-                request.placementRequest(mNow, instance.mOthers.unreported(nowNanos()));
+                request.placementRequest(
+                        mTime.now(), instance.mOthers.unreported(mTime.nowNanos()));
         Optional<Placement> placement = instance.mPolicy.choose(asked, candidates(instance));
         if (placement.isEmpty()) {
-            at(mNow + RECHECK_MILLIS, () -> place(request, instance));
+            mTime.after(RECHECK_MILLIS, () -> place(request, instance));
             return;
         }
         send(request, instance, placement.get(), asked);
@@ -234,7 +213,7 @@
                             id,
                             mLoad.engine().slots(),
                             Optional.of(mLoad.engine()),
-                            instance.mLoads.totalLoad(id, nowNanos()),
+                            instance.mLoads.totalLoad(id, mTime.nowNanos()),
                             1,
                             1,
                             false));
@@ -247,7 +226,7 @@
             Instance instance,
             Placement placement,
             PlacementRequest asked) {
-        instance.mOthers.placed(nowNanos());
+        instance.mOthers.placed(mTime.nowNanos());
         int parts = 1 + placement.helpers().size();
         double prefill = mLoad.engine().prefillMillis(request.cost().promptTokens()) / parts;
         List<String> used = new ArrayList<>(placement.helpers());
@@ -262,12 +241,13 @@
                             asked.interTokenTargetMillis(),
                             asked.firstTokenSlackMillis(),
                             asked.loss());
-            request.loads().add(instance.mLoads.begin(id, demand, nowNanos()));
+            request.loads().add(instance.mLoads.begin(id, demand, mTime.nowNanos()));
         }
         if (prefill >= ANNOUNCED_PREFILL_MILLIS) {
-            at(mNow + ANNOUNCE_DELAY_MILLIS, () -> sendReport(instance));
+            mTime.after(ANNOUNCE_DELAY_MILLIS, () -> sendReport(instance));
         }
-        at(mNow + ROUND_TRIP_MILLIS / 2, () -> engineReceives(request, instance, placement, parts));
+        mTime.after(
+                ROUND_TRIP_MILLIS / 2, () -> engineReceives(request, instance, placement, parts));
     }
 
     private void engineReceives(
@@ -276,8 +256,8 @@
         EngineModel primary = mEngines.get(placement.upstream());
         if (!primary.accepts()) {
             mRejected++;
-            at(
-                    mNow + ROUND_TRIP_MILLIS / 2,
+            mTime.after(
+                    ROUND_TRIP_MILLIS / 2,
                     () -> {
                         release(request, instance);
                         place(request, instance);
@@ -308,10 +288,10 @@
             return;
         }
         double duration = engine.startPass();
-        at(
-                mNow + duration,
+        mTime.after(
+                duration,
                 () -> {
-                    engine.endPass(mNow);
+                    engine.endPass(mTime.now());
                     startPass(engine);
                 });
     }
@@ -321,7 +301,7 @@
         if (request.complete()) {
             release(request, instance);
         } else {
-            at(mNow + RECHECK_MILLIS, () -> watch(request, instance));
+            mTime.after(RECHECK_MILLIS, () -> watch(request, instance));
         }
     }
 
@@ -332,18 +312,18 @@
 
     private void reportPeriodically(Instance instance) {
         sendReport(instance);
-        at(mNow + mReportIntervalMillis, () -> reportPeriodically(instance));
+        mTime.after(mReportIntervalMillis, () -> reportPeriodically(instance));
     }
 
     private void sendReport(Instance sender) {
-        Map<String, UpstreamLoad> loads = sender.mLoads.localLoads(nowNanos());
-        at(mNow + mReportDelayMillis, () -> receiveReport(sender, loads));
+        Map<String, UpstreamLoad> loads = sender.mLoads.localLoads(mTime.nowNanos());
+        mTime.after(mReportDelayMillis, () -> receiveReport(sender, loads));
     }
 
     private void receiveReport(Instance sender, Map<String, UpstreamLoad> loads) {
         for (Instance peer : mInstances) {
             if (peer != sender) {
-                peer.mLoads.peerReported(sender.mId, loads, nowNanos());
+                peer.mLoads.peerReported(sender.mId, loads, mTime.nowNanos());
             }
         }
     }
