--- a/tanagergap-decisions/src/main/java/org/tanagergap/decisions/fleet/ExpectedPlacements.java
+++ b/tanagergap-decisions/src/main/java/org/tanagergap/decisions/fleet/ExpectedPlacements.java
@@ -13,10 +13,10 @@
  */
 final class ExpectedPlacements {
 
-    /** Placements that one step adds to an engine; instances draw among twice as many engines. */
+    /** Placements that a step adds to an engine, so that two steps stand for one placement. */
     private static final double STEP = 0.5;
 
-    /** Bounds the work of one placement; more steps exceed the slots of a large fleet. */
+    /** Bounds the work of one placement: at most 250 unreported placements are distributed. */
     private static final int MAX_STEPS = 500;
 
     private ExpectedPlacements() {}
--- a/tanagergap-decisions/src/main/java/org/tanagergap/decisions/fleet/InFlightRequest.java
+++ b/tanagergap-decisions/src/main/java/org/tanagergap/decisions/fleet/InFlightRequest.java
@@ -14,7 +14,7 @@
      */
     private static final double PREFILL_RATE_SHARE = 0.8;
 
-    /** Steps in which the time to a first-token target is told, so that equal ones add up. */
+    /** Time to a first-token target is rounded to this, so that equal values are merged. */
     private static final double PENDING_STEP_MILLIS = 100;
 
     private static final double NANOS_PER_MILLI = 1e6;
--- a/tanagergap-decisions/src/main/java/org/tanagergap/decisions/memory/HeadAdmission.java
+++ b/tanagergap-decisions/src/main/java/org/tanagergap/decisions/memory/HeadAdmission.java
@@ -3,12 +3,12 @@
 import java.util.Objects;
 
 /**
- * Decides which heads of requests a process parses while memory is short. It answers callers whose
- * heads have so many lines that they occupy a hundred times their bytes until the requests end. A
- * head is charged with the memory that it occupies once parsed, from the time at which its bytes
- * are read until its response is written. Large heads may use only a part of the memory for heads,
- * and only memory that bodies and responses leave free, so that ordinary requests are served beside
- * them. Confined to the event loop.
+ * Decides which heads of requests a process parses while memory is short. It protects against heads
+ * of many short lines, which occupy a hundred times their bytes until the requests end. A head is
+ * charged with the memory that it occupies once parsed, from the time at which its bytes are read
+ * until its response is written. Large heads may use only a part of the memory for heads, and only
+ * memory that bodies and responses leave free, so that ordinary requests are served beside them.
+ * Confined to the event loop.
  */
 public final class HeadAdmission {
 
@@ -78,10 +78,7 @@
             long addedLarge = large ? cost - largeBytes() : 0;
             boolean fits =
                     mUsedBytes + added <= mLimit.maxBytes() / HEADS_DIVISOR
-                            && (!large
-                                    || mLargeBytes + addedLarge
-                                                    <= mLimit.maxBytes() / LARGE_HEADS_DIVISOR
-                                            && mLimit.usedBytes() + added <= mLimit.maxBytes());
+                            && (!large || fitsLarge(added, addedLarge));
             if (fits) {
                 charge(added);
                 mLargeBytes += addedLarge;
@@ -89,6 +86,11 @@
             return fits;
         }
 
+        private boolean fitsLarge(long added, long addedLarge) {
+            return mLargeBytes + addedLarge <= mLimit.maxBytes() / LARGE_HEADS_DIVISOR
+                    && mLimit.usedBytes() + added <= mLimit.maxBytes();
+        }
+
         /**
          * Raises the charge by a number of bytes.
          *
--- a/tanagergap-decisions/src/main/java/org/tanagergap/decisions/ratelimit/ColdPeriods.java
+++ b/tanagergap-decisions/src/main/java/org/tanagergap/decisions/ratelimit/ColdPeriods.java
@@ -141,6 +141,11 @@
         return OptionalDouble.of(step < 0 ? perSecond : Math.max(1, perSecond) * (2L << step));
     }
 
+    /** Discards the period of an upstream that is gone. */
+    void remove(String upstream) {
+        mPeriods.remove(upstream);
+    }
+
     /** Discards periods that have ended long ago. */
     void expire(long nowNanos) {
         mPeriods.values().removeIf(period -> nowNanos - period.mEndNanos >= ISSUING_NANOS);
--- a/tanagergap-decisions/src/main/java/org/tanagergap/decisions/ratelimit/SharedRateLimits.java
+++ b/tanagergap-decisions/src/main/java/org/tanagergap/decisions/ratelimit/SharedRateLimits.java
@@ -119,6 +119,11 @@
         return !mCold.isEmpty() && mCold.isLimited(COLD + upstream, nowNanos);
     }
 
+    /** Returns true if there may be upstreams that are cold or were until recently. */
+    public boolean anyColdLimited() {
+        return !mCold.isEmpty();
+    }
+
     /** Returns true if permits have to be exchanged. */
     public boolean isActive() {
         return !mLimits.limits().isEmpty() || !mCold.isEmpty();
@@ -213,6 +218,8 @@
     public void remove(String upstream) {
         mLimits.remove(upstream);
         mPool.discard(upstream);
+        mCold.remove(COLD + upstream);
+        mPool.discard(COLD + upstream);
     }
 
     /** Records that another instance requests permits, by upstream. */
--- a/tanagergap-decisions/src/main/java/org/tanagergap/decisions/replication/PollSchedule.java
+++ b/tanagergap-decisions/src/main/java/org/tanagergap/decisions/replication/PollSchedule.java
@@ -42,7 +42,7 @@
     }
 
     /** Makes a poll due without regard to readers, because changes of a peer cannot be fetched. */
-    public void request() {
+    public void requestPoll() {
         mRequested = true;
     }
 
--- a/tanagergap-decisions/src/main/java/org/tanagergap/decisions/replication/ReadSchedule.java
+++ b/tanagergap-decisions/src/main/java/org/tanagergap/decisions/replication/ReadSchedule.java
@@ -1,23 +1,23 @@
 package org.tanagergap.decisions.replication;
 
 /**
- * Decides what a replica reads from the store next. After a failed read the configuration comes
- * first and by itself, because it decides who may run requests and must not wait for the rest: the
- * changes during an outage can be larger or slower than one response may be. If the changes fail
- * although the configuration has just arrived, the contents are read instead, in pages of bounded
- * size. Confined to the event loop.
+ * Decides what a replica reads from the store next. After a failed read the operator's keys come
+ * first and by themselves, because they decide who may run requests and must not wait for the rest:
+ * the changes during an outage can be larger or slower than one response may be. If the changes
+ * fail although the operator's keys have just arrived, the contents are read instead, in pages of
+ * bounded size. Confined to the event loop.
  */
 public final class ReadSchedule {
 
     private boolean mLoaded;
     private boolean mContentsNeeded = true;
-    private boolean mConfigurationNeeded;
+    private boolean mOperatorKeysNeeded;
     private boolean mRecovering;
 
     /** Read from the store. */
     public enum Read {
-        /** The current configuration only. */
-        CONFIGURATION,
+        /** The keys of the operator only: the configuration and the drained failure domains. */
+        OPERATOR_KEYS,
         /** The changes since the replica's position. */
         CHANGES,
         /** All items, page by page. */
@@ -26,8 +26,8 @@
 
     /** Read that comes next. */
     public Read next() {
-        if (mConfigurationNeeded) {
-            return Read.CONFIGURATION;
+        if (mOperatorKeysNeeded) {
+            return Read.OPERATOR_KEYS;
         }
         return mContentsNeeded ? Read.CONTENTS : Read.CHANGES;
     }
@@ -38,8 +38,8 @@
     }
 
     public void succeeded(Read read) {
-        if (read == Read.CONFIGURATION) {
-            mConfigurationNeeded = false;
+        if (read == Read.OPERATOR_KEYS) {
+            mOperatorKeysNeeded = false;
             return;
         }
         mRecovering = false;
@@ -54,13 +54,13 @@
             mContentsNeeded = true;
         }
         // The first contents take effect as a whole, so nothing is gained by reading a part twice.
-        mConfigurationNeeded = mLoaded;
+        mOperatorKeysNeeded = mLoaded;
         mRecovering = mLoaded;
     }
 
     /** Records that changes since the replica's position no longer lead to the store's contents. */
     public void contentsNeeded() {
         mContentsNeeded = true;
-        mConfigurationNeeded = mLoaded;
+        mOperatorKeysNeeded = mLoaded;
     }
 }
--- a/tanagergap-decisions/src/main/java/org/tanagergap/decisions/replication/StoreReaders.java
+++ b/tanagergap-decisions/src/main/java/org/tanagergap/decisions/replication/StoreReaders.java
@@ -121,7 +121,7 @@
     }
 
     /** Returns true if a reader other than this instance has read the store recently. */
-    public boolean anyHasProgressed(long nowNanos) {
+    public boolean anyOtherHasReadRecently(long nowNanos) {
         return otherReaders(nowNanos).stream()
                 .anyMatch(reader -> reader.hasReadWithin(MAX_SILENCE, nowNanos));
     }
@@ -132,7 +132,7 @@
      * failed yet. A reader that is cut off alone soon finds that its peers are ahead, and no longer
      * reports an outage.
      */
-    public boolean anyHasSeenOutage(long nowNanos) {
+    public boolean anyOtherHasSeenOutage(long nowNanos) {
         return otherReaders(nowNanos).stream().anyMatch(Peer::outage);
     }
 
--- a/tanagergap-decisions/src/test/java/org/tanagergap/decisions/ratelimit/ColdUpstreamTests.java
+++ b/tanagergap-decisions/src/test/java/org/tanagergap/decisions/ratelimit/ColdUpstreamTests.java
@@ -11,7 +11,7 @@
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
-/** Guards cold upstreams against more requests in a second than they bear. */
+/** Guards cold upstreams against more requests in a second than they sustain. */
 final class ColdUpstreamTests {
 
     private static final Duration SECOND = Duration.ofSeconds(1);
@@ -140,4 +140,17 @@
         assertThat(limits.maySend(UPSTREAM, 0)).isTrue();
         assertThat(limits.maySend("other@1", 0)).isTrue();
     }
+
+    /** The cold period of an upstream that is gone kept the exchange of permits going. */
+    @Test
+    void nothingIsKnownOfAnUpstreamThatIsGone() {
+        SharedRateLimits limits = new SharedRateLimits("a", new SimulatedInstances.NoListener(), 0);
+        limits.coldObserved(UPSTREAM, COLD, Optional.of(LIMIT), false, 0);
+        assertThat(limits.isActive()).isTrue();
+
+        limits.remove(UPSTREAM);
+
+        assertThat(limits.isActive()).isFalse();
+        assertThat(limits.coldRemaining(UPSTREAM, 0).isPresent()).isFalse();
+    }
 }
--- a/tanagergap-decisions/src/test/java/org/tanagergap/decisions/ratelimit/SimulatedInstances.java
+++ b/tanagergap-decisions/src/test/java/org/tanagergap/decisions/ratelimit/SimulatedInstances.java
@@ -105,7 +105,7 @@
         }
     }
 
-    private static final class NoListener implements SharedRateLimits.Listener {
+    static final class NoListener implements SharedRateLimits.Listener {
 
         @Override
         public void limitChanged(String upstream, OptionalDouble requestsPerSecond) {}
--- a/tanagergap-decisions/src/test/java/org/tanagergap/decisions/replication/PollScheduleTests.java
+++ b/tanagergap-decisions/src/test/java/org/tanagergap/decisions/replication/PollScheduleTests.java
@@ -28,7 +28,7 @@
                 new PollSchedule.Situation(reader, progress, Duration.ofMillis(600));
         schedule.completed(successful, 0);
         if (requested) {
-            schedule.request();
+            schedule.requestPoll();
         }
 
         assertThat(schedule.untilDue(situation, 0)).isEqualTo(Duration.ofMillis(millis));
--- a/tanagergap-decisions/src/test/java/org/tanagergap/decisions/replication/ReadScheduleTests.java
+++ b/tanagergap-decisions/src/test/java/org/tanagergap/decisions/replication/ReadScheduleTests.java
@@ -38,7 +38,7 @@
     void theConfigurationIsReadBeforeTheChangesOfAnOutage() {
         fail();
         fail();
-        assertThat(mSchedule.next()).isEqualTo(Read.CONFIGURATION);
+        assertThat(mSchedule.next()).isEqualTo(Read.OPERATOR_KEYS);
 
         succeed();
 
@@ -53,7 +53,7 @@
         fail();
         succeed();
         fail();
-        assertThat(mSchedule.next()).isEqualTo(Read.CONFIGURATION);
+        assertThat(mSchedule.next()).isEqualTo(Read.OPERATOR_KEYS);
         succeed();
         assertThat(mSchedule.next()).isEqualTo(Read.CONTENTS);
 
--- a/tanagergap-decisions/src/test/java/org/tanagergap/decisions/replication/StoreReadersTests.java
+++ b/tanagergap-decisions/src/test/java/org/tanagergap/decisions/replication/StoreReadersTests.java
@@ -126,20 +126,20 @@
         hear(readers, 1, INSTANCES, 60_000, false);
 
         assertThat(readers.readers(mNow)).hasSize(3);
-        assertThat(readers.anyHasProgressed(mNow)).isFalse();
+        assertThat(readers.anyOtherHasReadRecently(mNow)).isFalse();
     }
 
     /** A reader that keeps reporting and no longer reads must not hide that nobody reads. */
     @Test
     void aReportIsNoProgressIfItsReadIsOld() {
         StoreReaders readers = instance(3, 0, INSTANCES, 100);
-        assertThat(readers.anyHasProgressed(mNow)).isTrue();
+        assertThat(readers.anyOtherHasReadRecently(mNow)).isTrue();
 
         advance(1000);
         hear(readers, 0, INSTANCES, 1100, false);
-        assertThat(readers.anyHasProgressed(mNow)).isTrue();
+        assertThat(readers.anyOtherHasReadRecently(mNow)).isTrue();
         advance(200);
-        assertThat(readers.anyHasProgressed(mNow)).isFalse();
+        assertThat(readers.anyOtherHasReadRecently(mNow)).isFalse();
     }
 
     /** Gateways that merely check the store now and then must not hide the loss of the readers. */
@@ -153,7 +153,7 @@
             }
         }
 
-        assertThat(readers.anyHasProgressed(mNow)).isFalse();
+        assertThat(readers.anyOtherHasReadRecently(mNow)).isFalse();
     }
 
     /** A reader whose call has not failed yet must not hide the outage that another one saw. */
@@ -163,10 +163,10 @@
         String first =
                 readers.readers(mNow).stream().filter(id -> !id.equals("g3")).findFirst().get();
         int index = Integer.parseInt(first.substring(1));
-        assertThat(readers.anyHasSeenOutage(mNow)).isFalse();
+        assertThat(readers.anyOtherHasSeenOutage(mNow)).isFalse();
 
         hear(readers, index, index + 1, 900, true);
-        assertThat(readers.anyHasSeenOutage(mNow)).isTrue();
+        assertThat(readers.anyOtherHasSeenOutage(mNow)).isTrue();
     }
 
     @Test
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/ColdRateSettings.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/ColdRateSettings.java
@@ -6,4 +6,10 @@
  * @param factor factor of the rate that the upstream sustains
  * @param extra further requests
  */
-public record ColdRateSettings(double factor, double extra) {}
+public record ColdRateSettings(double factor, double extra) {
+
+    /** Returns the bound for an upstream that sustains a rate while it is cold. */
+    public double bound(double requestsPerSecond) {
+        return factor * requestsPerSecond + extra;
+    }
+}
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/GatewayCommand.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/GatewayCommand.java
@@ -124,7 +124,9 @@
     @Option(
             name = "--max-connections",
             title = "number",
-            description = "Connections of clients; 0 for half of the descriptors of the process")
+            description =
+                    "Connections of clients; 0 for half of the descriptors of the"
+                            + " process, at most 8192")
     String mMaxConnections;
 
     @Option(
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/GatewayFleetListener.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/GatewayFleetListener.java
@@ -38,7 +38,18 @@
     }
 
     @Override
-    public void coldRemaining(Upstream upstream, Duration remaining) {
+    public void upstreamDrained(Upstream upstream) {
+        // It still runs, so its rate limit and its health stay known.
+        forwarder.upstreamUnavailable(upstream);
+    }
+
+    @Override
+    public void upstreamDrainEnded(Upstream upstream) {
+        forwarder.fleetChanged();
+    }
+
+    @Override
+    public void coldPeriodReported(Upstream upstream, Duration remaining) {
         rateLimits.coldObserved(upstream, remaining, false);
     }
 
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/GatewayService.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/GatewayService.java
@@ -178,13 +178,7 @@
 
     private RateLimitGate rateLimits(MetricRegistry metrics) {
         ColdRateSettings cold = mSettings.coldRate();
-        RateLimitGate gate =
-                new RateLimitGate(
-                        mClock,
-                        mSettings.id(),
-                        mView,
-                        metrics,
-                        perSecond -> cold.factor() * perSecond + cold.extra());
+        RateLimitGate gate = new RateLimitGate(mClock, mSettings.id(), mView, metrics, cold::bound);
         metrics.register(
                 "gateway_cold_upstreams", (Gauge<Integer>) () -> gate.coldRemaining().size());
         return gate;
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/GatewaySettings.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/GatewaySettings.java
@@ -20,7 +20,7 @@
  * @param reservationLimits longest times for which engine memory may be reserved without use
  * @param retryBudget retries that all instances together may make
  * @param coldRate requests that cold upstreams may receive from all instances together
- * @param inbound limits on clients that keep to no limit
+ * @param inbound limits on the connections and request heads of clients
  */
 public record GatewaySettings(
         String id,
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/InboundSettings.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/InboundSettings.java
@@ -1,7 +1,7 @@
 package org.tanagergap.gateway;
 
 /**
- * Limits on clients that keep to no limit.
+ * Limits on the connections and request heads of clients.
  *
  * @param maxConnections connections of clients; 0 for half of the descriptors of the process
  * @param maxHeaderLines lines of the head of a request
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/CandidateSource.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/CandidateSource.java
@@ -71,7 +71,7 @@
         Duration wait = DispatchForecast.predictedWait(requests, perSecond.getAsDouble());
         // An upstream that becomes warm takes more at once.
         return mContext.view().usable(service.name()).stream()
-                .filter(upstream -> !mContext.rateLimits().isAdvertised(upstream))
+                .filter(upstream -> !mContext.rateLimits().hasAdvertisedLimit(upstream))
                 .flatMap(upstream -> mContext.rateLimits().coldRemaining(upstream).stream())
                 .min(Comparator.naturalOrder())
                 .filter(remaining -> remaining.compareTo(wait) < 0)
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/Dispatcher.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/Dispatcher.java
@@ -80,7 +80,7 @@
         PlacementRequest request = lifecycle.times().placementRequest(unreported);
         Optional<Placement> placement =
                 mPolicy.choose(request, mCandidates.candidates(service, excluded));
-        if (placement.isPresent()) {
+        if (placement.isPresent() || !mContext.rateLimits().anyColdLimited()) {
             return placement;
         }
         // Cold upstreams are slow, and their permits are not requested while others have capacity.
@@ -131,7 +131,7 @@
         }
         int ahead = mQueue.requestsAhead(waiting, now);
         Duration remaining = Duration.ofNanos(waiting.latestDispatchNanos() - now);
-        Optional<Duration> permitWait = permitWait(request, ahead + 1);
+        Optional<Duration> permitWait = mCandidates.permitWait(request.service(), ahead + 1);
         Duration wait = permitWait.orElseGet(() -> mForecast.predictedWait(ahead, now));
         // Permits come at a known rate; other waits are estimates.
         double maxWaitFraction = permitWait.isPresent() ? 1 : MAX_WAIT_FRACTION;
@@ -151,7 +151,10 @@
         long now = mContext.clock().nanoTime();
         for (WaitingRequest<RequestLifecycle> expired : mQueue.expired(now)) {
             withdraw(expired.item());
-            Duration wait = permitWait(expired.item().request(), 1).orElse(MIN_RETRY_AFTER);
+            Duration wait =
+                    mCandidates
+                            .permitWait(expired.item().request().service(), 1)
+                            .orElse(MIN_RETRY_AFTER);
             refuse(expired.item(), "no upstream was free in the time left", wait);
         }
         int blocked = 0;
@@ -175,7 +178,7 @@
     private boolean refuseIfPermitsComeTooLate(
             WaitingRequest<RequestLifecycle> waiting, int ahead, long now) {
         RequestLifecycle lifecycle = waiting.item();
-        Optional<Duration> wait = permitWait(lifecycle.request(), ahead);
+        Optional<Duration> wait = mCandidates.permitWait(lifecycle.request().service(), ahead);
         long remainingNanos = waiting.latestDispatchNanos() - now;
         if (lifecycle.responseStarted()
                 || wait.filter(w -> w.toNanos() > remainingNanos).isEmpty()) {
@@ -186,11 +189,6 @@
         return true;
     }
 
-    /** Returns the time until that many requests may be sent, if all upstreams limit their rate. */
-    private Optional<Duration> permitWait(GatewayRequest request, int requests) {
-        return mCandidates.permitWait(request.service(), requests);
-    }
-
     private static String tooLong(Duration wait) {
         return "the predicted wait of " + wait.toMillis() + " ms is too long";
     }
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/RateLimitGate.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/forward/RateLimitGate.java
@@ -100,14 +100,19 @@
     }
 
     boolean isLimited(Upstream upstream) {
-        return isAdvertised(upstream) || isColdLimited(upstream);
+        return hasAdvertisedLimit(upstream) || isColdLimited(upstream);
     }
 
     /** Returns true if the upstream itself has advertised a rate limit. */
-    boolean isAdvertised(Upstream upstream) {
+    boolean hasAdvertisedLimit(Upstream upstream) {
         return mLimits.isLimited(upstream.incarnation());
     }
 
+    /** Returns true if there may be upstreams that are cold or were until recently. */
+    boolean anyColdLimited() {
+        return mLimits.anyColdLimited();
+    }
+
     /** Returns true if the upstream is cold, or was until recently and gets its load in steps. */
     boolean isColdLimited(Upstream upstream) {
         return mLimits.isColdLimited(upstream.incarnation(), mClock.nanoTime());
@@ -127,7 +132,8 @@
                     .with(LogKeys.UPSTREAM, incarnation)
                     .log(
                             "upstream is cold for %d ms and sustains %s requests per second",
-                            remaining.toMillis(), limit.get().requestsPerSecond());
+                            coldRemaining(incarnation).get().toMillis(),
+                            limit.get().requestsPerSecond());
             mListener.exchangeNeeded();
         }
         logEnds();
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/membership/FleetView.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/membership/FleetView.java
@@ -54,7 +54,16 @@
          *
          * @param remaining time for which the upstream stays cold; zero if it is warm
          */
-        default void coldRemaining(Upstream upstream, Duration remaining) {}
+        default void coldPeriodReported(Upstream upstream, Duration remaining) {}
+
+        /**
+         * Called when an upstream that still runs must receive no new requests, because its failure
+         * domain is drained.
+         */
+        void upstreamDrained(Upstream upstream);
+
+        /** Called when an upstream may receive requests again that was drained. */
+        void upstreamDrainEnded(Upstream upstream);
 
         /** Called when a configuration has taken effect. */
         void configurationChanged(GatewayConfiguration configuration);
@@ -201,18 +210,16 @@
                 mUpstreams.values().stream()
                         .filter(u -> u.failureDomain().equals(domain) && !u.draining())
                         .toList();
-        sLogger.atInfo()
-                .with(LogKeys.FAILURE_DOMAIN, domain)
-                .log(
-                        "failure domain %s with %d upstreams",
-                        drained ? "is drained" : "is in use again", affected.size());
-        for (Upstream upstream : affected) {
-            for (Listener listener : mListeners) {
-                if (drained) {
-                    listener.upstreamUnavailable(upstream);
-                } else {
-                    listener.upstreamAvailable(upstream);
-                }
+        String message =
+                drained
+                        ? "failure domain %s is drained: %d upstreams receive no new requests"
+                        : "drain of failure domain %s has ended: %d upstreams may receive requests";
+        sLogger.atInfo().with(LogKeys.FAILURE_DOMAIN, domain).log(message, domain, affected.size());
+        for (Listener listener : mListeners) {
+            if (drained) {
+                affected.forEach(listener::upstreamDrained);
+            } else {
+                affected.forEach(listener::upstreamDrainEnded);
             }
         }
     }
@@ -226,7 +233,8 @@
                                         .log("upstream entry is invalid: %s", reason));
         if (entry.upstream().isPresent()) {
             // Heartbeats are no changes, but each says how long the upstream stays cold.
-            mListeners.forEach(l -> l.coldRemaining(entry.upstream().get(), entry.coldRemaining()));
+            mListeners.forEach(
+                    l -> l.coldPeriodReported(entry.upstream().get(), entry.coldRemaining()));
             putUnlessDeparted(entry.upstream().get(), origin);
         } else if (origin != ChangeOrigin.WRITE
                 && entry.invalidReason().isEmpty()
@@ -272,7 +280,9 @@
         boolean wasAvailable = previous != null && mayReceive(previous);
         boolean restarted =
                 previous != null && previous.startedAtMillis() != upstream.startedAtMillis();
-        if (wasAvailable && (!mayReceive(upstream) || restarted)) {
+        // Also in a drained failure domain, what is known of the earlier incarnation is discarded.
+        boolean restartedInService = restarted && !previous.draining();
+        if (wasAvailable && !mayReceive(upstream) || restartedInService) {
             log(upstream, upstream.draining() ? "is leaving" : "has restarted");
             mListeners.forEach(listener -> listener.upstreamUnavailable(previous));
         }
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/membership/PollTiming.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/membership/PollTiming.java
@@ -2,7 +2,6 @@
 
 import com.google.common.flogger.FluentLogger;
 import java.time.Duration;
-import java.util.concurrent.TimeUnit;
 import java.util.function.IntSupplier;
 import org.tanagergap.api.time.RuntimeClock;
 import org.tanagergap.decisions.replication.PollSchedule;
@@ -42,15 +41,15 @@
 
     /** Returns true if readers of a large fleet have seen an outage. */
     boolean readersSawOutage() {
-        return hasReaders() && mReaders.anyHasSeenOutage(mClock.nanoTime());
+        return hasReaders() && mReaders.anyOtherHasSeenOutage(mClock.nanoTime());
     }
 
     void completed(boolean successful) {
         mSchedule.completed(successful, mClock.nanoTime());
     }
 
-    void request() {
-        mSchedule.request();
+    void requestPoll() {
+        mSchedule.requestPoll();
     }
 
     boolean isDue() {
@@ -66,7 +65,7 @@
         boolean reader = isReader();
         if (reader != mLoggedReader) {
             mLoggedReader = reader;
-            sLogger.atInfo().atMostEvery(1, TimeUnit.SECONDS).log(
+            sLogger.atInfo().log(
                     "this instance %s",
                     reader
                             ? "polls the store for its peers"
@@ -81,6 +80,7 @@
                 mReaders.isAlone(now)
                         ? PollInterval.of(mInstances.getAsInt())
                         : PollInterval.SHORTEST;
-        return new PollSchedule.Situation(isReader(), mReaders.anyHasProgressed(now), interval);
+        return new PollSchedule.Situation(
+                isReader(), mReaders.anyOtherHasReadRecently(now), interval);
     }
 }
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/membership/StoreSync.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/membership/StoreSync.java
@@ -133,7 +133,7 @@
 
     private void fetchFailed() {
         if (!isReader()) {
-            mTiming.request();
+            mTiming.requestPoll();
             scheduleDecision();
         }
     }
@@ -184,9 +184,9 @@
     private CompletableFuture<Void> read(Read read) {
         StorePosition requested = mUpdater.position();
         return switch (read) {
-            case CONFIGURATION ->
+            case OPERATOR_KEYS ->
                     mFeed.readPage(mDecoder.operatorPrefix(), "")
-                            .thenAccept(this::configurationReceived);
+                            .thenAccept(this::operatorKeysReceived);
             case CHANGES ->
                     mFeed.changesAfter(requested.revision())
                             .thenAccept(changes -> changesReceived(requested, changes));
@@ -194,14 +194,14 @@
         };
     }
 
-    private void configurationReceived(Changes page) {
+    private void operatorKeysReceived(Changes page) {
         StorePosition replica = mUpdater.position();
         switch (ReplicaUpdate.forChanges(replica, replica, page.position())) {
             case APPLY -> mUpdater.replica().applyAhead(page.items());
             case READ_ALL -> mReads.contentsNeeded();
             case REPLACE, IGNORE -> ReplicaUpdater.logIgnored(page.position());
         }
-        mReads.succeeded(Read.CONFIGURATION);
+        mReads.succeeded(Read.OPERATOR_KEYS);
     }
 
     private void changesReceived(StorePosition requested, Changes changes) {
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/peer/PeerDirectory.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/peer/PeerDirectory.java
@@ -35,9 +35,9 @@
      * Changes are fetched from one of the newest replicas, which are those of the readers of the
      * store, but not always from the same one, because it may be unreachable.
      */
-    private static final int MIN_CHOICE = 4;
+    private static final int MIN_NEWEST = 4;
 
-    private static final int CHOICE_FRACTION = 4;
+    private static final int NEWEST_DIVISOR = 4;
 
     /** Characters of an IP address or host name. */
     private static final Pattern HOST = Pattern.compile("[A-Za-z0-9.:\\[\\]_-]+");
@@ -122,7 +122,8 @@
     /**
      * Peers whose replica is after the position, the newest first. If one of them has reported a
      * change after the position, only peers that have it are returned: most peers of a large fleet
-     * are ahead by heartbeats alone.
+     * are ahead by heartbeats alone. At most the newest quarter of them is returned, but at least
+     * four.
      */
     public List<HostPort> peersAheadOf(StorePosition position) {
         removeIdle();
@@ -136,7 +137,7 @@
                 .filter(peer -> !lastChange.isAfter(peer.position()))
                 .forEach(newer::add);
         newer.sort(Comparator.comparing(ReportingPeer::position).reversed());
-        int newest = Math.max(MIN_CHOICE, newer.size() / CHOICE_FRACTION);
+        int newest = Math.max(MIN_NEWEST, newer.size() / NEWEST_DIVISOR);
         return newer.stream().limit(newest).map(ReportingPeer::address).toList();
     }
 
--- a/tanagergap-gateway/src/test/java/org/tanagergap/gateway/membership/FleetViewTests.java
+++ b/tanagergap-gateway/src/test/java/org/tanagergap/gateway/membership/FleetViewTests.java
@@ -20,6 +20,7 @@
     private final PausedClock mClock = new PausedClock();
     private final FleetView mView = new FleetView(mClock);
     private final List<String> mEvents = new ArrayList<>();
+    private final List<String> mDrainEvents = new ArrayList<>();
 
     private static FleetChange.UpstreamEntry entry(
             String id, boolean draining, long startedAtMillis) {
@@ -53,6 +54,18 @@
                         mEvents.add("unavailable " + upstream.id());
                     }
 
+                    @Override
+                    public void upstreamDrained(Upstream upstream) {
+                        mEvents.add("unavailable " + upstream.id());
+                        mDrainEvents.add("drained " + upstream.id());
+                    }
+
+                    @Override
+                    public void upstreamDrainEnded(Upstream upstream) {
+                        mEvents.add("available " + upstream.id());
+                        mDrainEvents.add("drain ended " + upstream.id());
+                    }
+
                     @Override
                     public void configurationChanged(GatewayConfiguration configuration) {
                         mEvents.add("configured " + configuration.version());
@@ -85,6 +98,27 @@
         assertThat(mEvents).containsExactly("unavailable u", "available u").inOrder();
     }
 
+    /** A drained upstream was taken for one that is gone, and its rate limit was forgotten. */
+    @Test
+    void aDrainedUpstreamIsNotGone() {
+        drain(true);
+        drain(false);
+
+        assertThat(mDrainEvents).containsExactly("drained u", "drain ended u").inOrder();
+    }
+
+    /** Limits of the earlier incarnation would stay known forever. */
+    @Test
+    void aRestartInADrainedDomainEndsTheEarlierIncarnation() {
+        drain(true);
+        mEvents.clear();
+
+        mView.accept(entry("u", false, 2), ChangeOrigin.WRITE);
+
+        assertThat(mEvents).containsExactly("unavailable u");
+        assertThat(usable()).isFalse();
+    }
+
     @Test
     void anUpstreamThatJoinsADrainedDomainIsNotUsable() {
         drain(true);
--- a/tanagergap-measure/src/main/java/org/tanagergap/measure/placement/PlacementMeasurement.java
+++ b/tanagergap-measure/src/main/java/org/tanagergap/measure/placement/PlacementMeasurement.java
@@ -33,6 +33,7 @@
      * in another.
      *
      * @param shortFactor times the usual rate of short prompts
+     * @param mediumFactor times the usual rate of medium prompts
      * @param longFactor times the usual rate of the longest prompts
      */
     static LoadProfile tradeCounter(double shortFactor, double mediumFactor, double longFactor) {
--- a/tanagergap-runtime/src/main/java/org/tanagergap/runtime/http/ClientConnections.java
+++ b/tanagergap-runtime/src/main/java/org/tanagergap/runtime/http/ClientConnections.java
@@ -16,7 +16,7 @@
     private ClientConnections() {}
 
     /** Logs failures of the connection at level fine, as the affected calls report them as well. */
-    public static void logFailures(HttpConnection connection) {
+    private static void logFailures(HttpConnection connection) {
         connection.exceptionHandler(
                 failure -> sLogger.atFine().log("HTTP client connection failed: %s", failure));
     }
--- a/tanagergap-runtime/src/main/java/org/tanagergap/runtime/http/DescriptorLimit.java
+++ b/tanagergap-runtime/src/main/java/org/tanagergap/runtime/http/DescriptorLimit.java
@@ -10,7 +10,8 @@
 public final class DescriptorLimit {
 
     private static final Path LIMITS = Path.of("/proc/self/limits");
-    private static final Pattern SOFT_LIMIT = Pattern.compile("Max open files\\s+(\\d+)");
+    private static final Pattern SOFT_LIMIT = Pattern.compile("Max open files\\s+(\\w+)");
+    private static final String UNLIMITED = "unlimited";
 
     /** Assumed where the system does not tell; the usual limit of a session. */
     private static final int DEFAULT_DESCRIPTORS = 1024;
@@ -20,7 +21,7 @@
 
     private DescriptorLimit() {}
 
-    /** Connections of clients for which half of the descriptors suffice. */
+    /** Default limit on client connections: half of the soft descriptor limit, at most 8192. */
     public static int maxConnections() {
         return Math.min(MAX_CONNECTIONS, descriptors() / 2);
     }
@@ -29,9 +30,12 @@
         try {
             // The management interface would add to the time of a start.
             Matcher limit = SOFT_LIMIT.matcher(Files.readString(LIMITS));
-            return limit.find()
-                    ? (int) Math.min(Integer.MAX_VALUE, Long.parseLong(limit.group(1)))
-                    : DEFAULT_DESCRIPTORS;
+            if (!limit.find()) {
+                return DEFAULT_DESCRIPTORS;
+            }
+            return limit.group(1).equals(UNLIMITED)
+                    ? Integer.MAX_VALUE
+                    : (int) Math.min(Integer.MAX_VALUE, Long.parseLong(limit.group(1)));
         } catch (IOException | NumberFormatException e) {
             return DEFAULT_DESCRIPTORS;
         }
--- a/tanagergap-runtime/src/main/java/org/tanagergap/runtime/http/InboundHandler.java
+++ b/tanagergap-runtime/src/main/java/org/tanagergap/runtime/http/InboundHandler.java
@@ -21,9 +21,6 @@
  */
 final class InboundHandler extends ChannelDuplexHandler {
 
-    /**
-     * Reads that arrive in one pass of the event loop are held, so there is one of bounded size.
-     */
     private static final int MIN_READ_BYTES = 512;
 
     private static final int FIRST_READ_BYTES = 2 << 10;
@@ -48,8 +45,8 @@
     private Optional<ByteBuf> mHeld = Optional.empty();
     private Timer mTimer = NO_TIMER;
     private int mScannedBytes;
-    private int mRequests;
-    private long mHeads;
+    private int mUnansweredRequests;
+    private long mCompletedHeads;
     private long mDecoded;
     private long mBodyBytesLeft;
     private boolean mReceiving;
@@ -69,6 +66,7 @@
         mContext = context;
         AdaptiveRecvByteBufAllocator reads =
                 new AdaptiveRecvByteBufAllocator(MIN_READ_BYTES, FIRST_READ_BYTES, MAX_READ_BYTES);
+        // Bytes that are read while a response is due stay in memory, so each pass reads once.
         reads.maxMessagesPerRead(1);
         context.channel().config().setRecvByteBufAllocator(reads);
     }
@@ -107,7 +105,7 @@
     }
 
     private boolean isAwaitingResponse() {
-        return mRequests > 0 && !mReceiving;
+        return mUnansweredRequests > 0 && !mReceiving;
     }
 
     private void process() {
@@ -199,7 +197,7 @@
         }
         boolean timed = mScanner.hasStarted() || mScanner.leadingBytes() > EMPTY_LINE_BYTES;
         if (timed && mTimer == NO_TIMER) {
-            long head = mHeads;
+            long head = mCompletedHeads;
             mTimer =
                     mProtection
                             .clock()
@@ -218,7 +216,7 @@
     }
 
     private void headTooLate(long head) {
-        if (head == mHeads) {
+        if (head == mCompletedHeads) {
             refuse(
                     mScanner.hasStarted()
                             ? InboundRefusal.HEAD_TOO_LATE
@@ -227,7 +225,7 @@
     }
 
     private void endHead() {
-        mHeads++;
+        mCompletedHeads++;
         mTimer.cancel();
         mTimer = NO_TIMER;
         mScanner.reset();
@@ -249,7 +247,7 @@
 
     /** Records that the decoder has found a request, whose body follows. */
     void requestStarted(HttpRequest request) {
-        mRequests++;
+        mUnansweredRequests++;
         mDecoded++;
         mReceiving = true;
         boolean lengthKnown =
@@ -265,12 +263,12 @@
 
     /** Records that a response is written, or that the connection has failed. */
     void responseWritten() {
-        mRequests--;
+        mUnansweredRequests--;
         endIfIdle();
     }
 
     private void endIfIdle() {
-        if (mRequests > 0 || mReceiving || mRefused) {
+        if (mUnansweredRequests > 0 || mReceiving || mRefused) {
             return;
         }
         mCharge.release();
@@ -299,7 +297,7 @@
         mProtection.refused(refusal);
         release();
         String response = refusal.response();
-        if (response.isEmpty() || mRequests > 0) {
+        if (response.isEmpty() || mUnansweredRequests > 0) {
             mContext.close();
             return;
         }
--- a/tanagergap-runtime/src/main/java/org/tanagergap/runtime/http/InboundProtection.java
+++ b/tanagergap-runtime/src/main/java/org/tanagergap/runtime/http/InboundProtection.java
@@ -98,7 +98,8 @@
         if (server != null && server.pipeline().get(AcceptLimit.NAME) == null) {
             server.pipeline().addFirst(AcceptLimit.NAME, mAcceptLimit);
         }
-        pipeline.addBefore(connection.name(), "inbound-messages", new MessageWatch(handler));
+        pipeline.addBefore(
+                connection.name(), "inbound-messages", new MessageBoundaryHandler(handler));
         mConnections++;
         mIdle.add(handler);
         pipeline.channel().closeFuture().addListener(ignored -> closed(handler));
--- a/tanagergap-runtime/src/main/java/org/tanagergap/runtime/http/InformationalResponseFilter.java
+++ b/tanagergap-runtime/src/main/java/org/tanagergap/runtime/http/InformationalResponseFilter.java
@@ -49,7 +49,8 @@
         if (!mRejected) {
             mRejected = true;
             context.fireExceptionCaught(
-                    new InvalidResponseException("informational responses do not end"));
+                    new InvalidResponseException(
+                            "more than " + MAX_RESPONSES + " informational responses"));
             context.close();
         }
     }
--- a/tanagergap-runtime/src/main/java/org/tanagergap/runtime/http/MessageWatch.java
+++ b/tanagergap-runtime/src/main/java/org/tanagergap/runtime/http/MessageBoundaryHandler.java
@@ -9,11 +9,11 @@
 import io.netty.handler.codec.http.LastHttpContent;
 
 /** Reports where the messages of a connection begin and end, behind the HTTP decoder. */
-final class MessageWatch extends ChannelDuplexHandler {
+final class MessageBoundaryHandler extends ChannelDuplexHandler {
 
     private final InboundHandler mHandler;
 
-    MessageWatch(InboundHandler handler) {
+    MessageBoundaryHandler(InboundHandler handler) {
         mHandler = handler;
     }
 
--- a/tanagergap-runtime/src/main/java/org/tanagergap/runtime/http/ResponseCheck.java
+++ b/tanagergap-runtime/src/main/java/org/tanagergap/runtime/http/ResponseCheck.java
@@ -53,7 +53,7 @@
 
     static Optional<String> headFault(int status, MultiMap headers) {
         if (!isFinalStatus(status)) {
-            return Optional.of("status " + status + " is no status of a response");
+            return Optional.of("status " + status + " is not from 200 to 599");
         }
         List<String> codings = headers.getAll(HttpHeaders.TRANSFER_ENCODING);
         boolean readable =
