Let timeouts take effect on an event loop whose passes all stay long

Seen: with bodies in chunks of one byte every pass of the event loop takes longer than 50 ms. Requests and connections past their time were then never ended, because the task waits for a short pass. Cause: PendingReads waits for a short pass without a bound. Change: it waits for at most 2 s. Result: aTaskRunsAtLastAlthoughAllPassesAreLong fails with the bound taken out (0 runs instead of 1) and passes with it.

--- a/tanagergap-runtime/src/main/java/org/tanagergap/runtime/time/PendingReads.java
+++ b/tanagergap-runtime/src/main/java/org/tanagergap/runtime/time/PendingReads.java
@@ -15,6 +15,9 @@
     /** Unread bytes have arrived within this time when a task runs. */
     public static final Duration MAX_AGE = Duration.ofMillis(50);
 
+    /** Timeouts are in effect even if clients keep every pass of the event loop long. */
+    static final Duration MAX_DELAY = Duration.ofSeconds(2);
+
     /** Any delay ends in a later pass of the event loop. */
     private static final Duration NEXT_PASS = Duration.ofMillis(1);
 
@@ -26,20 +29,28 @@
 
     /**
      * Runs the task in a pass that has read everything that arrived until {@link #MAX_AGE} ago. On
-     * an event loop whose passes all take longer, the task waits for shorter ones.
+     * an event loop whose passes all take longer, the task waits for shorter ones, up to {@link
+     * #MAX_DELAY}.
      */
     public void thenRun(Runnable task) {
+        run(task, mClock.nanoTime() + MAX_DELAY.toNanos());
+    }
+
+    private void run(Runnable task, long lastNanos) {
         long startNanos = mClock.nanoTime();
         // One pass accepts the connections that wait, and the next one reads from them.
         mClock.schedule(
-                NEXT_PASS, () -> mClock.schedule(NEXT_PASS, () -> runIfShort(startNanos, task)));
+                NEXT_PASS,
+                () -> mClock.schedule(NEXT_PASS, () -> runIfShort(startNanos, task, lastNanos)));
     }
 
-    private void runIfShort(long startNanos, Runnable task) {
-        if (mClock.nanoTime() - startNanos <= MAX_AGE.toNanos()) {
+    private void runIfShort(long startNanos, Runnable task, long lastNanos) {
+        long nowNanos = mClock.nanoTime();
+        boolean isShort = nowNanos - startNanos <= MAX_AGE.toNanos();
+        if (isShort || nowNanos - lastNanos >= 0) {
             task.run();
         } else {
-            thenRun(task);
+            run(task, lastNanos);
         }
     }
 }
--- a/tanagergap-runtime/src/test/java/org/tanagergap/runtime/time/PendingReadsTests.java
+++ b/tanagergap-runtime/src/test/java/org/tanagergap/runtime/time/PendingReadsTests.java
@@ -53,4 +53,18 @@
 
         assertThat(mRuns.get()).isEqualTo(1);
     }
+
+    /** Bodies in many small chunks keep all passes long, and no timeout was in effect. */
+    @Test
+    void aTaskRunsAtLastAlthoughAllPassesAreLong() {
+        Duration pass = PendingReads.MAX_AGE.multipliedBy(2);
+        mReads.thenRun(mRuns::incrementAndGet);
+
+        for (int i = 0; i <= PendingReads.MAX_DELAY.dividedBy(pass); i++) {
+            mClock.advanceWhileBusy(pass);
+            mClock.advance(STEP);
+        }
+
+        assertThat(mRuns.get()).isEqualTo(1);
+    }
 }
