Keep the connections of a gateway within its memory

Seen: very many connections at once, a part of which leave early, end a gateway: ordinary requests get 429, then nothing, then an OutOfMemoryError. Cause: the number of connections follows from the descriptors alone, and nothing holds their memory. The limit on accepted connections is set up with a port's first connection only, and what it closes is neither counted nor logged. Change: connections, heads, bodies and responses share one budget, half of the heap. A connection is charged 8 KB from the moment it is accepted; at the limit the one idle longest is closed, then the one without a complete request for longest, established ones last. While there is no memory for a small head, connections without a complete request give way. InboundHandler is split by job: heads, timers, held bytes, progress, resumes.

--- a/tanagergap-decisions/src/main/java/org/tanagergap/decisions/memory/HeadAdmission.java
+++ b/tanagergap-decisions/src/main/java/org/tanagergap/decisions/memory/HeadAdmission.java
@@ -91,15 +91,6 @@
                     && mLimit.usedBytes() + added <= mLimit.maxBytes();
         }
 
-        /**
-         * Raises the charge by a number of bytes.
-         *
-         * @return false if there is no memory for them; the charge is unchanged then
-         */
-        public boolean add(long bytes) {
-            return raise(mBytes + bytes);
-        }
-
         private void charge(long bytes) {
             if (mShare == null) {
                 mShare = mLimit.open(() -> {});
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/GatewayService.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/GatewayService.java
@@ -10,7 +10,6 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
-import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 import org.tanagergap.api.lifecycle.Service;
 import org.tanagergap.api.time.RuntimeClock;
@@ -18,8 +17,6 @@
 import org.tanagergap.decisions.fleet.DomainDelays;
 import org.tanagergap.decisions.fleet.FleetLoad;
 import org.tanagergap.decisions.fleet.UpstreamHealth;
-import org.tanagergap.decisions.memory.BodyAdmission;
-import org.tanagergap.decisions.memory.HeadAdmission;
 import org.tanagergap.decisions.memory.SharedMemoryLimit;
 import org.tanagergap.decisions.replication.StoreReaders;
 import org.tanagergap.gateway.caller.GatewayCallerServer;
@@ -45,6 +42,7 @@
 import org.tanagergap.runtime.admin.AdminServer;
 import org.tanagergap.runtime.async.Futures;
 import org.tanagergap.runtime.http.DescriptorLimit;
+import org.tanagergap.runtime.http.InboundBudget;
 import org.tanagergap.runtime.http.InboundProtection;
 import org.tanagergap.runtime.metrics.MetricsText;
 import org.tanagergap.runtime.program.ProgramContext;
@@ -54,10 +52,9 @@
 
     private static final FluentLogger sLogger = FluentLogger.forEnclosingClass();
 
-    private final SharedMemoryLimit mMemory = SharedMemoryLimit.ofHeapCapacity();
-    private final HeadAdmission mHeads = new HeadAdmission(mMemory);
     private final RuntimeClock mClock;
     private final GatewaySettings mSettings;
+    private final InboundBudget mBudget;
     private final Context mEventLoop;
     private final FleetView mView;
     private final PeerRegistration mRegistration;
@@ -74,6 +71,7 @@
         Vertx vertx = context.vertx();
         mClock = context.clock();
         mSettings = reloadable.settings();
+        mBudget = budget(mSettings);
         mEventLoop = vertx.getOrCreateContext();
         mView = new FleetView(mClock);
         mSettingsWatch = new SettingsWatch(mClock, reloadable);
@@ -121,16 +119,15 @@
                                 rateLimits,
                                 new UnsentAttempts(),
                                 releases,
-                                mMemory,
+                                mBudget.memory(),
                                 context.metrics(),
                                 context.tracing(),
                                 exchange::announce),
                         random);
-        BodyAdmission bodies = bodyAdmission(context.metrics());
-        InboundProtection inbound = inboundProtection(context.metrics());
-        mCallers =
-                callerServer(
-                        context, inbound, platform, bodies, new RequestResolver(random), forwarder);
+        registerMemory(context.metrics());
+        InboundProtection inbound =
+                mBudget.protection(mClock, context.accepted(), context.metrics());
+        mCallers = callerServer(context, inbound, platform, new RequestResolver(random), forwarder);
         rateLimits.listener(new GatewayPermitListener(exchange, forwarder));
         mView.addListener(new GatewayFleetListener(forwarder, health, rateLimits, mCallers));
         GatewayStatus status =
@@ -160,7 +157,6 @@
             ProgramContext context,
             InboundProtection inbound,
             GatewayPlatform platform,
-            BodyAdmission bodies,
             RequestResolver resolver,
             Forwarder forwarder) {
         return new GatewayCallerServer(
@@ -170,7 +166,7 @@
                 mView,
                 platform.wire(),
                 resolver,
-                bodies,
+                mBudget.bodies(),
                 forwarder,
                 inbound,
                 mSettings.inbound());
@@ -188,23 +184,19 @@
         return new RetryBudgets(mClock, mSettings.retryBudget(), directory::instanceCount);
     }
 
-    private BodyAdmission bodyAdmission(MetricRegistry metrics) {
-        BodyAdmission bodies = new BodyAdmission(mMemory);
-        metrics.register("gateway_body_bytes", (Gauge<Long>) bodies::reservedBytes);
+    private void registerMemory(MetricRegistry metrics) {
+        metrics.register("gateway_body_bytes", (Gauge<Long>) mBudget.bodies()::reservedBytes);
         metrics.register(
                 "gateway_response_bytes",
-                (Gauge<Long>)
-                        () -> mMemory.usedBytes() - bodies.reservedBytes() - mHeads.usedBytes());
-        return bodies;
+                (Gauge<Long>) () -> mBudget.memory().usedBytes() - mBudget.usedBytes());
     }
 
-    private InboundProtection inboundProtection(MetricRegistry metrics) {
-        int maxConnections = mSettings.inbound().maxConnections();
-        return new InboundProtection(
-                mClock,
-                mHeads,
-                maxConnections > 0 ? maxConnections : DescriptorLimit.maxConnections(),
-                metrics);
+    private static InboundBudget budget(GatewaySettings settings) {
+        int configured = settings.inbound().maxConnections();
+        int descriptors = DescriptorLimit.maxConnections();
+        return new InboundBudget(
+                SharedMemoryLimit.ofHeapCapacity(),
+                configured > 0 ? Math.min(configured, descriptors) : descriptors);
     }
 
     private PeerRegistration registration(GatewayPlatform platform) {
@@ -260,7 +252,8 @@
     public CompletableFuture<Void> start() {
         // Before the port of callers is open, so that no signal ends their requests.
         mSettingsWatch.handleSignal();
-        return onEventLoop(
+        return Futures.onContext(
+                mEventLoop,
                 () -> {
                     CompletableFuture<Void> started = mCallers.start();
                     for (Service service : mServices) {
@@ -295,7 +288,8 @@
      */
     @Override
     public CompletableFuture<Void> stop() {
-        return onEventLoop(
+        return Futures.onContext(
+                mEventLoop,
                 () -> {
                     mDraining = true;
                     return mShutdown.begin();
@@ -305,21 +299,4 @@
     private boolean ready() {
         return !mDraining && mView.configuration().isPresent() && mSync.loaded().isDone();
     }
-
-    private CompletableFuture<Void> onEventLoop(Supplier<CompletableFuture<Void>> action) {
-        CompletableFuture<Void> result = new CompletableFuture<>();
-        mEventLoop.runOnContext(
-                ignored ->
-                        action.get()
-                                .whenComplete(
-                                        (done, failure) -> {
-                                            if (failure == null) {
-                                                result.complete(null);
-                                            } else {
-                                                result.completeExceptionally(
-                                                        Futures.rootFailure(failure));
-                                            }
-                                        }));
-        return result;
-    }
 }
--- a/tanagergap-gateway/src/test/java/org/tanagergap/gateway/caller/CallerServerHarness.java
+++ b/tanagergap-gateway/src/test/java/org/tanagergap/gateway/caller/CallerServerHarness.java
@@ -13,7 +13,10 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+import org.tanagergap.api.time.RuntimeClock;
 import org.tanagergap.decisions.memory.BodyAdmission;
+import org.tanagergap.decisions.memory.ConnectionAdmission;
 import org.tanagergap.decisions.memory.HeadAdmission;
 import org.tanagergap.decisions.memory.SharedMemoryLimit;
 import org.tanagergap.gateway.InboundSettings;
@@ -26,6 +29,7 @@
 import org.tanagergap.gateway.membership.ChangeOrigin;
 import org.tanagergap.gateway.membership.FleetChange;
 import org.tanagergap.gateway.membership.FleetView;
+import org.tanagergap.runtime.http.AcceptedConnections;
 import org.tanagergap.runtime.http.InboundProtection;
 import org.tanagergap.runtime.settings.FreeAddresses;
 import org.tanagergap.runtime.settings.HostPort;
@@ -54,7 +58,24 @@
     CallerServerHarness(
             RouteKind kind, CallerLimits limits, Runnable parsing, CallerHandler handler)
             throws Exception {
-        VertxRuntimeClock clock = new VertxRuntimeClock(mVertx);
+        this(kind, limits, parsing, handler, VertxRuntimeClock::new, SharedMemoryLimit.ofHeap());
+    }
+
+    /**
+     * Starts a server.
+     *
+     * @param clocks creates the clock of the server
+     * @param memory memory for requests
+     */
+    CallerServerHarness(
+            RouteKind kind,
+            CallerLimits limits,
+            Runnable parsing,
+            CallerHandler handler,
+            Function<Vertx, RuntimeClock> clocks,
+            SharedMemoryLimit memory)
+            throws Exception {
+        RuntimeClock clock = clocks.apply(mVertx);
         FleetView view = new FleetView(clock);
         view.accept(
                 new FleetChange.ConfigurationAccepted(configuration(kind, limits)),
@@ -68,12 +89,13 @@
                         view,
                         new FakeWireFormat(parsing),
                         new RequestResolver(new Random(1)),
-                        new BodyAdmission(SharedMemoryLimit.ofHeap()),
+                        new BodyAdmission(memory),
                         handler,
                         new InboundProtection(
                                 clock,
-                                new HeadAdmission(SharedMemoryLimit.ofHeap()),
-                                MAX_CONNECTIONS,
+                                new AcceptedConnections(),
+                                new ConnectionAdmission(memory, MAX_CONNECTIONS),
+                                new HeadAdmission(memory),
                                 new MetricRegistry()),
                         new InboundSettings(MAX_CONNECTIONS, 22_000, 1024));
         mServer.start().get(5, TimeUnit.SECONDS);
--- a/tanagergap-runtime/src/main/java/org/tanagergap/runtime/async/Futures.java
+++ b/tanagergap-runtime/src/main/java/org/tanagergap/runtime/async/Futures.java
@@ -1,9 +1,11 @@
 package org.tanagergap.runtime.async;
 
 import io.smallrye.mutiny.Uni;
+import io.vertx.core.Context;
 import io.vertx.core.Future;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
+import java.util.function.Supplier;
 
 /** Conversions between the asynchronous types of Vert.x, Mutiny and the standard library. */
 public final class Futures {
@@ -28,6 +30,26 @@
         return Future.fromCompletionStage(future);
     }
 
+    /** Runs an action on a context; completes when the future of the action does. */
+    public static <T> CompletableFuture<T> onContext(
+            Context context, Supplier<CompletableFuture<T>> action) {
+        CompletableFuture<T> result = new CompletableFuture<>();
+        context.runOnContext(
+                ignored ->
+                        action.get()
+                                .whenComplete(
+                                        (value, failure) -> complete(result, value, failure)));
+        return result;
+    }
+
+    private static <T> void complete(CompletableFuture<T> future, T value, Throwable failure) {
+        if (failure == null) {
+            future.complete(value);
+        } else {
+            future.completeExceptionally(rootFailure(failure));
+        }
+    }
+
     /**
      * Unwraps the {@link CompletionException}s that {@link CompletableFuture} adds to a failure.
      */
--- a/tanagergap-runtime/src/main/java/org/tanagergap/runtime/http/DescriptorLimit.java
+++ b/tanagergap-runtime/src/main/java/org/tanagergap/runtime/http/DescriptorLimit.java
@@ -16,14 +16,11 @@
     /** Assumed where the system does not tell; the usual limit of a session. */
     private static final int DEFAULT_DESCRIPTORS = 1024;
 
-    /** A connection without a request takes about 8 KB; this number takes 64 MB of the system. */
-    private static final int MAX_CONNECTIONS = 8192;
-
     private DescriptorLimit() {}
 
-    /** Default limit on client connections: half of the soft descriptor limit, at most 8192. */
+    /** Largest number of client connections: half of the soft descriptor limit. */
     public static int maxConnections() {
-        return Math.min(MAX_CONNECTIONS, descriptors() / 2);
+        return descriptors() / 2;
     }
 
     private static int descriptors() {
--- a/tanagergap-runtime/src/main/java/org/tanagergap/runtime/http/InboundHandler.java
+++ b/tanagergap-runtime/src/main/java/org/tanagergap/runtime/http/InboundHandler.java
@@ -1,17 +1,10 @@
 package org.tanagergap.runtime.http;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
 import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.ChannelDuplexHandler;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.handler.codec.ByteToMessageDecoder;
-import io.netty.handler.codec.http.HttpRequest;
-import io.netty.handler.codec.http.HttpUtil;
-import java.nio.charset.StandardCharsets;
-import java.time.Duration;
 import java.util.Optional;
-import org.tanagergap.api.time.Timer;
 import org.tanagergap.decisions.memory.HeadAdmission;
 
 /**
@@ -29,36 +22,46 @@
     /** Bytes of a body of unknown length: a slice may contain the requests that follow it. */
     private static final int BODY_SLICE_BYTES = 1 << 10;
 
-    /** Some clients send an empty line after a body and then no request for a long time. */
-    private static final int EMPTY_LINE_BYTES = 2;
-
-    /** Time for reading what a refused client still sends, so that it receives the refusal. */
-    private static final Duration CLOSE_DELAY = Duration.ofSeconds(1);
-
-    private static final Timer NO_TIMER = () -> {};
+    /** Each chunk of a body is an event of the server, also if it has a single byte. */
+    private static final int MAX_CHUNKS_PER_PASS = 256;
 
     private final InboundProtection mProtection;
-    private final InboundLimits mLimits;
+    private final InboundConnection mConnection;
     private final HeadAdmission.Charge mCharge;
-    private final HeadScanner mScanner = new HeadScanner();
+    private final ReadGate mReads = new ReadGate();
+    private final HeldBytes mHeld = new HeldBytes();
+    private final ConnectionCloser mCloser;
+    private final HeadReader mHead;
+    private final HeadTimer mHeadTimer;
+    private final RequestProgress mProgress = new RequestProgress();
     private ChannelHandlerContext mContext;
-    private Optional<ByteBuf> mHeld = Optional.empty();
-    private Timer mTimer = NO_TIMER;
-    private int mScannedBytes;
-    private int mUnansweredRequests;
-    private long mCompletedHeads;
-    private long mDecoded;
-    private long mBodyBytesLeft;
-    private boolean mReceiving;
+    private long mHeadCost;
     private boolean mProcessing;
-    private boolean mReadRequested;
+    private boolean mResuming;
+    private boolean mBodyPaused;
     private boolean mRefused;
 
     InboundHandler(
-            InboundProtection protection, InboundLimits limits, HeadAdmission.Charge charge) {
+            InboundProtection protection,
+            InboundConnection connection,
+            InboundLimits limits,
+            HeadAdmission.Charge charge) {
         mProtection = protection;
-        mLimits = limits;
+        mConnection = connection;
         mCharge = charge;
+        mCloser = new ConnectionCloser(protection.clock());
+        mHead = new HeadReader(limits);
+        mHeadTimer =
+                new HeadTimer(
+                        protection.clock(),
+                        protection.reads(),
+                        this::onEventLoop,
+                        this::headTooLate);
+    }
+
+    /** Sets the limits of the server, which is known when it has set up the connection. */
+    void limits(InboundLimits limits) {
+        mHead.limits(limits);
     }
 
     @Override
@@ -78,34 +81,45 @@
         } else if (mRefused) {
             bytes.release();
         } else {
-            mHeld =
-                    Optional.of(
-                            ByteToMessageDecoder.MERGE_CUMULATOR.cumulate(
-                                    context.alloc(), mHeld.orElse(Unpooled.EMPTY_BUFFER), bytes));
+            mHeld.add(context.alloc(), bytes);
             process();
-            if (isHolding() && isAwaitingResponse() && !mCharge.add(mHeld.get().capacity())) {
-                refuse(InboundRefusal.NO_MEMORY);
+            if (isHolding()) {
+                chargeHeld();
             }
         }
     }
 
-    /** Holds reads back while bytes wait for a response; otherwise a disconnect would be missed. */
+    /** Passes everything on, because the connection speaks HTTP/2 from now on. */
+    @Override
+    public void handlerRemoved(ChannelHandlerContext context) {
+        Optional<ByteBuf> held = mHeld.takeAll();
+        release();
+        held.ifPresent(context::fireChannelRead);
+    }
+
     @Override
     public void read(ChannelHandlerContext context) {
-        if (isHolding()) {
-            mReadRequested = true;
-        } else {
+        if (mayRead()) {
             context.read();
+        } else {
+            mReads.suspend(mContext.channel());
         }
     }
 
-    /** Returns true if there are bytes that cannot be passed on yet; an incomplete head is none. */
-    private boolean isHolding() {
-        return mHeld.isPresent() && mScannedBytes == 0;
+    /** Returns false while received bytes wait; any other read may show that the client is gone. */
+    private boolean mayRead() {
+        return !isHolding() && !isBodyPaused();
     }
 
-    private boolean isAwaitingResponse() {
-        return mUnansweredRequests > 0 && !mReceiving;
+    private void resumeReads() {
+        if (mayRead()) {
+            mReads.resume(mContext.channel());
+        }
+    }
+
+    /** Returns true if there are bytes that cannot be passed on yet; an incomplete head is none. */
+    private boolean isHolding() {
+        return !mHeld.isEmpty() && !mHead.isWithinHead();
     }
 
     private void process() {
@@ -114,173 +128,179 @@
         }
         mProcessing = true;
         try {
-            long first = mDecoded;
-            while (mHeld.isPresent() && !isAwaitingResponse()) {
-                boolean passed = mReceiving ? passBody(mHeld.get()) : passHead(mHeld.get());
-                if (!passed || mDecoded > first && !mReceiving) {
+            long requests = mProgress.requests();
+            long maxChunks = mProgress.chunks() + MAX_CHUNKS_PER_PASS;
+            while (!mHeld.isEmpty() && mayPass() && mProgress.chunks() < maxChunks) {
+                boolean receiving = mProgress.isReceiving();
+                boolean passed = receiving ? passBody() : passHead();
+                if (!passed || mProgress.requests() > requests && !mProgress.isReceiving()) {
                     break;
                 }
             }
         } finally {
             mProcessing = false;
         }
-        if (isHolding()) {
-            if (!isAwaitingResponse()) {
-                mProtection.resumeLater(this);
-            }
-        } else if (mReadRequested) {
-            mReadRequested = false;
-            mContext.read();
+        resumeLater();
+        resumeReads();
+    }
+
+    private void chargeHeld() {
+        mReads.suspend(mContext.channel());
+        if (!admit(mHeadCost + mHeld.bytes().capacity())) {
+            refuse(InboundRefusal.NO_MEMORY);
         }
     }
 
-    private boolean passBody(ByteBuf held) {
-        long slice = mBodyBytesLeft > 0 ? mBodyBytesLeft : BODY_SLICE_BYTES;
-        int length = (int) Math.min(slice, held.readableBytes());
-        mBodyBytesLeft -= Math.min(mBodyBytesLeft, length);
-        pass(held, length);
+    /** Returns false if a response is due first, or if the body is paused. */
+    private boolean mayPass() {
+        return !mProgress.isAwaitingResponse() && !isBodyPaused();
+    }
+
+    private boolean isBodyPaused() {
+        return mBodyPaused && mProgress.isReceiving();
+    }
+
+    /**
+     * Holds the body of the current request back. The server itself would keep some of what arrives
+     * for each paused request.
+     */
+    void pauseBody() {
+        mBodyPaused = true;
+        if (isBodyPaused()) {
+            mReads.suspend(mContext.channel());
+        }
+    }
+
+    void resumeBody() {
+        mBodyPaused = false;
+        resumeLater();
+        resumeReads();
+    }
+
+    private void resumeLater() {
+        if (!mResuming && !mProcessing && isHolding() && mayPass()) {
+            mResuming = true;
+            mProtection.resumes().add(this);
+        }
+    }
+
+    private boolean passBody() {
+        long left = mProgress.bodyBytesLeft();
+        int available = mHeld.bytes().readableBytes();
+        int length = (int) Math.min(left > 0 ? left : BODY_SLICE_BYTES, available);
+        mProgress.bodyBytesPassed(length);
+        pass(length);
         return true;
     }
 
     /** Returns false if the head is incomplete or refused. */
-    private boolean passHead(ByteBuf held) {
-        int unscanned = held.readableBytes() - mScannedBytes;
-        int end = mScanner.scan(held, held.readerIndex() + mScannedBytes, unscanned);
-        Optional<InboundRefusal> refusal = limitExceeded(held, end >= 0);
+    private boolean passHead() {
+        ByteBuf held = mHeld.bytes();
+        mHead.scan(held);
+        Optional<InboundRefusal> refusal = mHead.limitExceeded();
         if (refusal.isPresent()) {
             refuse(refusal.get());
             return false;
         }
-        if (end < 0) {
-            mScannedBytes += unscanned;
-            awaitHead(held);
+        mHeadCost = mHead.cost(held);
+        if (!admit(mHeadCost)) {
+            refuse(InboundRefusal.NO_MEMORY);
+            return false;
+        }
+        if (!mHead.isComplete()) {
+            awaitHead();
             return false;
         }
-        int length = mScannedBytes + end;
+        if (mHead.isHttp2Preface(held)) {
+            mContext.pipeline().remove(this);
+            return false;
+        }
+        mHead.ignoreUpgrade(held);
+        int length = mHead.length();
         endHead();
-        mProtection.inUse(this);
-        long before = mDecoded;
-        pass(held, length);
-        if (mDecoded == before) {
+        mConnection.use(InboundConnection.Use.RECEIVING);
+        long before = mProgress.requests();
+        pass(length);
+        if (mProgress.requests() == before) {
             // The decoder reads the end of lines differently; what it keeps is not charged.
             refuse(InboundRefusal.MALFORMED_HEAD);
         }
         return !mRefused;
     }
 
-    private Optional<InboundRefusal> limitExceeded(ByteBuf held, boolean complete) {
-        if (mScanner.leadingBytes() > mLimits.maxLeadingBytes()) {
-            return Optional.of(InboundRefusal.TOO_MANY_LEADING_BYTES);
-        }
-        if (mScanner.bytes() > mLimits.maxHeadBytes()) {
-            return Optional.of(InboundRefusal.HEAD_TOO_LONG);
-        }
-        if (mScanner.lines() > mLimits.maxHeadLines()) {
-            return Optional.of(InboundRefusal.TOO_MANY_LINES);
-        }
-        if (!mScanner.hasStarted()) {
-            return Optional.empty();
-        }
-        long cost =
-                complete ? HeadAdmission.cost(mScanner.bytes(), mScanner.lines()) : held.capacity();
-        return mCharge.raise(cost) ? Optional.empty() : Optional.of(InboundRefusal.NO_MEMORY);
+    private boolean admit(long cost) {
+        return mProtection.admit(mConnection, mCharge, cost);
     }
 
-    private void awaitHead(ByteBuf held) {
-        if (mScanner.hasStarted()) {
-            mProtection.inUse(this);
+    private void awaitHead() {
+        if (mHead.hasStarted()) {
+            mConnection.use(InboundConnection.Use.RECEIVING);
         } else {
-            // The decoder would skip these bytes.
-            held.skipBytes(held.readableBytes());
-            mScannedBytes = 0;
-            releaseIfEmpty(held);
+            mHead.skipLeadingBytes(mHeld.bytes());
+            mHeld.releaseIfRead();
         }
-        boolean timed = mScanner.hasStarted() || mScanner.leadingBytes() > EMPTY_LINE_BYTES;
-        if (timed && mTimer == NO_TIMER) {
-            long head = mCompletedHeads;
-            mTimer =
-                    mProtection
-                            .clock()
-                            .schedule(mLimits.headTimeout().get(), () -> timeoutExpired(head));
+        if (mHead.isTimed()) {
+            mHeadTimer.start(mHead.timeout());
         }
     }
 
-    /** The end of the head may have arrived and be unread. */
-    private void timeoutExpired(long head) {
-        mProtection.reads().thenRun(() -> onEventLoop(() -> headTooLate(head)));
-    }
-
     /** Runs the task where the connection is confined to, also if there are more event loops. */
     void onEventLoop(Runnable task) {
         mContext.executor().execute(task);
     }
 
-    private void headTooLate(long head) {
-        if (head == mCompletedHeads) {
-            refuse(
-                    mScanner.hasStarted()
-                            ? InboundRefusal.HEAD_TOO_LATE
-                            : InboundRefusal.LEADING_BYTES_TOO_LATE);
-        }
+    private void headTooLate() {
+        refuse(
+                mHead.hasStarted()
+                        ? InboundRefusal.HEAD_TOO_LATE
+                        : InboundRefusal.LEADING_BYTES_TOO_LATE);
     }
 
     private void endHead() {
-        mCompletedHeads++;
-        mTimer.cancel();
-        mTimer = NO_TIMER;
-        mScanner.reset();
-        mScannedBytes = 0;
+        mHeadTimer.cancel();
+        mHead.reset();
     }
 
-    private void pass(ByteBuf held, int length) {
-        ByteBuf slice = held.readRetainedSlice(length);
-        releaseIfEmpty(held);
-        mContext.fireChannelRead(slice);
+    private void pass(int length) {
+        mContext.fireChannelRead(mHeld.take(length));
     }
 
-    private void releaseIfEmpty(ByteBuf held) {
-        if (!held.isReadable()) {
-            held.release();
-            mHeld = Optional.empty();
-        }
-    }
-
-    /** Records that the decoder has found a request, whose body follows. */
-    void requestStarted(HttpRequest request) {
-        mUnansweredRequests++;
-        mDecoded++;
-        mReceiving = true;
-        boolean lengthKnown =
-                request.decoderResult().isSuccess() && !HttpUtil.isTransferEncodingChunked(request);
-        mBodyBytesLeft = lengthKnown ? HttpUtil.getContentLength(request, 0L) : 0;
+    /** What the decoder finds on the connection. */
+    RequestProgress progress() {
+        return mProgress;
     }
 
     /** Records that a request is complete. */
     void requestReceived() {
-        mReceiving = false;
+        mProgress.requestReceived();
+        mBodyPaused = false;
+        resumeReads();
+        mConnection.use(InboundConnection.Use.RESPONDING);
         endIfIdle();
     }
 
     /** Records that a response is written, or that the connection has failed. */
     void responseWritten() {
-        mUnansweredRequests--;
+        mProgress.responseWritten();
         endIfIdle();
     }
 
     private void endIfIdle() {
-        if (mUnansweredRequests > 0 || mReceiving || mRefused) {
+        if (mProgress.hasUnanswered() || mProgress.isReceiving() || mRefused) {
             return;
         }
         mCharge.release();
+        mHeadCost = 0;
         if (mHeld.isEmpty()) {
-            mProtection.idle(this);
-        } else if (!mProcessing) {
-            mProtection.resumeLater(this);
+            mConnection.use(InboundConnection.Use.IDLE);
+        } else {
+            resumeLater();
         }
     }
 
-    /** Passes on the next of the requests that wait. */
+    /** Passes on the next of the requests or the part of a body that waits. */
     void resume() {
+        mResuming = false;
         if (mContext.isRemoved() || mRefused) {
             return;
         }
@@ -296,26 +316,21 @@
         mRefused = true;
         mProtection.refused(refusal);
         release();
-        String response = refusal.response();
-        if (response.isEmpty() || mUnansweredRequests > 0) {
-            mContext.close();
-            return;
-        }
-        mContext.writeAndFlush(Unpooled.copiedBuffer(response, StandardCharsets.US_ASCII));
-        mProtection.clock().schedule(CLOSE_DELAY, mContext::close);
+        mConnection.use(InboundConnection.Use.IDLE);
+        mReads.resume(mContext.channel());
+        mCloser.close(mContext, mProgress.hasUnanswered() ? "" : refusal.response());
     }
 
     /** Records that the connection is closed. */
     void closed() {
         mRefused = true;
+        mCloser.closed();
         release();
     }
 
     private void release() {
-        mProtection.inUse(this);
         endHead();
         mCharge.release();
-        mHeld.ifPresent(ByteBuf::release);
-        mHeld = Optional.empty();
+        mHeld.release();
     }
 }
--- a/tanagergap-runtime/src/main/java/org/tanagergap/runtime/http/InboundProtection.java
+++ b/tanagergap-runtime/src/main/java/org/tanagergap/runtime/http/InboundProtection.java
@@ -1,78 +1,75 @@
 package org.tanagergap.runtime.http;
 
-import com.codahale.metrics.Counter;
 import com.codahale.metrics.Gauge;
 import com.codahale.metrics.MetricRegistry;
-import com.google.common.flogger.FluentLogger;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelPipeline;
 import io.vertx.core.Handler;
 import io.vertx.core.http.HttpConnection;
 import io.vertx.core.http.HttpServer;
+import io.vertx.core.http.HttpServerRequest;
+import io.vertx.core.http.impl.HttpServerConnection;
 import io.vertx.core.net.impl.VertxConnection;
 import java.time.Duration;
-import java.util.ArrayDeque;
-import java.util.Deque;
-import java.util.EnumMap;
-import java.util.LinkedHashSet;
-import java.util.Map;
 import java.util.Objects;
-import java.util.Set;
+import java.util.Optional;
+import java.util.function.BooleanSupplier;
 import org.tanagergap.api.time.RuntimeClock;
+import org.tanagergap.api.time.Timer;
+import org.tanagergap.decisions.memory.ConnectionAdmission;
 import org.tanagergap.decisions.memory.HeadAdmission;
-import org.tanagergap.runtime.metrics.MetricName;
 import org.tanagergap.runtime.time.PendingReads;
 
 /**
  * Protects the memory and the descriptors of a process against clients that keep to no limit. All
- * HTTP/1.1 servers of the process share one instance. Confined to the event loop.
+ * servers of the process share one instance and one event loop, to which it is confined.
  */
 public final class InboundProtection {
 
-    private static final Duration LOG_INTERVAL = Duration.ofSeconds(1);
-
     /** Part of the connections by which those that are about to be closed may exceed the limit. */
     private static final int ACCEPT_SLACK_DIVISOR = 8;
 
-    private static final Duration RESUME_DELAY = Duration.ofMillis(1);
+    private static final int MIN_ACCEPT_SLACK = 16;
+
+    /** An ordinary connection without a complete request occupies about as much as a small head. */
+    private static final int MAX_EVICTIONS = 8;
 
-    /** Time for pipelined requests in a pass of the event loop. */
-    private static final Duration RESUME_TIME = Duration.ofMillis(5);
+    /** Name that Vert.x gives to the handler that decodes HTTP/1.1. */
+    private static final String DECODER = "httpDecoder";
 
-    private static final FluentLogger sLogger = FluentLogger.forEnclosingClass();
+    private static final String HANDLER = "inbound-limits";
 
     private final RuntimeClock mClock;
     private final PendingReads mReads;
     private final HeadAdmission mHeads;
-    private final int mMaxConnections;
-    private final AcceptLimit mAcceptLimit;
-    private final Map<InboundRefusal, Counter> mRefusals = new EnumMap<>(InboundRefusal.class);
-    private final Map<InboundRefusal, Long> mLoggedNanos = new EnumMap<>(InboundRefusal.class);
-    private final Set<InboundHandler> mIdle = new LinkedHashSet<>();
-    private final Deque<InboundHandler> mWaiting = new ArrayDeque<>();
-    private boolean mResuming;
-    private int mConnections;
+    private final InboundRefusals mRefusals;
+    private final ConnectionTable mConnections;
+    private final ResumeQueue mResumes;
 
     /** Creates a protection without connections. */
     public InboundProtection(
-            RuntimeClock clock, HeadAdmission heads, int maxConnections, MetricRegistry metrics) {
+            RuntimeClock clock,
+            AcceptedConnections accepted,
+            ConnectionAdmission connections,
+            HeadAdmission heads,
+            MetricRegistry metrics) {
         mClock = Objects.requireNonNull(clock, "clock must not be null");
         mReads = new PendingReads(clock);
         mHeads = Objects.requireNonNull(heads, "heads must not be null");
-        mMaxConnections = maxConnections;
-        mAcceptLimit = new AcceptLimit(maxConnections + maxConnections / ACCEPT_SLACK_DIVISOR);
-        // A class cannot be loaded from its file when all descriptors are in use.
-        for (InboundRefusal refusal : InboundRefusal.values()) {
-            String name = MetricName.of("inbound_refusals", "reason", refusal.label());
-            mRefusals.put(refusal, metrics.counter(name));
-        }
+        mRefusals = new InboundRefusals(metrics);
+        mConnections = new ConnectionTable(connections, this::tooManyConnections);
+        mResumes = new ResumeQueue(clock);
         metrics.register("inbound_head_bytes", (Gauge<Long>) heads::usedBytes);
-        metrics.register("inbound_connections", (Gauge<Integer>) () -> mConnections);
+        metrics.register("inbound_connections", (Gauge<Integer>) mConnections::size);
+        int max = connections.maxConnections();
+        accepted.limit(
+                max + Math.max(MIN_ACCEPT_SLACK, max / ACCEPT_SLACK_DIVISOR), new AcceptListener());
     }
 
     /**
-     * Protects the connections of a server that speaks HTTP/1.1 only.
+     * Protects the connections of a server. The memory of bodies is left to its handler.
      *
      * @param opened is told of each connection
      */
@@ -81,91 +78,141 @@
         return server.connectionHandler(
                 connection -> {
                     opened.handle(connection);
-                    install(((VertxConnection) connection).channelHandlerContext(), limits);
+                    ChannelHandlerContext context =
+                            ((HttpServerConnection) connection).channelHandlerContext();
+                    if (connection instanceof VertxConnection) {
+                        installHttp1(context, limits);
+                    } else {
+                        InboundConnection.of(context.channel(), this);
+                    }
                 });
     }
 
-    /** Protects the connections of a server that speaks HTTP/1.1 only. */
+    /** Protects the connections of a server. The memory of bodies is left to its handler. */
     public HttpServer protect(HttpServer server, InboundLimits limits) {
         return protect(server, limits, ignored -> {});
     }
 
-    private void install(ChannelHandlerContext connection, InboundLimits limits) {
-        ChannelPipeline pipeline = connection.pipeline();
-        InboundHandler handler = new InboundHandler(this, limits, mHeads.open());
-        pipeline.addFirst("inbound-limits", handler);
-        Channel server = pipeline.channel().parent();
-        if (server != null && server.pipeline().get(AcceptLimit.NAME) == null) {
-            server.pipeline().addFirst(AcceptLimit.NAME, mAcceptLimit);
+    private void installHttp1(ChannelHandlerContext context, InboundLimits limits) {
+        ChannelPipeline pipeline = context.pipeline();
+        InboundHandler handler = pipeline.get(InboundHandler.class);
+        if (handler == null) {
+            handler = newHandler(InboundConnection.of(context.channel(), this));
+            pipeline.addBefore(DECODER, HANDLER, handler);
+        }
+        handler.limits(limits);
+        pipeline.addBefore(context.name(), "inbound-messages", new MessageBoundaryHandler(handler));
+    }
+
+    private InboundHandler newHandler(InboundConnection connection) {
+        InboundHandler handler =
+                new InboundHandler(this, connection, InboundLimits.INTERNAL, mHeads.open());
+        connection.onClose(handler::closed);
+        return handler;
+    }
+
+    private final class AcceptListener implements AcceptedConnections.Listener {
+
+        @Override
+        public void accepted(Channel channel, boolean encrypted) {
+            InboundConnection connection = InboundConnection.add(channel, InboundProtection.this);
+            if (!encrypted) {
+                channel.pipeline().addLast(HANDLER, newHandler(connection));
+            }
         }
-        pipeline.addBefore(
-                connection.name(), "inbound-messages", new MessageBoundaryHandler(handler));
-        mConnections++;
-        mIdle.add(handler);
-        pipeline.channel().closeFuture().addListener(ignored -> closed(handler));
-        if (mConnections > mMaxConnections) {
-            InboundHandler victim = mIdle.iterator().next();
-            mIdle.remove(victim);
-            victim.refuse(InboundRefusal.TOO_MANY_CONNECTIONS);
+
+        @Override
+        public void rejected() {
+            tooManyConnections();
         }
     }
 
-    private void closed(InboundHandler handler) {
-        mConnections--;
-        mIdle.remove(handler);
-        handler.closed();
+    /**
+     * Holds back what arrives of the body of a request, so that none of it is in memory. It has no
+     * effect on connections that are not protected.
+     */
+    public static void pauseBody(HttpServerRequest request) {
+        handler(request, InboundHandler.class).ifPresent(InboundHandler::pauseBody);
     }
 
-    RuntimeClock clock() {
-        return mClock;
+    /** Passes on the body of a request that was held back. */
+    public static void resumeBody(HttpServerRequest request) {
+        handler(request, InboundHandler.class).ifPresent(InboundHandler::resumeBody);
     }
 
-    PendingReads reads() {
-        return mReads;
+    /**
+     * Closes the connection of a request after the time, unless it ends before or the timer is
+     * cancelled. A protected connection has one such timer.
+     */
+    public static Timer closeAfter(HttpServerRequest request, Duration time) {
+        HttpConnection connection = request.connection();
+        return handler(request, InboundConnection.class)
+                .map(inbound -> inbound.closeAfter(time, connection::close))
+                .orElse(() -> {});
+    }
+
+    private static <T extends ChannelHandler> Optional<T> handler(
+            HttpServerRequest request, Class<T> type) {
+        ChannelHandlerContext context =
+                ((HttpServerConnection) request.connection()).channelHandlerContext();
+        return Optional.ofNullable(context.pipeline().get(type));
     }
 
-    /** Records that a connection waits for a request, in the order in which it may be closed. */
-    void idle(InboundHandler handler) {
-        mIdle.add(handler);
+    /** Charges the memory of a head. */
+    boolean admit(InboundConnection connection, HeadAdmission.Charge charge, long cost) {
+        boolean isSmall = cost <= HeadAdmission.SMALL_HEAD_COST;
+        return admit(connection, isSmall, () -> charge.raise(cost));
     }
 
     /**
-     * Lets a connection on which further requests wait pass on the next one. Other connections are
-     * read in between: pipelined requests alone could keep the event loop from them for seconds.
+     * Reserves memory. While there is none, the connections that have been without a complete
+     * request longest give way to what is small, so that ordinary clients are served beside many
+     * that do not complete their requests.
      */
-    void resumeLater(InboundHandler handler) {
-        mWaiting.add(handler);
-        if (!mResuming) {
-            mResuming = true;
-            mClock.schedule(RESUME_DELAY, () -> handler.onEventLoop(this::resumeSome));
+    boolean admit(InboundConnection connection, boolean isSmall, BooleanSupplier reservation) {
+        boolean admitted = reservation.getAsBoolean();
+        int evictions = isSmall ? MAX_EVICTIONS : 0;
+        while (!admitted && evictions > 0 && mConnections.evictIncomplete(connection)) {
+            evictions--;
+            admitted = reservation.getAsBoolean();
         }
+        return admitted;
     }
 
-    private void resumeSome() {
-        long endNanos = mClock.nanoTime() + RESUME_TIME.toNanos();
-        int waiting = mWaiting.size();
-        mResuming = false;
-        for (int i = 0; i < waiting && mClock.nanoTime() < endNanos; i++) {
-            mWaiting.remove().resume();
-        }
-        if (!mResuming && !mWaiting.isEmpty()) {
-            resumeLater(mWaiting.remove());
-        }
+    private void tooManyConnections() {
+        mRefusals.add(InboundRefusal.TOO_MANY_CONNECTIONS);
+    }
+
+    ConnectionAdmission.Charge opened(InboundConnection connection) {
+        return mConnections.add(connection);
+    }
+
+    /** Closes connections if one occupies more memory than before. */
+    void charged(InboundConnection connection) {
+        mConnections.evictSurplus(connection);
+    }
+
+    void useChanged(InboundConnection connection) {
+        mConnections.useChanged(connection);
     }
 
-    void inUse(InboundHandler handler) {
-        mIdle.remove(handler);
+    void closed(InboundConnection connection) {
+        mConnections.remove(connection);
+    }
+
+    RuntimeClock clock() {
+        return mClock;
+    }
+
+    PendingReads reads() {
+        return mReads;
+    }
+
+    ResumeQueue resumes() {
+        return mResumes;
     }
 
     void refused(InboundRefusal refusal) {
-        mRefusals.get(refusal).inc();
-        long now = mClock.nanoTime();
-        Long logged = mLoggedNanos.get(refusal);
-        if (logged == null || now - logged >= LOG_INTERVAL.toNanos()) {
-            mLoggedNanos.put(refusal, now);
-            sLogger.atInfo().log(
-                    "connection of a client refused: %s; %d connections, %d bytes of heads",
-                    refusal.label(), mConnections, mHeads.usedBytes());
-        }
+        mRefusals.add(refusal);
     }
 }
--- a/tanagergap-runtime/src/main/java/org/tanagergap/runtime/http/InboundRefusal.java
+++ b/tanagergap-runtime/src/main/java/org/tanagergap/runtime/http/InboundRefusal.java
@@ -8,6 +8,7 @@
     MALFORMED_HEAD("malformed_head", "400 Bad Request", ""),
     TOO_MANY_LEADING_BYTES("too_many_leading_bytes", "", ""),
     LEADING_BYTES_TOO_LATE("leading_bytes_too_late", "", ""),
+    MESSAGE_TOO_LATE("message_too_late", "", ""),
     NO_MEMORY("no_memory", "503 Service Unavailable", "Retry-After: 1\r\n"),
     TOO_MANY_CONNECTIONS("too_many_connections", "", "");
 
--- a/tanagergap-runtime/src/main/java/org/tanagergap/runtime/http/MessageBoundaryHandler.java
+++ b/tanagergap-runtime/src/main/java/org/tanagergap/runtime/http/MessageBoundaryHandler.java
@@ -3,6 +3,7 @@
 import io.netty.channel.ChannelDuplexHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelPromise;
+import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
@@ -20,7 +21,10 @@
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
         if (message instanceof HttpRequest request) {
-            mHandler.requestStarted(request);
+            mHandler.progress().requestStarted(request);
+        }
+        if (message instanceof HttpContent) {
+            mHandler.progress().chunkReceived();
         }
         // Before the message is passed on, as its response may be written meanwhile.
         if (message instanceof LastHttpContent) {
--- a/tanagergap-runtime/src/main/java/org/tanagergap/runtime/program/ProgramCommand.java
+++ b/tanagergap-runtime/src/main/java/org/tanagergap/runtime/program/ProgramCommand.java
@@ -1,5 +1,6 @@
 package org.tanagergap.runtime.program;
 
+import com.codahale.metrics.MetricRegistry;
 import com.github.rvesse.airline.HelpOption;
 import com.github.rvesse.airline.annotations.AirlineModule;
 import com.github.rvesse.airline.annotations.Option;
@@ -11,10 +12,12 @@
 import java.util.Optional;
 import java.util.logging.Level;
 import org.tanagergap.api.lifecycle.Service;
+import org.tanagergap.runtime.http.AcceptedConnections;
 import org.tanagergap.runtime.log.StructuredLogging;
 import org.tanagergap.runtime.settings.EffectiveSetting;
 import org.tanagergap.runtime.settings.HostPort;
 import org.tanagergap.runtime.settings.SettingsReader;
+import org.tanagergap.runtime.time.VertxRuntimeClock;
 import org.tanagergap.runtime.trace.TraceOutput;
 import org.tanagergap.runtime.trace.Tracing;
 
@@ -101,13 +104,17 @@
      *
      * @throws org.tanagergap.api.finding.InvalidInputException if a setting is invalid
      */
-    final ProgramContext prepare(Map<String, String> environment, Vertx vertx) {
+    final ProgramContext prepare(
+            Map<String, String> environment, Vertx vertx, AcceptedConnections accepted) {
         CommonSettings common = readAll(reader(environment));
         StructuredLogging.install(programName(), common.level().mLevel);
         return new ProgramContext(
                 vertx,
+                new VertxRuntimeClock(vertx),
+                new MetricRegistry(),
+                new Tracing(programName(), common.traceOutput(), common.traceEndpoint()),
                 common.adminListen(),
-                new Tracing(programName(), common.traceOutput(), common.traceEndpoint()));
+                accepted);
     }
 
     /**
--- a/tanagergap-runtime/src/main/java/org/tanagergap/runtime/program/ProgramContext.java
+++ b/tanagergap-runtime/src/main/java/org/tanagergap/runtime/program/ProgramContext.java
@@ -3,8 +3,8 @@
 import com.codahale.metrics.MetricRegistry;
 import io.vertx.core.Vertx;
 import org.tanagergap.api.time.RuntimeClock;
+import org.tanagergap.runtime.http.AcceptedConnections;
 import org.tanagergap.runtime.settings.HostPort;
-import org.tanagergap.runtime.time.VertxRuntimeClock;
 import org.tanagergap.runtime.trace.Tracing;
 
 /**
@@ -15,15 +15,23 @@
  * @param metrics metric registry of the process
  * @param tracing creates spans
  * @param adminListen address of the admin server
+ * @param accepted connections that the servers of {@code vertx} have accepted
  */
 public record ProgramContext(
         Vertx vertx,
         RuntimeClock clock,
         MetricRegistry metrics,
         Tracing tracing,
-        HostPort adminListen) {
+        HostPort adminListen,
+        AcceptedConnections accepted) {
 
-    ProgramContext(Vertx vertx, HostPort adminListen, Tracing tracing) {
-        this(vertx, new VertxRuntimeClock(vertx), new MetricRegistry(), tracing, adminListen);
+    /** Creates a context whose accepted connections are not counted. */
+    public ProgramContext(
+            Vertx vertx,
+            RuntimeClock clock,
+            MetricRegistry metrics,
+            Tracing tracing,
+            HostPort adminListen) {
+        this(vertx, clock, metrics, tracing, adminListen, new AcceptedConnections());
     }
 }
--- a/tanagergap-runtime/src/main/java/org/tanagergap/runtime/program/ProgramRunner.java
+++ b/tanagergap-runtime/src/main/java/org/tanagergap/runtime/program/ProgramRunner.java
@@ -13,6 +13,7 @@
 import java.util.function.Supplier;
 import org.tanagergap.api.finding.InvalidInputException;
 import org.tanagergap.api.lifecycle.Service;
+import org.tanagergap.runtime.http.AcceptedConnections;
 import org.tanagergap.runtime.log.StructuredLogging;
 
 /** Runs a long-running program from its command line until the process is terminated. */
@@ -55,9 +56,14 @@
                 failure ->
                         sLogger.atFine().withCause(failure).log(
                                 "a stream failed after its cancellation"));
-        Vertx vertx = Vertx.vertx(command.vertxOptions());
+        AcceptedConnections accepted = new AcceptedConnections();
+        Vertx vertx =
+                Vertx.builder()
+                        .with(command.vertxOptions())
+                        .withTransport(accepted.transport())
+                        .build();
         exitWithEventLoops(vertx);
-        ProgramContext context = prepare(command, vertx);
+        ProgramContext context = prepare(command, vertx, accepted);
         start(command, command.createService(context), context);
     }
 
@@ -124,8 +130,9 @@
                 .forEach(setting -> System.out.println(setting.line()));
     }
 
-    private static ProgramContext prepare(ProgramCommand command, Vertx vertx) {
-        return valueOrExit(() -> command.prepare(System.getenv(), vertx));
+    private static ProgramContext prepare(
+            ProgramCommand command, Vertx vertx, AcceptedConnections accepted) {
+        return valueOrExit(() -> command.prepare(System.getenv(), vertx, accepted));
     }
 
     /** Returns the value of the supplier; on invalid input prints all findings and exits. */
