Keep unfinished bodies out of memory that others need

Seen: 1,000 bodies of 4 MB that stop short of their end end a gateway with an OutOfMemoryError; in chunks of a byte they take the event loop from all other requests. Cause: a paused request is read on, and what arrives is kept in parts; a body that grows takes twice its size; its buffer stays reachable after the connection is closed, while its memory is given to another one.

--- a/tanagergap-decisions/src/main/java/org/tanagergap/decisions/memory/BodyAdmission.java
+++ b/tanagergap-decisions/src/main/java/org/tanagergap/decisions/memory/BodyAdmission.java
@@ -23,9 +23,15 @@
     /** Bodies up to this size are short. */
     public static final int SHORT_BODY_BYTES = 64 << 10;
 
+    /** What has arrived on an HTTP/2 stream stays in memory, so that it cannot wait for more. */
+    public static final Duration NO_WAIT = Duration.ofNanos(-1);
+
     /** Share of the memory that long bodies may use; responses and short bodies use the rest. */
     private static final double LONG_BODY_SHARE = 0.625;
 
+    /** Share of the memory up to which long bodies are admitted beside whatever else uses it. */
+    private static final double TOTAL_SHARE_FOR_LONG_BODIES = 0.875;
+
     private final SharedMemoryLimit mLimit;
     private final ReleaseRate mReleaseRate = new ReleaseRate();
     private final Set<Reservation> mIncomplete = new LinkedHashSet<>();
@@ -115,6 +121,16 @@
             return Answer.WAITING;
         }
 
+        /** Reserves memory if there is some; the body may ask again otherwise. */
+        public boolean tryReserve(long bytes) {
+            mRequestedBytes = Math.max(mRequestedBytes, bytes);
+            boolean admitted = !mClosed && fits();
+            if (admitted) {
+                grant();
+            }
+            return admitted;
+        }
+
         /** Records that the body is complete, so that it no longer gives way. */
         public void completed() {
             mIncomplete.remove(this);
@@ -167,10 +183,15 @@
 
         private boolean fits() {
             long missing = missingBytes();
-            boolean inTotal = mLimit.usedBytes() + missing <= mLimit.maxBytes();
+            boolean inTotal = mLimit.usedBytes() + missing <= maxTotalBytes();
             return inTotal && (isShort() || mReservedBytes + missing <= maxLongBytes());
         }
 
+        private long maxTotalBytes() {
+            double share = isShort() ? 1 : TOTAL_SHARE_FOR_LONG_BODIES;
+            return (long) (share * mLimit.maxBytes());
+        }
+
         private boolean mayOvertakeWaiting() {
             return isShort() || mWaiting.stream().allMatch(w -> w == this || w.mRank > mRank);
         }
@@ -196,7 +217,7 @@
         long freed = victims.stream().mapToLong(victim -> victim.mBytes).sum();
         long needed = body.missingBytes() - freed;
         if (mReservedBytes + needed > maxLongBytes()
-                || mLimit.usedBytes() + needed > mLimit.maxBytes()) {
+                || mLimit.usedBytes() + needed > body.maxTotalBytes()) {
             return false;
         }
         Duration retryAfter = predictedWait(body, nowNanos);
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/caller/RequestBodyReader.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/caller/RequestBodyReader.java
@@ -9,10 +9,13 @@
 import java.util.function.Consumer;
 import org.tanagergap.api.failure.FailureCode;
 import org.tanagergap.api.failure.RequestFailure;
+import org.tanagergap.api.time.Durations;
 import org.tanagergap.api.time.RuntimeClock;
 import org.tanagergap.api.time.Timer;
 import org.tanagergap.decisions.memory.BodyAdmission;
 import org.tanagergap.gateway.configuration.CallerLimits;
+import org.tanagergap.runtime.http.BodyBuffer;
+import org.tanagergap.runtime.http.InboundProtection;
 import org.tanagergap.runtime.log.LogKeys;
 import org.tanagergap.runtime.time.PendingReads;
 
@@ -28,9 +31,6 @@
      */
     private static final int PATIENCE_DIVISOR = 4;
 
-    /** A body of unknown length takes up to twice its size while it grows. */
-    private static final int GROWTH_FACTOR = 2;
-
     private static final Duration MIN_RETRY_AFTER = Duration.ofMillis(200);
     private static final Duration MAX_RETRY_AFTER = Duration.ofSeconds(10);
 
@@ -78,8 +78,8 @@
         private final CallerLimits mLimits;
         private final Consumer<Buffer> mConsumer;
         private final BodyAdmission.Reservation mMemory;
-        private Buffer mBody = Buffer.buffer();
-        private int mDeclaredBytes;
+        private final int mDeclaredBytes;
+        private final BodyBuffer mBody;
         private long mReservedBytes;
         private Timer mTimer = () -> {};
         private boolean mEnded;
@@ -94,6 +94,8 @@
             mExchange = exchange;
             mLimits = limits;
             mConsumer = consumer;
+            mDeclaredBytes = declaredBytes(request);
+            mBody = new BodyBuffer(mDeclaredBytes > 0 ? mDeclaredBytes : limits.maxBodyBytes());
             mMemory =
                     mAdmission.open(
                             rank,
@@ -103,34 +105,37 @@
         }
 
         private void start() {
-            mExchange.onRelease(() -> mMemory.close(mClock.nanoTime()));
+            mExchange.onRelease(this::release);
             mRequest.handler(this::received);
             mRequest.exceptionHandler(ignored -> end());
             mRequest.endHandler(ignored -> complete());
-            mDeclaredBytes = declaredBytes(mRequest);
             if (mDeclaredBytes > maxBytes()) {
                 rejectAsTooLarge();
                 return;
             }
             startTimer();
-            if (mDeclaredBytes > 0 && reserve(mDeclaredBytes)) {
-                allocate();
+            if (mDeclaredBytes > 0) {
+                reserve(mDeclaredBytes);
             }
         }
 
+        /**
+         * The body may stay reachable for longer, and its memory is given to another one at once.
+         */
+        private void release() {
+            if (!mEnded) {
+                end();
+            }
+            mBody.clear();
+            mMemory.close(mClock.nanoTime());
+        }
+
         /** The memory of this process may be too small for what the configuration allows. */
         private long maxBytes() {
-            long growth = mDeclaredBytes > 0 ? 1 : GROWTH_FACTOR;
+            long growth = mDeclaredBytes > 0 ? 1 : BodyBuffer.GROWTH_FACTOR;
             return Math.min(mLimits.maxBodyBytes(), mAdmission.maxBodyBytes() / growth);
         }
 
-        /** Allocates a body of known length as a whole, since a growing one takes more memory. */
-        private void allocate() {
-            if (mBody.length() == 0) {
-                mBody = Buffer.buffer(mDeclaredBytes);
-            }
-        }
-
         private void received(Buffer bytes) {
             if (mEnded) {
                 return;
@@ -140,25 +145,30 @@
                 rejectAsTooLarge();
                 return;
             }
-            mBody.appendBuffer(bytes);
+            mBody.append(bytes);
             if (length > mReservedBytes) {
-                reserve((long) GROWTH_FACTOR * length);
+                reserve((long) BodyBuffer.GROWTH_FACTOR * length);
             }
         }
 
-        /** Reserves memory and pauses reading until it is granted; false if it is not yet. */
-        private boolean reserve(long bytes) {
+        /** Reserves memory and pauses reading until it is granted. */
+        private void reserve(long bytes) {
             mReservedBytes = bytes;
             BodyAdmission.Answer answer = mMemory.reserve(bytes, mClock.nanoTime());
             if (answer == BodyAdmission.Answer.WAITING) {
                 mRequest.pause();
+                InboundProtection.pauseBody(mRequest);
                 mTimer.cancel();
                 mTimer =
                         mClock.schedule(
                                 mLimits.headerTimeout().dividedBy(PATIENCE_DIVISOR),
                                 () -> mMemory.waitEnded(mClock.nanoTime()));
             }
-            return answer == BodyAdmission.Answer.ADMITTED;
+        }
+
+        private void resume() {
+            mRequest.resume();
+            InboundProtection.resumeBody(mRequest);
         }
 
         private void admitted() {
@@ -167,8 +177,7 @@
             }
             // The caller could not send while reading was paused.
             startTimer();
-            allocate();
-            mRequest.resume();
+            resume();
         }
 
         private void startTimer() {
@@ -182,7 +191,7 @@
             mMemory.completed();
             mTimer.cancel();
             if (end() && !mExchange.hasEnded()) {
-                mConsumer.accept(mBody);
+                mConsumer.accept(mBody.bytes());
             }
         }
 
@@ -204,8 +213,7 @@
         }
 
         private void rejectAsOverloaded(Duration wait) {
-            Duration atLeast = wait.compareTo(MIN_RETRY_AFTER) < 0 ? MIN_RETRY_AFTER : wait;
-            Duration after = atLeast.compareTo(MAX_RETRY_AFTER) > 0 ? MAX_RETRY_AFTER : atLeast;
+            Duration after = Durations.clamp(wait, MIN_RETRY_AFTER, MAX_RETRY_AFTER);
             sLogger.atInfo()
                     .atMostEvery(1, TimeUnit.SECONDS)
                     .with(LogKeys.REQUEST_ID, mExchange.id().value())
@@ -220,7 +228,7 @@
 
         private void refuse(RequestFailure failure) {
             if (end()) {
-                mBody = Buffer.buffer();
+                mBody.clear();
                 mExchange.sendFailure(failure);
                 discardRest();
             }
@@ -231,8 +239,8 @@
          * bytes resets it, and the caller may lose the response.
          */
         private void discardRest() {
-            mTimer = mClock.schedule(mLimits.headerTimeout(), () -> mRequest.connection().close());
-            mRequest.resume();
+            mTimer = InboundProtection.closeAfter(mRequest, mLimits.headerTimeout());
+            resume();
         }
 
         private boolean end() {
