Enforce MaxHeaderBytes of the configuration

Seen: heads of 62,000 bytes are served under a MaxHeaderBytes of 16,384. Cause: the field is not read. Change: the first line and the header fields each have at most MaxHeaderBytes, 64 KB at most and by default; larger ones get 431.

--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/caller/GatewayCallerServer.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/caller/GatewayCallerServer.java
@@ -38,7 +38,7 @@
 /** Accepts the requests of callers. Confined to the event loop. */
 public final class GatewayCallerServer implements Service {
 
-    /** Callers are trusted to stay within the configured limit; this one bounds memory. */
+    /** Bounds memory; a configuration may set a lower limit. */
     private static final int MAX_HEADER_BYTES = 64 << 10;
 
     private static final int ACCEPT_BACKLOG = 2048;
@@ -188,10 +188,9 @@
         return mView.configuration().map(GatewayConfiguration::limits).orElse(CallerLimits.DEFAULT);
     }
 
-    /** The first line and the header fields may both have the largest size. */
     private InboundLimits inboundLimits() {
         return new InboundLimits(
-                2 * MAX_HEADER_BYTES,
+                () -> (int) Math.min(limits().maxHeaderBytes(), MAX_HEADER_BYTES),
                 mInboundSettings.maxHeaderLines(),
                 mInboundSettings.maxLeadingBytes(),
                 () -> limits().headerTimeout());
--- a/tanagergap-gateway/src/test/java/org/tanagergap/gateway/caller/BusyEventLoopTests.java
+++ b/tanagergap-gateway/src/test/java/org/tanagergap/gateway/caller/BusyEventLoopTests.java
@@ -25,6 +25,7 @@
 
     private static final CallerLimits LIMITS =
             new CallerLimits(
+                    CallerLimits.DEFAULT.maxHeaderBytes(),
                     CallerLimits.DEFAULT.maxBodyBytes(),
                     Duration.ofMillis(600),
                     CallerLimits.DEFAULT.idleTimeout());
--- a/tanagergap-runtime/src/main/java/org/tanagergap/runtime/http/HeadReader.java
+++ b/tanagergap-runtime/src/main/java/org/tanagergap/runtime/http/HeadReader.java
@@ -123,7 +123,8 @@
         if (mScanner.leadingBytes() > mLimits.maxLeadingBytes()) {
             return Optional.of(InboundRefusal.TOO_MANY_LEADING_BYTES);
         }
-        if (mScanner.bytes() > mLimits.maxHeadBytes()) {
+        int longestPart = Math.max(mScanner.firstLineBytes(), mScanner.fieldBytes());
+        if (longestPart > mLimits.maxHeaderBytes().getAsInt()) {
             return Optional.of(InboundRefusal.HEAD_TOO_LONG);
         }
         if (mScanner.lines() > mLimits.maxHeadLines()) {
--- a/tanagergap-runtime/src/main/java/org/tanagergap/runtime/http/HeadScanner.java
+++ b/tanagergap-runtime/src/main/java/org/tanagergap/runtime/http/HeadScanner.java
@@ -3,14 +3,17 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.util.ByteProcessor;
 
-/** Finds the end of the head of a request and counts its lines. */
+/** Finds the end of the head of a request and measures its parts. */
 final class HeadScanner implements ByteProcessor {
 
+    private static final int LINE_END_BYTES = 2;
+
     private boolean mStarted;
     private boolean mLineEmpty;
     private boolean mEnded;
     private int mLeadingBytes;
     private int mBytes;
+    private int mFirstLineBytes;
     private int mLines;
 
     /**
@@ -35,6 +38,9 @@
             mStarted = true;
         }
         mBytes++;
+        if (mLines == 0) {
+            mFirstLineBytes++;
+        }
         if (value == '\n') {
             mLines++;
             mEnded = mLineEmpty;
@@ -52,6 +58,7 @@
         mEnded = false;
         mLeadingBytes = 0;
         mBytes = 0;
+        mFirstLineBytes = 0;
         mLines = 0;
     }
 
@@ -68,6 +75,17 @@
         return mBytes;
     }
 
+    /** Number of bytes of the first line, with its end. */
+    int firstLineBytes() {
+        return mFirstLineBytes;
+    }
+
+    /** Number of bytes of the header fields, without the ends of their lines. */
+    int fieldBytes() {
+        int ends = LINE_END_BYTES * Math.max(0, mLines - 1);
+        return mBytes - mFirstLineBytes - ends;
+    }
+
     int lines() {
         return mLines;
     }
--- a/tanagergap-runtime/src/main/java/org/tanagergap/runtime/http/InboundLimits.java
+++ b/tanagergap-runtime/src/main/java/org/tanagergap/runtime/http/InboundLimits.java
@@ -2,21 +2,25 @@
 
 import io.vertx.core.http.HttpServerOptions;
 import java.time.Duration;
+import java.util.function.IntSupplier;
 import java.util.function.Supplier;
 
 /**
  * Limits on what clients send on the connections of a server.
  *
- * @param maxHeadBytes largest head of a request
+ * @param maxHeaderBytes largest size of the first line of a request, and of its header fields
  * @param maxHeadLines largest number of lines of a head
  * @param maxLeadingBytes largest number of bytes, such as empty lines, in front of a head
  * @param headTimeout time from the first byte of a head to its end
  */
 public record InboundLimits(
-        int maxHeadBytes, int maxHeadLines, int maxLeadingBytes, Supplier<Duration> headTimeout) {
+        IntSupplier maxHeaderBytes,
+        int maxHeadLines,
+        int maxLeadingBytes,
+        Supplier<Duration> headTimeout) {
 
     /** Vert.x's own limit on the header fields of a request. */
-    private static final int DEFAULT_HEAD_BYTES = 8 << 10;
+    private static final int DEFAULT_HEADER_BYTES = 8 << 10;
 
     private static final int DEFAULT_HEAD_LINES = 1000;
     private static final int DEFAULT_LEADING_BYTES = 1024;
@@ -25,7 +29,7 @@
     /** Limits of the servers whose clients are other processes of the system. */
     public static final InboundLimits INTERNAL =
             new InboundLimits(
-                    2 * DEFAULT_HEAD_BYTES,
+                    () -> DEFAULT_HEADER_BYTES,
                     DEFAULT_HEAD_LINES,
                     DEFAULT_LEADING_BYTES,
                     () -> DEFAULT_HEAD_TIMEOUT);
--- a/tanagergap-runtime/src/test/java/org/tanagergap/runtime/http/InboundProtectionTests.java
+++ b/tanagergap-runtime/src/test/java/org/tanagergap/runtime/http/InboundProtectionTests.java
@@ -65,7 +65,7 @@
                         mHeads,
                         mMetrics);
         InboundLimits limits =
-                new InboundLimits(128 << 10, 22_000, 1024, () -> Duration.ofMillis(300));
+                new InboundLimits(() -> 64 << 10, 22_000, 1024, () -> Duration.ofMillis(300));
         HttpServerOptions options =
                 new HttpServerOptions()
                         .setMaxHeaderSize(64 << 10)
