Bound the memory of copies of the store that peers do not read

Seen: clients of the peer port that ask for the whole store and do not read it occupy the memory, and the event loop waits for more. Cause: each copy is built and kept until its client has read it. Change: one copy is built if it fits, more while those unread take half of the memory; others get 503 with Retry-After. A copy may not take the memory of callers' responses.

--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/GatewayService.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/GatewayService.java
@@ -41,6 +41,7 @@
 import org.tanagergap.gateway.peer.PeerReplicaServer;
 import org.tanagergap.runtime.admin.AdminServer;
 import org.tanagergap.runtime.async.Futures;
+import org.tanagergap.runtime.http.BoundedResponses;
 import org.tanagergap.runtime.http.DescriptorLimit;
 import org.tanagergap.runtime.http.InboundBudget;
 import org.tanagergap.runtime.http.InboundProtection;
@@ -230,7 +231,12 @@
     private List<Service> services(Vertx vertx, InboundProtection inbound, PeerExchange exchange) {
         return List.of(
                 new ReadinessServer(vertx, mSettings.readyListen(), this::ready, inbound),
-                new PeerReplicaServer(vertx, mSettings.peerListen(), mSync::replica, inbound),
+                new PeerReplicaServer(
+                        vertx,
+                        mSettings.peerListen(),
+                        mSync::replica,
+                        inbound,
+                        new BoundedResponses(inbound, mBudget.responses())),
                 exchange,
                 mSync,
                 mRegistration,
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/peer/PeerReplicaServer.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/peer/PeerReplicaServer.java
@@ -3,6 +3,7 @@
 import com.google.common.flogger.FluentLogger;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.json.JsonArray;
@@ -15,6 +16,7 @@
 import org.tanagergap.gateway.membership.StoreReplica;
 import org.tanagergap.platform.keyvalue.KeyValue;
 import org.tanagergap.runtime.async.Futures;
+import org.tanagergap.runtime.http.BoundedResponses;
 import org.tanagergap.runtime.http.InboundLimits;
 import org.tanagergap.runtime.http.InboundProtection;
 import org.tanagergap.runtime.settings.HostPort;
@@ -40,14 +42,17 @@
     private final HostPort mAddress;
     private final Supplier<StoreReplica> mReplica;
     private final InboundProtection mInbound;
+    private final BoundedResponses mResponses;
     private HttpServer mServer;
 
     public PeerReplicaServer(
             Vertx vertx,
             HostPort address,
             Supplier<StoreReplica> replica,
-            InboundProtection inbound) {
+            InboundProtection inbound,
+            BoundedResponses responses) {
         mInbound = inbound;
+        mResponses = responses;
         mVertx = vertx;
         mAddress = address;
         mReplica = replica;
@@ -99,6 +104,10 @@
                     .end("\"" + AFTER + "\" or \"" + EPOCH + "\" is not a whole number\n");
             return;
         }
+        mResponses.send(request, () -> changesAfter(after));
+    }
+
+    private Buffer changesAfter(StorePosition after) {
         PeerChanges changes = mReplica.get().changesAfter(after);
         JsonArray items = new JsonArray();
         for (KeyValue item : changes.items()) {
@@ -110,13 +119,11 @@
                             .add(item.createRevision()));
         }
         sLogger.atFine().log("sending a peer %d items after revision %s", items.size(), after);
-        request.response()
-                .end(
-                        new JsonObject()
-                                .put(EPOCH, changes.position().epoch())
-                                .put(REVISION, changes.position().revision())
-                                .put(ALL_ITEMS, changes.allItems())
-                                .put(ITEMS, items)
-                                .toBuffer());
+        return new JsonObject()
+                .put(EPOCH, changes.position().epoch())
+                .put(REVISION, changes.position().revision())
+                .put(ALL_ITEMS, changes.allItems())
+                .put(ITEMS, items)
+                .toBuffer();
     }
 }
--- a/tanagergap-runtime/src/main/java/org/tanagergap/runtime/http/InboundBudget.java
+++ b/tanagergap-runtime/src/main/java/org/tanagergap/runtime/http/InboundBudget.java
@@ -5,6 +5,7 @@
 import org.tanagergap.decisions.memory.BodyAdmission;
 import org.tanagergap.decisions.memory.ConnectionAdmission;
 import org.tanagergap.decisions.memory.HeadAdmission;
+import org.tanagergap.decisions.memory.ResponseAdmission;
 import org.tanagergap.decisions.memory.SharedMemoryLimit;
 
 /**
@@ -17,6 +18,7 @@
     private final ConnectionAdmission mConnections;
     private final HeadAdmission mHeads;
     private final BodyAdmission mBodies;
+    private final ResponseAdmission mResponses;
 
     /**
      * Creates a budget of which nothing is used.
@@ -28,6 +30,7 @@
         mConnections = new ConnectionAdmission(memory, maxConnections);
         mHeads = new HeadAdmission(memory);
         mBodies = new BodyAdmission(memory);
+        mResponses = new ResponseAdmission(memory);
     }
 
     /** Creates a budget of half of the heap, with connections for half of the descriptors. */
@@ -51,8 +54,16 @@
         return mBodies;
     }
 
+    /** Decides on responses to other processes and to operators. */
+    public ResponseAdmission responses() {
+        return mResponses;
+    }
+
     /** Memory of all but the responses to callers. */
     public long usedBytes() {
-        return mConnections.usedBytes() + mHeads.usedBytes() + mBodies.reservedBytes();
+        return mConnections.usedBytes()
+                + mHeads.usedBytes()
+                + mBodies.reservedBytes()
+                + mResponses.usedBytes();
     }
 }
