Protect the ports of entries and agents as those of gateways

Seen: crowds with heads, bodies or connections end an entry or an agent, over HTTP/1.1 and HTTP/2, on the ports of callers, peers, calls and operators. Cause: only gateways observed what clients send. Change: the same budget and handlers on all ports of entry and agent; HTTP/2 streams are charged with their heads and messages and refused with REFUSED_STREAM, which promises that nothing has run. gRPC ports serve HTTP/2 without an upgrade only, as the stream of an upgrade and gRPC-Web would not be charged; clients of this version speak it from the start. All servers of a process share one event loop.

--- a/tanagergap-agent/src/main/java/org/tanagergap/agent/AgentService.java
+++ b/tanagergap-agent/src/main/java/org/tanagergap/agent/AgentService.java
@@ -4,6 +4,7 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.json.JsonArray;
 import io.vertx.core.json.JsonObject;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
 import org.tanagergap.agent.engine.HttpModelEngine;
@@ -17,6 +18,9 @@
 import org.tanagergap.protocol.v1.Hint;
 import org.tanagergap.protocol.v1.StatusReply;
 import org.tanagergap.runtime.admin.AdminServer;
+import org.tanagergap.runtime.async.Futures;
+import org.tanagergap.runtime.http.InboundBudget;
+import org.tanagergap.runtime.http.InboundProtection;
 import org.tanagergap.runtime.metrics.MetricsText;
 import org.tanagergap.runtime.program.ProgramContext;
 import org.tanagergap.runtime.tls.TlsReloader;
@@ -61,41 +65,48 @@
                                         settings.concurrency(),
                                         SharedMemoryLimit.ofHeap()),
                                 IntentLogs.of(settings, program));
+        InboundBudget budget = InboundBudget.ofProcess();
+        InboundProtection inbound =
+                budget.protection(program.clock(), program.accepted(), program.metrics());
         mTls = new TlsReloader(mVertx, program.clock(), settings.tls());
-        mGrpc = new GrpcEndpoint(mVertx, settings.listen(), mCore.rpcHandler(), mTls);
+        mGrpc =
+                new GrpcEndpoint(
+                        mVertx,
+                        settings.listen(),
+                        mCore.rpcHandler(),
+                        mTls,
+                        inbound,
+                        budget.bodies());
         mAdmin =
                 new AdminServer(
                         mVertx,
                         program.adminListen(),
                         new MetricsText(program.metrics()),
                         mCore.readiness()::acceptsWork,
-                        this::status);
+                        this::status,
+                        Optional.of(inbound));
     }
 
     @Override
     public CompletableFuture<Void> start() {
-        CompletableFuture<Void> started = new CompletableFuture<>();
-        mContext.runOnContext(
-                ignored ->
+        return Futures.onContext(
+                mContext,
+                () ->
                         mCore.start()
-                                .thenCompose(v -> mGrpc.start())
-                                .thenCompose(v -> mAdmin.start())
-                                .thenCompose(v -> mTls.start())
-                                .whenComplete((v, failure) -> complete(started, failure)));
-        return started;
+                                .thenCompose(ignored -> mGrpc.start())
+                                .thenCompose(ignored -> mAdmin.start())
+                                .thenCompose(ignored -> mTls.start()));
     }
 
     @Override
     public CompletableFuture<Void> stop() {
-        CompletableFuture<Void> stopped = new CompletableFuture<>();
-        mContext.runOnContext(
-                ignored ->
+        return Futures.onContext(
+                mContext,
+                () ->
                         mCore.stop()
-                                .thenCompose(v -> mTls.stop())
-                                .thenCompose(v -> mGrpc.stop())
-                                .thenCompose(v -> mAdmin.stop())
-                                .whenComplete((v, failure) -> complete(stopped, failure)));
-        return stopped;
+                                .thenCompose(ignored -> mTls.stop())
+                                .thenCompose(ignored -> mGrpc.stop())
+                                .thenCompose(ignored -> mAdmin.stop()));
     }
 
     /** Port of the gRPC server. */
@@ -138,12 +149,4 @@
                 .put("load_report_age_ms", hint.getLoadReportAgeMs())
                 .put("ranks", ranks);
     }
-
-    private static void complete(CompletableFuture<Void> future, Throwable failure) {
-        if (failure == null) {
-            future.complete(null);
-        } else {
-            future.completeExceptionally(failure);
-        }
-    }
 }
--- a/tanagergap-agent/src/main/java/org/tanagergap/agent/server/GrpcEndpoint.java
+++ b/tanagergap-agent/src/main/java/org/tanagergap/agent/server/GrpcEndpoint.java
@@ -1,6 +1,7 @@
 package org.tanagergap.agent.server;
 
 import io.vertx.core.Future;
+import io.vertx.core.Handler;
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerRequest;
@@ -12,10 +13,14 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
 import org.tanagergap.api.lifecycle.Service;
+import org.tanagergap.decisions.memory.BodyAdmission;
 import org.tanagergap.protocol.v1.RunEvent;
 import org.tanagergap.protocol.v1.RunRequest;
 import org.tanagergap.protocol.v1.UpstreamAgentGrpcService;
 import org.tanagergap.runtime.async.Futures;
+import org.tanagergap.runtime.http.Http2Only;
+import org.tanagergap.runtime.http.InboundLimits;
+import org.tanagergap.runtime.http.InboundProtection;
 import org.tanagergap.runtime.http.ServerLimits;
 import org.tanagergap.runtime.settings.HostPort;
 import org.tanagergap.runtime.tls.TlsReloader;
@@ -33,6 +38,8 @@
     private final HostPort mAddress;
     private final UpstreamAgentRpcHandler mRpcHandler;
     private final TlsReloader mTls;
+    private final InboundProtection mInbound;
+    private final BodyAdmission mBodies;
     private HttpServer mServer;
 
     /**
@@ -41,8 +48,20 @@
      */
     private AtomicReference<Runnable> mOpeningCloseAction;
 
+    /**
+     * Creates a server.
+     *
+     * @param bodies decides which calls may use memory
+     */
     public GrpcEndpoint(
-            Vertx vertx, HostPort address, UpstreamAgentRpcHandler rpcHandler, TlsReloader tls) {
+            Vertx vertx,
+            HostPort address,
+            UpstreamAgentRpcHandler rpcHandler,
+            TlsReloader tls,
+            InboundProtection inbound,
+            BodyAdmission bodies) {
+        mInbound = Objects.requireNonNull(inbound, "inbound must not be null");
+        mBodies = Objects.requireNonNull(bodies, "bodies must not be null");
         mVertx = Objects.requireNonNull(vertx, "vertx must not be null");
         mAddress = Objects.requireNonNull(address, "address must not be null");
         mRpcHandler = Objects.requireNonNull(rpcHandler, "rpcHandler must not be null");
@@ -64,7 +83,12 @@
                 .build()
                 .bind(grpc);
         grpc.callHandler(UpstreamAgentGrpcService.Run, this::run);
-        mServer = mTls.mutualServer(ServerLimits.options(), request -> open(request, grpc));
+        Handler<HttpServerRequest> calls = Http2Only.handler(request -> open(request, grpc));
+        mServer =
+                mInbound.protectCalls(
+                        mTls.mutualServer(ServerLimits.options(), calls),
+                        InboundLimits.INTERNAL,
+                        mBodies);
         return Futures.toCompletable(mServer.listen(mAddress.port(), mAddress.host()).mapEmpty());
     }
 
--- a/tanagergap-endtoend/src/test/java/org/tanagergap/endtoend/ProgramProcess.java
+++ b/tanagergap-endtoend/src/test/java/org/tanagergap/endtoend/ProgramProcess.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import org.tanagergap.testing.ProcessUsage;
 
 /** Runs one program of the system in a separate process. */
 final class ProgramProcess implements AutoCloseable {
@@ -25,10 +26,26 @@
 
     /** Starts a program; its output goes to a log file whose name starts with the given one. */
     static ProgramProcess start(String name, String mainClass, String... arguments) {
-        List<String> command = new ArrayList<>();
+        return start(name, List.of(), List.of("-Xmx192m"), mainClass, arguments);
+    }
+
+    /** Starts a program with lowered limits. */
+    static ProgramProcess startLimited(
+            String name, ProcessLimits limits, String mainClass, String... arguments) {
+        return start(name, limits.launcher(), limits.options(), mainClass, arguments);
+    }
+
+    private static ProgramProcess start(
+            String name,
+            List<String> launcher,
+            List<String> options,
+            String mainClass,
+            String... arguments) {
+        List<String> command = new ArrayList<>(launcher);
         command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
+        command.addAll(options);
         // Many processes share the machine, so memory and start time matter more than throughput.
-        command.addAll(List.of("-Xmx192m", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1"));
+        command.addAll(List.of("-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1"));
         command.addAll(List.of("-cp", classPath(), mainClass));
         command.addAll(List.of(arguments));
         try {
@@ -84,6 +101,10 @@
         return Files.readString(mLogFile);
     }
 
+    ProcessUsage usage() {
+        return new ProcessUsage(mProcess.pid());
+    }
+
     boolean isAlive() {
         return mProcess.isAlive();
     }
--- a/tanagergap-endtoend/src/test/java/org/tanagergap/endtoend/RunningSystem.java
+++ b/tanagergap-endtoend/src/test/java/org/tanagergap/endtoend/RunningSystem.java
@@ -19,6 +19,7 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
 
 /**
  * Runs the whole system as processes on loopback: the key-value service, engines and an order
@@ -38,7 +39,7 @@
     private final Map<String, ProgramProcess> mProcesses = new LinkedHashMap<>();
     private final Map<String, Integer> mPorts = new LinkedHashMap<>();
 
-    private final Map<String, List<String>> mCommands = new LinkedHashMap<>();
+    private final Map<String, ProgramCommand> mCommands = new LinkedHashMap<>();
     private final long mMemoryTokens;
     private final long mPrefillTokensPerSecond;
 
@@ -84,14 +85,10 @@
 
     /** Returns the admin addresses of entries and agents in the format of the command line. */
     String processAddresses() {
-        List<String> addresses = new ArrayList<>();
-        mPorts.forEach(
-                (name, port) -> {
-                    if (name.endsWith("-admin")) {
-                        addresses.add("127.0.0.1:" + port);
-                    }
-                });
-        return String.join(",", addresses);
+        return mPorts.keySet().stream()
+                .filter(name -> name.endsWith("-admin"))
+                .map(this::address)
+                .collect(Collectors.joining(","));
     }
 
     void startAgent(String domain) {
@@ -234,9 +231,13 @@
 
     /** Starts a program with the arguments of its last start. */
     void restart(String name) {
-        List<String> command = mCommands.get(name);
-        String[] arguments = command.subList(1, command.size()).toArray(String[]::new);
-        mProcesses.put(name, ProgramProcess.start(name, command.get(0), arguments));
+        mProcesses.put(name, mCommands.get(name).start());
+    }
+
+    /** Starts a program with the arguments of its last start and lowered limits. */
+    void restartLimited(String name, ProcessLimits limits) throws InterruptedException {
+        process(name).kill();
+        mProcesses.put(name, mCommands.get(name).startLimited(limits));
     }
 
     /** Clears all faults, restarts ended programs and waits until all of them accept requests. */
@@ -329,9 +330,8 @@
     }
 
     private void run(String name, String mainClass, String arguments, Object... values) {
-        List<String> command = new ArrayList<>(List.of(mainClass));
-        command.addAll(List.of(arguments.formatted(values).split(" ")));
-        mCommands.put(name, command);
+        String[] parts = arguments.formatted(values).split(" ");
+        mCommands.put(name, new ProgramCommand(name, mainClass, parts));
         restart(name);
     }
 
--- a/tanagergap-entry/src/main/java/org/tanagergap/entry/EntryService.java
+++ b/tanagergap-entry/src/main/java/org/tanagergap/entry/EntryService.java
@@ -2,10 +2,12 @@
 
 import com.codahale.metrics.Gauge;
 import com.google.common.flogger.FluentLogger;
+import io.vertx.core.Context;
 import java.security.SecureRandom;
 import java.time.Duration;
 import java.util.List;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import org.tanagergap.api.lifecycle.Service;
 import org.tanagergap.decisions.retry.RetryPolicy;
@@ -27,6 +29,8 @@
 import org.tanagergap.entry.metrics.EntryMetrics;
 import org.tanagergap.runtime.admin.AdminServer;
 import org.tanagergap.runtime.async.Futures;
+import org.tanagergap.runtime.http.InboundBudget;
+import org.tanagergap.runtime.http.InboundProtection;
 import org.tanagergap.runtime.metrics.MetricsText;
 import org.tanagergap.runtime.program.ProgramContext;
 import org.tanagergap.runtime.tls.TlsReloader;
@@ -41,6 +45,9 @@
     private final ConfigurationView mView;
     private final EntryReadiness mReadiness;
     private final RequestsInFlight mRequests = new RequestsInFlight();
+    private final InboundBudget mBudget = InboundBudget.ofProcess();
+    private final InboundProtection mInbound;
+    private final Context mEventLoop;
     private final TlsReloader mTls;
     private final AgentClients mClients;
     private final HintReader mHints = new HintReader();
@@ -54,6 +61,8 @@
             ProgramContext context, EntrySettings settings, EntryComponents components) {
         mContext = Objects.requireNonNull(context, "context must not be null");
         mSettings = Objects.requireNonNull(settings, "settings must not be null");
+        mInbound = mBudget.protection(context.clock(), context.accepted(), context.metrics());
+        mEventLoop = context.vertx().getOrCreateContext();
         mView = new ConfigurationView(components.documents());
         mReadiness = new EntryReadiness(context.clock(), mView::isPresent, components.router());
         mTls = new TlsReloader(context.vertx(), context.clock(), settings.tls());
@@ -88,7 +97,14 @@
                         context.clock());
         mBackgroundServices = List.of(membership, exchange, feed);
         mCallerServer = callerServer(components, activity);
-        mPeerServer = new PeerServer(context.vertx(), settings.peerListen(), mView, mTls);
+        mPeerServer =
+                new PeerServer(
+                        context.vertx(),
+                        settings.peerListen(),
+                        mView,
+                        mTls,
+                        mInbound,
+                        mBudget.bodies());
         EntryStatus status = new EntryStatus(settings, mView, components.router(), mRequests);
         mAdminServer =
                 new AdminServer(
@@ -96,15 +112,16 @@
                         context.adminListen(),
                         new MetricsText(context.metrics()),
                         this::isReady,
-                        () -> status.toJson(isReady()));
+                        () -> status.toJson(isReady()),
+                        Optional.of(mInbound));
     }
 
+    /** Starts the servers on one event loop, which also bounds the memory for their clients. */
     @Override
     public CompletableFuture<Void> start() {
         CompletableFuture<Void> started =
-                mAdminServer
-                        .start()
-                        .thenCompose(ignored -> mPeerServer.start())
+                Futures.onContext(mEventLoop, mAdminServer::start)
+                        .thenCompose(ignored -> Futures.onContext(mEventLoop, mPeerServer::start))
                         .thenCompose(ignored -> mCallerServer.start())
                         .thenCompose(ignored -> mTls.start());
         for (Service service : mBackgroundServices) {
@@ -184,7 +201,10 @@
                         metrics,
                         mContext.tracing(),
                         bytes,
+                        mBudget.bodies(),
+                        mInbound,
                         mRequests),
+                mEventLoop,
                 mTls,
                 mView,
                 new RequestIds(mSettings.id(), new SecureRandom()));
--- a/tanagergap-entry/src/main/java/org/tanagergap/entry/caller/CallerCall.java
+++ b/tanagergap-entry/src/main/java/org/tanagergap/entry/caller/CallerCall.java
@@ -30,6 +30,7 @@
     private CallerPolicy mPolicy;
     private long mReservedBytes;
     private Runnable mDisconnectTask = () -> {};
+    private Runnable mEndTask = () -> {};
     private boolean mDisconnected;
     private boolean mEnded;
 
@@ -108,6 +109,11 @@
         }
     }
 
+    /** Sets the task that runs when the call ends. */
+    void onEnd(Runnable task) {
+        mEndTask = task;
+    }
+
     void attemptStarted(AttemptLogRecord logRecord) {
         mLog.attempt(logRecord);
     }
@@ -182,6 +188,7 @@
             return;
         }
         mEnded = true;
+        mEndTask.run();
         mServerContext.bytesInFlight().release(mReservedBytes);
         mServerContext.metrics().requestEnded(rank(), code);
         mSpan.setAttribute("code", code);
--- a/tanagergap-entry/src/main/java/org/tanagergap/entry/caller/CallerServerContext.java
+++ b/tanagergap-entry/src/main/java/org/tanagergap/entry/caller/CallerServerContext.java
@@ -3,8 +3,10 @@
 import io.vertx.core.Vertx;
 import org.tanagergap.api.time.RuntimeClock;
 import org.tanagergap.decisions.cost.TokenEstimator;
+import org.tanagergap.decisions.memory.BodyAdmission;
 import org.tanagergap.entry.execution.RequestExecutor;
 import org.tanagergap.entry.metrics.EntryMetrics;
+import org.tanagergap.runtime.http.InboundProtection;
 import org.tanagergap.runtime.trace.Tracing;
 
 /**
@@ -18,6 +20,8 @@
  * @param metrics metrics of the entry
  * @param tracing creates spans
  * @param bytesInFlight limits the total size of request bodies in memory
+ * @param bodies decides which request bodies use memory
+ * @param inbound protects the connections of callers
  * @param requestsInFlight counts requests
  */
 public record CallerServerContext(
@@ -29,4 +33,6 @@
         EntryMetrics metrics,
         Tracing tracing,
         BytesInFlight bytesInFlight,
+        BodyAdmission bodies,
+        InboundProtection inbound,
         RequestsInFlight requestsInFlight) {}
--- a/tanagergap-entry/src/main/java/org/tanagergap/entry/caller/EntryCallerServer.java
+++ b/tanagergap-entry/src/main/java/org/tanagergap/entry/caller/EntryCallerServer.java
@@ -4,7 +4,6 @@
 import io.opentelemetry.api.trace.Span;
 import io.opentelemetry.api.trace.SpanKind;
 import io.vertx.core.Context;
-import io.vertx.core.Future;
 import io.vertx.core.Promise;
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpVersion;
@@ -16,12 +15,13 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
-import java.util.function.Supplier;
 import org.tanagergap.api.failure.FailureCode;
 import org.tanagergap.api.failure.RequestFailure;
 import org.tanagergap.api.lifecycle.Service;
 import org.tanagergap.entry.configuration.ConfigurationView;
+import org.tanagergap.runtime.async.Futures;
 import org.tanagergap.runtime.http.ErrorBody;
+import org.tanagergap.runtime.http.InboundLimits;
 import org.tanagergap.runtime.http.ServerLimits;
 import org.tanagergap.runtime.time.PendingReads;
 import org.tanagergap.runtime.tls.TlsReloader;
@@ -40,8 +40,14 @@
     private final Context mEventLoop;
     private HttpServer mServer;
 
+    /**
+     * Creates a server.
+     *
+     * @param eventLoop serves all connections
+     */
     public EntryCallerServer(
             CallerServerContext serverContext,
+            Context eventLoop,
             TlsReloader tls,
             ConfigurationView view,
             RequestIds ids) {
@@ -51,7 +57,7 @@
         mPolicies = new PolicyReader(view, serverContext.clock());
         mCompletions = new CompletionHandler(serverContext);
         mPlain = new PlainHandler(serverContext);
-        mEventLoop = serverContext.vertx().getOrCreateContext();
+        mEventLoop = Objects.requireNonNull(eventLoop, "eventLoop must not be null");
     }
 
     @Override
@@ -64,9 +70,18 @@
         router.get("/v1/models").handler(context -> handle(context, EntryCallerServer::models));
         router.route(PlainHandler.PREFIX + "*").handler(c -> handle(c, mPlain::handle));
         router.route().handler(context -> handle(context, EntryCallerServer::unknownPath));
-        mServer = mTls.server(ServerLimits.options(), router);
+        mServer =
+                mServerContext
+                        .inbound()
+                        .protect(
+                                mTls.server(ServerLimits.options(), router),
+                                InboundLimits.INTERNAL);
         var address = mServerContext.settings().listen();
-        return onEventLoop(() -> mServer.listen(address.port(), address.host()).mapEmpty());
+        return Futures.onContext(
+                mEventLoop,
+                () ->
+                        Futures.toCompletable(
+                                mServer.listen(address.port(), address.host()).mapEmpty()));
     }
 
     /** Refuses new requests, finishes those in flight and closes the port. */
@@ -86,25 +101,16 @@
             return CompletableFuture.completedFuture(null);
         }
         PendingReads reads = new PendingReads(mServerContext.clock());
-        return onEventLoop(
+        return Futures.onContext(
+                mEventLoop,
                 () -> {
                     Promise<Void> closed = Promise.promise();
                     // A graceful close lets callers receive the last bytes of their responses.
                     reads.thenRun(() -> mServer.shutdown().onComplete(closed));
-                    return closed.future();
+                    return Futures.toCompletable(closed.future());
                 });
     }
 
-    private CompletableFuture<Void> onEventLoop(Supplier<Future<Void>> action) {
-        CompletableFuture<Void> result = new CompletableFuture<>();
-        mEventLoop.runOnContext(
-                ignored ->
-                        action.get()
-                                .onSuccess(result::complete)
-                                .onFailure(result::completeExceptionally));
-        return result;
-    }
-
     private void handle(RoutingContext context, Consumer<CallerCall> handler) {
         Span span =
                 mServerContext
--- a/tanagergap-entry/src/main/java/org/tanagergap/entry/configuration/PeerServer.java
+++ b/tanagergap-entry/src/main/java/org/tanagergap/entry/configuration/PeerServer.java
@@ -9,12 +9,16 @@
 import java.util.Objects;
 import java.util.concurrent.CompletableFuture;
 import org.tanagergap.api.lifecycle.Service;
+import org.tanagergap.decisions.memory.BodyAdmission;
 import org.tanagergap.entry.agent.AgentClients;
 import org.tanagergap.protocol.v1.ConfigurationReply;
 import org.tanagergap.protocol.v1.ConfigurationRequest;
 import org.tanagergap.protocol.v1.EntryPeerGrpcService;
 import org.tanagergap.protocol.v1.EntryPeerService;
 import org.tanagergap.runtime.async.Futures;
+import org.tanagergap.runtime.http.Http2Only;
+import org.tanagergap.runtime.http.InboundLimits;
+import org.tanagergap.runtime.http.InboundProtection;
 import org.tanagergap.runtime.settings.HostPort;
 import org.tanagergap.runtime.tls.TlsReloader;
 
@@ -25,9 +29,24 @@
     private final HostPort mAddress;
     private final ConfigurationView mView;
     private final TlsReloader mTls;
+    private final InboundProtection mInbound;
+    private final BodyAdmission mBodies;
     private HttpServer mServer;
 
-    public PeerServer(Vertx vertx, HostPort address, ConfigurationView view, TlsReloader tls) {
+    /**
+     * Creates a server.
+     *
+     * @param bodies decides which calls may use memory
+     */
+    public PeerServer(
+            Vertx vertx,
+            HostPort address,
+            ConfigurationView view,
+            TlsReloader tls,
+            InboundProtection inbound,
+            BodyAdmission bodies) {
+        mInbound = Objects.requireNonNull(inbound, "inbound must not be null");
+        mBodies = Objects.requireNonNull(bodies, "bodies must not be null");
         mVertx = Objects.requireNonNull(vertx, "vertx must not be null");
         mAddress = Objects.requireNonNull(address, "address must not be null");
         mView = Objects.requireNonNull(view, "view must not be null");
@@ -41,7 +60,11 @@
                         mVertx,
                         new GrpcServerOptions().setMaxMessageSize(AgentClients.MAX_MESSAGE_BYTES));
         grpc.addService(EntryPeerGrpcService.of(new Handler()));
-        mServer = mTls.mutualServer(new HttpServerOptions(), grpc);
+        mServer =
+                mInbound.protectCalls(
+                        mTls.mutualServer(new HttpServerOptions(), Http2Only.handler(grpc)),
+                        InboundLimits.INTERNAL,
+                        mBodies);
         return Futures.toCompletable(mServer.listen(mAddress.port(), mAddress.host()).mapEmpty());
     }
 
--- a/tanagergap-runtime/src/main/java/org/tanagergap/runtime/http/InboundProtection.java
+++ b/tanagergap-runtime/src/main/java/org/tanagergap/runtime/http/InboundProtection.java
@@ -18,6 +18,7 @@
 import java.util.function.BooleanSupplier;
 import org.tanagergap.api.time.RuntimeClock;
 import org.tanagergap.api.time.Timer;
+import org.tanagergap.decisions.memory.BodyAdmission;
 import org.tanagergap.decisions.memory.ConnectionAdmission;
 import org.tanagergap.decisions.memory.HeadAdmission;
 import org.tanagergap.runtime.time.PendingReads;
@@ -75,6 +76,29 @@
      */
     public HttpServer protect(
             HttpServer server, InboundLimits limits, Handler<HttpConnection> opened) {
+        return protect(server, limits, opened, Optional.empty());
+    }
+
+    /** Protects the connections of a server. The memory of bodies is left to its handler. */
+    public HttpServer protect(HttpServer server, InboundLimits limits) {
+        return protect(server, limits, ignored -> {});
+    }
+
+    /**
+     * Protects the connections of a server of gRPC calls, which keeps each message as a whole. Its
+     * requests are passed through {@link Http2Only}.
+     *
+     * @param bodies decides which calls may use memory
+     */
+    public HttpServer protectCalls(HttpServer server, InboundLimits limits, BodyAdmission bodies) {
+        return protect(server, limits, ignored -> {}, Optional.of(bodies));
+    }
+
+    private HttpServer protect(
+            HttpServer server,
+            InboundLimits limits,
+            Handler<HttpConnection> opened,
+            Optional<BodyAdmission> bodies) {
         return server.connectionHandler(
                 connection -> {
                     opened.handle(connection);
@@ -83,16 +107,11 @@
                     if (connection instanceof VertxConnection) {
                         installHttp1(context, limits);
                     } else {
-                        InboundConnection.of(context.channel(), this);
+                        installHttp2(context, bodies);
                     }
                 });
     }
 
-    /** Protects the connections of a server. The memory of bodies is left to its handler. */
-    public HttpServer protect(HttpServer server, InboundLimits limits) {
-        return protect(server, limits, ignored -> {});
-    }
-
     private void installHttp1(ChannelHandlerContext context, InboundLimits limits) {
         ChannelPipeline pipeline = context.pipeline();
         InboundHandler handler = pipeline.get(InboundHandler.class);
@@ -104,6 +123,12 @@
         pipeline.addBefore(context.name(), "inbound-messages", new MessageBoundaryHandler(handler));
     }
 
+    private void installHttp2(ChannelHandlerContext context, Optional<BodyAdmission> bodies) {
+        ChannelPipeline pipeline = context.pipeline();
+        InboundConnection connection = InboundConnection.of(context.channel(), this);
+        new Http2Requests(this, connection, mHeads, bodies, pipeline).install();
+    }
+
     private InboundHandler newHandler(InboundConnection connection) {
         InboundHandler handler =
                 new InboundHandler(this, connection, InboundLimits.INTERNAL, mHeads.open());
--- a/tanagergap-runtime/src/main/java/org/tanagergap/runtime/tls/TlsReloader.java
+++ b/tanagergap-runtime/src/main/java/org/tanagergap/runtime/tls/TlsReloader.java
@@ -83,9 +83,10 @@
 
     /**
      * Adds the current keys; clients verify that a server's certificate has the server's address.
+     * Without keys, clients speak HTTP/2 from the start, as servers ignore requests to upgrade.
      */
     public HttpClientOptions mutualClient(HttpClientOptions options) {
-        HttpClientOptions result = new HttpClientOptions(options);
+        HttpClientOptions result = new HttpClientOptions(options).setHttp2ClearTextUpgrade(false);
         mMaterial.ifPresent(
                 material ->
                         result.setSsl(true)
