Report a request that its agent refuses for want of memory as not run

Seen: callers got "upstream_failed" with execution unknown and could not repeat an order, although the agent had refused its stream before anything ran. Cause: the entry takes a reset with REFUSED_STREAM for a broken call. Change: such a call is reported as overloaded and not run; other failures stay unknown.

--- a/tanagergap-entry/src/main/java/org/tanagergap/entry/execution/AgentAttempt.java
+++ b/tanagergap-entry/src/main/java/org/tanagergap/entry/execution/AgentAttempt.java
@@ -251,6 +251,11 @@
         if (mEnded) {
             return;
         }
+        boolean answered = mExecution == Execution.RAN || mAdmitted.isPresent();
+        if (!answered && AgentFailures.isRefusal(cause)) {
+            fail(AgentFailures.refused(mAgent.name(), cause));
+            return;
+        }
         mContext.router().connectionFailed(mAgent.name());
         fail(AgentFailures.broken(mAgent.name(), mExecution, cause));
         mCall.reset();
--- a/tanagergap-entry/src/main/java/org/tanagergap/entry/execution/AgentFailures.java
+++ b/tanagergap-entry/src/main/java/org/tanagergap/entry/execution/AgentFailures.java
@@ -1,6 +1,10 @@
 package org.tanagergap.entry.execution;
 
 import com.google.common.flogger.FluentLogger;
+import io.vertx.grpc.common.GrpcErrorException;
+import io.vertx.grpc.common.GrpcStatus;
+import java.util.Objects;
+import java.util.stream.Stream;
 import org.tanagergap.api.failure.Execution;
 import org.tanagergap.api.failure.FailureCode;
 import org.tanagergap.api.failure.RequestFailure;
@@ -21,6 +25,27 @@
                 .withCause(cause);
     }
 
+    /**
+     * Returns true if the agent has refused the call, which promises that nothing has run (RFC
+     * 9113, section 8.7).
+     */
+    static boolean isRefusal(Throwable cause) {
+        return Stream.iterate(cause, Objects::nonNull, Throwable::getCause)
+                .anyMatch(AgentFailures::isRefusedStream);
+    }
+
+    private static boolean isRefusedStream(Throwable cause) {
+        // The gRPC client gives this status to streams that are reset with REFUSED_STREAM.
+        return cause instanceof GrpcErrorException error
+                && error.status() == GrpcStatus.UNAVAILABLE;
+    }
+
+    static RequestFailure refused(String agent, Throwable cause) {
+        return RequestFailure.notRun(
+                        FailureCode.OVERLOADED, "agent " + agent + " has no memory for the request")
+                .withCause(cause);
+    }
+
     static RequestFailure broken(String agent, Execution execution, Throwable cause) {
         return RequestFailure.of(
                         FailureCode.UPSTREAM_FAILED,
--- a/tanagergap-entry/src/test/java/org/tanagergap/entry/FakeAgent.java
+++ b/tanagergap-entry/src/test/java/org/tanagergap/entry/FakeAgent.java
@@ -1,14 +1,17 @@
 package org.tanagergap.entry;
 
 import io.vertx.core.Future;
+import io.vertx.core.Handler;
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerOptions;
+import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.streams.WriteStream;
 import io.vertx.grpc.server.GrpcServer;
 import io.vertx.grpc.server.GrpcServerOptions;
 import io.vertx.grpc.server.GrpcServerResponse;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
@@ -38,6 +41,9 @@
 /** Agent served over gRPC in the same process, with responses that a test scripts. */
 final class FakeAgent extends UpstreamAgentService {
 
+    /** Receives the next runs instead of the service. */
+    volatile Optional<Handler<HttpServerRequest>> mRunHandler = Optional.empty();
+
     /** Script of the next runs. */
     volatile BiConsumer<RunRequest, Stream> mScript = (request, stream) -> stream.complete(3);
 
@@ -81,11 +87,19 @@
                     call.response().exceptionHandler(ignored -> mCancelled.add("reset"));
                     call.handler(request -> run(request, call.response()));
                 });
-        mServer = tls.mutualServer(new HttpServerOptions(), grpc);
+        mServer = tls.mutualServer(new HttpServerOptions(), request -> receive(request, grpc));
         mServer.listen(0, "127.0.0.1").await();
         return this;
     }
 
+    private void receive(HttpServerRequest request, GrpcServer grpc) {
+        if (request.path().endsWith("/Run") && mRunHandler.isPresent()) {
+            mRunHandler.get().handle(request);
+        } else {
+            grpc.handle(request);
+        }
+    }
+
     String address() {
         return "127.0.0.1:" + mServer.actualPort();
     }
--- a/tanagergap-entry/src/test/java/org/tanagergap/entry/RefusalTests.java
+++ b/tanagergap-entry/src/test/java/org/tanagergap/entry/RefusalTests.java
@@ -9,6 +9,7 @@
 import java.net.http.HttpRequest.BodyPublishers;
 import java.net.http.HttpResponse;
 import java.nio.charset.StandardCharsets;
+import java.util.Optional;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -18,6 +19,11 @@
 
     private static final String COMPLETIONS = "/v1/completions";
 
+    /** Error codes of HTTP/2. */
+    private static final long INTERNAL_ERROR = 2;
+
+    private static final long REFUSED_STREAM = 7;
+
     private final EntryHarness mHarness = new EntryHarness();
     private FakeAgent mRunner;
     private FakeAgent mOrders;
@@ -143,6 +149,36 @@
         assertRefused(mHarness.send(request), 400, "malformed_request", "Idempotency-Key");
     }
 
+    /** An agent without memory resets the call; the order was reported as unknown. */
+    @Test
+    void anOrderThatItsAgentRefusesHasNotRun() {
+        mOrders.mRunHandler = Optional.of(request -> request.response().reset(REFUSED_STREAM));
+
+        assertRefused(placeOrder(), 429, "overloaded", null);
+    }
+
+    /** Other failures of the call promise nothing. */
+    @Test
+    void anOrderWhoseCallFailsMayHaveRun() {
+        mOrders.mRunHandler = Optional.of(request -> request.response().reset(INTERNAL_ERROR));
+        assertThat(execution(placeOrder())).isEqualTo("unknown");
+
+        mOrders.mRunHandler = Optional.of(request -> request.response().setStatusCode(503).end());
+        assertThat(execution(placeOrder())).isEqualTo("unknown");
+    }
+
+    private HttpResponse<String> placeOrder() {
+        return mHarness.send(
+                mHarness.request("/services/orders/place")
+                        .header("Idempotency-Key", "key-" + System.nanoTime())
+                        .POST(BodyPublishers.ofString("{}"))
+                        .build());
+    }
+
+    private static String execution(HttpResponse<String> response) {
+        return new JsonObject(response.body()).getJsonObject("error").getString("execution");
+    }
+
     /**
      * Guards against dot segments that make a non-idempotent call match an idempotent operation.
      */
