Charge the replies of an entry to calls whose clients do not read them

Seen: 100 clients of an entry's peer port, each with 100 complete calls and a window of 0, end the entry (heap 64 MB, configuration of 100 KB): OutOfMemoryError within 8 s. Cause: a reply stays in memory until its client lets it be sent, and only heads are charged.

--- a/tanagergap-agent/src/main/java/org/tanagergap/agent/AgentService.java
+++ b/tanagergap-agent/src/main/java/org/tanagergap/agent/AgentService.java
@@ -76,7 +76,7 @@
                         mCore.rpcHandler(),
                         mTls,
                         inbound,
-                        budget.bodies());
+                        budget.calls());
         mAdmin =
                 new AdminServer(
                         mVertx,
--- a/tanagergap-agent/src/main/java/org/tanagergap/agent/server/GrpcEndpoint.java
+++ b/tanagergap-agent/src/main/java/org/tanagergap/agent/server/GrpcEndpoint.java
@@ -13,11 +13,11 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
 import org.tanagergap.api.lifecycle.Service;
-import org.tanagergap.decisions.memory.BodyAdmission;
 import org.tanagergap.protocol.v1.RunEvent;
 import org.tanagergap.protocol.v1.RunRequest;
 import org.tanagergap.protocol.v1.UpstreamAgentGrpcService;
 import org.tanagergap.runtime.async.Futures;
+import org.tanagergap.runtime.http.CallMemory;
 import org.tanagergap.runtime.http.Http2Only;
 import org.tanagergap.runtime.http.InboundLimits;
 import org.tanagergap.runtime.http.InboundProtection;
@@ -39,7 +39,7 @@
     private final UpstreamAgentRpcHandler mRpcHandler;
     private final TlsReloader mTls;
     private final InboundProtection mInbound;
-    private final BodyAdmission mBodies;
+    private final CallMemory mMemory;
     private HttpServer mServer;
 
     /**
@@ -51,7 +51,7 @@
     /**
      * Creates a server.
      *
-     * @param bodies decides which calls may use memory
+     * @param memory memory of messages and replies
      */
     public GrpcEndpoint(
             Vertx vertx,
@@ -59,9 +59,9 @@
             UpstreamAgentRpcHandler rpcHandler,
             TlsReloader tls,
             InboundProtection inbound,
-            BodyAdmission bodies) {
+            CallMemory memory) {
         mInbound = Objects.requireNonNull(inbound, "inbound must not be null");
-        mBodies = Objects.requireNonNull(bodies, "bodies must not be null");
+        mMemory = Objects.requireNonNull(memory, "memory must not be null");
         mVertx = Objects.requireNonNull(vertx, "vertx must not be null");
         mAddress = Objects.requireNonNull(address, "address must not be null");
         mRpcHandler = Objects.requireNonNull(rpcHandler, "rpcHandler must not be null");
@@ -88,7 +88,7 @@
                 mInbound.protectCalls(
                         mTls.mutualServer(ServerLimits.options(), calls),
                         InboundLimits.INTERNAL,
-                        mBodies);
+                        mMemory);
         return Futures.toCompletable(mServer.listen(mAddress.port(), mAddress.host()).mapEmpty());
     }
 
--- a/tanagergap-endtoend/src/test/java/org/tanagergap/endtoend/ClientCrowdTests.java
+++ b/tanagergap-endtoend/src/test/java/org/tanagergap/endtoend/ClientCrowdTests.java
@@ -37,6 +37,7 @@
     private static final int FIELDS = 200;
     private static final int STREAMS = 100;
     private static final int BODY_BYTES = 8 << 20;
+    private static final int DOCUMENT_BYTES = 100_000;
     private static final int MESSAGE_BYTES = 30 << 20;
     private static final int WINDOW_BYTES = 65_535;
     private static final int FRAME_BYTES = 16 << 10;
@@ -73,6 +74,8 @@
     @BeforeAll
     static void startSystem() throws Exception {
         sSystem = RunningSystem.start();
+        String document = sSystem.configurationDocument();
+        sSystem.submit(document + " ".repeat(DOCUMENT_BYTES));
     }
 
     @AfterAll
@@ -149,6 +152,15 @@
         return client % 4 == 0 ? script.thenLeave() : script;
     }
 
+    /** Complete calls whose replies the client does not let the server send. */
+    private static ClientScript unreadReplies(String path) {
+        Http2Frames frames = Http2Frames.withoutWindow();
+        HeaderBlock fields = call(path);
+        byte[] emptyMessage = new byte[PREFIX_BYTES];
+        IntStream.range(0, STREAMS).forEach(i -> frames.request(fields).lastData(emptyMessage));
+        return ClientScript.of(frames.bytes());
+    }
+
     private static Stream<Crowd> entryCrowds() {
         return crowds("entry-1", "entry-1-peer", "entry-1-admin");
     }
@@ -171,14 +183,20 @@
         return switch (port) {
             case "entry-1" ->
                     Stream.concat(bodies(port, COMPLETIONS, ""), multiplexed(port, COMPLETIONS));
-            case "entry-1-peer" ->
-                    Stream.concat(bodies(port, PEER_CALL, GRPC_WEB), multiplexed(port, PEER_CALL));
-            case "agent-a" ->
-                    Stream.concat(bodies(port, AGENT_RUN, GRPC_WEB), multiplexed(port, AGENT_RUN));
+            case "entry-1-peer" -> Stream.concat(calls(port, PEER_CALL), unread(port, PEER_CALL));
+            case "agent-a" -> calls(port, AGENT_RUN);
             default -> Stream.empty();
         };
     }
 
+    private static Stream<Crowd> calls(String port, String path) {
+        return Stream.concat(bodies(port, path, GRPC_WEB), multiplexed(port, path));
+    }
+
+    private static Stream<Crowd> unread(String port, String path) {
+        return Stream.of(new Crowd("HTTP/2 replies", port, 100, c -> unreadReplies(path)));
+    }
+
     private static Stream<Crowd> bodies(String port, String path, String type) {
         return Stream.of(
                 new Crowd("bodies", port, 300, c -> unfinishedBody(path, type)),
--- a/tanagergap-entry/src/main/java/org/tanagergap/entry/EntryService.java
+++ b/tanagergap-entry/src/main/java/org/tanagergap/entry/EntryService.java
@@ -104,7 +104,7 @@
                         mView,
                         mTls,
                         mInbound,
-                        mBudget.bodies());
+                        mBudget.calls(() -> mView.current().document().length()));
         EntryStatus status = new EntryStatus(settings, mView, components.router(), mRequests);
         mAdminServer =
                 new AdminServer(
--- a/tanagergap-entry/src/main/java/org/tanagergap/entry/configuration/PeerServer.java
+++ b/tanagergap-entry/src/main/java/org/tanagergap/entry/configuration/PeerServer.java
@@ -9,13 +9,13 @@
 import java.util.Objects;
 import java.util.concurrent.CompletableFuture;
 import org.tanagergap.api.lifecycle.Service;
-import org.tanagergap.decisions.memory.BodyAdmission;
 import org.tanagergap.entry.agent.AgentClients;
 import org.tanagergap.protocol.v1.ConfigurationReply;
 import org.tanagergap.protocol.v1.ConfigurationRequest;
 import org.tanagergap.protocol.v1.EntryPeerGrpcService;
 import org.tanagergap.protocol.v1.EntryPeerService;
 import org.tanagergap.runtime.async.Futures;
+import org.tanagergap.runtime.http.CallMemory;
 import org.tanagergap.runtime.http.Http2Only;
 import org.tanagergap.runtime.http.InboundLimits;
 import org.tanagergap.runtime.http.InboundProtection;
@@ -30,13 +30,13 @@
     private final ConfigurationView mView;
     private final TlsReloader mTls;
     private final InboundProtection mInbound;
-    private final BodyAdmission mBodies;
+    private final CallMemory mMemory;
     private HttpServer mServer;
 
     /**
      * Creates a server.
      *
-     * @param bodies decides which calls may use memory
+     * @param memory memory of messages and replies
      */
     public PeerServer(
             Vertx vertx,
@@ -44,9 +44,9 @@
             ConfigurationView view,
             TlsReloader tls,
             InboundProtection inbound,
-            BodyAdmission bodies) {
+            CallMemory memory) {
         mInbound = Objects.requireNonNull(inbound, "inbound must not be null");
-        mBodies = Objects.requireNonNull(bodies, "bodies must not be null");
+        mMemory = Objects.requireNonNull(memory, "memory must not be null");
         mVertx = Objects.requireNonNull(vertx, "vertx must not be null");
         mAddress = Objects.requireNonNull(address, "address must not be null");
         mView = Objects.requireNonNull(view, "view must not be null");
@@ -64,7 +64,7 @@
                 mInbound.protectCalls(
                         mTls.mutualServer(new HttpServerOptions(), Http2Only.handler(grpc)),
                         InboundLimits.INTERNAL,
-                        mBodies);
+                        mMemory);
         return Futures.toCompletable(mServer.listen(mAddress.port(), mAddress.host()).mapEmpty());
     }
 
--- a/tanagergap-runtime/src/main/java/org/tanagergap/runtime/http/Http2Request.java
+++ b/tanagergap-runtime/src/main/java/org/tanagergap/runtime/http/Http2Request.java
@@ -6,6 +6,7 @@
 import org.tanagergap.api.time.Timer;
 import org.tanagergap.decisions.memory.BodyAdmission;
 import org.tanagergap.decisions.memory.HeadAdmission;
+import org.tanagergap.decisions.memory.ResponseAdmission;
 
 /** Memory of a request on an HTTP/2 connection. */
 final class Http2Request {
@@ -15,6 +16,7 @@
     private final RuntimeClock mClock;
     private final HeadAdmission.Charge mHead;
     private final Optional<BodyAdmission.Reservation> mBody;
+    private final Optional<ResponseAdmission.Charge> mReply;
     private Timer mTimer = () -> {};
     private long mBodyBytes;
     private boolean mComplete;
@@ -22,12 +24,17 @@
     /**
      * Creates a request without a body.
      *
-     * @param bodies decides which bodies may use memory; empty if the server charges them itself
+     * @param memory memory of the message and the reply; empty if the server charges them itself
      */
-    Http2Request(RuntimeClock clock, HeadAdmission.Charge head, Optional<BodyAdmission> bodies) {
+    Http2Request(RuntimeClock clock, HeadAdmission.Charge head, Optional<CallMemory> memory) {
         mClock = clock;
         mHead = head;
-        mBody = bodies.map(b -> b.open(RANK, BodyAdmission.NO_WAIT, () -> {}, ignored -> {}));
+        mBody = memory.map(m -> open(m.bodies()));
+        mReply = memory.map(CallMemory::chargeReply);
+    }
+
+    private static BodyAdmission.Reservation open(BodyAdmission bodies) {
+        return bodies.open(RANK, BodyAdmission.NO_WAIT, () -> {}, ignored -> {});
     }
 
     /** Runs the task after the time unless the request is complete or its stream closed by then. */
@@ -70,5 +77,6 @@
         mTimer.cancel();
         mHead.release();
         mBody.ifPresent(body -> body.close(mClock.nanoTime()));
+        mReply.ifPresent(ResponseAdmission.Charge::release);
     }
 }
--- a/tanagergap-runtime/src/main/java/org/tanagergap/runtime/http/Http2Requests.java
+++ b/tanagergap-runtime/src/main/java/org/tanagergap/runtime/http/Http2Requests.java
@@ -15,13 +15,12 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
-import org.tanagergap.decisions.memory.BodyAdmission;
 import org.tanagergap.decisions.memory.HeadAdmission;
 
 /**
- * Requests on an HTTP/2 connection. Their heads, and bodies if the server keeps them as a whole,
- * are charged until their streams are closed. Streams without memory are refused with {@code
- * REFUSED_STREAM}, which promises that nothing has run. Confined to the event loop.
+ * Requests on an HTTP/2 connection. Their heads, and bodies and responses if the server keeps them
+ * as a whole, are charged until their streams are closed. Streams without memory are refused with
+ * {@code REFUSED_STREAM}, which promises that nothing has run. Confined to the event loop.
  */
 final class Http2Requests {
 
@@ -34,7 +33,7 @@
     private final InboundProtection mProtection;
     private final InboundConnection mConnection;
     private final HeadAdmission mHeads;
-    private final Optional<BodyAdmission> mBodies;
+    private final Optional<CallMemory> mMemory;
     private final Http2ConnectionHandler mCodec;
     private final ChannelHandlerContext mContext;
     private final Map<Integer, Http2Request> mRequests = new HashMap<>();
@@ -43,18 +42,18 @@
     /**
      * Creates the requests of a connection that has none.
      *
-     * @param bodies decides which bodies may use memory; empty if the server charges them itself
+     * @param memory memory of messages and replies; empty if the server charges them itself
      */
     Http2Requests(
             InboundProtection protection,
             InboundConnection connection,
             HeadAdmission heads,
-            Optional<BodyAdmission> bodies,
+            Optional<CallMemory> memory,
             ChannelPipeline pipeline) {
         mProtection = protection;
         mConnection = connection;
         mHeads = heads;
-        mBodies = bodies;
+        mMemory = memory;
         mCodec = pipeline.get(Http2ConnectionHandler.class);
         mContext = pipeline.context(mCodec);
     }
@@ -81,11 +80,13 @@
 
     private boolean add(int streamId, Http2Headers headers) {
         HeadAdmission.Charge head = mHeads.open();
-        if (!mProtection.admit(mConnection, head, cost(headers))) {
+        long cost = cost(headers);
+        boolean isSmall = cost <= HeadAdmission.SMALL_HEAD_COST;
+        if (!mProtection.admit(mConnection, isSmall, () -> admitsReply() && head.raise(cost))) {
             return false;
         }
-        Http2Request request = new Http2Request(mProtection.clock(), head, mBodies);
-        if (mBodies.isPresent()) {
+        Http2Request request = new Http2Request(mProtection.clock(), head, mMemory);
+        if (mMemory.isPresent()) {
             request.ifIncompleteAfter(MESSAGE_TIMEOUT, () -> timedOut(streamId));
         }
         mRequests.put(streamId, request);
@@ -94,6 +95,10 @@
         return true;
     }
 
+    private boolean admitsReply() {
+        return mMemory.map(CallMemory::admitsReply).orElse(true);
+    }
+
     private static long cost(Http2Headers headers) {
         long bytes = 0;
         for (Map.Entry<CharSequence, CharSequence> field : headers) {
--- a/tanagergap-runtime/src/main/java/org/tanagergap/runtime/http/InboundBudget.java
+++ b/tanagergap-runtime/src/main/java/org/tanagergap/runtime/http/InboundBudget.java
@@ -1,6 +1,7 @@
 package org.tanagergap.runtime.http;
 
 import com.codahale.metrics.MetricRegistry;
+import java.util.function.LongSupplier;
 import org.tanagergap.api.time.RuntimeClock;
 import org.tanagergap.decisions.memory.BodyAdmission;
 import org.tanagergap.decisions.memory.ConnectionAdmission;
@@ -54,6 +55,20 @@
         return mBodies;
     }
 
+    /** Memory for the calls of a gRPC server whose replies are about as small as heads. */
+    public CallMemory calls() {
+        return calls(() -> 0);
+    }
+
+    /**
+     * Memory for the calls of a gRPC server.
+     *
+     * @param replyBytes supplies the size of the largest reply
+     */
+    public CallMemory calls(LongSupplier replyBytes) {
+        return new CallMemory(mBodies, mResponses, replyBytes);
+    }
+
     /** Decides on responses to other processes and to operators. */
     public ResponseAdmission responses() {
         return mResponses;
--- a/tanagergap-runtime/src/main/java/org/tanagergap/runtime/http/InboundProtection.java
+++ b/tanagergap-runtime/src/main/java/org/tanagergap/runtime/http/InboundProtection.java
@@ -18,7 +18,6 @@
 import java.util.function.BooleanSupplier;
 import org.tanagergap.api.time.RuntimeClock;
 import org.tanagergap.api.time.Timer;
-import org.tanagergap.decisions.memory.BodyAdmission;
 import org.tanagergap.decisions.memory.ConnectionAdmission;
 import org.tanagergap.decisions.memory.HeadAdmission;
 import org.tanagergap.runtime.time.PendingReads;
@@ -88,17 +87,17 @@
      * Protects the connections of a server of gRPC calls, which keeps each message as a whole. Its
      * requests are passed through {@link Http2Only}.
      *
-     * @param bodies decides which calls may use memory
+     * @param memory memory of messages and replies
      */
-    public HttpServer protectCalls(HttpServer server, InboundLimits limits, BodyAdmission bodies) {
-        return protect(server, limits, ignored -> {}, Optional.of(bodies));
+    public HttpServer protectCalls(HttpServer server, InboundLimits limits, CallMemory memory) {
+        return protect(server, limits, ignored -> {}, Optional.of(memory));
     }
 
     private HttpServer protect(
             HttpServer server,
             InboundLimits limits,
             Handler<HttpConnection> opened,
-            Optional<BodyAdmission> bodies) {
+            Optional<CallMemory> memory) {
         return server.connectionHandler(
                 connection -> {
                     opened.handle(connection);
@@ -107,7 +106,7 @@
                     if (connection instanceof VertxConnection) {
                         installHttp1(context, limits);
                     } else {
-                        installHttp2(context, bodies);
+                        installHttp2(context, memory);
                     }
                 });
     }
@@ -123,10 +122,10 @@
         pipeline.addBefore(context.name(), "inbound-messages", new MessageBoundaryHandler(handler));
     }
 
-    private void installHttp2(ChannelHandlerContext context, Optional<BodyAdmission> bodies) {
+    private void installHttp2(ChannelHandlerContext context, Optional<CallMemory> memory) {
         ChannelPipeline pipeline = context.pipeline();
         InboundConnection connection = InboundConnection.of(context.channel(), this);
-        new Http2Requests(this, connection, mHeads, bodies, pipeline).install();
+        new Http2Requests(this, connection, mHeads, memory, pipeline).install();
     }
 
     private InboundHandler newHandler(InboundConnection connection) {
--- a/tanagergap-testing/src/main/java/org/tanagergap/testing/Http2Frames.java
+++ b/tanagergap-testing/src/main/java/org/tanagergap/testing/Http2Frames.java
@@ -15,6 +15,10 @@
     private static final int HEADERS = 1;
     private static final int SETTINGS = 4;
     private static final int END_HEADERS = 4;
+    private static final int END_STREAM = 1;
+
+    /** Setting of the window of each stream, with the value 0. */
+    private static final byte[] NO_WINDOW = {0, 4, 0, 0, 0, 0};
 
     /** Prefix of a field that is not added to the dynamic table and whose name is not indexed. */
     private static final int LITERAL = 0;
@@ -24,8 +28,17 @@
 
     /** Begins a connection. */
     public Http2Frames() {
+        this(new byte[0]);
+    }
+
+    private Http2Frames(byte[] settings) {
         mBytes.writeBytes(PREFACE.getBytes(StandardCharsets.US_ASCII));
-        frame(SETTINGS, 0, 0, new byte[0]);
+        frame(SETTINGS, 0, 0, settings);
+    }
+
+    /** Begins a connection on which the server may not send the bodies of responses. */
+    public static Http2Frames withoutWindow() {
+        return new Http2Frames(NO_WINDOW);
     }
 
     /** Begins a request on a new stream, whose body follows. */
@@ -41,6 +54,12 @@
         return this;
     }
 
+    /** Adds the last part of the body of the last request. */
+    public Http2Frames lastData(byte[] bytes) {
+        frame(DATA, END_STREAM, mLastStream, bytes);
+        return this;
+    }
+
     public byte[] bytes() {
         return mBytes.toByteArray();
     }
