Let connections whose clients do not read their responses give way

Seen: 100 clients of an agent with 100 answered calls each and a window of 0 kept ordinary requests from being served for as long as they stayed: their heads used the memory for heads (6,161 refused in a second). At the limit on connections, new ones were closed. Cause: only connections without a complete request give way; one with a response that cannot be sent counts as one whose request runs. Change: an HTTP/2 connection on which every stream waits for its client gives way too, after those without a complete request. One with a request that runs does not.

--- a/tanagergap-endtoend/src/test/java/org/tanagergap/endtoend/ClientCrowdTests.java
+++ b/tanagergap-endtoend/src/test/java/org/tanagergap/endtoend/ClientCrowdTests.java
@@ -49,6 +49,7 @@
     private static final String GRPC_WEB = "Content-Type: application/grpc-web+proto\r\n";
     private static final int PREFIX_BYTES = 5;
     private static final String AGENT_RUN = "/tanagergap.v1.UpstreamAgent/Run";
+    private static final String AGENT_STATUS = "/tanagergap.v1.UpstreamAgent/Status";
     private static final String PEER_CALL = "/tanagergap.v1.EntryPeer/Configuration";
 
     private static RunningSystem sSystem;
@@ -184,7 +185,7 @@
             case "entry-1" ->
                     Stream.concat(bodies(port, COMPLETIONS, ""), multiplexed(port, COMPLETIONS));
             case "entry-1-peer" -> Stream.concat(calls(port, PEER_CALL), unread(port, PEER_CALL));
-            case "agent-a" -> calls(port, AGENT_RUN);
+            case "agent-a" -> Stream.concat(calls(port, AGENT_RUN), unread(port, AGENT_STATUS));
             default -> Stream.empty();
         };
     }
--- a/tanagergap-runtime/src/main/java/org/tanagergap/runtime/http/ConnectionTable.java
+++ b/tanagergap-runtime/src/main/java/org/tanagergap/runtime/http/ConnectionTable.java
@@ -10,9 +10,9 @@
 /**
  * Open connections of clients by their use. When there are too many, the one that has been idle
  * longest is closed, then the one that has been without a complete request longest: neither has a
- * request that may run, and a new connection has the time to send one. Established connections are
- * closed last while they are at most half of all, so that new ones cannot displace them. Confined
- * to the event loop.
+ * request that may run, and a new connection has the time to send one. Those whose clients do not
+ * read their responses follow. Established connections are closed last while they are at most half
+ * of all, so that new ones cannot displace them. Confined to the event loop.
  */
 final class ConnectionTable {
 
@@ -21,11 +21,12 @@
     private final ConnectionAdmission mAdmission;
     private final Runnable mOnEvict;
 
-    /** Connections in the order in which their use began; those that respond are in no set. */
+    /** Connections in the order in which their use began. */
     private final Set<InboundConnection> mIdle = new LinkedHashSet<>();
 
     private final Set<InboundConnection> mIncomplete = new LinkedHashSet<>();
     private final Set<InboundConnection> mEstablished = new LinkedHashSet<>();
+    private final Set<InboundConnection> mResponding = new LinkedHashSet<>();
 
     ConnectionTable(ConnectionAdmission admission, Runnable onEvict) {
         mAdmission = admission;
@@ -47,12 +48,13 @@
     /** Records that the use of a connection has changed. */
     void useChanged(InboundConnection connection) {
         remove(connection);
-        if (connection.use() != InboundConnection.Use.RESPONDING) {
-            setOf(connection).add(connection);
-        }
+        setOf(connection).add(connection);
     }
 
     private Set<InboundConnection> setOf(InboundConnection connection) {
+        if (connection.use() == InboundConnection.Use.RESPONDING) {
+            return mResponding;
+        }
         if (connection.isEstablished()) {
             return mEstablished;
         }
@@ -63,6 +65,7 @@
         mIdle.remove(connection);
         mIncomplete.remove(connection);
         mEstablished.remove(connection);
+        mResponding.remove(connection);
     }
 
     /** Closes connections while there are too many, the given one after all others. */
@@ -88,20 +91,23 @@
         }
         return first(mIdle, condition)
                 .or(() -> first(mIncomplete, condition))
+                .or(() -> first(mResponding, condition.and(InboundConnection::isUnread)))
                 .or(() -> established);
     }
 
     /**
-     * Closes the connection that has been without a complete request longest.
+     * Closes the connection that has been without a complete request longest, or one whose client
+     * does not read its responses.
      *
      * @return false if there is no other than the given one
      */
-    boolean evictIncomplete(InboundConnection except) {
+    boolean evictStalled(InboundConnection except) {
         Optional<InboundConnection> victim =
                 Stream.concat(mIncomplete.stream(), mEstablished.stream())
                         .filter(connection -> connection != except)
                         .filter(c -> c.use() == InboundConnection.Use.RECEIVING)
-                        .findFirst();
+                        .findFirst()
+                        .or(() -> first(mResponding, c -> c != except && c.isUnread()));
         victim.ifPresent(this::evict);
         return victim.isPresent();
     }
--- a/tanagergap-runtime/src/main/java/org/tanagergap/runtime/http/Http2Requests.java
+++ b/tanagergap-runtime/src/main/java/org/tanagergap/runtime/http/Http2Requests.java
@@ -61,6 +61,7 @@
     /** Observes the frames and the streams of the connection. */
     void install() {
         mConnection.onClose(this::connectionClosed);
+        mConnection.unread(this::isUnread);
         mConnection.charge(CONNECTION_BYTES);
         mCodec.connection().addListener(new StreamListener());
         mCodec.decoder().frameListener(new FrameListener(mCodec.decoder().frameListener()));
@@ -172,6 +173,20 @@
         mRequests.clear();
     }
 
+    /** Returns true if all streams wait for the client: to send its request, or to read. */
+    private boolean isUnread() {
+        return mRequests.entrySet().stream()
+                .allMatch(entry -> !entry.getValue().isComplete() || isUnread(entry.getKey()));
+    }
+
+    /** Returns true if a response has begun and the client's window does not let it continue. */
+    private boolean isUnread(int streamId) {
+        Http2Stream stream = mCodec.connection().stream(streamId);
+        return stream != null
+                && stream.isHeadersSent()
+                && !mCodec.encoder().flowController().isWritable(stream);
+    }
+
     private void updateUse() {
         if (mRequests.isEmpty()) {
             mConnection.use(InboundConnection.Use.IDLE);
--- a/tanagergap-runtime/src/main/java/org/tanagergap/runtime/http/InboundConnection.java
+++ b/tanagergap-runtime/src/main/java/org/tanagergap/runtime/http/InboundConnection.java
@@ -5,6 +5,7 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import java.time.Duration;
 import java.util.Optional;
+import java.util.function.BooleanSupplier;
 import org.tanagergap.api.time.Timer;
 import org.tanagergap.decisions.memory.ConnectionAdmission;
 
@@ -22,6 +23,7 @@
     private Optional<ConnectionAdmission.Charge> mCharge = Optional.empty();
     private ChannelHandlerContext mContext;
     private Runnable mOnClose = () -> {};
+    private BooleanSupplier mUnread = () -> false;
     private Timer mCloseTimer = NO_TIMER;
     private Use mUse = Use.RECEIVING;
     private int mRequests;
@@ -71,6 +73,16 @@
         mOnClose = action;
     }
 
+    /** Sets what returns true while all that the connection waits for is its client's reads. */
+    void unread(BooleanSupplier unread) {
+        mUnread = unread;
+    }
+
+    /** Returns true while the client keeps responses from being sent and waits for nothing else. */
+    boolean isUnread() {
+        return mUnread.getAsBoolean();
+    }
+
     /** Charges further memory of the connection, such as that of its protocol. */
     void charge(long bytes) {
         if (!mClosed) {
--- a/tanagergap-runtime/src/main/java/org/tanagergap/runtime/http/InboundProtection.java
+++ b/tanagergap-runtime/src/main/java/org/tanagergap/runtime/http/InboundProtection.java
@@ -190,13 +190,13 @@
 
     /**
      * Reserves memory. While there is none, the connections that have been without a complete
-     * request longest give way to what is small, so that ordinary clients are served beside many
-     * that do not complete their requests.
+     * request longest, and then those whose responses are not read, give way to what is small, so
+     * that ordinary clients are served beside many that do not complete their requests.
      */
     boolean admit(InboundConnection connection, boolean isSmall, BooleanSupplier reservation) {
         boolean admitted = reservation.getAsBoolean();
         int evictions = isSmall ? MAX_EVICTIONS : 0;
-        while (!admitted && evictions > 0 && mConnections.evictIncomplete(connection)) {
+        while (!admitted && evictions > 0 && mConnections.evictStalled(connection)) {
             evictions--;
             admitted = reservation.getAsBoolean();
         }
