Charge a body of unknown length with its whole buffer

Cause: a heap dump of such an end holds 31 MB of byte arrays, about 800 of 16 KB, against a limit of 24 MB for everything: a body was charged with twice what had arrived, its buffer begins with 16 KB, and the buffer grew before memory for it was granted. Change: memory for the buffer is reserved before it grows; a part that waits for memory is kept as it arrived.

--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/caller/RequestBodyReader.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/caller/RequestBodyReader.java
@@ -5,6 +5,7 @@
 import io.vertx.core.http.HttpHeaders;
 import io.vertx.core.http.HttpServerRequest;
 import java.time.Duration;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.tanagergap.api.failure.FailureCode;
@@ -80,6 +81,7 @@
         private final BodyAdmission.Reservation mMemory;
         private final int mDeclaredBytes;
         private final BodyBuffer mBody;
+        private Optional<Buffer> mWaitingPart = Optional.empty();
         private long mReservedBytes;
         private Timer mTimer = () -> {};
         private boolean mEnded;
@@ -126,7 +128,7 @@
             if (!mEnded) {
                 end();
             }
-            mBody.clear();
+            clear();
             mMemory.close(mClock.nanoTime());
         }
 
@@ -145,14 +147,18 @@
                 rejectAsTooLarge();
                 return;
             }
-            mBody.append(bytes);
-            if (length > mReservedBytes) {
-                reserve((long) BodyBuffer.GROWTH_FACTOR * length);
+            long memory = mBody.capacityFor(length);
+            BodyAdmission.Answer answer =
+                    memory <= mReservedBytes ? BodyAdmission.Answer.ADMITTED : reserve(memory);
+            if (answer == BodyAdmission.Answer.ADMITTED) {
+                mBody.append(bytes);
+            } else if (answer == BodyAdmission.Answer.WAITING) {
+                mWaitingPart = Optional.of(bytes);
             }
         }
 
         /** Reserves memory and pauses reading until it is granted. */
-        private void reserve(long bytes) {
+        private BodyAdmission.Answer reserve(long bytes) {
             mReservedBytes = bytes;
             BodyAdmission.Answer answer = mMemory.reserve(bytes, mClock.nanoTime());
             if (answer == BodyAdmission.Answer.WAITING) {
@@ -164,6 +170,12 @@
                                 mLimits.headerTimeout().dividedBy(PATIENCE_DIVISOR),
                                 () -> mMemory.waitEnded(mClock.nanoTime()));
             }
+            return answer;
+        }
+
+        private void clear() {
+            mBody.clear();
+            mWaitingPart = Optional.empty();
         }
 
         private void resume() {
@@ -177,6 +189,8 @@
             }
             // The caller could not send while reading was paused.
             startTimer();
+            mWaitingPart.ifPresent(mBody::append);
+            mWaitingPart = Optional.empty();
             resume();
         }
 
@@ -228,7 +242,7 @@
 
         private void refuse(RequestFailure failure) {
             if (end()) {
-                mBody.clear();
+                clear();
                 mExchange.sendFailure(failure);
                 discardRest();
             }
--- a/tanagergap-runtime/src/main/java/org/tanagergap/runtime/http/BodyBuffer.java
+++ b/tanagergap-runtime/src/main/java/org/tanagergap/runtime/http/BodyBuffer.java
@@ -30,14 +30,19 @@
     public void append(Buffer bytes) {
         long length = (long) mBytes.length() + bytes.length();
         if (length > mCapacity) {
-            mCapacity = Math.max(length, Math.min(mMaxBytes, nextCapacity()));
+            mCapacity = capacityFor(length);
             mBytes = Buffer.buffer((int) mCapacity).appendBuffer(mBytes);
         }
         mBytes.appendBuffer(bytes);
     }
 
-    private long nextCapacity() {
-        return Math.max(FIRST_BYTES, GROWTH_FACTOR * mCapacity);
+    /** Memory of the body once it has the given length. */
+    public long capacityFor(long length) {
+        if (length <= mCapacity) {
+            return mCapacity;
+        }
+        long next = Math.max(FIRST_BYTES, GROWTH_FACTOR * mCapacity);
+        return Math.max(length, Math.min(mMaxBytes, next));
     }
 
     /** Number of bytes that have arrived. */
