Share the server that tests of bodies start

AbandonedBodyTests and ChunkedBodyMemoryTests created it with the same arguments. Assertions unchanged.

--- a/tanagergap-gateway/src/test/java/org/tanagergap/gateway/caller/AbandonedBodyTests.java
+++ b/tanagergap-gateway/src/test/java/org/tanagergap/gateway/caller/AbandonedBodyTests.java
@@ -11,7 +11,6 @@
 import org.junit.jupiter.api.Test;
 import org.tanagergap.decisions.memory.SharedMemoryLimit;
 import org.tanagergap.gateway.configuration.CallerLimits;
-import org.tanagergap.gateway.configuration.RouteKind;
 import org.tanagergap.testing.PausedClock;
 
 /**
@@ -36,14 +35,7 @@
 
     @BeforeEach
     void start() throws Exception {
-        mHarness =
-                new CallerServerHarness(
-                        RouteKind.IDEMPOTENT,
-                        CallerLimits.DEFAULT,
-                        () -> {},
-                        (exchange, request) -> exchange.abort(),
-                        ignored -> mClock,
-                        new SharedMemoryLimit(MEMORY));
+        mHarness = CallerServerHarness.ofBodies(ignored -> mClock, new SharedMemoryLimit(MEMORY));
         mIdleTasks = mClock.pendingTasks();
     }
 
--- a/tanagergap-gateway/src/test/java/org/tanagergap/gateway/caller/CallerServerHarness.java
+++ b/tanagergap-gateway/src/test/java/org/tanagergap/gateway/caller/CallerServerHarness.java
@@ -61,6 +61,18 @@
         this(kind, limits, parsing, handler, VertxRuntimeClock::new, SharedMemoryLimit.ofHeap());
     }
 
+    /** Starts a server that receives bodies and gives up each complete request. */
+    static CallerServerHarness ofBodies(
+            Function<Vertx, RuntimeClock> clocks, SharedMemoryLimit memory) throws Exception {
+        return new CallerServerHarness(
+                RouteKind.IDEMPOTENT,
+                CallerLimits.DEFAULT,
+                () -> {},
+                (exchange, request) -> exchange.abort(),
+                clocks,
+                memory);
+    }
+
     /**
      * Starts a server.
      *
--- a/tanagergap-gateway/src/test/java/org/tanagergap/gateway/caller/ChunkedBodyMemoryTests.java
+++ b/tanagergap-gateway/src/test/java/org/tanagergap/gateway/caller/ChunkedBodyMemoryTests.java
@@ -10,7 +10,6 @@
 import org.tanagergap.decisions.memory.ConnectionAdmission;
 import org.tanagergap.decisions.memory.SharedMemoryLimit;
 import org.tanagergap.gateway.configuration.CallerLimits;
-import org.tanagergap.gateway.configuration.RouteKind;
 import org.tanagergap.runtime.http.BodyBuffer;
 import org.tanagergap.runtime.time.VertxRuntimeClock;
 
@@ -25,14 +24,7 @@
 
     @BeforeEach
     void start() throws Exception {
-        mHarness =
-                new CallerServerHarness(
-                        RouteKind.IDEMPOTENT,
-                        CallerLimits.DEFAULT,
-                        () -> {},
-                        (exchange, request) -> exchange.abort(),
-                        VertxRuntimeClock::new,
-                        mMemory);
+        mHarness = CallerServerHarness.ofBodies(VertxRuntimeClock::new, mMemory);
     }
 
     @AfterEach
