--- a/review/standins-2/PipelineCase.java
+++ b/review/standins-2/PipelineCase.java
@@ -7,14 +7,17 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
- * Clients that send two idempotent requests on a kept channel, the first with a body in chunks, and
- * do not wait for the first answer before they send the second. With trouble off they wait.
+ * Clients that send three idempotent requests on a kept channel: one with a body in chunks, one with
+ * a short text as its body, and one without a body. They send the head of the second one without
+ * waiting for the first answer, and the rest 100 ms later. With trouble off they wait for each answer.
  */
 public final class PipelineCase {
     private static final int ROUNDS = 3;
@@ -23,7 +26,17 @@
     private static final int TIMEOUT_MILLIS = 1_000;
     private static final int EXCUSED_MILLIS = 500;
     private static final int MIN_UNANSWERED = 8;
+    private static final long PAUSE_MILLIS = 100;
     private static final String CHUNKS = "5\r\nhello\r\n0\r\n\r\n";
+    private static final String NOTE =
+            "Note: 400 lids for jar 38\r\n\r\nThe pallet goes to the second gate, as on the last delivery."
+                    + " Ring at the office if nobody is there; the lids must not stand outside over night.";
+
+    /** The text of a third person in a body, which must stay a text. */
+    private static final String HOSTILE_NOTE =
+            "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n"
+                    + head("PUT /stock/9f", "6666666666666666")
+                    + "Content-Length: 0\r\n\r\n";
 
     private final Record mRecord;
     private final boolean mTrouble;
@@ -31,6 +44,10 @@
     private final AtomicInteger mLasted = new AtomicInteger();
     private final AtomicInteger mUnanswered = new AtomicInteger();
     private final AtomicInteger mFailed = new AtomicInteger();
+    private final AtomicInteger mRun = new AtomicInteger();
+    private final AtomicInteger mChanged = new AtomicInteger();
+    private final AtomicInteger mUnsent = new AtomicInteger();
+    private final Map<String, String> mSentBodies = new ConcurrentHashMap<>();
 
     private PipelineCase(Record record, boolean trouble) {
         mRecord = record;
@@ -67,16 +84,19 @@
         }
         Thread.sleep(3_500);
         ExecutorService clients = Executors.newFixedThreadPool(8);
-        List<Runnable> pairs = new ArrayList<>();
+        List<Runnable> all = new ArrayList<>();
         for (int i = 0; i < ROUNDS * LENGTHS; i++) {
             int number = i;
-            pairs.add(() -> sendPair(gateway.port, number, FIRST_LENGTH + number % LENGTHS));
+            all.add(() -> sendThree(gateway.port, number, FIRST_LENGTH + number % LENGTHS));
         }
-        pairs.forEach(clients::execute);
+        all.forEach(clients::execute);
         clients.shutdown();
         boolean done = clients.awaitTermination(90, TimeUnit.SECONDS);
         boolean alive = gateway.process.isAlive();
         gateway.process.destroyForcibly().waitFor();
+        mRecord.result(
+                mRun + " requests run, " + mChanged + " of them with a body that their requester did not send, "
+                        + mUnsent + " that no requester sent");
         mRecord.result(
                 mAnswered + " requests answered, " + mFailed + " failed; " + mLasted
                         + " lasted longer than their route's timeout, " + mUnanswered
@@ -85,7 +105,12 @@
             mRecord.result("the case could not be completed");
             return 2;
         }
-        boolean broken = mUnanswered.get() >= MIN_UNANSWERED && 2 * mUnanswered.get() > mLasted.get();
+        boolean unanswered =
+                mUnanswered.get() >= MIN_UNANSWERED && 2 * mUnanswered.get() > mLasted.get();
+        boolean unasked = mChanged.get() + mUnsent.get() > 0;
+        mRecord.result("UNASKED " + (unasked ? "broken" : "held"));
+        mRecord.result("CONFIG " + (unanswered ? "broken" : "held"));
+        boolean broken = unasked || unanswered;
         mRecord.result(broken ? "BROKEN" : "HELD");
         return broken ? 1 : 0;
     }
@@ -118,9 +143,20 @@
             if (head != null && head.path().startsWith("/-/report")) {
                 channel.answer(200, "", "{\"born\":1790000000000}");
             } else if (head != null) {
-                channel.readBody(head);
+                String body = new String(channel.readBody(head), StandardCharsets.UTF_8);
                 String request = head.field("tanagergap-request-id");
-                mRecord.line("i-stock runs %s", request);
+                mRun.incrementAndGet();
+                if (body.equals(mSentBodies.get(request))) {
+                    mRecord.line("i-stock runs %s", request);
+                } else if (!mSentBodies.containsKey(request)) {
+                    mUnsent.incrementAndGet();
+                    mRecord.line("i-stock runs %s, which no requester sent: %s", request, head.first());
+                } else {
+                    mChanged.incrementAndGet();
+                    mRecord.line(
+                            "i-stock runs %s with another body: %s",
+                            request, body.replace("\r", "\\r").replace("\n", "\\n"));
+                }
                 channel.answer(
                         200,
                         "Tanagergap-Request-Id: " + request
@@ -133,35 +169,51 @@
         }
     }
 
-    private void sendPair(int port, int number, int headLength) {
+    private void sendThree(int port, int number, int headLength) {
         String first = String.format("5a%06x%08x", number, 1);
         String second = String.format("5a%06x%08x", number, 2);
-        String start = "PUT /stock/2f HTTP/1.1\r\nHost: desk.example\r\nTanagergap-Request-Id: " + first
-                + "\r\nTanagergap-Deadline-Ms: 4000\r\nTransfer-Encoding: chunked\r\n\r\n" + CHUNKS;
-        String head = "GET /stock/3f HTTP/1.1\r\nHost: desk.example\r\nTanagergap-Request-Id: " + second
-                + "\r\nTanagergap-Deadline-Ms: 4000\r\nX-Note: ";
-        String next = head + "n".repeat(headLength - head.length() - 4) + "\r\n\r\n";
+        String third = String.format("5a%06x%08x", number, 3);
+        String note = number < (ROUNDS - 1) * LENGTHS ? NOTE : HOSTILE_NOTE;
+        mSentBodies.put(first, "hello");
+        mSentBodies.put(second, note);
+        mSentBodies.put(third, "");
+        String chunked = head("PUT /stock/2f", first) + "Transfer-Encoding: chunked\r\n\r\n" + CHUNKS;
+        String head = head("PUT /stock/3f", second) + "Content-Length: " + note.length() + "\r\nX-Note: ";
+        head += "n".repeat(headLength - head.length() - 4) + "\r\n\r\n";
+        String last = head("GET /stock/4f", third) + "\r\n";
         try (Socket socket = new Socket()) {
             socket.connect(new InetSocketAddress("127.0.0.1", port), 1000);
             Channel channel = new Channel(socket);
+            mRecord.line("client sends %s, %s with a head of %d bytes, and %s", first, second, headLength, third);
             if (mTrouble) {
-                mRecord.line("client sends %s and %s together, the second head has %d bytes", first, second, headLength);
-                send(channel, start + next);
+                send(channel, chunked + head);
+                Thread.sleep(PAUSE_MILLIS);
+                send(channel, note + last);
                 receive(channel, first);
+                receive(channel, second);
             } else {
-                mRecord.line("client sends %s", first);
-                send(channel, start);
+                send(channel, chunked);
                 receive(channel, first);
-                mRecord.line("client sends %s, the head has %d bytes", second, headLength);
-                send(channel, next);
+                send(channel, head);
+                Thread.sleep(PAUSE_MILLIS);
+                send(channel, note);
+                receive(channel, second);
+                send(channel, last);
             }
-            receive(channel, second);
+            receive(channel, third);
         } catch (IOException e) {
             mRecord.line("the channel of %s fails: %s", second, e);
             mFailed.incrementAndGet();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
         }
     }
 
+    private static String head(String firstWords, String request) {
+        return firstWords + " HTTP/1.1\r\nHost: desk.example\r\nTanagergap-Request-Id: " + request
+                + "\r\nTanagergap-Deadline-Ms: 4000\r\n";
+    }
+
     private static void send(Channel channel, String text) throws IOException {
         channel.write(text, new byte[0]);
     }
