Log when and from whom a gateway learns that an upstream leaves, and why it keeps it

Cause: the log had only the moment at which an upstream was dropped, so late news, a hold and a hold that begins again could not be told apart.

Change: each removal and each notice is logged with its revision, its sender (the store or the address of a peer), the time since the update before it and the reason for which the upstream is kept. gateway_kept_upstreams counts the kept ones.

Measured: the tests of the gateway's membership and peers pass.

--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/GatewayService.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/GatewayService.java
@@ -151,6 +151,7 @@
     private void registerGauges(MetricRegistry metrics) {
         metrics.register(
                 "gateway_drained_domains", (Gauge<Integer>) () -> mView.drainedDomains().size());
+        metrics.register("gateway_kept_upstreams", (Gauge<Integer>) mView::keptUpstreams);
         metrics.register("gateway_store_reader", (Gauge<Integer>) () -> mSync.isReader() ? 1 : 0);
     }
 
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/membership/FleetView.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/membership/FleetView.java
@@ -127,6 +127,11 @@
         return List.copyOf(mUpstreams.values());
     }
 
+    /** Number of upstreams in use whose entries were removed and may have expired in an outage. */
+    public int keptUpstreams() {
+        return mExpiredAtNanos.size();
+    }
+
     /** Number of changes so far; heartbeats of upstreams do not count. */
     public long changes() {
         return mChanges;
@@ -174,7 +179,11 @@
         long now = mClock.nanoTime();
         for (Map.Entry<String, Long> expired : List.copyOf(mExpiredAtNanos.entrySet())) {
             if (immediately || now - expired.getValue() >= EXPIRY_GRACE.toNanos()) {
-                remove(expired.getKey(), "its entry has not returned after the outage");
+                String reason =
+                        immediately
+                                ? "the store served peers when its entry was removed"
+                                : "its entry has not returned after the outage";
+                remove(expired.getKey(), reason);
             }
         }
     }
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/membership/PeerCatchUp.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/membership/PeerCatchUp.java
@@ -22,10 +22,9 @@
     /**
      * Fetches changes from a peer unless a fetch is in progress.
      *
-     * @param advanced called before newer changes are applied
      * @param failed called if the peer did not send its changes
      */
-    void fetch(Runnable advanced, Runnable failed) {
+    void fetch(Runnable failed) {
         if (mFetching) {
             return;
         }
@@ -33,7 +32,7 @@
                 "fetching changes from a peer failed: %s",
                 (requested, changes) -> {
                     if (changes.position().isAfter(mUpdater.position())) {
-                        advanced.run();
+                        mUpdater.updatedBy(changes.sender());
                     }
                     mUpdater.acceptPeerChanges(requested, changes);
                 },
@@ -51,6 +50,7 @@
                 "fetching changes from a peer during the outage failed: %s",
                 (requested, changes) -> {
                     if (changes.position().isAfter(mUpdater.position())) {
+                        mUpdater.updatedBy(changes.sender());
                         advanced.run();
                         mUpdater.acceptPeerChanges(requested, changes);
                         applied.run();
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/membership/ReplicaUpdater.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/membership/ReplicaUpdater.java
@@ -1,11 +1,14 @@
 package org.tanagergap.gateway.membership;
 
 import com.google.common.flogger.FluentLogger;
+import java.time.Duration;
 import java.util.List;
 import org.tanagergap.api.store.StorePosition;
+import org.tanagergap.api.time.RuntimeClock;
 import org.tanagergap.decisions.replication.ReplicaUpdate;
 import org.tanagergap.platform.keyvalue.Changes;
 import org.tanagergap.platform.keyvalue.KeyValue;
+import org.tanagergap.runtime.log.LogKeys;
 
 /**
  * Applies what the store and peers send to the local replica, and from there to the view of the
@@ -15,6 +18,7 @@
 
     private static final FluentLogger sLogger = FluentLogger.forEnclosingClass();
 
+    private final RuntimeClock mClock;
     private final FleetDecoder mDecoder;
     private final FleetView mView;
     private final StoreAvailability mAvailability;
@@ -22,14 +26,19 @@
     private final StoreReplica mReplica;
     private boolean mReplacingAfterRestore;
     private StorePosition mLastChange = StorePosition.NONE;
+    private UpdateSource mSource = new UpdateSource(UpdateSource.STORE, Duration.ZERO);
+    private long mUpdatedNanos;
 
     ReplicaUpdater(
+            RuntimeClock clock,
             FleetDecoder decoder,
             List<String> prefixes,
             FleetView view,
             StoreAvailability availability,
             StoreChangeListener listener) {
+        mClock = clock;
         mDecoder = decoder;
+        mUpdatedNanos = clock.nanoTime();
         mView = view;
         mAvailability = availability;
         mListener = listener;
@@ -49,6 +58,17 @@
         return mLastChange;
     }
 
+    /** Records that the sender has shown the state of the store; its changes are applied next. */
+    void updatedBy(String sender) {
+        mSource = new UpdateSource(sender, age());
+        mUpdatedNanos = mClock.nanoTime();
+    }
+
+    /** Time since the last update. */
+    Duration age() {
+        return Duration.ofNanos(mClock.nanoTime() - mUpdatedNanos);
+    }
+
     /** Applies the changes that a peer sent after the requested position, or all its items. */
     void acceptPeerChanges(StorePosition requested, PeerChanges changes) {
         StorePosition position = changes.position();
@@ -101,11 +121,34 @@
     private void apply(KeyValue item) {
         mListener.itemChanged(item);
         long before = mView.changes();
-        mView.accept(mDecoder.decode(item), origin());
-        if (mView.changes() != before) {
+        int keptBefore = mView.keptUpstreams();
+        FleetChange change = mDecoder.decode(item);
+        mView.accept(change, origin());
+        boolean changed = mView.changes() != before;
+        if (changed) {
             long epoch = mReplica.position().epoch();
             mLastChange = mLastChange.max(new StorePosition(epoch, item.modRevision()));
         }
+        boolean kept = mView.keptUpstreams() > keptBefore;
+        if ((changed || kept) && change instanceof FleetChange.UpstreamEntry entry) {
+            logDeparture(entry, item.modRevision(), kept);
+        }
+    }
+
+    private void logDeparture(FleetChange.UpstreamEntry entry, long revision, boolean kept) {
+        if (entry.upstream().filter(upstream -> !upstream.draining()).isPresent()) {
+            return;
+        }
+        sLogger.atInfo()
+                .with(LogKeys.UPSTREAM, entry.id())
+                .log(
+                        "upstream entry %s at revision %d, learned from %s %d ms after the previous"
+                                + " update%s",
+                        entry.upstream().isPresent() ? "is draining" : "was removed",
+                        revision,
+                        mSource.sender(),
+                        mSource.sincePrevious().toMillis(),
+                        kept ? "; the upstream is kept: " + mAvailability.expiryReason() : "");
     }
 
     private ChangeOrigin origin() {
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/membership/StoreAvailability.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/membership/StoreAvailability.java
@@ -89,6 +89,21 @@
         return sawOutage() || mReadersSawOutage.getAsBoolean();
     }
 
+    /** Why a removal may be a lease that expired. */
+    String expiryReason() {
+        if (isFailing()) {
+            return "own calls fail for " + millisSince(mFailingSinceNanos) + " ms";
+        }
+        if (sawOutage()) {
+            return "the store was unavailable until " + millisSince(mRecoveredNanos) + " ms ago";
+        }
+        return mReadersSawOutage.getAsBoolean() ? "a peer reports an outage" : "a restored store";
+    }
+
+    private long millisSince(Optional<Long> nanos) {
+        return Duration.ofNanos(nanos.map(this::elapsedNanos).orElse(0L)).toMillis();
+    }
+
     /**
      * Returns true if the store failed to answer this instance until recently, as far as it saw.
      */
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/membership/StoreSync.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/membership/StoreSync.java
@@ -54,7 +54,6 @@
     private boolean mPolling;
     private Runnable mAnnouncement = () -> {};
     private long mFetchedNanos;
-    private long mLastUpdateNanos;
     private Timer mTimer = () -> {};
 
     /**
@@ -86,7 +85,7 @@
         mReader = new StoreReader(feed, prefixes);
         mTiming = new PollTiming(clock, readers, instances);
         mAvailability = new StoreAvailability(clock, mTiming::readersSawOutage);
-        mUpdater = new ReplicaUpdater(decoder, prefixes, view, mAvailability, listener);
+        mUpdater = new ReplicaUpdater(clock, decoder, prefixes, view, mAvailability, listener);
         mPeers = new PeerCatchUp(peers, mUpdater);
     }
 
@@ -127,7 +126,7 @@
     private void fetchFromPeer() {
         if (!mStopped && !mReads.behind()) {
             mFetchedNanos = mClock.nanoTime();
-            mPeers.fetch(() -> mLastUpdateNanos = mClock.nanoTime(), this::fetchFailed);
+            mPeers.fetch(this::fetchFailed);
         }
     }
 
@@ -150,12 +149,11 @@
 
     /** Time since the last response of the store or newer changes from a peer. */
     public Duration age() {
-        return Duration.ofNanos(mClock.nanoTime() - mLastUpdateNanos);
+        return mUpdater.age();
     }
 
     @Override
     public CompletableFuture<Void> start() {
-        mLastUpdateNanos = mClock.nanoTime();
         poll();
         return CompletableFuture.completedFuture(null);
     }
@@ -233,8 +231,8 @@
     }
 
     private void recordStoreResponse() {
-        mLastUpdateNanos = mClock.nanoTime();
-        mReaders.storeRead(mLastUpdateNanos);
+        mUpdater.updatedBy(UpdateSource.STORE);
+        mReaders.storeRead(mClock.nanoTime());
         mAvailability
                 .responded()
                 .ifPresent(
@@ -310,12 +308,7 @@
     }
 
     private void fetchDuringOutage() {
-        mPeers.fetchDuringOutage(this::peerWasAhead, this::loadCompleted);
-    }
-
-    private void peerWasAhead() {
-        mLastUpdateNanos = mClock.nanoTime();
-        mAvailability.peerWasAhead();
+        mPeers.fetchDuringOutage(mAvailability::peerWasAhead, this::loadCompleted);
     }
 
     private void loadCompleted() {
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/peer/PeerReplicaClient.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/peer/PeerReplicaClient.java
@@ -62,7 +62,7 @@
                                                 Optional.empty(),
                                                 TIMEOUT,
                                                 MAX_RESPONSE_BYTES))
-                        .map(response -> decode(response.body()));
+                        .map(response -> decode(response.body()).receivedFrom(peer.toString()));
         return Optional.of(Futures.toCompletable(changes));
     }
 
