Reproduce removals of upstreams that take effect too late

Change: a simulated fleet in which gateways are cut from the store, single calls fail, or the store is unavailable to all, while the entry of an upstream is removed.

--- /dev/null
+++ b/tanagergap-gateway/src/test/java/org/tanagergap/gateway/membership/LeavingUpstreamFleetTests.java
@@ -0,0 +1,166 @@
+package org.tanagergap.gateway.membership;
+
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Random;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Guards against gateways that still use an upstream after its entry was removed. */
+final class LeavingUpstreamFleetTests {
+
+    /** An upstream receives no new requests this long after its leaving. */
+    private static final long LIMIT_MILLIS = 2000;
+
+    /** A gateway keeps the limit again this long after it was cut off. */
+    private static final long STABLE_MILLIS = 3000;
+
+    private static final Duration MIN_CUT = Duration.ofMillis(300);
+    private static final int MAX_CUT_MILLIS = 4000;
+
+    private static SimulatedFleet fleet(int gateways, long seed) {
+        SimulatedFleet fleet = new SimulatedFleet(gateways, false, seed);
+        fleet.put("u2");
+        fleet.mClock.advance(Duration.ofMillis(8000 + 37 * seed));
+        return fleet;
+    }
+
+    private static void assertInTime(String when, Map<Integer, Long> dropped) {
+        dropped.forEach(
+                (gateway, millis) ->
+                        assertWithMessage("%s, gateway %s", when, gateway)
+                                .that(millis)
+                                .isAtMost(LIMIT_MILLIS));
+    }
+
+    @ParameterizedTest
+    @CsvSource({"6, 0", "6, 700", "8, 250", "25, 0", "30, 250", "30, 700"})
+    void aRemovalIsInForceInTimeWhileOneReaderIsCutOffFromTheStore(
+            int gateways, long timeoutMillis) {
+        for (int sinceCut = 0; sinceCut <= 3500; sinceCut += 250) {
+            SimulatedFleet fleet = fleet(gateways, sinceCut);
+            fleet.mStoreTimeout = Duration.ofMillis(timeoutMillis);
+            int reader = fleet.readers().get(0).mIndex;
+            fleet.cutFromStore(reader, Duration.ZERO, Duration.ofMillis(2500));
+            fleet.mClock.advance(Duration.ofMillis(sinceCut));
+
+            Map<Integer, Long> dropped = fleet.millisUntilDropped("u2");
+
+            dropped.remove(reader);
+            assertInTime(sinceCut + " ms after the cut", dropped);
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {1, 2, 5, 6, 25})
+    void aRemovalIsInForceInTimeAfterOneFailedCall(int gateways) {
+        for (int seed = 0; seed < 16; seed++) {
+            SimulatedFleet fleet = fleet(gateways, seed);
+            fleet.mStoreTimeout = Duration.ofMillis(250);
+            fleet.readers().get(0).mFailingCalls = 1;
+
+            assertInTime("seed " + seed, fleet.millisUntilDropped("u2"));
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {6, 25})
+    void aRemovalIsInForceInTimeWhileAllReadersAreCutOffFromTheStore(int gateways) {
+        for (int sinceCut = 0; sinceCut <= 3500; sinceCut += 250) {
+            SimulatedFleet fleet = fleet(gateways, sinceCut);
+            fleet.mStoreTimeout = Duration.ofMillis(250);
+            Map<Integer, Long> cut = new HashMap<>();
+            for (SimulatedFleet.Gateway reader : fleet.readers()) {
+                fleet.cutFromStore(reader.mIndex, Duration.ZERO, Duration.ofMillis(2500));
+                cut.put(reader.mIndex, 0L);
+            }
+            fleet.mClock.advance(Duration.ofMillis(sinceCut));
+
+            Map<Integer, Long> dropped = fleet.millisUntilDropped("u2");
+
+            dropped.keySet().removeAll(cut.keySet());
+            assertInTime(sinceCut + " ms after the cut", dropped);
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {1, 2, 5, 6, 25})
+    void aGatewayThatWasCutOffDropsUpstreamsWhenItHasRecovered(int gateways) {
+        for (int beforeEnd = 100; beforeEnd <= 2500; beforeEnd += 200) {
+            SimulatedFleet fleet = fleet(gateways, beforeEnd);
+            fleet.mStoreTimeout = Duration.ofMillis(250);
+            fleet.cutFromStore(0, Duration.ZERO, Duration.ofMillis(2500));
+            fleet.mClock.advance(Duration.ofMillis(2500 - beforeEnd));
+
+            Map<Integer, Long> dropped = fleet.millisUntilDropped("u2");
+
+            long limit = Math.max(LIMIT_MILLIS, beforeEnd + STABLE_MILLIS);
+            assertWithMessage("removal %s ms before the end", beforeEnd)
+                    .that(dropped.remove(0))
+                    .isAtMost(limit);
+            assertInTime(beforeEnd + " ms before the end", dropped);
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {1, 2, 5, 6, 25})
+    void anUpstreamThatDoesNotReturnAfterAnOutageForAllIsDroppedInTime(int gateways) {
+        for (int seed = 0; seed < 8; seed++) {
+            SimulatedFleet fleet = fleet(gateways, seed);
+            fleet.mStoreTimeout = Duration.ofMillis(250);
+            for (int i = 0; i < gateways; i++) {
+                fleet.cutFromStore(i, Duration.ZERO, Duration.ofMillis(4000));
+            }
+            fleet.mClock.advance(Duration.ofMillis(3990));
+
+            Map<Integer, Long> dropped = fleet.millisUntilDropped("u2");
+
+            dropped.forEach(
+                    (gateway, millis) -> {
+                        assertWithMessage("gateway %s", gateway).that(millis).isAtLeast(2000);
+                        assertWithMessage("gateway %s", gateway)
+                                .that(millis)
+                                .isAtMost(10 + STABLE_MILLIS);
+                    });
+        }
+    }
+
+    /** Up to half of the gateways are cut off for a while, and reports are lost. */
+    @ParameterizedTest
+    @ValueSource(ints = {2, 3, 5, 6, 8, 12, 25})
+    void aRemovalIsInForceInTimeBesideCutsOfSomeGateways(int gateways) {
+        for (int seed = 0; seed < 60; seed++) {
+            SimulatedFleet fleet = fleet(gateways, seed);
+            Random random = new Random(seed);
+            fleet.mLostReports = 0.1 * random.nextDouble();
+            fleet.mStoreTimeout = Duration.ofMillis(random.nextBoolean() ? 0 : 250);
+            Duration wait = Duration.ofMillis(4000);
+            Map<Integer, Long> cutEnds = new HashMap<>();
+            for (int i = 0; i < Math.max(1, gateways / 2); i++) {
+                int gateway = random.nextInt(gateways);
+                Duration begin = Duration.ofMillis(random.nextInt(7000));
+                Duration length = MIN_CUT.plusMillis(random.nextInt(MAX_CUT_MILLIS));
+                if (!cutEnds.containsKey(gateway)) {
+                    fleet.cutFromStore(gateway, begin, length);
+                    cutEnds.put(gateway, begin.plus(length).minus(wait).toMillis());
+                }
+            }
+            fleet.mClock.advance(wait);
+
+            Map<Integer, Long> dropped = fleet.millisUntilDropped("u2");
+
+            dropped.forEach(
+                    (gateway, millis) -> {
+                        long recovered = cutEnds.getOrDefault(gateway, 0L) + STABLE_MILLIS;
+                        boolean cut = cutEnds.containsKey(gateway);
+                        assertWithMessage("gateway %s of %s, cuts %s", gateway, gateways, cutEnds)
+                                .that(millis)
+                                .isAtMost(cut ? Math.max(LIMIT_MILLIS, recovered) : LIMIT_MILLIS);
+                    });
+        }
+    }
+}
--- a/tanagergap-gateway/src/test/java/org/tanagergap/gateway/membership/SimulatedFleet.java
+++ b/tanagergap-gateway/src/test/java/org/tanagergap/gateway/membership/SimulatedFleet.java
@@ -4,9 +4,11 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeoutException;
 import org.tanagergap.api.store.StorePosition;
@@ -28,7 +30,6 @@
     private static final Duration HEARTBEAT_INTERVAL = Duration.ofMillis(50);
     private static final Duration PEER_DELAY = Duration.ofMillis(5);
     private static final Duration PEER_TIMEOUT = Duration.ofMillis(400);
-    private static final Duration STORE_TIMEOUT = Duration.ofMillis(700);
     private static final int DOMAINS = 3;
 
     final PausedClock mClock = new PausedClock();
@@ -39,6 +40,7 @@
     private final Set<String> mCutLinks = new HashSet<>();
     private final boolean mEarlierVersion;
     Duration mStoreDelay = Duration.ofMillis(20);
+    Duration mStoreTimeout = Duration.ofMillis(700);
     double mLostReports;
     long mCalls;
     private long mRevision = 10;
@@ -51,6 +53,7 @@
         final PeerDirectory mDirectory;
         final StoreSync mSync;
         boolean mDead;
+        int mFailingCalls;
         private int mNextPeer;
 
         Gateway(int index) {
@@ -132,8 +135,8 @@
                 return response;
             }
             mCalls++;
-            if (mWithoutStore.contains(mIndex)) {
-                fail(response, STORE_TIMEOUT);
+            if (mWithoutStore.contains(mIndex) || mFailingCalls-- > 0) {
+                fail(response, mStoreTimeout);
                 return response;
             }
             List<KeyValue> items =
@@ -210,6 +213,12 @@
         }
     }
 
+    /** Makes the store unavailable to a gateway for a time that begins after the delay. */
+    void cutFromStore(int gateway, Duration delay, Duration length) {
+        mClock.schedule(delay, () -> storeUnavailable(gateway, true));
+        mClock.schedule(delay.plus(length), () -> storeUnavailable(gateway, false));
+    }
+
     /** Cuts the link in one direction. */
     void cut(int from, int to) {
         mCutLinks.add(from + ">" + to);
@@ -219,6 +228,25 @@
         return !mCutLinks.contains(from + ">" + to);
     }
 
+    /** Removes an upstream; returns the time until each gateway has dropped it, in ms. */
+    Map<Integer, Long> millisUntilDropped(String upstream) {
+        remove(upstream);
+        Map<Integer, Long> dropped = new TreeMap<>();
+        List<Gateway> alive = mGateways.stream().filter(g -> !g.mDead).toList();
+        for (long millis = 0; dropped.size() < alive.size(); millis += 10) {
+            for (Gateway gateway : alive) {
+                if (!gateway.knows(upstream)) {
+                    dropped.putIfAbsent(gateway.mIndex, millis);
+                }
+            }
+            mClock.advance(Duration.ofMillis(10));
+            if (millis > 20_000) {
+                throw new AssertionError("not dropped by all after 20 s: " + dropped);
+            }
+        }
+        return dropped;
+    }
+
     /** Writes a new upstream; returns the time until the last live gateway knows it, in ms. */
     long millisUntilKnown(String upstream) {
         put(upstream);
