End the grace period of expired entries when it is over

What callers saw: requests reached upstreams up to 0.6 s after the end of the grace period, which is itself 2.2 s.

Cause: the end was looked at only with the next poll of the store, each 0.6 s at a reader.

Change: ExpiredEntries, taken out of FleetView, ends each grace period with a timer.

Evidence: FleetViewTests.anExpiredEntryIsUsedDuringItsGracePeriod and the two tests after it no longer ask for the removal; without the timer they fail.

--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/membership/FleetView.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/membership/FleetView.java
@@ -8,7 +8,6 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.Set;
 import org.tanagergap.api.time.RuntimeClock;
 import org.tanagergap.decisions.replication.DepartedUpstreams;
@@ -21,20 +20,16 @@
  */
 public final class FleetView {
 
-    /** Entries that expired during an outage of the store are written again within about 2 s. */
-    private static final Duration EXPIRY_GRACE = Duration.ofMillis(2200);
-
     private static final FluentLogger sLogger = FluentLogger.forEnclosingClass();
 
     private final RuntimeClock mClock;
     private final Map<String, Upstream> mUpstreams = new HashMap<>();
-    private final Map<String, Long> mExpiredAtNanos = new HashMap<>();
+    private final ExpiredEntries mExpired;
     private final DepartedUpstreams mDeparted = new DepartedUpstreams();
     private final DrainedDomains mDrained = new DrainedDomains();
     private final List<Listener> mListeners = new ArrayList<>();
     private boolean mInitialLoadCompleted;
     private long mChanges;
-    private OptionalLong mStoreRecoveredNanos = OptionalLong.empty();
     private Optional<GatewayConfiguration> mConfiguration = Optional.empty();
 
     /** Receives changes of the view. */
@@ -71,6 +66,9 @@
 
     public FleetView(RuntimeClock clock) {
         mClock = Objects.requireNonNull(clock, "clock must not be null");
+        mExpired =
+                new ExpiredEntries(
+                        clock, id -> remove(id, "its entry has not returned after the outage"));
     }
 
     public void addListener(Listener listener) {
@@ -129,7 +127,7 @@
 
     /** Number of upstreams in use whose entries were removed and may have expired in an outage. */
     public int keptUpstreams() {
-        return mExpiredAtNanos.size();
+        return mExpired.size();
     }
 
     /** Number of changes so far; heartbeats of upstreams do not count. */
@@ -169,32 +167,16 @@
         }
     }
 
-    /**
-     * Removes the upstreams whose entries have not been written again after an outage.
-     *
-     * @param immediately true if the store was available to other instances, so that removed
-     *     entries have not merely expired
-     */
-    public void removeExpired(boolean immediately) {
-        long now = mClock.nanoTime();
-        for (Map.Entry<String, Long> expired : List.copyOf(mExpiredAtNanos.entrySet())) {
-            if (immediately || now - expired.getValue() >= EXPIRY_GRACE.toNanos()) {
-                String reason =
-                        immediately
-                                ? "the store served peers when its entry was removed"
-                                : "its entry has not returned after the outage";
-                remove(expired.getKey(), reason);
-            }
-        }
-    }
-
     /**
      * Restarts the grace period of expired entries, which begins when the store is available again.
      */
     public void storeRecovered() {
-        long now = mClock.nanoTime();
-        mStoreRecoveredNanos = OptionalLong.of(now);
-        mExpiredAtNanos.replaceAll((id, since) -> now);
+        mExpired.storeRecovered();
+    }
+
+    /** Removes the upstreams whose entries were removed while the store served peers. */
+    public void removeExpired() {
+        mExpired.endAll();
     }
 
     private void applyConfiguration(GatewayConfiguration configuration) {
@@ -248,19 +230,12 @@
         } else if (origin != ChangeOrigin.WRITE
                 && entry.invalidReason().isEmpty()
                 && mUpstreams.containsKey(entry.id())) {
-            mExpiredAtNanos.putIfAbsent(entry.id(), graceStartNanos());
+            mExpired.add(entry.id());
         } else {
             remove(entry.id(), "its entry was removed");
         }
     }
 
-    /** The grace period also begins at the store's recovery for removals that are seen later. */
-    private long graceStartNanos() {
-        long now = mClock.nanoTime();
-        long recovered = mStoreRecoveredNanos.orElse(now);
-        return now - recovered < EXPIRY_GRACE.toNanos() ? recovered : now;
-    }
-
     private void putUnlessDeparted(Upstream upstream, ChangeOrigin origin) {
         String incarnation = upstream.incarnation();
         if (!upstream.hasStartTime()) {
@@ -280,7 +255,7 @@
     }
 
     private void put(Upstream upstream) {
-        mExpiredAtNanos.remove(upstream.id());
+        mExpired.remove(upstream.id());
         Upstream previous = mUpstreams.put(upstream.id(), upstream);
         if (upstream.equals(previous)) {
             return;
@@ -302,7 +277,7 @@
     }
 
     private void remove(String id, String reason) {
-        mExpiredAtNanos.remove(id);
+        mExpired.remove(id);
         Upstream previous = mUpstreams.remove(id);
         if (previous != null) {
             mChanges++;
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/membership/StoreSync.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/membership/StoreSync.java
@@ -170,7 +170,7 @@
             return;
         }
         mPolling = true;
-        mView.removeExpired(mAvailability.storeServedPeers());
+        removeExpired();
         Read read = mReads.next();
         StorePosition changeBefore = mUpdater.lastChange();
         // As a stage, so that an error of the client is a failed poll and does not end the polls.
@@ -179,6 +179,12 @@
                 .whenComplete((ignored, failure) -> pollCompleted(read, changeBefore, failure));
     }
 
+    private void removeExpired() {
+        if (mAvailability.storeServedPeers()) {
+            mView.removeExpired();
+        }
+    }
+
     private CompletableFuture<Void> read(Read read) {
         StorePosition requested = mUpdater.position();
         return switch (read) {
@@ -298,7 +304,7 @@
             poll();
             return;
         }
-        mView.removeExpired(mAvailability.storeServedPeers());
+        removeExpired();
         scheduleDecision();
         if (mAvailability.isFailing()) {
             fetchDuringOutage();
--- a/tanagergap-gateway/src/test/java/org/tanagergap/gateway/membership/FleetViewTests.java
+++ b/tanagergap-gateway/src/test/java/org/tanagergap/gateway/membership/FleetViewTests.java
@@ -177,11 +177,9 @@
     void anExpiredEntryIsUsedDuringItsGracePeriod() {
         mView.accept(removed("u"), ChangeOrigin.OUTAGE);
         mClock.advance(Duration.ofMillis(2199));
-        mView.removeExpired(false);
         assertThat(usable()).isTrue();
 
         mClock.advance(Duration.ofMillis(1));
-        mView.removeExpired(false);
         assertThat(usable()).isFalse();
     }
 
@@ -192,7 +190,6 @@
         mClock.advance(Duration.ofMillis(1000));
         mView.accept(removed("u"), ChangeOrigin.OUTAGE);
         mClock.advance(Duration.ofMillis(1200));
-        mView.removeExpired(false);
 
         assertThat(usable()).isFalse();
     }
@@ -202,7 +199,6 @@
         mView.accept(removed("u"), ChangeOrigin.OUTAGE);
         mView.accept(entry("u", false, 1), ChangeOrigin.WRITE);
         mClock.advance(Duration.ofSeconds(5));
-        mView.removeExpired(false);
 
         assertThat(usable()).isTrue();
         assertThat(mEvents).isEmpty();
@@ -211,7 +207,7 @@
     @Test
     void anEntryIsRemovedAtOnceWhenTheStoreServedPeers() {
         mView.accept(removed("u"), ChangeOrigin.OUTAGE);
-        mView.removeExpired(true);
+        mView.removeExpired();
 
         assertThat(usable()).isFalse();
     }
