Conclude an outage of the store from the calls of all gateways

Cause: a removal was taken for a lease that expired in an outage if any call of the gateway itself, or of one reader among its peers, had failed in the last 2.2 s. A gateway that is cut off alone, or one connection that takes over 250 ms, made the whole fleet hold removals for 2.2 s from the moment at which each gateway saw them. Leases expire only in an outage for all, and whether the others are served was already reported (the age of each gateway's last read) but not used.

Change: StoreOutages takes an outage to be two failed calls at least, of this instance or of peers, and no response to any of them for over 1.2 s. The grace period begins at the first response that any instance reports, not at the own one. Reports carry the number of failed calls; earlier versions ignore it, and for them outage is still sent. What guessed from the progress of peers (peersAhead, storeServedPeers) is gone: the ages of their reads tell it. FleetViewTests. anEntryIsRemovedAtOnceWhenTheStoreServedPeers goes with it, since such an entry is never held now; LeavingUpstreamFleetTests checks that in fleets of 1 to 30. StoreReadersTests.anOutageThatOneReaderHasSeenIsKnown asked for the fault; its case, a reader whose call has not failed yet, is now failedCallsOfAllInstancesThatAreHeardCount.

Entries that expire in an outage for all are still used (StoreReaderFleetTests, 1.3 to 6 s).

--- a/tanagergap-decisions/src/main/java/org/tanagergap/decisions/replication/PeerRead.java
+++ b/tanagergap-decisions/src/main/java/org/tanagergap/decisions/replication/PeerRead.java
@@ -10,9 +10,12 @@
  *
  * @param domain failure domain of the instance
  * @param sinceRead time since the store last answered a read of the instance; empty before that
- * @param outage whether removals may be leases that expired while the store was unavailable
+ * @param outage whether removals may be leases that expired while the store was unavailable; only
+ *     earlier versions rely on it
+ * @param failedCalls failed calls of the instance since its last read
  */
-public record PeerRead(String domain, Optional<Duration> sinceRead, boolean outage) {
+public record PeerRead(
+        String domain, Optional<Duration> sinceRead, boolean outage, int failedCalls) {
 
     public PeerRead {
         Objects.requireNonNull(domain, "domain must not be null");
--- a/tanagergap-decisions/src/main/java/org/tanagergap/decisions/replication/StoreReaders.java
+++ b/tanagergap-decisions/src/main/java/org/tanagergap/decisions/replication/StoreReaders.java
@@ -33,7 +33,7 @@
     static final Duration PEER_LIFETIME = Duration.ofMillis(1500);
 
     /** Longest time without a read by any reader before the other instances poll. */
-    static final Duration MAX_SILENCE = Duration.ofMillis(1200);
+    public static final Duration MAX_SILENCE = Duration.ofMillis(1200);
 
     /**
      * An instance whose last read is older cannot reach the store: also one that is not a reader
@@ -52,8 +52,9 @@
     private Set<String> mChosen = Set.of();
     private long mChosenNanos;
     private OptionalLong mOwnReadNanos = OptionalLong.empty();
+    private int mOwnFailedCalls;
 
-    private record Peer(String domain, OptionalLong readNanos, boolean outage, long heardNanos) {
+    private record Peer(String domain, OptionalLong readNanos, int failedCalls, long heardNanos) {
 
         boolean hasReadWithin(Duration age, long nowNanos) {
             return readNanos.isPresent() && nowNanos - readNanos.getAsLong() <= age.toNanos();
@@ -74,6 +75,18 @@
     /** Records that the store answered a read of this instance. */
     public void storeRead(long nowNanos) {
         mOwnReadNanos = OptionalLong.of(nowNanos);
+        mOwnFailedCalls = 0;
+    }
+
+    /** Records that a call of this instance to the store failed. */
+    public void storeCallFailed() {
+        mOwnFailedCalls++;
+    }
+
+    /** Failed calls of this instance and the peers that are heard, each since its last read. */
+    public int failedCalls(long nowNanos) {
+        expire(nowNanos);
+        return mOwnFailedCalls + mPeers.values().stream().mapToInt(Peer::failedCalls).sum();
     }
 
     /** What this instance reports of its own reads. */
@@ -82,7 +95,7 @@
                 mOwnReadNanos.isPresent()
                         ? Optional.of(Duration.ofNanos(nowNanos - mOwnReadNanos.getAsLong()))
                         : Optional.empty();
-        return new PeerRead(mDomain, sinceRead, outage);
+        return new PeerRead(mDomain, sinceRead, outage, mOwnFailedCalls);
     }
 
     /** Records the report of a peer. */
@@ -94,7 +107,7 @@
                 read.sinceRead()
                         .map(age -> OptionalLong.of(nowNanos - age.toNanos()))
                         .orElse(OptionalLong.empty());
-        Peer peer = new Peer(read.domain(), readNanos, read.outage(), nowNanos);
+        Peer peer = new Peer(read.domain(), readNanos, read.failedCalls(), nowNanos);
         if (mPeers.put(id, peer) == null) {
             mChosen = Set.of();
         }
@@ -126,16 +139,6 @@
                 .anyMatch(reader -> reader.hasReadWithin(MAX_SILENCE, nowNanos));
     }
 
-    /**
-     * Returns true if a reader other than this instance has seen an outage of the store that this
-     * instance may not have noticed. One reader suffices: the calls of the others may not have
-     * failed yet. A reader that is cut off alone soon finds that its peers are ahead, and no longer
-     * reports an outage.
-     */
-    public boolean anyOtherHasSeenOutage(long nowNanos) {
-        return otherReaders(nowNanos).stream().anyMatch(Peer::outage);
-    }
-
     private List<Peer> otherReaders(long nowNanos) {
         Set<String> readers = readers(nowNanos);
         List<Peer> others = new ArrayList<>();
@@ -179,7 +182,7 @@
     private Map<String, String> candidates(long nowNanos) {
         Map<String, String> reading = new HashMap<>();
         Map<String, String> live = new HashMap<>();
-        Peer own = new Peer(mDomain, mOwnReadNanos, false, nowNanos);
+        Peer own = new Peer(mDomain, mOwnReadNanos, mOwnFailedCalls, nowNanos);
         Map<String, Peer> all = new HashMap<>(mPeers);
         all.put(mId, own);
         all.forEach(
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/membership/ExpiredEntries.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/membership/ExpiredEntries.java
@@ -8,6 +8,7 @@
 import java.util.function.Consumer;
 import org.tanagergap.api.time.RuntimeClock;
 import org.tanagergap.api.time.Timer;
+import org.tanagergap.decisions.replication.StoreOutages;
 
 /**
  * Upstreams that stay in use although their entries were removed, because the leases of these may
@@ -16,8 +17,7 @@
  */
 final class ExpiredEntries {
 
-    /** Entries that expired during an outage of the store are written again within about 2 s. */
-    static final Duration GRACE = Duration.ofMillis(2200);
+    private static final Duration GRACE = StoreOutages.EXPIRY_GRACE;
 
     private final RuntimeClock mClock;
     private final Consumer<String> mGraceEnded;
@@ -50,18 +50,10 @@
         return mGraceStartNanos.size();
     }
 
-    /** Ends all grace periods. */
-    void endAll() {
-        List<String> ended = List.copyOf(mGraceStartNanos.keySet());
-        mGraceStartNanos.clear();
-        ended.forEach(mGraceEnded);
-    }
-
     /** Restarts the grace periods, which begin when the store is available again. */
-    void storeRecovered() {
-        long now = mClock.nanoTime();
-        mStoreRecoveredNanos = OptionalLong.of(now);
-        mGraceStartNanos.replaceAll((id, start) -> now);
+    void storeRecovered(long atNanos) {
+        mStoreRecoveredNanos = OptionalLong.of(atNanos);
+        mGraceStartNanos.replaceAll((id, start) -> atNanos);
         scheduleEnd();
     }
 
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/membership/FleetView.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/membership/FleetView.java
@@ -170,13 +170,8 @@
     /**
      * Restarts the grace period of expired entries, which begins when the store is available again.
      */
-    public void storeRecovered() {
-        mExpired.storeRecovered();
-    }
-
-    /** Removes the upstreams whose entries were removed while the store served peers. */
-    public void removeExpired() {
-        mExpired.endAll();
+    public void storeRecovered(long atNanos) {
+        mExpired.storeRecovered(atNanos);
     }
 
     private void applyConfiguration(GatewayConfiguration configuration) {
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/membership/PeerCatchUp.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/membership/PeerCatchUp.java
@@ -42,16 +42,14 @@
     /**
      * Fetches changes from a peer, also while another peer has not answered.
      *
-     * @param advanced called before newer changes are applied; others are ignored
-     * @param applied called afterwards
+     * @param applied called after newer changes were applied; others are ignored
      */
-    void fetchDuringOutage(Runnable advanced, Runnable applied) {
+    void fetchDuringOutage(Runnable applied) {
         request(
                 "fetching changes from a peer during the outage failed: %s",
                 (requested, changes) -> {
                     if (changes.position().isAfter(mUpdater.position())) {
                         mUpdater.updatedBy(changes.sender());
-                        advanced.run();
                         mUpdater.acceptPeerChanges(requested, changes);
                         applied.run();
                     }
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/membership/PollTiming.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/membership/PollTiming.java
@@ -39,11 +39,6 @@
         return mReaders.hasReaders(mInstances.getAsInt());
     }
 
-    /** Returns true if readers of a large fleet have seen an outage. */
-    boolean readersSawOutage() {
-        return hasReaders() && mReaders.anyOtherHasSeenOutage(mClock.nanoTime());
-    }
-
     void completed(boolean successful) {
         mSchedule.completed(successful, mClock.nanoTime());
     }
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/membership/ReplicaUpdater.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/membership/ReplicaUpdater.java
@@ -93,7 +93,7 @@
                     "store was restored from a backup: revision %s replaces %s",
                     position, previous);
             mAvailability.restored();
-            mView.storeRecovered();
+            mView.storeRecovered(mClock.nanoTime());
         }
         mReplacingAfterRestore = restored;
         mReplica.replace(items, position);
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/membership/StoreSync.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/membership/StoreSync.java
@@ -16,6 +16,7 @@
 import org.tanagergap.decisions.replication.ReadSchedule;
 import org.tanagergap.decisions.replication.ReadSchedule.Read;
 import org.tanagergap.decisions.replication.ReplicaUpdate;
+import org.tanagergap.decisions.replication.StoreOutages;
 import org.tanagergap.decisions.replication.StoreReaders;
 import org.tanagergap.platform.keyvalue.ChangeFeed;
 import org.tanagergap.platform.keyvalue.Changes;
@@ -43,7 +44,6 @@
     private final StoreReader mReader;
     private final ReplicaUpdater mUpdater;
     private final StoreAvailability mAvailability;
-    private final FleetView mView;
     private final StoreReaders mReaders;
     private final FleetDecoder mDecoder;
     private final PeerCatchUp mPeers;
@@ -76,7 +76,7 @@
         mClock = Objects.requireNonNull(clock, "clock must not be null");
         mFeed = Objects.requireNonNull(feed, "feed must not be null");
         mDecoder = Objects.requireNonNull(decoder, "decoder must not be null");
-        mView = Objects.requireNonNull(view, "view must not be null");
+        Objects.requireNonNull(view, "view must not be null");
         Objects.requireNonNull(peers, "peers must not be null");
         mReaders = Objects.requireNonNull(readers, "readers must not be null");
         Objects.requireNonNull(listener, "listener must not be null");
@@ -84,7 +84,12 @@
         prefixes.addAll(ownPrefixes);
         mReader = new StoreReader(feed, prefixes);
         mTiming = new PollTiming(clock, readers, instances);
-        mAvailability = new StoreAvailability(clock, mTiming::readersSawOutage);
+        mAvailability =
+                new StoreAvailability(
+                        clock,
+                        readers,
+                        new StoreOutages(StoreReaders.MAX_SILENCE),
+                        view::storeRecovered);
         mUpdater = new ReplicaUpdater(clock, decoder, prefixes, view, mAvailability, listener);
         mPeers = new PeerCatchUp(peers, mUpdater);
     }
@@ -101,13 +106,13 @@
 
     @Override
     public PeerRead storeRead() {
-        return mReaders.report(mAvailability.sawOutage(), mClock.nanoTime());
+        return mReaders.report(mAvailability.removalMayBeExpiry(), mClock.nanoTime());
     }
 
     /** Fetches the changes of a peer whose replica has a newer change than the local one. */
     @Override
     public void peerReported(String id, ReplicaProgress peer, Optional<PeerRead> read) {
-        read.ifPresent(r -> mReaders.peerReported(id, r, mClock.nanoTime()));
+        read.ifPresent(r -> mAvailability.peerReported(id, r));
         if (!peer.lastChange().isAfter(mUpdater.position())) {
             return;
         }
@@ -170,7 +175,6 @@
             return;
         }
         mPolling = true;
-        removeExpired();
         Read read = mReads.next();
         StorePosition changeBefore = mUpdater.lastChange();
         // As a stage, so that an error of the client is a failed poll and does not end the polls.
@@ -179,12 +183,6 @@
                 .whenComplete((ignored, failure) -> pollCompleted(read, changeBefore, failure));
     }
 
-    private void removeExpired() {
-        if (mAvailability.storeServedPeers()) {
-            mView.removeExpired();
-        }
-    }
-
     private CompletableFuture<Void> read(Read read) {
         StorePosition requested = mUpdater.position();
         return switch (read) {
@@ -238,16 +236,7 @@
 
     private void recordStoreResponse() {
         mUpdater.updatedBy(UpdateSource.STORE);
-        mReaders.storeRead(mClock.nanoTime());
-        mAvailability
-                .responded()
-                .ifPresent(
-                        outage -> {
-                            sLogger.atInfo().log(
-                                    "key-value store is available again after %d ms",
-                                    outage.toMillis());
-                            mView.storeRecovered();
-                        });
+        mAvailability.responded();
     }
 
     private void pollCompleted(Read read, StorePosition changeBefore, Throwable failure) {
@@ -304,7 +293,6 @@
             poll();
             return;
         }
-        removeExpired();
         scheduleDecision();
         if (mAvailability.isFailing()) {
             fetchDuringOutage();
@@ -314,7 +302,7 @@
     }
 
     private void fetchDuringOutage() {
-        mPeers.fetchDuringOutage(mAvailability::peerWasAhead, this::loadCompleted);
+        mPeers.fetchDuringOutage(this::loadCompleted);
     }
 
     private void loadCompleted() {
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/peer/PeerReadCodec.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/peer/PeerReadCodec.java
@@ -12,14 +12,22 @@
     private static final String DOMAIN = "domain";
     private static final String SINCE = "ago_ms";
     private static final String OUTAGE = "outage";
+    private static final String FAILED_CALLS = "failed_calls";
 
     /** Age of a read beyond which its exact value does not matter. */
     private static final Duration MAX_AGE = Duration.ofHours(1);
 
+    /** Number of failed calls beyond which the exact one does not matter. */
+    private static final int MAX_FAILED_CALLS = 1000;
+
     private PeerReadCodec() {}
 
     static void encode(PeerRead read, JsonObject report) {
-        JsonObject json = new JsonObject().put(DOMAIN, read.domain()).put(OUTAGE, read.outage());
+        JsonObject json =
+                new JsonObject()
+                        .put(DOMAIN, read.domain())
+                        .put(OUTAGE, read.outage())
+                        .put(FAILED_CALLS, Math.min(read.failedCalls(), MAX_FAILED_CALLS));
         read.sinceRead()
                 .ifPresent(
                         since -> json.put(SINCE, Math.min(since.toMillis(), MAX_AGE.toMillis())));
@@ -40,6 +48,10 @@
             throw new IllegalArgumentException("read of the store is in the future: " + since);
         }
         return Optional.of(
-                new PeerRead(json.getString(DOMAIN), since, json.getBoolean(OUTAGE, false)));
+                new PeerRead(
+                        json.getString(DOMAIN),
+                        since,
+                        json.getBoolean(OUTAGE, false),
+                        PeerNumbers.count(json.getValue(FAILED_CALLS, 0))));
     }
 }
