Replace readers of the store whose calls fail at once

What callers saw: in the simulated fleet, requests would have reached an upstream 2,700 to 3,040 ms after its removal while all readers were cut off together (bound 2,000 ms).

Cause: the other gateways polled only after 1.2 s without a reported read. In that time nobody was known to be served, which counts as an outage for all, so the removal was held as well.

Change: a gateway whose last call failed is no reader as long as others succeed; the next of its failure domain takes its place and polls as soon as it hears of the failure. While all fail, the readers stay the same.

--- a/tanagergap-decisions/src/main/java/org/tanagergap/decisions/replication/StoreReaders.java
+++ b/tanagergap-decisions/src/main/java/org/tanagergap/decisions/replication/StoreReaders.java
@@ -11,6 +11,7 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.function.Predicate;
 import org.tanagergap.decisions.routing.RendezvousHash;
 
 /**
@@ -59,6 +60,10 @@
         boolean hasReadWithin(Duration age, long nowNanos) {
             return readNanos.isPresent() && nowNanos - readNanos.getAsLong() <= age.toNanos();
         }
+
+        boolean isFailing() {
+            return failedCalls > 0;
+        }
     }
 
     /**
@@ -75,12 +80,16 @@
     /** Records that the store answered a read of this instance. */
     public void storeRead(long nowNanos) {
         mOwnReadNanos = OptionalLong.of(nowNanos);
+        if (mOwnFailedCalls > 0) {
+            mChosen = Set.of();
+        }
         mOwnFailedCalls = 0;
     }
 
     /** Records that a call of this instance to the store failed. */
     public void storeCallFailed() {
         mOwnFailedCalls++;
+        mChosen = Set.of();
     }
 
     /** Failed calls of this instance and the peers that are heard, each since its last read. */
@@ -108,7 +117,8 @@
                         .map(age -> OptionalLong.of(nowNanos - age.toNanos()))
                         .orElse(OptionalLong.empty());
         Peer peer = new Peer(read.domain(), readNanos, read.failedCalls(), nowNanos);
-        if (mPeers.put(id, peer) == null) {
+        Peer previous = mPeers.put(id, peer);
+        if (previous == null || previous.isFailing() != peer.isFailing()) {
             mChosen = Set.of();
         }
     }
@@ -178,21 +188,34 @@
         return readers;
     }
 
-    /** Live instances that reach the store with their failure domains; all if none reaches it. */
+    /**
+     * Live instances whose last call to the store succeeded, with their failure domains; otherwise
+     * those that have reached it lately, or all.
+     */
     private Map<String, String> candidates(long nowNanos) {
-        Map<String, String> reading = new HashMap<>();
-        Map<String, String> live = new HashMap<>();
-        Peer own = new Peer(mDomain, mOwnReadNanos, mOwnFailedCalls, nowNanos);
-        Map<String, Peer> all = new HashMap<>(mPeers);
-        all.put(mId, own);
-        all.forEach(
+        Map<String, Peer> live = new HashMap<>(mPeers);
+        live.put(mId, new Peer(mDomain, mOwnReadNanos, mOwnFailedCalls, nowNanos));
+        Map<String, String> reading =
+                domains(live, peer -> peer.hasReadWithin(MAX_READ_AGE, nowNanos));
+        Map<String, String> succeeding =
+                domains(
+                        live,
+                        peer -> peer.hasReadWithin(MAX_READ_AGE, nowNanos) && !peer.isFailing());
+        if (!succeeding.isEmpty()) {
+            return succeeding;
+        }
+        return reading.isEmpty() ? domains(live, peer -> true) : reading;
+    }
+
+    private static Map<String, String> domains(Map<String, Peer> peers, Predicate<Peer> filter) {
+        Map<String, String> domains = new HashMap<>();
+        peers.forEach(
                 (id, peer) -> {
-                    live.put(id, peer.domain());
-                    if (peer.hasReadWithin(MAX_READ_AGE, nowNanos)) {
-                        reading.put(id, peer.domain());
+                    if (filter.test(peer)) {
+                        domains.put(id, peer.domain());
                     }
                 });
-        return reading.isEmpty() ? live : reading;
+        return domains;
     }
 
     private static List<String> first(Collection<String> ids, int count) {
--- a/tanagergap-decisions/src/test/java/org/tanagergap/decisions/replication/StoreReadersTests.java
+++ b/tanagergap-decisions/src/test/java/org/tanagergap/decisions/replication/StoreReadersTests.java
@@ -120,6 +120,35 @@
         }
     }
 
+    /** Readers that were cut off together left the fleet without news for 1.2 s. */
+    @Test
+    void aReaderIsReplacedByOneOfItsDomainWhenItsCallFails() {
+        StoreReaders readers = instance(3, 0, INSTANCES, 100);
+        for (String id : Set.copyOf(readers.readers(mNow))) {
+            int failing = Integer.parseInt(id.substring(1));
+            if (failing == 3) {
+                readers.storeCallFailed();
+            } else {
+                hear(readers, failing, failing + 1, 100, 1);
+            }
+            assertThat(readers.readers(mNow)).doesNotContain(id);
+            assertThat(readers.readers(mNow)).hasSize(3);
+        }
+    }
+
+    @Test
+    void aReaderWhoseCallsSucceedAgainIsChosenAgain() {
+        StoreReaders readers = instance(3, 0, INSTANCES, 100);
+        Set<String> chosen = Set.copyOf(readers.readers(mNow));
+        hear(readers, 0, INSTANCES, 100, 1);
+        readers.storeCallFailed();
+        assertThat(readers.readers(mNow)).isEqualTo(chosen);
+
+        hear(readers, 0, INSTANCES, 100, 0);
+        readers.storeRead(mNow);
+        assertThat(readers.readers(mNow)).isEqualTo(chosen);
+    }
+
     @Test
     void thereAreReadersWhileTheStoreIsUnavailableToAll() {
         StoreReaders readers = new StoreReaders("g0", "a");
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/membership/StoreSync.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/membership/StoreSync.java
@@ -112,7 +112,11 @@
     /** Fetches the changes of a peer whose replica has a newer change than the local one. */
     @Override
     public void peerReported(String id, ReplicaProgress peer, Optional<PeerRead> read) {
+        boolean wasReader = isReader();
         read.ifPresent(r -> mAvailability.peerReported(id, r));
+        if (!wasReader && isReader()) {
+            scheduleDecision();
+        }
         if (!peer.lastChange().isAfter(mUpdater.position())) {
             return;
         }
--- a/tanagergap-gateway/src/test/java/org/tanagergap/gateway/membership/LeavingUpstreamFleetTests.java
+++ b/tanagergap-gateway/src/test/java/org/tanagergap/gateway/membership/LeavingUpstreamFleetTests.java
@@ -28,7 +28,7 @@
     private static SimulatedFleet fleet(int gateways, long seed) {
         SimulatedFleet fleet = new SimulatedFleet(gateways, false, seed);
         fleet.put("u2");
-        fleet.mClock.advance(Duration.ofMillis(8000 + 37 * seed));
+        fleet.mClock.advance(Duration.ofMillis(2000 + 37 * seed % 1300));
         return fleet;
     }
 
