Derive the polls of the store from the limit on requests after a leaving

What callers saw: nothing yet on the users' deployments. A gateway that hears none of 24 peers would have sent requests for 2,300 ms after a removal beside one failed call (bound 2,000 ms), and with a bound of 1,000 ms each fleet with one for 1,020 ms.

Cause: the intervals of polls, retries and the silence of readers were constants for a bound of 2,000 ms, and the interval of a gateway that hears nobody left no room in it for a failed call.

The shortest outage that leases do not outlast is a constant of its own.

Evidence: the two new tests of LeavingUpstreamFleetTests fail in 3 of 9 cases with the old intervals (2,300 and twice 1,020 ms) and pass now, 39 of 39.

--- a/tanagergap-decisions/src/main/java/org/tanagergap/decisions/replication/PollSchedule.java
+++ b/tanagergap-decisions/src/main/java/org/tanagergap/decisions/replication/PollSchedule.java
@@ -12,15 +12,10 @@
     /** Interval of the polls of an instance that relies on readers. */
     static final Duration CHECK_INTERVAL = Duration.ofSeconds(6);
 
-    /** Interval of its polls, failed or not, while no reader makes progress. */
-    static final Duration FALLBACK_INTERVAL = StoreReaders.MAX_SILENCE;
-
-    /** Time from a failed poll to the next one if the store may be available. */
-    static final Duration RETRY_INTERVAL = Duration.ofMillis(250);
-
     /** Longest time until an instance that is not a reader checks the progress of its readers. */
     static final Duration MAX_DECISION_INTERVAL = Duration.ofMillis(200);
 
+    private final ReplicationTiming mTiming;
     private boolean mFailed;
     private boolean mRequested;
     private long mCompletedNanos;
@@ -34,6 +29,10 @@
      */
     public record Situation(boolean reader, boolean readersProgress, Duration readerInterval) {}
 
+    public PollSchedule(ReplicationTiming timing) {
+        mTiming = timing;
+    }
+
     /** Records that a poll ended; the interval to the next one begins. */
     public void completed(boolean successful, long nowNanos) {
         mFailed = !successful;
@@ -48,7 +47,7 @@
 
     /** Time until the next poll is due; zero if it is. */
     public Duration untilDue(Situation situation, long nowNanos) {
-        Duration interval = mRequested ? RETRY_INTERVAL : interval(situation);
+        Duration interval = mRequested ? mTiming.retryInterval() : interval(situation);
         Duration left = interval.minusNanos(nowNanos - mCompletedNanos);
         return left.isNegative() ? Duration.ZERO : left;
     }
@@ -63,11 +62,11 @@
     private Duration interval(Situation situation) {
         // An instance that fails while readers succeed is late after an outage, or cut off alone.
         if (mFailed && (situation.reader() || situation.readersProgress())) {
-            return RETRY_INTERVAL;
+            return mTiming.retryInterval();
         }
         if (situation.reader()) {
             return situation.readerInterval();
         }
-        return situation.readersProgress() ? CHECK_INTERVAL : FALLBACK_INTERVAL;
+        return situation.readersProgress() ? CHECK_INTERVAL : mTiming.maxSilence();
     }
 }
--- a/tanagergap-decisions/src/main/java/org/tanagergap/decisions/replication/StoreOutages.java
+++ b/tanagergap-decisions/src/main/java/org/tanagergap/decisions/replication/StoreOutages.java
@@ -16,23 +16,18 @@
     /** Entries that expired during an outage are written again within about 2 s of its end. */
     public static final Duration EXPIRY_GRACE = Duration.ofMillis(2200);
 
+    /**
+     * Leases outlast shorter outages: they last for several heartbeats, which are over a second
+     * apart.
+     */
+    static final Duration MIN_OUTAGE = Duration.ofMillis(1200);
+
     /** One failed call may be due to its caller, such as a busy one that connects too slowly. */
     static final int MIN_FAILED_CALLS = 2;
 
-    private final Duration mMinOutage;
     private OptionalLong mAnsweredNanos = OptionalLong.empty();
     private OptionalLong mEndedNanos = OptionalLong.empty();
 
-    /**
-     * Creates a decision for a store that has not failed.
-     *
-     * @param minOutage time without any response that is an outage if calls failed; leases outlast
-     *     shorter ones
-     */
-    public StoreOutages(Duration minOutage) {
-        mMinOutage = minOutage;
-    }
-
     /**
      * Records that the store answered a call of this instance or of a peer.
      *
@@ -60,7 +55,7 @@
     public boolean isOutage(int failedCalls, long nowNanos) {
         return failedCalls >= MIN_FAILED_CALLS
                 && mAnsweredNanos.isPresent()
-                && nowNanos - mAnsweredNanos.getAsLong() > mMinOutage.toNanos();
+                && nowNanos - mAnsweredNanos.getAsLong() > MIN_OUTAGE.toNanos();
     }
 
     /** Returns true if an entry that is found missing now may have expired in an outage. */
--- a/tanagergap-decisions/src/main/java/org/tanagergap/decisions/replication/StoreReaders.java
+++ b/tanagergap-decisions/src/main/java/org/tanagergap/decisions/replication/StoreReaders.java
@@ -33,9 +33,6 @@
     /** Peers drop the reports of an instance after this time. */
     static final Duration PEER_LIFETIME = Duration.ofMillis(1500);
 
-    /** Longest time without a read by any reader before the other instances poll. */
-    public static final Duration MAX_SILENCE = Duration.ofMillis(1200);
-
     /**
      * An instance whose last read is older cannot reach the store: also one that is not a reader
      * reads every 6 s.
@@ -49,6 +46,7 @@
 
     private final String mId;
     private final String mDomain;
+    private final ReplicationTiming mTiming;
     private final Map<String, Peer> mPeers = new HashMap<>();
     private Set<String> mChosen = Set.of();
     private long mChosenNanos;
@@ -72,9 +70,10 @@
      * @param id identifier of this instance
      * @param domain failure domain of this instance
      */
-    public StoreReaders(String id, String domain) {
+    public StoreReaders(String id, String domain, ReplicationTiming timing) {
         mId = id;
         mDomain = domain;
+        mTiming = timing;
     }
 
     /** Records that the store answered a read of this instance. */
@@ -146,7 +145,7 @@
     /** Returns true if a reader other than this instance has read the store recently. */
     public boolean anyOtherHasReadRecently(long nowNanos) {
         return otherReaders(nowNanos).stream()
-                .anyMatch(reader -> reader.hasReadWithin(MAX_SILENCE, nowNanos));
+                .anyMatch(reader -> reader.hasReadWithin(mTiming.maxSilence(), nowNanos));
     }
 
     private List<Peer> otherReaders(long nowNanos) {
--- a/tanagergap-decisions/src/test/java/org/tanagergap/decisions/replication/PollScheduleTests.java
+++ b/tanagergap-decisions/src/test/java/org/tanagergap/decisions/replication/PollScheduleTests.java
@@ -23,7 +23,7 @@
     })
     void aPollIsDueAfter(
             boolean reader, boolean progress, boolean successful, boolean requested, long millis) {
-        PollSchedule schedule = new PollSchedule();
+        PollSchedule schedule = new PollSchedule(new ReplicationTiming(Duration.ofSeconds(2)));
         PollSchedule.Situation situation =
                 new PollSchedule.Situation(reader, progress, Duration.ofMillis(600));
         schedule.completed(successful, 0);
--- a/tanagergap-decisions/src/test/java/org/tanagergap/decisions/replication/StoreOutagesTests.java
+++ b/tanagergap-decisions/src/test/java/org/tanagergap/decisions/replication/StoreOutagesTests.java
@@ -10,9 +10,7 @@
 /** Guards against removed entries that are taken for expired ones, and the reverse. */
 final class StoreOutagesTests {
 
-    private static final Duration MIN_OUTAGE = Duration.ofMillis(1200);
-
-    private final StoreOutages mOutages = new StoreOutages(MIN_OUTAGE);
+    private final StoreOutages mOutages = new StoreOutages();
 
     private static long nanos(long millis) {
         return Duration.ofMillis(millis).toNanos();
--- a/tanagergap-decisions/src/test/java/org/tanagergap/decisions/replication/StoreReadersTests.java
+++ b/tanagergap-decisions/src/test/java/org/tanagergap/decisions/replication/StoreReadersTests.java
@@ -15,6 +15,9 @@
     private static final int INSTANCES = 30;
     private static final List<String> DOMAINS = List.of("a", "b", "c");
 
+    private static final ReplicationTiming TIMING =
+            new ReplicationTiming(ReplicationTiming.DEFAULT_LIMIT);
+
     private long mNow = 1;
 
     private static PeerRead read(String domain, long millisAgo, int failedCalls) {
@@ -27,7 +30,7 @@
 
     /** Instance that has heard a part of the fleet, whose last reads are of that age. */
     private StoreReaders instance(int own, int from, int to, long millisAgo) {
-        StoreReaders readers = new StoreReaders("g" + own, domain(own));
+        StoreReaders readers = new StoreReaders("g" + own, domain(own), TIMING);
         readers.storeRead(mNow);
         hear(readers, from, to, millisAgo, 0);
         return readers;
@@ -61,7 +64,7 @@
 
     @Test
     void aFleetInOneDomainHasMoreThanOneReader() {
-        StoreReaders readers = new StoreReaders("g0", "a");
+        StoreReaders readers = new StoreReaders("g0", "a", TIMING);
         for (int i = 1; i < INSTANCES; i++) {
             readers.peerReported("g" + i, read("a", 100, 0), mNow);
         }
@@ -151,7 +154,7 @@
 
     @Test
     void thereAreReadersWhileTheStoreIsUnavailableToAll() {
-        StoreReaders readers = new StoreReaders("g0", "a");
+        StoreReaders readers = new StoreReaders("g0", "a", TIMING);
         hear(readers, 1, INSTANCES, 60_000, 0);
 
         assertThat(readers.readers(mNow)).hasSize(3);
@@ -203,7 +206,7 @@
 
     @Test
     void theOwnReportTellsTheAgeOfTheOwnReadOnly() {
-        StoreReaders readers = new StoreReaders("g0", "a");
+        StoreReaders readers = new StoreReaders("g0", "a", TIMING);
         hear(readers, 1, INSTANCES, 10, 0);
         assertThat(readers.report(false, mNow).sinceRead()).isEmpty();
 
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/GatewayCommand.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/GatewayCommand.java
@@ -8,6 +8,7 @@
 import java.util.function.Supplier;
 import org.tanagergap.api.lifecycle.Service;
 import org.tanagergap.decisions.fleet.ReservationLimits;
+import org.tanagergap.decisions.replication.ReplicationTiming;
 import org.tanagergap.runtime.program.ProgramCommand;
 import org.tanagergap.runtime.program.ProgramContext;
 import org.tanagergap.runtime.settings.HostPort;
@@ -20,6 +21,10 @@
 
     private static final long MAX_MILLIS = 3_600_000;
     private static final long MAX_SECONDS = 3_600;
+
+    /** A call to the store that fails and the next one take at least half of this time. */
+    private static final long MIN_USE_AFTER_LEAVING_MILLIS = 1000;
+
     private static final int MAX_RETRIES = 1_000_000;
     private static final double MAX_COLD_RATE = 1_000_000;
     private static final int MAX_NUMBER = 1_000_000;
@@ -90,6 +95,14 @@
                             + " used it")
     String mMaxReservationAfterUseMs;
 
+    @Option(
+            name = "--max-use-after-leaving-ms",
+            title = "milliseconds",
+            description =
+                    "Longest time for which an upstream may receive new requests after the store"
+                            + " has accepted that it leaves")
+    String mMaxUseAfterLeavingMs;
+
     @Option(
             name = "--retry-ratio",
             title = "ratio",
@@ -198,6 +211,12 @@
                 reader.millis("--drain-ms", mDrainMs, "3000", 0, MAX_MILLIS),
                 reader.seconds("--grace-s", mGraceS, "8", 0, MAX_SECONDS),
                 reservationLimits(reader),
+                reader.millis(
+                        "--max-use-after-leaving-ms",
+                        mMaxUseAfterLeavingMs,
+                        Long.toString(ReplicationTiming.DEFAULT_LIMIT.toMillis()),
+                        MIN_USE_AFTER_LEAVING_MILLIS,
+                        MAX_MILLIS),
                 retryBudget(reader),
                 new ColdRateSettings(
                         reader.decimal(
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/GatewayService.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/GatewayService.java
@@ -18,6 +18,7 @@
 import org.tanagergap.decisions.fleet.FleetLoad;
 import org.tanagergap.decisions.fleet.UpstreamHealth;
 import org.tanagergap.decisions.memory.SharedMemoryLimit;
+import org.tanagergap.decisions.replication.ReplicationTiming;
 import org.tanagergap.decisions.replication.StoreReaders;
 import org.tanagergap.gateway.caller.GatewayCallerServer;
 import org.tanagergap.gateway.caller.ReadinessServer;
@@ -216,6 +217,7 @@
 
     private StoreSync storeSync(
             GatewayPlatform platform, PeerDirectory directory, PeerReplicaClient peers) {
+        ReplicationTiming timing = new ReplicationTiming(mSettings.maxUseAfterLeaving());
         return new StoreSync(
                 mClock,
                 platform.feed(),
@@ -224,7 +226,8 @@
                 mView,
                 peers,
                 directory::instanceCount,
-                new StoreReaders(mSettings.id(), mSettings.failureDomain()),
+                new StoreReaders(mSettings.id(), mSettings.failureDomain(), timing),
+                timing,
                 new GatewayStoreListener(directory, mRegistration));
     }
 
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/GatewaySettings.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/GatewaySettings.java
@@ -18,6 +18,7 @@
  * @param drain time at shutdown between reporting unready and closing idle connections
  * @param grace time at shutdown after which the process is killed
  * @param reservationLimits longest times for which engine memory may be reserved without use
+ * @param maxUseAfterLeaving time after which an upstream that leaves receives no new requests
  * @param retryBudget retries that all instances together may make
  * @param coldRate requests that cold upstreams may receive from all instances together
  * @param inbound limits on the connections and request heads of clients
@@ -33,6 +34,7 @@
         Duration drain,
         Duration grace,
         ReservationLimits reservationLimits,
+        Duration maxUseAfterLeaving,
         RetryBudgetSettings retryBudget,
         ColdRateSettings coldRate,
         InboundSettings inbound) {
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/ReloadableSettings.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/ReloadableSettings.java
@@ -88,6 +88,7 @@
                 mAtStart.drain(),
                 mAtStart.grace(),
                 mAtStart.reservationLimits(),
+                mAtStart.maxUseAfterLeaving(),
                 mAtStart.retryBudget(),
                 mAtStart.coldRate(),
                 mAtStart.inbound());
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/membership/PollTiming.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/membership/PollTiming.java
@@ -5,6 +5,7 @@
 import java.util.function.IntSupplier;
 import org.tanagergap.api.time.RuntimeClock;
 import org.tanagergap.decisions.replication.PollSchedule;
+import org.tanagergap.decisions.replication.ReplicationTiming;
 import org.tanagergap.decisions.replication.StoreReaders;
 
 /** Tells this instance when to poll the store, by its role in the fleet. */
@@ -15,14 +16,21 @@
     private final RuntimeClock mClock;
     private final StoreReaders mReaders;
     private final IntSupplier mInstances;
-    private final PollSchedule mSchedule = new PollSchedule();
+    private final ReplicationTiming mTiming;
+    private final PollSchedule mSchedule;
     private boolean mLoaded;
     private boolean mLoggedReader = true;
 
-    PollTiming(RuntimeClock clock, StoreReaders readers, IntSupplier instances) {
+    PollTiming(
+            RuntimeClock clock,
+            StoreReaders readers,
+            IntSupplier instances,
+            ReplicationTiming timing) {
         mClock = clock;
         mReaders = readers;
         mInstances = instances;
+        mTiming = timing;
+        mSchedule = new PollSchedule(timing);
     }
 
     /** Records that the replica has its first contents; until then the instance is a reader. */
@@ -73,8 +81,8 @@
         long now = mClock.nanoTime();
         Duration interval =
                 mReaders.isAlone(now)
-                        ? PollInterval.of(mInstances.getAsInt())
-                        : PollInterval.SHORTEST;
+                        ? mTiming.pollIntervalAlone(mInstances.getAsInt())
+                        : mTiming.pollInterval();
         return new PollSchedule.Situation(
                 isReader(), mReaders.anyOtherHasReadRecently(now), interval);
     }
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/membership/StoreSync.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/membership/StoreSync.java
@@ -16,6 +16,7 @@
 import org.tanagergap.decisions.replication.ReadSchedule;
 import org.tanagergap.decisions.replication.ReadSchedule.Read;
 import org.tanagergap.decisions.replication.ReplicaUpdate;
+import org.tanagergap.decisions.replication.ReplicationTiming;
 import org.tanagergap.decisions.replication.StoreOutages;
 import org.tanagergap.decisions.replication.StoreReaders;
 import org.tanagergap.platform.keyvalue.ChangeFeed;
@@ -62,6 +63,7 @@
      * @param ownPrefixes prefixes of keys that the decoder does not read
      * @param instances number of instances that report their progress to each other
      * @param readers instances that poll the store on behalf of the fleet
+     * @param timing times of the polls
      */
     public StoreSync(
             RuntimeClock clock,
@@ -72,6 +74,7 @@
             PeerReplicas peers,
             IntSupplier instances,
             StoreReaders readers,
+            ReplicationTiming timing,
             StoreChangeListener listener) {
         mClock = Objects.requireNonNull(clock, "clock must not be null");
         mFeed = Objects.requireNonNull(feed, "feed must not be null");
@@ -83,13 +86,9 @@
         List<String> prefixes = new ArrayList<>(decoder.prefixes());
         prefixes.addAll(ownPrefixes);
         mReader = new StoreReader(feed, prefixes);
-        mTiming = new PollTiming(clock, readers, instances);
+        mTiming = new PollTiming(clock, readers, instances, timing);
         mAvailability =
-                new StoreAvailability(
-                        clock,
-                        readers,
-                        new StoreOutages(StoreReaders.MAX_SILENCE),
-                        view::storeRecovered);
+                new StoreAvailability(clock, readers, new StoreOutages(), view::storeRecovered);
         mUpdater = new ReplicaUpdater(clock, decoder, prefixes, view, mAvailability, listener);
         mPeers = new PeerCatchUp(peers, mUpdater);
     }
--- a/tanagergap-gateway/src/test/java/org/tanagergap/gateway/membership/LeavingUpstreamFleetTests.java
+++ b/tanagergap-gateway/src/test/java/org/tanagergap/gateway/membership/LeavingUpstreamFleetTests.java
@@ -9,6 +9,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
+import org.tanagergap.decisions.replication.ReplicationTiming;
 
 /** Guards against gateways that still use an upstream after its entry was removed. */
 final class LeavingUpstreamFleetTests {
@@ -33,11 +34,15 @@
     }
 
     private static void assertInTime(String when, Map<Integer, Long> dropped) {
+        assertInTime(when, dropped, LIMIT_MILLIS);
+    }
+
+    private static void assertInTime(String when, Map<Integer, Long> dropped, long limitMillis) {
         dropped.forEach(
                 (gateway, millis) ->
                         assertWithMessage("%s, gateway %s", when, gateway)
                                 .that(millis)
-                                .isAtMost(LIMIT_MILLIS));
+                                .isAtMost(limitMillis));
     }
 
     @ParameterizedTest
@@ -132,6 +137,38 @@
         }
     }
 
+    @ParameterizedTest
+    @CsvSource({"1000, 1", "1000, 5", "1000, 6", "1000, 25", "1500, 8", "3000, 25", "4000, 30"})
+    void aRemovalIsInForceWithinTheLimitOfTheDeployment(long limitMillis, int gateways) {
+        ReplicationTiming timing = new ReplicationTiming(Duration.ofMillis(limitMillis));
+        for (int seed = 0; seed < 8; seed++) {
+            SimulatedFleet fleet = new SimulatedFleet(gateways, false, seed, timing);
+            fleet.put("u2");
+            fleet.mClock.advance(Duration.ofMillis(2000 + 37 * seed));
+            fleet.mStoreTimeout = Duration.ofMillis(250);
+            fleet.readers().forEach(reader -> reader.mFailingCalls = 1);
+
+            assertInTime("seed " + seed, fleet.millisUntilDropped("u2"), limitMillis);
+        }
+    }
+
+    /** A gateway that hears nobody polls the store itself. */
+    @ParameterizedTest
+    @ValueSource(ints = {6, 25})
+    void aRemovalIsInForceInTimeAfterAFailedCallOfAGatewayThatHearsNobody(int gateways) {
+        for (int seed = 0; seed < 8; seed++) {
+            SimulatedFleet fleet = fleet(gateways, seed);
+            fleet.mStoreTimeout = Duration.ofMillis(250);
+            for (int peer = 0; peer < gateways; peer++) {
+                fleet.cut(peer, 0);
+            }
+            fleet.mClock.advance(Duration.ofMillis(5000 + 170 * seed));
+            fleet.mGateways.get(0).mFailingCalls = 1;
+
+            assertInTime("seed " + seed, fleet.millisUntilDropped("u2"));
+        }
+    }
+
     /** Up to half of the gateways are cut off for a while, and reports are lost. */
     @ParameterizedTest
     @ValueSource(ints = {2, 3, 5, 6, 8, 12, 25})
--- a/tanagergap-gateway/src/test/java/org/tanagergap/gateway/membership/SimulatedFleet.java
+++ b/tanagergap-gateway/src/test/java/org/tanagergap/gateway/membership/SimulatedFleet.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.TimeoutException;
 import org.tanagergap.api.store.StorePosition;
 import org.tanagergap.decisions.replication.PeerRead;
+import org.tanagergap.decisions.replication.ReplicationTiming;
 import org.tanagergap.decisions.replication.StoreReaders;
 import org.tanagergap.gateway.peer.PeerDirectory;
 import org.tanagergap.platform.keyvalue.ChangeFeed;
@@ -39,6 +40,7 @@
     private final Set<Integer> mWithoutStore = new HashSet<>();
     private final Set<String> mCutLinks = new HashSet<>();
     private final boolean mEarlierVersion;
+    private final ReplicationTiming mTiming;
     Duration mStoreDelay = Duration.ofMillis(20);
     Duration mStoreTimeout = Duration.ofMillis(700);
     double mLostReports;
@@ -68,7 +70,8 @@
                             mView,
                             this::fetch,
                             mDirectory::instanceCount,
-                            new StoreReaders("g" + index, "domain-" + index % DOMAINS),
+                            new StoreReaders("g" + index, "domain-" + index % DOMAINS, mTiming),
+                            mTiming,
                             this);
             mSync.announceWith(this::report);
         }
@@ -164,6 +167,15 @@
 
     /** Starts gateways that know each other after 10 s. */
     SimulatedFleet(int gateways, boolean earlierVersion, long seed) {
+        this(
+                gateways,
+                earlierVersion,
+                seed,
+                new ReplicationTiming(ReplicationTiming.DEFAULT_LIMIT));
+    }
+
+    SimulatedFleet(int gateways, boolean earlierVersion, long seed, ReplicationTiming timing) {
+        mTiming = timing;
         mRandom = new Random(seed);
         mEarlierVersion = earlierVersion;
         put("u1");
--- a/tanagergap-gateway/src/test/java/org/tanagergap/gateway/membership/StoreCatchUpTests.java
+++ b/tanagergap-gateway/src/test/java/org/tanagergap/gateway/membership/StoreCatchUpTests.java
@@ -11,6 +11,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.tanagergap.api.store.StorePosition;
+import org.tanagergap.decisions.replication.ReplicationTiming;
 import org.tanagergap.decisions.replication.StoreReaders;
 import org.tanagergap.platform.keyvalue.ChangeFeed;
 import org.tanagergap.platform.keyvalue.Changes;
@@ -30,6 +31,9 @@
     private static final Duration MILLIS_PER_MEGABYTE = Duration.ofMillis(100);
     private static final int MAX_SECONDS = 5;
 
+    private static final ReplicationTiming TIMING =
+            new ReplicationTiming(ReplicationTiming.DEFAULT_LIMIT);
+
     private final PausedClock mClock = new PausedClock();
     private final FleetView mView = new FleetView(mClock);
     private final List<String> mApplied = new ArrayList<>();
@@ -112,7 +116,8 @@
                         mView,
                         position -> Optional.empty(),
                         () -> 1,
-                        new StoreReaders("g1", "a"),
+                        new StoreReaders("g1", "a", TIMING),
+                        TIMING,
                         new RecordingListener());
         sync.start();
         mClock.advance(Duration.ofSeconds(1));
--- a/tanagergap-gateway/src/test/java/org/tanagergap/gateway/membership/StoreSyncFailureTests.java
+++ b/tanagergap-gateway/src/test/java/org/tanagergap/gateway/membership/StoreSyncFailureTests.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.CompletableFuture;
 import org.junit.jupiter.api.Test;
 import org.tanagergap.api.store.StorePosition;
+import org.tanagergap.decisions.replication.ReplicationTiming;
 import org.tanagergap.decisions.replication.StoreReaders;
 import org.tanagergap.platform.keyvalue.ChangeFeed;
 import org.tanagergap.platform.keyvalue.Changes;
@@ -24,6 +25,9 @@
     private static final String CONFIGURATION = "configuration";
     private static final String MALFORMED = PREFIX + "malformed";
 
+    private static final ReplicationTiming TIMING =
+            new ReplicationTiming(ReplicationTiming.DEFAULT_LIMIT);
+
     private final PausedClock mClock = new PausedClock();
     private final FleetView mView = new FleetView(mClock);
     private final List<KeyValue> mContents = new ArrayList<>();
@@ -112,7 +116,8 @@
                         mView,
                         position -> mPeers.changesAfter(position),
                         () -> 1,
-                        new StoreReaders("g1", "a"),
+                        new StoreReaders("g1", "a", TIMING),
+                        TIMING,
                         new IgnoringListener());
         sync.start();
         return sync;
--- a/tanagergap-gateway/src/test/java/org/tanagergap/gateway/membership/StoreSyncTests.java
+++ b/tanagergap-gateway/src/test/java/org/tanagergap/gateway/membership/StoreSyncTests.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.TimeoutException;
 import org.junit.jupiter.api.Test;
 import org.tanagergap.api.store.StorePosition;
+import org.tanagergap.decisions.replication.ReplicationTiming;
 import org.tanagergap.decisions.replication.StoreReaders;
 import org.tanagergap.platform.keyvalue.ChangeFeed;
 import org.tanagergap.platform.keyvalue.Changes;
@@ -36,6 +37,7 @@
     private boolean mSilent;
     private int mRestores;
     private int mInstances = 4;
+    private ReplicationTiming mTiming = new ReplicationTiming(ReplicationTiming.DEFAULT_LIMIT);
 
     /** Store in which nothing changes after the first read. */
     private final class QuietFeed implements ChangeFeed {
@@ -119,7 +121,8 @@
                                         .findFirst()
                                         .map(CompletableFuture::completedFuture),
                         () -> mInstances,
-                        new StoreReaders("g1", "a"),
+                        new StoreReaders("g1", "a", mTiming),
+                        mTiming,
                         new CountingListener());
         sync.start();
         return sync;
@@ -140,6 +143,7 @@
     @Test
     void manyInstancesPollLessOften() {
         mInstances = 25;
+        mTiming = new ReplicationTiming(Duration.ofSeconds(3));
 
         assertThat(pollsInAMinute()).isAtMost(34);
     }
