Move the reads of the store and their responses out of StoreSync

StoreSync had 327 lines: when to poll, what to read, what a response means and the fetches from peers. ReplicaReader now performs a read and applies its response; StoreSync has 275 lines.

--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/membership/StoreSync.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/membership/StoreSync.java
@@ -15,12 +15,10 @@
 import org.tanagergap.decisions.replication.PeerRead;
 import org.tanagergap.decisions.replication.ReadSchedule;
 import org.tanagergap.decisions.replication.ReadSchedule.Read;
-import org.tanagergap.decisions.replication.ReplicaUpdate;
 import org.tanagergap.decisions.replication.ReplicationTiming;
 import org.tanagergap.decisions.replication.StoreOutages;
 import org.tanagergap.decisions.replication.StoreReaders;
 import org.tanagergap.platform.keyvalue.ChangeFeed;
-import org.tanagergap.platform.keyvalue.Changes;
 import org.tanagergap.platform.keyvalue.HistoryLostException;
 import org.tanagergap.runtime.async.Futures;
 
@@ -41,12 +39,10 @@
     private static final FluentLogger sLogger = FluentLogger.forEnclosingClass();
 
     private final RuntimeClock mClock;
-    private final ChangeFeed mFeed;
-    private final StoreReader mReader;
+    private final ReplicaReader mReader;
     private final ReplicaUpdater mUpdater;
     private final StoreAvailability mAvailability;
     private final StoreReaders mReaders;
-    private final FleetDecoder mDecoder;
     private final PeerCatchUp mPeers;
     private final PollTiming mTiming;
     private final ReadSchedule mReads = new ReadSchedule();
@@ -77,19 +73,27 @@
             ReplicationTiming timing,
             StoreChangeListener listener) {
         mClock = Objects.requireNonNull(clock, "clock must not be null");
-        mFeed = Objects.requireNonNull(feed, "feed must not be null");
-        mDecoder = Objects.requireNonNull(decoder, "decoder must not be null");
+        Objects.requireNonNull(feed, "feed must not be null");
+        Objects.requireNonNull(decoder, "decoder must not be null");
         Objects.requireNonNull(view, "view must not be null");
         Objects.requireNonNull(peers, "peers must not be null");
         mReaders = Objects.requireNonNull(readers, "readers must not be null");
         Objects.requireNonNull(listener, "listener must not be null");
         List<String> prefixes = new ArrayList<>(decoder.prefixes());
         prefixes.addAll(ownPrefixes);
-        mReader = new StoreReader(feed, prefixes);
         mTiming = new PollTiming(clock, readers, instances, timing);
         mAvailability =
                 new StoreAvailability(clock, readers, new StoreOutages(), view::storeRecovered);
         mUpdater = new ReplicaUpdater(clock, decoder, prefixes, view, mAvailability, listener);
+        mReader =
+                new ReplicaReader(
+                        feed,
+                        decoder.operatorPrefix(),
+                        new StoreReader(feed, prefixes),
+                        mReads,
+                        mUpdater,
+                        mAvailability,
+                        this::loadCompleted);
         mPeers = new PeerCatchUp(peers, mUpdater);
     }
 
@@ -182,66 +186,10 @@
         StorePosition changeBefore = mUpdater.lastChange();
         // As a stage, so that an error of the client is a failed poll and does not end the polls.
         CompletableFuture.completedFuture(read)
-                .thenCompose(this::read)
+                .thenCompose(mReader::read)
                 .whenComplete((ignored, failure) -> pollCompleted(read, changeBefore, failure));
     }
 
-    private CompletableFuture<Void> read(Read read) {
-        StorePosition requested = mUpdater.position();
-        return switch (read) {
-            case OPERATOR_KEYS ->
-                    mFeed.readPage(mDecoder.operatorPrefix(), "")
-                            .thenAccept(this::operatorKeysReceived);
-            case CHANGES ->
-                    mFeed.changesAfter(requested.revision())
-                            .thenAccept(changes -> changesReceived(requested, changes));
-            case CONTENTS -> mReader.readAll().thenAccept(this::contentsReceived);
-        };
-    }
-
-    private void operatorKeysReceived(Changes page) {
-        StorePosition replica = mUpdater.position();
-        switch (ReplicaUpdate.forChanges(replica, replica, page.position())) {
-            case APPLY -> mUpdater.replica().applyAhead(page.items());
-            case READ_ALL -> mReads.contentsNeeded();
-            case REPLACE, IGNORE -> ReplicaUpdater.logIgnored(page.position());
-        }
-        mReads.succeeded(Read.OPERATOR_KEYS);
-    }
-
-    private void changesReceived(StorePosition requested, Changes changes) {
-        recordStoreResponse();
-        mReads.succeeded(Read.CHANGES);
-        switch (ReplicaUpdate.forChanges(requested, mUpdater.position(), changes.position())) {
-            case APPLY -> mUpdater.replica().apply(changes);
-            case READ_ALL -> mReads.contentsNeeded();
-            case REPLACE, IGNORE -> ReplicaUpdater.logIgnored(changes.position());
-        }
-    }
-
-    private void contentsReceived(StoreReader.Contents contents) {
-        recordStoreResponse();
-        switch (ReplicaUpdate.forContents(mUpdater.position(), contents.pages())) {
-            case REPLACE -> {
-                // Pages are not one snapshot: the next poll reads the changes since the first page.
-                mUpdater.replace(contents.items(), contents.position());
-                mReads.succeeded(Read.CONTENTS);
-                loadCompleted();
-            }
-            case APPLY, IGNORE -> {
-                mReads.succeeded(Read.CONTENTS);
-                ReplicaUpdater.logIgnored(contents.position());
-            }
-            case READ_ALL ->
-                    sLogger.atInfo().log("store was restored between two pages of a full read");
-        }
-    }
-
-    private void recordStoreResponse() {
-        mUpdater.updatedBy(UpdateSource.STORE);
-        mAvailability.responded();
-    }
-
     private void pollCompleted(Read read, StorePosition changeBefore, Throwable failure) {
         mPolling = false;
         if (failure == null) {
