Keep expired entries in use until their return could be seen

What callers saw: after an outage of the store for all, a gateway dropped upstreams that had returned, for 0 to 0.3 s.

Cause: the grace period ended by its time alone. It could end while the store served nobody again, and up to 0.6 s after the last poll. The expiry of an entry and its return were no changes for peers, so gateways that rely on readers saw them up to 1.2 s later.

Change: before the end the readers poll once more; while the store serves nobody, the end waits; expiry and return of an entry are reported like other changes.

An upstream that does not return is still dropped within 3 s of the end of the outage.

--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/membership/ExpiredEntries.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/membership/ExpiredEntries.java
@@ -19,9 +19,16 @@
 
     private static final Duration GRACE = StoreOutages.EXPIRY_GRACE;
 
+    /** A slow store answers in 0.3 s. */
+    private static final Duration REFRESH_LEAD = Duration.ofMillis(300);
+
+    /** The end of the outage restarts the grace period; this is for one whose end is not seen. */
+    private static final Duration RECHECK_INTERVAL = Duration.ofMillis(200);
+
     private final RuntimeClock mClock;
     private final Consumer<String> mGraceEnded;
     private final Map<String, Long> mGraceStartNanos = new HashMap<>();
+    private ExpiryCheck mCheck = ExpiryCheck.none();
     private OptionalLong mStoreRecoveredNanos = OptionalLong.empty();
     private Timer mTimer = () -> {};
 
@@ -35,15 +42,28 @@
         mGraceEnded = graceEnded;
     }
 
-    /** Adds an upstream whose entry was removed; its grace period goes on if it has begun. */
-    void add(String id) {
-        mGraceStartNanos.putIfAbsent(id, graceStartNanos());
+    void checkWith(ExpiryCheck check) {
+        mCheck = check;
+    }
+
+    /**
+     * Adds an upstream whose entry was removed; its grace period goes on if it has begun.
+     *
+     * @return true if it was not there
+     */
+    boolean add(String id) {
+        boolean added = mGraceStartNanos.putIfAbsent(id, graceStartNanos()) == null;
         scheduleEnd();
+        return added;
     }
 
-    /** Removes an upstream whose entry has returned or that is gone. */
-    void remove(String id) {
-        mGraceStartNanos.remove(id);
+    /**
+     * Removes an upstream whose entry has returned or that is gone.
+     *
+     * @return true if it was there
+     */
+    boolean remove(String id) {
+        return mGraceStartNanos.remove(id) != null;
     }
 
     int size() {
@@ -69,10 +89,29 @@
         mGraceStartNanos.values().stream()
                 .min(Long::compare)
                 .map(start -> GRACE.minusNanos(mClock.nanoTime() - start))
-                .ifPresent(left -> mTimer = mClock.schedule(left, this::endGracePeriods));
+                .ifPresent(this::scheduleEnd);
+    }
+
+    private void scheduleEnd(Duration left) {
+        Duration untilRefresh = left.minus(REFRESH_LEAD);
+        if (untilRefresh.isNegative()) {
+            mTimer = mClock.schedule(left, this::endGracePeriods);
+            return;
+        }
+        mTimer =
+                mClock.schedule(
+                        untilRefresh,
+                        () -> {
+                            mTimer = mClock.schedule(REFRESH_LEAD, this::endGracePeriods);
+                            mCheck.refresh();
+                        });
     }
 
     private void endGracePeriods() {
+        if (mCheck.isOutage()) {
+            mTimer = mClock.schedule(RECHECK_INTERVAL, this::endGracePeriods);
+            return;
+        }
         long now = mClock.nanoTime();
         List<String> ended =
                 mGraceStartNanos.entrySet().stream()
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/membership/FleetView.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/membership/FleetView.java
@@ -167,6 +167,11 @@
         }
     }
 
+    /** Sets what is asked before upstreams are dropped whose entries may have expired. */
+    public void checkExpiryWith(ExpiryCheck check) {
+        mExpired.checkWith(check);
+    }
+
     /**
      * Restarts the grace period of expired entries, which begins when the store is available again.
      */
@@ -225,7 +230,7 @@
         } else if (origin != ChangeOrigin.WRITE
                 && entry.invalidReason().isEmpty()
                 && mUpstreams.containsKey(entry.id())) {
-            mExpired.add(entry.id());
+            countChange(mExpired.add(entry.id()));
         } else {
             remove(entry.id(), "its entry was removed");
         }
@@ -249,8 +254,15 @@
         put(upstream);
     }
 
+    /** The expiry of an entry and its return are changes that peers have to know. */
+    private void countChange(boolean changed) {
+        if (changed) {
+            mChanges++;
+        }
+    }
+
     private void put(Upstream upstream) {
-        mExpired.remove(upstream.id());
+        countChange(mExpired.remove(upstream.id()));
         Upstream previous = mUpstreams.put(upstream.id(), upstream);
         if (upstream.equals(previous)) {
             return;
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/membership/StoreAvailability.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/membership/StoreAvailability.java
@@ -95,6 +95,12 @@
         mOutages.restored(mClock.nanoTime());
     }
 
+    /** Returns true while the store serves neither this instance nor a peer. */
+    boolean isOutage() {
+        long now = mClock.nanoTime();
+        return mOutages.isOutage(mReaders.failedCalls(now), now);
+    }
+
     /** Returns true if a removal may be a lease that expired while the store was unavailable. */
     boolean removalMayBeExpiry() {
         long now = mClock.nanoTime();
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/membership/StoreSync.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/membership/StoreSync.java
@@ -27,7 +27,7 @@
  * readers poll often, and the other instances fetch the changes from peers. While the store is
  * unavailable, peers are polled instead. Confined to the event loop.
  */
-public final class StoreSync implements Service, ReplicaReports {
+public final class StoreSync implements Service, ReplicaReports, ExpiryCheck {
 
     /**
      * An instance that is not a reader fetches from its peers at this interval what they do not
@@ -95,6 +95,7 @@
                         mAvailability,
                         this::loadCompleted);
         mPeers = new PeerCatchUp(peers, mUpdater);
+        view.checkExpiryWith(this);
     }
 
     /** Sets an action that sends a report to peers ahead of schedule. */
@@ -135,6 +136,20 @@
         return mTiming.isReader();
     }
 
+    @Override
+    public boolean isOutage() {
+        return mAvailability.isOutage();
+    }
+
+    /** Readers report what has returned as a change, which the others then fetch. */
+    @Override
+    public void refresh() {
+        if (isReader()) {
+            mTiming.requestPoll();
+            scheduleDecision();
+        }
+    }
+
     private void fetchFromPeer() {
         if (!mStopped && !mReads.behind()) {
             mFetchedNanos = mClock.nanoTime();
--- a/tanagergap-gateway/src/test/java/org/tanagergap/gateway/membership/LeavingUpstreamFleetTests.java
+++ b/tanagergap-gateway/src/test/java/org/tanagergap/gateway/membership/LeavingUpstreamFleetTests.java
@@ -169,6 +169,52 @@
         }
     }
 
+    /** Gateways dropped entries that had returned, as they had not read the store since. */
+    @ParameterizedTest
+    @ValueSource(ints = {1, 2, 5, 6, 25})
+    void anEntryThatReturnsSoonAfterAnOutageForAllStaysInUse(int gateways) {
+        for (int seed = 0; seed < 8; seed++) {
+            SimulatedFleet fleet = fleet(gateways, seed);
+            fleet.mStoreTimeout = Duration.ofMillis(250);
+            cutAllFromStore(fleet, Duration.ZERO, Duration.ofMillis(4000));
+            fleet.mClock.schedule(Duration.ofMillis(3990), () -> fleet.remove("u2"));
+            fleet.mClock.schedule(Duration.ofMillis(5800), () -> fleet.put("u2"));
+
+            assertStaysInUse(fleet, Duration.ofSeconds(9), "seed " + seed);
+        }
+    }
+
+    /** The grace period ended while nobody could see that the entry had returned. */
+    @ParameterizedTest
+    @ValueSource(ints = {1, 5, 25})
+    void anEntryStaysInUseDuringAnotherOutageForAll(int gateways) {
+        for (int seed = 0; seed < 8; seed++) {
+            SimulatedFleet fleet = fleet(gateways, seed);
+            fleet.mStoreTimeout = Duration.ofMillis(250);
+            cutAllFromStore(fleet, Duration.ZERO, Duration.ofMillis(4000));
+            cutAllFromStore(fleet, Duration.ofMillis(4900), Duration.ofMillis(3000));
+            fleet.mClock.schedule(Duration.ofMillis(3990), () -> fleet.remove("u2"));
+            fleet.mClock.schedule(Duration.ofMillis(5500), () -> fleet.put("u2"));
+
+            assertStaysInUse(fleet, Duration.ofSeconds(12), "seed " + seed);
+        }
+    }
+
+    private static void cutAllFromStore(SimulatedFleet fleet, Duration delay, Duration length) {
+        fleet.mGateways.forEach(gateway -> fleet.cutFromStore(gateway.mIndex, delay, length));
+    }
+
+    private static void assertStaysInUse(SimulatedFleet fleet, Duration time, String when) {
+        for (long millis = 0; millis < time.toMillis(); millis += 20) {
+            fleet.mClock.advance(Duration.ofMillis(20));
+            for (SimulatedFleet.Gateway gateway : fleet.mGateways) {
+                assertWithMessage("%s, gateway %s, %s ms", when, gateway.mIndex, millis)
+                        .that(gateway.knows("u2"))
+                        .isTrue();
+            }
+        }
+    }
+
     /** Up to half of the gateways are cut off for a while, one dies, and reports are lost. */
     @ParameterizedTest
     @ValueSource(ints = {2, 3, 5, 6, 8, 12, 25})
