--- a/tanagergap-decisions/src/main/java/org/tanagergap/decisions/replication/ReplicationTiming.java
+++ b/tanagergap-decisions/src/main/java/org/tanagergap/decisions/replication/ReplicationTiming.java
@@ -21,12 +21,12 @@
     // A generous limit does not lengthen these: configurations and other changes wait for polls
     // too.
     private static final Duration MAX_POLL_INTERVAL = Duration.ofMillis(600);
-    private static final Duration MAX_LONGEST_POLL_INTERVAL = Duration.ofMillis(1800);
+    private static final Duration MAX_POLL_INTERVAL_ALONE = Duration.ofMillis(1800);
     private static final Duration MAX_RETRY_INTERVAL = Duration.ofMillis(250);
     private static final Duration MAX_SILENCE = Duration.ofMillis(1200);
 
     private static final double POLL_INTERVAL_PART = 0.3;
-    private static final double LONGEST_POLL_INTERVAL_PART = 0.6;
+    private static final double POLL_INTERVAL_ALONE_PART = 0.6;
     private static final double RETRY_INTERVAL_PART = 0.125;
     private static final double SILENCE_PART = 0.6;
 
@@ -45,7 +45,7 @@
      */
     public Duration pollIntervalAlone(int instances) {
         Duration shortest = pollInterval();
-        Duration longest = part(LONGEST_POLL_INTERVAL_PART, MAX_LONGEST_POLL_INTERVAL);
+        Duration longest = part(POLL_INTERVAL_ALONE_PART, MAX_POLL_INTERVAL_ALONE);
         double factor = Math.max(1, (double) instances / MAX_INSTANCES_AT_SHORTEST);
         return min(Duration.ofMillis((long) (shortest.toMillis() * factor)), longest);
     }
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/GatewayCommand.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/GatewayCommand.java
@@ -22,7 +22,7 @@
     private static final long MAX_MILLIS = 3_600_000;
     private static final long MAX_SECONDS = 3_600;
 
-    /** A call to the store that fails and the next one take at least half of this time. */
+    /** A failed call to the store and the next one take about half of this time. */
     private static final long MIN_USE_AFTER_LEAVING_MILLIS = 1000;
 
     private static final int MAX_RETRIES = 1_000_000;
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/membership/FleetView.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/membership/FleetView.java
@@ -254,7 +254,7 @@
         put(upstream);
     }
 
-    /** The expiry of an entry and its return are changes that peers have to know. */
+    /** Counts the expiry of an entry or its return, which peers have to know. */
     private void countChange(boolean changed) {
         if (changed) {
             mChanges++;
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/membership/UpdateSource.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/membership/UpdateSource.java
@@ -6,7 +6,7 @@
  * Where an update of the local replica came from.
  *
  * @param sender the store or the address of a peer
- * @param sincePrevious time since the update before it, in which the changes were made or were late
+ * @param sincePrevious time since the update before it
  */
 record UpdateSource(String sender, Duration sincePrevious) {
 
