Count failed calls of peers only when nobody was served for long

Each report and each changed entry summed the failed calls of all peers and counted the instances, which grows with the square of the fleet.

--- a/tanagergap-decisions/src/main/java/org/tanagergap/decisions/replication/StoreOutages.java
+++ b/tanagergap-decisions/src/main/java/org/tanagergap/decisions/replication/StoreOutages.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.function.IntSupplier;
 
 /**
  * Decides whether an entry that is missing from the store may have expired because the store was
@@ -25,20 +26,30 @@
     /** One failed call may be due to its caller, such as a busy one that connects too slowly. */
     static final int MIN_FAILED_CALLS = 2;
 
+    private final IntSupplier mFailedCalls;
     private OptionalLong mAnsweredNanos = OptionalLong.empty();
     private OptionalLong mEndedNanos = OptionalLong.empty();
 
+    /**
+     * Creates a decision for a store that has not failed.
+     *
+     * @param failedCalls failed calls of all instances that are heard, since the last success of
+     *     each; asked only if nobody was served for long, as it takes longer in a large fleet
+     */
+    public StoreOutages(IntSupplier failedCalls) {
+        mFailedCalls = failedCalls;
+    }
+
     /**
      * Records that the store answered a call of this instance or of a peer.
      *
-     * @param failedCalls failed calls of all instances that are known since their last successes
      * @return true if the response is the first one after an outage
      */
-    public boolean answered(long atNanos, int failedCalls) {
+    public boolean answered(long atNanos) {
         if (mAnsweredNanos.isPresent() && atNanos - mAnsweredNanos.getAsLong() <= 0) {
             return false;
         }
-        boolean ended = isOutage(failedCalls, atNanos);
+        boolean ended = isOutage(atNanos);
         mAnsweredNanos = OptionalLong.of(atNanos);
         if (ended) {
             mEndedNanos = mAnsweredNanos;
@@ -52,15 +63,15 @@
     }
 
     /** Returns true if no instance is known to have been served for longer than leases outlast. */
-    public boolean isOutage(int failedCalls, long nowNanos) {
-        return failedCalls >= MIN_FAILED_CALLS
-                && mAnsweredNanos.isPresent()
-                && nowNanos - mAnsweredNanos.getAsLong() > MIN_OUTAGE.toNanos();
+    public boolean isOutage(long nowNanos) {
+        return mAnsweredNanos.isPresent()
+                && nowNanos - mAnsweredNanos.getAsLong() > MIN_OUTAGE.toNanos()
+                && mFailedCalls.getAsInt() >= MIN_FAILED_CALLS;
     }
 
     /** Returns true if an entry that is found missing now may have expired in an outage. */
-    public boolean mayHaveExpired(int failedCalls, long nowNanos) {
-        return isOutage(failedCalls, nowNanos)
+    public boolean mayHaveExpired(long nowNanos) {
+        return isOutage(nowNanos)
                 || sinceEnd(nowNanos).filter(t -> t.compareTo(EXPIRY_GRACE) < 0).isPresent();
     }
 
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/membership/StoreAvailability.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/membership/StoreAvailability.java
@@ -27,16 +27,13 @@
     /**
      * Creates the availability of a store that has not failed.
      *
+     * @param readers whose reads and failed calls are known
      * @param outageEnded receives the time of the first response after an outage for all
      */
-    StoreAvailability(
-            RuntimeClock clock,
-            StoreReaders readers,
-            StoreOutages outages,
-            LongConsumer outageEnded) {
+    StoreAvailability(RuntimeClock clock, StoreReaders readers, LongConsumer outageEnded) {
         mClock = clock;
         mReaders = readers;
-        mOutages = outages;
+        mOutages = new StoreOutages(this::failedCalls);
         mOutageEnded = outageEnded;
     }
 
@@ -80,12 +77,15 @@
         mReaders.peerReported(id, read, now);
     }
 
+    private int failedCalls() {
+        return mReaders.failedCalls(mClock.nanoTime());
+    }
+
     private void answered(long atNanos) {
-        int failedCalls = mReaders.failedCalls(mClock.nanoTime());
-        if (mOutages.answered(atNanos, failedCalls)) {
+        if (mOutages.answered(atNanos)) {
             sLogger.atInfo().log(
                     "key-value store is available again to the fleet after %d failed calls",
-                    failedCalls);
+                    failedCalls());
             mOutageEnded.accept(atNanos);
         }
     }
@@ -97,24 +97,20 @@
 
     /** Returns true while the store serves neither this instance nor a peer. */
     boolean isOutage() {
-        long now = mClock.nanoTime();
-        return mOutages.isOutage(mReaders.failedCalls(now), now);
+        return mOutages.isOutage(mClock.nanoTime());
     }
 
     /** Returns true if a removal may be a lease that expired while the store was unavailable. */
     boolean removalMayBeExpiry() {
-        long now = mClock.nanoTime();
-        return mOutages.mayHaveExpired(mReaders.failedCalls(now), now);
+        return mOutages.mayHaveExpired(mClock.nanoTime());
     }
 
     /** Why a removal may be a lease that expired. */
     String expiryReason() {
-        long now = mClock.nanoTime();
-        int failedCalls = mReaders.failedCalls(now);
-        if (mOutages.isOutage(failedCalls, now)) {
-            return "the store answers nobody, " + failedCalls + " calls failed";
+        if (isOutage()) {
+            return "the store answers nobody, " + failedCalls() + " calls failed";
         }
-        return mOutages.sinceEnd(now)
+        return mOutages.sinceEnd(mClock.nanoTime())
                 .map(time -> "the store was unavailable or restored " + time.toMillis() + " ms ago")
                 .orElse("the store was restored");
     }
--- a/tanagergap-gateway/src/main/java/org/tanagergap/gateway/membership/StoreSync.java
+++ b/tanagergap-gateway/src/main/java/org/tanagergap/gateway/membership/StoreSync.java
@@ -16,7 +16,6 @@
 import org.tanagergap.decisions.replication.ReadSchedule;
 import org.tanagergap.decisions.replication.ReadSchedule.Read;
 import org.tanagergap.decisions.replication.ReplicationTiming;
-import org.tanagergap.decisions.replication.StoreOutages;
 import org.tanagergap.decisions.replication.StoreReaders;
 import org.tanagergap.platform.keyvalue.ChangeFeed;
 import org.tanagergap.platform.keyvalue.HistoryLostException;
@@ -82,8 +81,7 @@
         List<String> prefixes = new ArrayList<>(decoder.prefixes());
         prefixes.addAll(ownPrefixes);
         mTiming = new PollTiming(clock, readers, instances, timing);
-        mAvailability =
-                new StoreAvailability(clock, readers, new StoreOutages(), view::storeRecovered);
+        mAvailability = new StoreAvailability(clock, readers, view::storeRecovered);
         mUpdater = new ReplicaUpdater(clock, decoder, prefixes, view, mAvailability, listener);
         mReader =
                 new ReplicaReader(
@@ -116,9 +114,9 @@
     /** Fetches the changes of a peer whose replica has a newer change than the local one. */
     @Override
     public void peerReported(String id, ReplicaProgress peer, Optional<PeerRead> read) {
-        boolean wasReader = isReader();
         read.ifPresent(r -> mAvailability.peerReported(id, r));
-        if (!wasReader && isReader()) {
+        // This instance may have to take the place of the peer as a reader.
+        if (mLoaded.isDone() && read.filter(r -> r.failedCalls() > 0).isPresent()) {
             scheduleDecision();
         }
         if (!peer.lastChange().isAfter(mUpdater.position())) {
